--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
+BIN := .venv/bin
+PACKAGES := pondquay pondquay-daemon pondquay-cli pondquay-standins pondquay-lab
+SOURCES := $(PACKAGES:%=packages/%/src)
+
+.PHONY: demo test fleet bench lint types unit clean
+
+.venv/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: .venv/.installed
+	$(BIN)/python -m pondquay_standins.demo
+
+fleet: .venv/.installed
+	$(BIN)/python -m pondquay_standins.fleet
+
+bench: .venv/.installed
+	$(BIN)/python -m pondquay_lab.bench
+
+test: lint types unit
+
+lint: .venv/.installed
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+types: .venv/.installed
+	$(BIN)/mypy $(SOURCES)
+
+unit: .venv/.installed
+	$(BIN)/pytest
+
+clean:
+	rm -rf .venv var
--- /dev/null
+++ b/packages/pondquay-cli/src/pondquay_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The pondquay entry instance daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -0,0 +1,91 @@
+"""The command ``pondquayd``."""
+
+from __future__ import annotations
+
+import sys
+from argparse import ArgumentParser
+from pathlib import Path
+from signal import SIGINT, SIGTERM, signal
+from typing import TYPE_CHECKING, Any
+
+from pondquay.errors import InvalidInputError
+from pondquay_daemon.logs import Level, log_event, start_logs
+from pondquay_daemon.settings import Settings, load_settings
+from pondquay_daemon.tasks import spawn
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+EXIT_INVALID = 2
+EXIT_FAILED = 1
+
+
+def make_parser() -> ArgumentParser:
+    """Return the parser of the command's arguments."""
+    parser = ArgumentParser(
+        prog="pondquayd",
+        description="An entry instance of a pondquay fleet.",
+        epilog="example: pondquayd --settings docs/examples/khuree-a1.ini --check",
+    )
+    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop.
+
+    :returns: 0 after a planned stop, 1 if it failed, 2 for invalid settings
+    """
+    options = make_parser().parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+    except InvalidInputError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    if options.check:
+        print(f"{options.settings}: ok")
+        return 0
+    start_logs(settings.logs.level)
+    return _run(settings)
+
+
+def _run(settings: Settings) -> int:
+    from twisted.internet import reactor
+
+    from pondquay_daemon.application import Application
+
+    application = Application(reactor, settings)
+    status = [EXIT_FAILED]
+    anyreactor: Any = reactor
+
+    async def start() -> None:
+        try:
+            await application.start()
+        except Exception as error:
+            log_event("start-failed", Level.ERROR, error=error)
+            anyreactor.stop()
+
+    async def stop() -> None:
+        status[0] = 0 if await application.stop() else EXIT_FAILED
+        anyreactor.stop()
+
+    def begin_stop(*_: object) -> None:
+        if not application.stopping:
+            application.stopping = True
+            anyreactor.callFromThread(lambda: spawn(stop(), "Application"))
+
+    def install_signals() -> Deferred[None]:
+        signal(SIGTERM, begin_stop)
+        signal(SIGINT, begin_stop)
+        return spawn(start(), "Application")
+
+    anyreactor.callWhenRunning(install_signals)
+    anyreactor.run()
+    return status[0]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/book.py
@@ -0,0 +1,75 @@
+"""The book of requests that this instance runs or ran a while ago."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from pondquay.requests.lifecycle import Outcome
+from pondquay_daemon.calls import Call, KeptAnswer, Refusal, RefusalCode
+
+if TYPE_CHECKING:
+    from pondquay.names import RequestName
+
+MOST_KEPT = 2000
+MOST_KEPT_BYTES = 8 << 20
+RETRY_SECONDS = 1
+
+
+class RequestBook:
+    """Knows which requests run here, and keeps whole answers for callers that return.
+
+    :param most_kept: answers kept at most
+    :param most_bytes: memory that they may take together
+    """
+
+    def __init__(
+        self, most_kept: int = MOST_KEPT, most_bytes: int = MOST_KEPT_BYTES
+    ) -> None:
+        self.running: dict[RequestName, Call] = {}
+        self._kept: OrderedDict[RequestName, KeptAnswer] = OrderedDict()
+        self._bytes = 0
+        self._most_kept = most_kept
+        self._most_bytes = most_bytes
+
+    def find(self, call: Call) -> KeptAnswer | Refusal | None:
+        """Return the kept answer to a call, or why it cannot be taken.
+
+        :returns: ``None`` if the request is new here
+        """
+        running = self.running.get(call.request)
+        if running is not None:
+            if running.content != call.content:
+                return _refuse_reused_key()
+            return Refusal(
+                RefusalCode.REQUEST_RUNNING,
+                "a request with this key is running",
+                Outcome.UNKNOWN,
+                RETRY_SECONDS,
+            )
+        kept = self._kept.get(call.request)
+        if kept is not None and kept.content != call.content:
+            return _refuse_reused_key()
+        return kept
+
+    def begin(self, call: Call) -> None:
+        """Note that a request runs."""
+        self.running[call.request] = call
+
+    def end(self, call: Call) -> None:
+        """Note that a request no longer runs."""
+        self.running.pop(call.request, None)
+
+    def keep(self, call: Call, answer: KeptAnswer) -> None:
+        """Keep a whole answer, dropping the oldest ones for it."""
+        if not call.keyed or answer.size > self._most_bytes // 4:
+            return
+        self._kept[call.request] = answer
+        self._bytes += answer.size
+        while len(self._kept) > self._most_kept or self._bytes > self._most_bytes:
+            _, dropped = self._kept.popitem(last=False)
+            self._bytes -= dropped.size
+
+
+def _refuse_reused_key() -> Refusal:
+    return Refusal(RefusalCode.KEY_REUSED, "this key names another request")
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/doors/callers.py
@@ -0,0 +1,468 @@
+"""The caller door: chat completions, the list of models, and plain services."""
+
+from __future__ import annotations
+
+import json
+from hashlib import sha256
+from secrets import token_hex
+from typing import TYPE_CHECKING, Any
+
+from klein import Klein
+from pydantic import ValidationError
+from twisted.internet.defer import Deferred
+
+from pondquay.configuration.entities import Model, Service
+from pondquay.names import RequestName
+from pondquay.requests.bounds import bound_prompt_tokens
+from pondquay.requests.lifecycle import Outcome
+from pondquay_daemon.calls import (
+    CompletionCall,
+    Delivered,
+    FrameSink,
+    PlainCall,
+    Refusal,
+)
+from pondquay_daemon.doors.answers import (
+    BAD_REQUEST,
+    NOT_FOUND,
+    TOO_LARGE,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    digest_key,
+    read_bearer,
+    read_json,
+    write_error,
+    write_json,
+)
+from pondquay_daemon.doors.forms import (
+    HEADER_NAMES,
+    CallHeaders,
+    CompletionForm,
+    digest_content,
+    name_prefix,
+)
+from pondquay_daemon.services import ServiceCall
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from pondquay.configuration.documents import Document
+    from pondquay.configuration.entities import Workspace
+    from pondquay.streams import Frame
+    from pondquay_daemon.application import Application
+
+OUTCOME_HEADER = "Pondquay-Outcome"
+REQUEST_HEADER = "Pondquay-Request"
+BILLED_HEADER = "Pondquay-Billed"
+GENERATED_KEY_BYTES = 16
+PASSED_ON = ("Content-Type", "Accept", "If-Match", "If-None-Match")
+METHODS = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"]
+
+
+class RejectedError(Exception):
+    """A request is not well formed; nothing of it is charged.
+
+    :param param: the field concerned
+    """
+
+    def __init__(
+        self, status: int, code: str, message: str, param: str | None = None
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.param = param
+
+
+class CallerDoor:
+    """Serves callers."""
+
+    def __init__(self, application: Application) -> None:
+        self._application = application
+        self.app = Klein()
+        self.app.route("/v1/models", methods=["GET"])(self.list_models)
+        self.app.route("/v1/chat/completions", methods=["POST"])(self.complete)
+        self.app.route("/services/<name>/<path:path>", methods=METHODS)(self.call)
+        self.app.route("/services/<name>/", methods=METHODS, defaults={"path": ""})(
+            self.call
+        )
+        handler: Any = self.show_rejected
+        self.app.handle_errors(RejectedError)(handler)
+
+    def show_rejected(self, request: Request, failure: Any) -> bytes:
+        """Answer a request that is not well formed."""
+        error: RejectedError = failure.value
+        request.setHeader(OUTCOME_HEADER, Outcome.NOT_RUN.value)
+        self._count("rejected", error.code)
+        return write_error(request, error.status, error.code, str(error), error.param)
+
+    def _count(self, kind: str, code: str) -> None:
+        self._application.metrics.requests.labels(kind, code).inc()
+
+    @property
+    def _document(self) -> Document:
+        return self._application.keeper.document
+
+    def _find_workspace(self, request: Request) -> Workspace:
+        key = read_bearer(request)
+        workspace = None
+        if key is not None:
+            workspace = self._document.find_workspace_by_digest(digest_key(key))
+        if workspace is not None:
+            return workspace
+        if not self._application.keeper.loaded:
+            raise RejectedError(UNAVAILABLE, "not_ready", "no configuration yet")
+        raise RejectedError(UNAUTHORIZED, "invalid_api_key", "this key is not known")
+
+    # Models
+
+    def list_models(self, request: Request) -> bytes:
+        """List the models that can be asked for."""
+        self._find_workspace(request)
+        models = sorted(self._document.list(Model), key=lambda one: one.name)
+        data = [
+            {"id": one.name, "object": "model", "created": 0, "owned_by": one.partner}
+            for one in models
+        ]
+        return write_json(request, {"object": "list", "data": data})
+
+    # Chat completions
+
+    def complete(self, request: Request) -> Deferred[Any]:
+        """Run a chat completion."""
+        workspace = self._find_workspace(request)
+        self._check_size(request)
+        form = self._read_form(request)
+        headers = read_headers(request)
+        call = self._make_completion(workspace, form, headers)
+        started = self._application.reactor.seconds()
+        answer: CompletionAnswer
+        if form.stream:
+            include_usage = bool(
+                form.stream_options and form.stream_options.include_usage
+            )
+            answer = StreamedAnswer(request, call, include_usage)
+        else:
+            answer = WholeAnswer(request, call)
+        answer.watch_first(self._application, started)
+        return Deferred.fromCoroutine(self._complete(call, answer))
+
+    async def _complete(self, call: CompletionCall, answer: CompletionAnswer) -> Any:
+        result = await self._application.runner.complete(call, answer)
+        code = result.code.value if isinstance(result, Refusal) else "done"
+        self._count("completion", code)
+        return answer.end(result)
+
+    def _check_size(self, request: Request) -> None:
+        if getattr(request, "too_large", False):
+            most = self._application.settings.limits.body_bytes
+            raise RejectedError(
+                TOO_LARGE, "body_too_large", f"the body is over {most} bytes"
+            )
+
+    def _read_form(self, request: Request) -> CompletionForm:
+        try:
+            return CompletionForm.model_validate(read_json(request))
+        except ValidationError as error:
+            first = error.errors()[0]
+            param = ".".join(str(one) for one in first["loc"])
+            raise RejectedError(
+                BAD_REQUEST, "invalid_value", f"{param}: {first['msg']}", param
+            ) from error
+        except (ValueError, RecursionError) as error:
+            raise RejectedError(
+                BAD_REQUEST, "invalid_json", "the body is not JSON"
+            ) from error
+
+    def _make_completion(
+        self, workspace: Workspace, form: CompletionForm, headers: CallHeaders
+    ) -> CompletionCall:
+        model = self._document.find(Model, form.model)
+        if model is None:
+            raise RejectedError(
+                NOT_FOUND, "model_not_found", f"no model {form.model!r}", "model"
+            )
+        limit = form.limit or model.output_limit
+        if limit > model.output_limit:
+            raise RejectedError(
+                BAD_REQUEST,
+                "invalid_value",
+                f"at most {model.output_limit} output tokens can be asked for",
+                "max_completion_tokens" if form.max_completion_tokens else "max_tokens",
+            )
+        texts = [one.text for one in form.messages]
+        messages = tuple(
+            {"role": one.role, "content": one.text} for one in form.messages
+        )
+        return CompletionCall(
+            request=RequestName(workspace.name, headers.key or make_key()),
+            workspace=workspace,
+            keyed=headers.key is not None,
+            repeatable=headers.repeatable != "no",
+            priority=headers.priority or workspace.priority,
+            wait=self._wait(headers),
+            content=digest_content([form.model, messages, limit]),
+            model=form.model,
+            messages=messages,
+            max_tokens=limit,
+            bound=bound_prompt_tokens(texts),
+            prefix=name_prefix(texts),
+        )
+
+    def _wait(self, headers: CallHeaders) -> float:
+        longest = self._application.settings.limits.queue_seconds
+        if headers.deadline_ms is None:
+            return longest
+        return min(longest, headers.deadline_ms / 1000)
+
+    # Plain services
+
+    def call(self, request: Request, name: str, path: str) -> Deferred[Any]:
+        """Pass a call on to a plain service."""
+        workspace = self._find_workspace(request)
+        self._check_size(request)
+        headers = read_headers(request)
+        service = self._document.find(Service, name)
+        if service is None:
+            raise RejectedError(
+                NOT_FOUND, "service_not_found", f"no service {name!r}", "service"
+            )
+        call = self._make_plain(request, workspace, service, path, headers)
+        return Deferred.fromCoroutine(self._call(request, call))
+
+    def _make_plain(
+        self,
+        request: Request,
+        workspace: Workspace,
+        service: Service,
+        path: str,
+        headers: CallHeaders,
+    ) -> PlainCall:
+        method = request.method.decode("ascii")
+        assert request.content is not None
+        request.content.seek(0)
+        body = request.content.read()
+        query = request.uri.partition(b"?")[2].decode("ascii", "replace")
+        target = f"{path}?{query}" if query else path
+        repeatable = method in service.repeatable
+        if headers.repeatable is not None:
+            repeatable = headers.repeatable == "yes"
+        passed = {one: value for one in PASSED_ON if (value := request.getHeader(one))}
+        return PlainCall(
+            request=RequestName(workspace.name, headers.key or make_key()),
+            workspace=workspace,
+            keyed=headers.key is not None,
+            repeatable=repeatable,
+            priority=headers.priority or workspace.priority,
+            wait=self._wait(headers),
+            content=sha256(f"{method} {target}\n".encode() + body).hexdigest(),
+            service=service.name,
+            price=service.price,
+            call=ServiceCall(method, target, body, passed),
+        )
+
+    async def _call(self, request: Request, call: PlainCall) -> bytes:
+        result = await self._application.runner.call_service(call)
+        write_names(request, call.request)
+        if isinstance(result, Refusal):
+            self._count("service", result.code.value)
+            return write_refusal(request, result)
+        self._count("service", "done")
+        request.setResponseCode(result.status)
+        request.setHeader(OUTCOME_HEADER, Outcome.DONE.value)
+        request.setHeader(BILLED_HEADER, str(result.tokens))
+        for name, value in result.headers.items():
+            request.setHeader(name, value)
+        return result.body
+
+
+class CompletionAnswer(FrameSink):
+    """An answer on its way to a caller, who may go away meanwhile.
+
+    A caller that goes away does not end the request: it finishes, is billed once, and
+    its answer is kept for when the caller asks again with the same key.
+    """
+
+    def __init__(self, request: Request, call: CompletionCall) -> None:
+        self.request = request
+        self.call = call
+        self.gone = False
+        self._application: Application | None = None
+        self._started = 0.0
+        request.notifyFinish().addErrback(self._note_gone)
+
+    def _note_gone(self, reason: object) -> None:
+        self.gone = True
+
+    def watch_first(self, application: Application, started: float) -> None:
+        """Measure the time to the first piece."""
+        self._application = application
+        self._started = started
+
+    def note_first(self) -> None:
+        """Note that the first piece came."""
+        if self._application is not None:
+            seconds = self._application.reactor.seconds() - self._started
+            self._application.metrics.first_token.observe(seconds)
+            self._application = None
+
+    def end(self, result: Delivered | Refusal) -> bytes:
+        """Return what is left to be written once the request has ended."""
+        raise NotImplementedError
+
+
+class WholeAnswer(CompletionAnswer):
+    """An answer that is written when it is whole."""
+
+    def __init__(self, request: Request, call: CompletionCall) -> None:
+        super().__init__(request, call)
+        self._frames: list[Frame] = []
+
+    def pass_on(self, frame: Frame) -> None:
+        """Keep a piece."""
+        self.note_first()
+        self._frames.append(frame)
+
+    def end(self, result: Delivered | Refusal) -> bytes:
+        """Return the whole answer, or the refusal."""
+        write_names(self.request, self.call.request)
+        if self.gone:
+            return b""
+        if isinstance(result, Refusal):
+            return write_refusal(self.request, result)
+        last = self._frames[-1]
+        self.request.setHeader(OUTCOME_HEADER, Outcome.DONE.value)
+        self.request.setHeader(BILLED_HEADER, str(result.tokens))
+        content = {
+            "id": str(self.call.request),
+            "object": "chat.completion",
+            "created": 0,
+            "model": self.call.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {
+                        "role": "assistant",
+                        "content": "".join(one.text for one in self._frames),
+                    },
+                    "finish_reason": last.finish,
+                }
+            ],
+            "usage": describe_usage(last),
+        }
+        return write_json(self.request, content)
+
+
+class StreamedAnswer(CompletionAnswer):
+    """An answer whose pieces are written as server-sent events as they come."""
+
+    def __init__(
+        self, request: Request, call: CompletionCall, include_usage: bool
+    ) -> None:
+        super().__init__(request, call)
+        self._include_usage = include_usage
+        self._begun = False
+
+    def pass_on(self, frame: Frame) -> None:
+        """Write a piece."""
+        self.note_first()
+        self._begin()
+        delta = {"content": frame.text} if frame.text else {}
+        choice = {
+            "index": 0,
+            "delta": delta,
+            "finish_reason": frame.finish or None,
+        }
+        self._write_event([choice])
+        if frame.finish and self._include_usage:
+            self._write_event([], describe_usage(frame))
+
+    def _begin(self) -> None:
+        if self._begun:
+            return
+        self._begun = True
+        write_names(self.request, self.call.request)
+        self.request.setHeader("Content-Type", "text/event-stream")
+        self.request.setHeader("Cache-Control", "no-store")
+
+    def _write_event(
+        self, choices: list[dict[str, object]], usage: dict[str, int] | None = None
+    ) -> None:
+        event: dict[str, object] = {
+            "id": str(self.call.request),
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.call.model,
+            "choices": choices,
+        }
+        if usage is not None:
+            event["usage"] = usage
+        self._write(json.dumps(event).encode())
+
+    def _write(self, content: bytes) -> None:
+        if not self.gone:
+            self.request.write(b"data: " + content + b"\n\n")
+
+    def end(self, result: Delivered | Refusal) -> bytes:
+        """Write the end mark, or an error event that says there is none."""
+        if isinstance(result, Delivered):
+            self._write(b"[DONE]")
+            return b""
+        if not self._begun:
+            write_names(self.request, self.call.request)
+            return b"" if self.gone else write_refusal(self.request, result)
+        error = {
+            "type": "server_error",
+            "code": result.code.value,
+            "message": result.message,
+            "outcome": result.outcome.value,
+        }
+        self._write(json.dumps({"error": error}).encode())
+        return b""
+
+
+def describe_usage(frame: Frame) -> dict[str, int]:
+    """Return the usage that the last piece of an answer tells."""
+    return {
+        "prompt_tokens": frame.prompt_tokens,
+        "completion_tokens": frame.output_tokens,
+        "total_tokens": frame.prompt_tokens + frame.output_tokens,
+    }
+
+
+def make_key() -> str:
+    """Return a key for a request that its caller did not name."""
+    return f"auto-{token_hex(GENERATED_KEY_BYTES)}"
+
+
+def read_headers(request: Request) -> CallHeaders:
+    """Read the headers that qualify a request.
+
+    :raises RejectedError: if one has another form
+    """
+    values = {
+        field: value
+        for field, name in HEADER_NAMES.items()
+        if (value := request.getHeader(name)) is not None
+    }
+    try:
+        return CallHeaders.model_validate(values)
+    except ValidationError as error:
+        first = error.errors()[0]
+        name = HEADER_NAMES[str(first["loc"][0])]
+        raise RejectedError(
+            BAD_REQUEST, "invalid_header", f"{name}: {first['msg']}", name
+        ) from error
+
+
+def write_names(request: Request, name: RequestName) -> None:
+    """Set the header that names a request."""
+    request.setHeader(REQUEST_HEADER, name.key)
+
+
+def write_refusal(request: Request, refusal: Refusal) -> bytes:
+    """Return a refusal in the usual envelope, at once."""
+    request.setHeader(OUTCOME_HEADER, refusal.outcome.value)
+    if refusal.retry_after is not None:
+        request.setHeader("Retry-After", str(refusal.retry_after))
+    return write_error(request, refusal.status, refusal.code.value, refusal.message)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/doors/forms.py
@@ -0,0 +1,103 @@
+"""What callers send, as validated models, and how it becomes a call."""
+
+from __future__ import annotations
+
+import json
+from hashlib import sha256
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from pondquay.configuration.entities import Priority  # noqa: TC002
+
+KEY_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$"
+MOST_DEADLINE_MS = 600_000
+MOST_MESSAGES = 1000
+PREFIX_CHARACTERS = 256
+
+
+class TextPart(BaseModel):
+    """A part of a message."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    type: Literal["text"]
+    text: str
+
+
+class ChatMessage(BaseModel):
+    """One message of a conversation."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    role: Literal["system", "developer", "user", "assistant", "tool"]
+    content: str | list[TextPart]
+
+    @property
+    def text(self) -> str:
+        """The whole text of the message."""
+        if isinstance(self.content, str):
+            return self.content
+        return "".join(part.text for part in self.content)
+
+
+class StreamOptions(BaseModel):
+    """Options of a streamed answer."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    include_usage: bool = False
+
+
+class CompletionForm(BaseModel):
+    """The body of a chat completion request; fields that are not known are ignored."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    model: Annotated[str, Field(min_length=1, max_length=200)]
+    messages: Annotated[
+        list[ChatMessage], Field(min_length=1, max_length=MOST_MESSAGES)
+    ]
+    max_tokens: Annotated[int, Field(ge=1)] | None = None
+    max_completion_tokens: Annotated[int, Field(ge=1)] | None = None
+    stream: bool | None = False
+    stream_options: StreamOptions | None = None
+    n: Literal[1] | None = None
+
+    @property
+    def limit(self) -> int | None:
+        """The output limit that the caller states."""
+        return self.max_completion_tokens or self.max_tokens
+
+
+class CallHeaders(BaseModel):
+    """Headers by which callers name and qualify a request."""
+
+    model_config = ConfigDict(frozen=True)
+
+    key: Annotated[str, Field(pattern=KEY_PATTERN)] | None = None
+    repeatable: Literal["yes", "no"] | None = None
+    priority: Priority | None = None
+    deadline_ms: Annotated[int, Field(ge=1, le=MOST_DEADLINE_MS)] | None = None
+
+
+HEADER_NAMES = {
+    "key": "Idempotency-Key",
+    "repeatable": "Pondquay-Repeatable",
+    "priority": "Pondquay-Priority",
+    "deadline_ms": "Pondquay-Deadline-Ms",
+}
+
+
+def digest_content(content: Any) -> str:
+    """Return a digest by which two requests with one key can be told apart."""
+    text = content if isinstance(content, bytes) else json.dumps(content).encode()
+    return sha256(text).hexdigest()
+
+
+def name_prefix(texts: list[str]) -> str:
+    """Return the name of the beginning of a prompt, as engines report it."""
+    joined = "\n".join(texts)
+    if len(joined) < PREFIX_CHARACTERS:
+        return ""
+    return sha256(joined[:PREFIX_CHARACTERS].encode()).hexdigest()[:16]
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/doors/metrics.py
@@ -0,0 +1,58 @@
+"""The metrics door: metrics, liveness and readiness."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from klein import Klein
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from pondquay_daemon.doors.answers import UNAVAILABLE, write_json
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from pondquay_daemon.application import Application
+
+
+class MetricsDoor:
+    """Serves ``/metrics``, ``/health`` and ``/ready``."""
+
+    def __init__(self, application: Application) -> None:
+        self._application = application
+        self.app = Klein()
+        self.app.route("/metrics", methods=["GET"])(self.show_metrics)
+        self.app.route("/health", methods=["GET"])(self.show_health)
+        self.app.route("/ready", methods=["GET"])(self.show_ready)
+
+    def show_metrics(self, request: Request) -> bytes:
+        """Return all metrics in the text format."""
+        self._update()
+        request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
+        return generate_latest(self._application.metrics.registry)
+
+    def _update(self) -> None:
+        application = self._application
+        metrics = application.metrics
+        holdings = application.treasury.holder.holdings.values()
+        metrics.running.set(application.runner.running())
+        metrics.waiting.set(application.upstreams.waiting())
+        metrics.version.set(application.keeper.document.version)
+        metrics.peers.set(application.peers.count())
+        metrics.platform_up.set(1 if application.platform.reachable else 0)
+        metrics.table_writes.set(application.platform.writes)
+        metrics.table_reads.set(application.platform.reads)
+        metrics.peer_bytes.set(application.peers.links.sent_bytes)
+        metrics.peer_messages.set(application.peers.links.sent_messages)
+        metrics.links_cut.set(application.peers.links.cut_off)
+        metrics.unsafe_bills.set(application.treasury.unsafe_bills)
+        metrics.held_tokens.set(sum(one.amount - one.spent for one in holdings))
+
+    def show_health(self, request: Request) -> bytes:
+        """Say that the process runs."""
+        return write_json(request, {"instance": str(self._application.instance)})
+
+    def show_ready(self, request: Request) -> bytes:
+        """Say whether the balancer should send callers here."""
+        ready = self._application.ready
+        return write_json(request, {"ready": ready}, 200 if ready else UNAVAILABLE)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/errors.py
@@ -0,0 +1,30 @@
+"""Exceptions of the daemon."""
+
+from __future__ import annotations
+
+
+class DaemonError(Exception):
+    """Base of every error that the daemon raises."""
+
+
+class NotSentError(DaemonError):
+    """No byte of a call was written: it certainly did not run."""
+
+
+class MayHaveRunError(DaemonError):
+    """A call was written, at least in part, and its outcome is not known."""
+
+
+class RefusedError(DaemonError):
+    """An upstream refused a call before it started.
+
+    :param status: the HTTP status of the refusal
+    """
+
+    def __init__(self, status: int, message: str = "") -> None:
+        super().__init__(message or f"refused with status {status}")
+        self.status = status
+
+
+class LinkError(DaemonError):
+    """A peer broke the rules of the link or cannot be reached."""
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/links.py
@@ -0,0 +1,337 @@
+"""Links between instances: authenticated streams of length-framed messages.
+
+Each instance dials its peers and sends on the links it dialled; answers come back on
+the same link. Until a peer has proved that it knows the fleet's key, nothing but its
+proof is read, and only frames of a few hundred bytes.
+"""
+
+from __future__ import annotations
+
+import hmac
+from abc import ABC, abstractmethod
+from hashlib import sha256
+from secrets import token_bytes
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+from twisted.internet.protocol import Factory
+from twisted.protocols.basic import Int32StringReceiver
+
+from pondquay.names import InstanceId
+from pondquay_daemon.errors import LinkError
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.tasks import Task, spawn
+from pondquay_daemon.wire import (
+    MOST_FRAME_BYTES,
+    Challenge,
+    Proof,
+    Welcome,
+    decode_message,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IListeningPort
+    from twisted.python.failure import Failure
+
+    from pondquay_daemon.settings import Address
+
+NONCE_BYTES = 32
+MOST_PROOF_BYTES = 1024
+MOST_UNSENT_BYTES = 4 << 20
+HANDSHAKE_SECONDS = 3.0
+REDIAL_SECONDS = 0.25
+CONNECT_SECONDS = 1.0
+MOST_LINKS = 1024
+
+
+class LinkHandler(ABC):
+    """What a task must offer to be told of links and their messages."""
+
+    @abstractmethod
+    def link_opened(self, peer: InstanceId, domain: str) -> None:
+        """Learn that a link that we dialled stands."""
+
+    @abstractmethod
+    def link_closed(self, peer: InstanceId) -> None:
+        """Learn that a link that we dialled broke."""
+
+    @abstractmethod
+    def receive_call(self, peer: InstanceId, message: Any) -> Any | None:
+        """Answer a message that a peer sent on the link it dialled."""
+
+    @abstractmethod
+    def receive_answer(self, peer: InstanceId, message: Any) -> None:
+        """Take an answer that came back on a link that we dialled."""
+
+
+def prove(key: bytes, nonce: bytes, role: str, name: str, boot: str) -> bytes:
+    """Return the digest by which one side proves that it knows the fleet's key."""
+    text = b"|".join([role.encode(), nonce, name.encode(), boot.encode()])
+    return hmac.new(key, text, sha256).digest()
+
+
+class LinkProtocol(Int32StringReceiver):
+    """One link, on either side; after the handshake it passes messages on."""
+
+    MAX_LENGTH = MOST_PROOF_BYTES
+    transport: Any
+
+    def __init__(self, links: Links, address: Address | None) -> None:
+        self.links = links
+        self.address = address
+        self.peer: InstanceId | None = None
+        self.domain = ""
+        self.nonce = token_bytes(NONCE_BYTES)
+        self._timer: Any = None
+        self._unsent_paused = False
+
+    @property
+    def dialled(self) -> bool:
+        """Whether we opened this link."""
+        return self.address is not None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Begin the handshake."""
+        self.links.begun(self)
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._timer = self.links.clock.callLater(HANDSHAKE_SECONDS, self.cut, "slow")
+        if not self.dialled:
+            self.send(Challenge(self.nonce))
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading while the peer does not take our answers."""
+        self._unsent_paused = True
+        if not self.dialled:
+            self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on."""
+        self._unsent_paused = False
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """End, as the transport is gone."""
+
+    def send(self, message: Any) -> None:
+        """Send a message; a link that takes none for long is cut."""
+        frame = encode_message(message)
+        if self._unsent_paused and self._unsent_bytes() > MOST_UNSENT_BYTES:
+            self.cut("peer does not read")
+            return
+        self.sendString(frame)  # type: ignore[no-untyped-call]
+        self.links.sent_messages += 1
+        self.links.sent_bytes += len(frame)
+
+    def _unsent_bytes(self) -> int:
+        waiting = getattr(self.transport, "_tempDataLen", 0)
+        return int(waiting) + len(getattr(self.transport, "dataBuffer", b""))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take in one frame."""
+        try:
+            message = decode_message(string)
+            if self.peer is None:
+                self._receive_handshake(message)
+            else:
+                self.links.receive(self, self.peer, message)
+        except LinkError as error:
+            self.cut(str(error))
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Cut off a peer whose frame is too long."""
+        self.cut(f"frame of {length} bytes")
+
+    def _receive_handshake(self, message: Any) -> None:
+        if self.dialled and isinstance(message, Challenge):
+            self.send(self.links.make_proof(message.nonce, self.nonce))
+        elif self.dialled and isinstance(message, Welcome):
+            self.links.check(message.digest, self.nonce, "welcome", message)
+            self._finish_handshake(message)
+        elif not self.dialled and isinstance(message, Proof):
+            self.links.check(message.digest, self.nonce, "proof", message)
+            self.send(self.links.make_welcome(message.nonce))
+            self._finish_handshake(message)
+        else:
+            raise LinkError(f"{message.kind} before the handshake")
+
+    def _finish_handshake(self, message: Proof | Welcome) -> None:
+        self._timer.cancel()
+        self.peer = InstanceId(message.name, message.boot)
+        self.domain = message.domain
+        self.MAX_LENGTH = MOST_FRAME_BYTES
+        self.links.opened(self)
+
+    def cut(self, reason: str) -> None:
+        """End the link at once and count why."""
+        self.links.cut_off += 1
+        log_event("link-cut", Level.WARNING, peer=self.peer or "unknown", reason=reason)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """Tell the task that the link is gone."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self.links.closed(self)
+
+
+class LinkFactory(Factory):
+    """Builds the accepting side of links."""
+
+    noisy = False
+
+    def __init__(self, links: Links, address: Address | None = None) -> None:
+        self._links = links
+        self._address = address
+
+    def buildProtocol(self, addr: object) -> LinkProtocol | None:  # noqa: N802
+        """Return the protocol of a new link, unless there are too many."""
+        if self._address is None and self._links.accepted >= MOST_LINKS:
+            return None
+        return LinkProtocol(self._links, self._address)
+
+
+class Links(Task):
+    """The task that owns all links of an instance.
+
+    :param key: the fleet's key
+    :param handler: the task that is told of messages
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        instance: InstanceId,
+        domain: str,
+        key: bytes,
+        handler: LinkHandler,
+    ) -> None:
+        super().__init__(reactor)
+        self._reactor = reactor
+        self._instance = instance
+        self._domain = domain
+        self._key = key
+        self._handler = handler
+        self._wanted: set[Address] = set()
+        self._dialling: set[Address] = set()
+        self._dialled: dict[InstanceId, LinkProtocol] = {}
+        self._open: set[LinkProtocol] = set()
+        self._port: IListeningPort | None = None
+        self.cut_off = 0
+        self.sent_messages = 0
+        self.sent_bytes = 0
+
+    async def listen(self, address: Address) -> None:
+        """Accept links at an address."""
+        endpoint = TCP4ServerEndpoint(
+            self._reactor, address.port, interface=address.host
+        )
+        self._port = await endpoint.listen(LinkFactory(self))
+        self.repeat(REDIAL_SECONDS, self._redial)
+
+    async def close(self) -> None:
+        """Accept nothing more and end all links."""
+        self._wanted.clear()
+        for link in list(self._open):
+            link.transport.loseConnection()
+        if self._port is not None:
+            stopped = self._port.stopListening()
+            if stopped is not None:
+                await stopped
+
+    @property
+    def accepted(self) -> int:
+        """How many links of others stand."""
+        return sum(1 for link in self._open if not link.dialled)
+
+    def want(self, addresses: set[Address]) -> None:
+        """Keep links to these addresses, and no others."""
+        self._wanted = set(addresses)
+
+    async def _redial(self) -> None:
+        standing = {link.address for link in self._open if link.dialled}
+        for address in self._wanted - standing - self._dialling:
+            self._dialling.add(address)
+            spawn(self._dial(address), "Links")
+
+    async def _dial(self, address: Address) -> None:
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, address.host, address.port, timeout=CONNECT_SECONDS
+        )
+        try:
+            await endpoint.connect(LinkFactory(self, address))
+        except Exception as error:
+            log_event("link-failed", Level.DEBUG, address=address, error=error)
+        finally:
+            self._dialling.discard(address)
+
+    def make_proof(self, challenge: bytes, nonce: bytes) -> Proof:
+        """Return our proof for an accepting side."""
+        name, boot = self._instance.name, self._instance.boot
+        digest = prove(self._key, challenge, "proof", name, boot)
+        return Proof(name, boot, self._domain, nonce, digest)
+
+    def make_welcome(self, challenge: bytes) -> Welcome:
+        """Return our proof for a dialling side."""
+        name, boot = self._instance.name, self._instance.boot
+        digest = prove(self._key, challenge, "welcome", name, boot)
+        return Welcome(name, boot, self._domain, digest)
+
+    def check(
+        self, digest: bytes, nonce: bytes, role: str, message: Proof | Welcome
+    ) -> None:
+        """Refuse a peer that does not know the fleet's key.
+
+        :raises LinkError: if its digest is wrong
+        """
+        expected = prove(self._key, nonce, role, message.name, message.boot)
+        if not hmac.compare_digest(digest, expected):
+            raise LinkError("the peer does not know the fleet's key")
+
+    def begun(self, link: LinkProtocol) -> None:
+        """Take in a link whose handshake is to come."""
+        self._open.add(link)
+
+    def opened(self, link: LinkProtocol) -> None:
+        """Take in a link whose handshake is done."""
+        if link.dialled and link.peer is not None:
+            self._dialled[link.peer] = link
+            self._handler.link_opened(link.peer, link.domain)
+
+    def closed(self, link: LinkProtocol) -> None:
+        """Forget a link."""
+        self._open.discard(link)
+        if link.peer is not None and self._dialled.get(link.peer) is link:
+            del self._dialled[link.peer]
+            self._handler.link_closed(link.peer)
+
+    def receive(self, link: LinkProtocol, peer: InstanceId, message: Any) -> None:
+        """Pass a message to the task, and its answer back."""
+        if link.dialled:
+            self._handler.receive_answer(peer, message)
+            return
+        answer = self._handler.receive_call(peer, message)
+        if answer is not None:
+            link.send(answer)
+
+    def is_connected(self, peer: InstanceId) -> bool:
+        """Tell whether a link that we dialled stands."""
+        return peer in self._dialled
+
+    def connected(self) -> list[InstanceId]:
+        """Return the peers to which we have a link."""
+        return list(self._dialled)
+
+    def send(self, peer: InstanceId, message: Any) -> bool:
+        """Send a message to a peer; ``False`` if there is no link to it."""
+        link = self._dialled.get(peer)
+        if link is None:
+            return False
+        link.send(message)
+        return True
+
+    def broadcast(self, message: Any) -> None:
+        """Send a message to all peers."""
+        for link in list(self._dialled.values()):
+            link.send(message)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -0,0 +1,233 @@
+"""The client of the platform: its table service, object store and instance list."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import treq
+from pydantic import BaseModel, ConfigDict, TypeAdapter
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import TimeoutError as DeferredTimeout
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    ConnectionClosed,
+)
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    RequestGenerationFailed,
+    RequestTransmissionFailed,
+    ResponseFailed,
+)
+
+from pondquay.tables import (
+    Committed,
+    Condition,
+    Conflict,
+    Lost,
+    Read,
+    Row,
+    Rows,
+    Transaction,
+    Unreachable,
+    Write,
+)
+from pondquay_daemon.logs import Level, log_event
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.tables import Program, TableCall, TableReply
+
+T = TypeVar("T")
+DOMAIN_HEADER = "Pondquay-Domain"
+CONNECT_SECONDS = 1.0
+OK = 200
+CONFLICT = 409
+TOO_MANY = 429
+MOST_CONNECTIONS = 8
+
+NETWORK_ERRORS = (
+    ConnectError,
+    ConnectingCancelledError,
+    ResponseFailed,
+    RequestGenerationFailed,
+    RequestTransmissionFailed,
+    ConnectionClosed,
+    CancelledError,
+    DeferredTimeout,
+    OSError,
+)
+
+
+class ListedInstance(BaseModel):
+    """An entry of the platform's list, for entry instances and upstreams alike.
+
+    :param role: ``entry``, ``engine`` or ``service``
+    :param state: ``live`` or ``leaving``
+    """
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    name: str
+    role: str
+    domain: str
+    partner: str = ""
+    url: str = ""
+    peer: str = ""
+    state: str = "live"
+
+
+_LIST: TypeAdapter[list[ListedInstance]] = TypeAdapter(list[ListedInstance])
+_ROW: TypeAdapter[list[Row]] = TypeAdapter(list[Row])
+
+
+def make_pool(reactor: Any, most: int = MOST_CONNECTIONS) -> HTTPConnectionPool:
+    """Return a connection pool that never sends a request twice by itself."""
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = most
+    pool.retryAutomatically = False
+    return pool
+
+
+class Platform:
+    """Calls to the platform from one instance.
+
+    :param url: where the platform answers
+    :param domain: the own failure domain
+    :param timeout: seconds after which an answer counts as lost
+    """
+
+    def __init__(self, reactor: Any, url: str, domain: str, timeout: float) -> None:
+        self._reactor: IReactorTime = reactor
+        self._url = url.rstrip("/")
+        self._headers: dict[bytes | str, bytes | str] = {
+            DOMAIN_HEADER: domain,
+            "Content-Type": "application/json",
+        }
+        self._timeout = timeout
+        agent = Agent(reactor, pool=make_pool(reactor), connectTimeout=CONNECT_SECONDS)
+        self._http = treq.client.HTTPClient(agent)
+        self.reachable = False
+        self.reads = 0
+        self.writes = 0
+
+    async def run(self, program: Program[T]) -> T:
+        """Run a table program to its end and return its result."""
+        reply: TableReply | None = None
+        while True:
+            try:
+                call = program.send(reply) if reply is not None else next(program)
+            except StopIteration as stop:
+                result: T = stop.value
+                return result
+            reply = await self._call(call)
+
+    async def _call(self, call: TableCall) -> TableReply:
+        if isinstance(call, Read):
+            return await self._read(call)
+        return await self._transact(call)
+
+    async def _read(self, call: Read) -> Rows | Unreachable:
+        self.reads += 1
+        body = {"keys": call.keys, "prefixes": call.prefixes}
+        try:
+            status, content = await self._post("/table/read", body)
+            if status != OK:
+                raise ValueError(f"status {status}")
+            rows = _ROW.validate_python(content["rows"])
+        except (*NETWORK_ERRORS, ValueError) as error:
+            self._note_reachable(False, error)
+            return Unreachable()
+        self._note_reachable(True)
+        return Rows({row.key: row for row in rows})
+
+    async def _transact(self, call: Transaction) -> TableReply:
+        self.writes += 1
+        body = {
+            "name": call.name,
+            "conditions": [_dump_condition(one) for one in call.conditions],
+            "writes": [_dump_write(one) for one in call.writes],
+        }
+        try:
+            status, _ = await self._post("/table/transact", body)
+        except (ConnectError, ConnectingCancelledError) as error:
+            self._note_reachable(False, error)
+            return Unreachable()
+        except (*NETWORK_ERRORS, ValueError) as error:
+            self._note_reachable(False, error)
+            return Lost()
+        self._note_reachable(True)
+        if status == OK:
+            return Committed()
+        if status == CONFLICT:
+            return Conflict()
+        return Unreachable() if status == TOO_MANY else Lost()
+
+    async def list_instances(self) -> list[ListedInstance] | None:
+        """Return the platform's lagging list, ``None`` if it cannot be had."""
+        try:
+            status, content = await self._get("/instances")
+            return _LIST.validate_python(content) if status == OK else None
+        except (*NETWORK_ERRORS, ValueError):
+            return None
+
+    async def load_object(self, key: str) -> bytes | None:
+        """Return an object, ``None`` if it is missing or cannot be had."""
+        try:
+            response = await self._http.get(
+                f"{self._url}/objects/{key}",
+                headers=self._headers,
+                timeout=self._timeout,
+            )
+            content: bytes = await treq.content(response)
+        except NETWORK_ERRORS:
+            return None
+        return content if response.code == OK else None
+
+    async def store_object(self, key: str, content: bytes) -> bool:
+        """Store an object; storing the same again does no harm."""
+        try:
+            response = await self._http.put(
+                f"{self._url}/objects/{key}",
+                data=content,
+                headers=self._headers,
+                timeout=self._timeout,
+            )
+            await treq.content(response)
+        except NETWORK_ERRORS:
+            return False
+        return bool(response.code == OK)
+
+    async def _post(self, path: str, body: object) -> tuple[int, Any]:
+        response = await self._http.post(
+            self._url + path,
+            data=json.dumps(body).encode(),
+            headers=self._headers,
+            timeout=self._timeout,
+        )
+        content = await treq.content(response).addTimeout(self._timeout, self._reactor)
+        return response.code, json.loads(content or b"null")
+
+    async def _get(self, path: str) -> tuple[int, Any]:
+        response = await self._http.get(
+            self._url + path, headers=self._headers, timeout=self._timeout
+        )
+        content = await treq.content(response).addTimeout(self._timeout, self._reactor)
+        return response.code, json.loads(content)
+
+    def _note_reachable(self, reachable: bool, error: object = None) -> None:
+        if reachable != self.reachable:
+            level = Level.INFO if reachable else Level.WARNING
+            log_event("platform", level, reachable=reachable, error=error or "none")
+        self.reachable = reachable
+
+
+def _dump_condition(condition: Condition) -> dict[str, object]:
+    return {"key": condition.key, "version": condition.version}
+
+
+def _dump_write(write: Write) -> dict[str, object]:
+    return {"key": write.key, "value": write.value}
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -0,0 +1,511 @@
+"""The request task: one request's way from the door to its bill."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from pondquay.claims.programs import (
+    AlreadyClaimed,
+    Claimed,
+    ClaimUnknown,
+    Released,
+    claim_request,
+    finish_claim,
+    release_claim,
+)
+from pondquay.names import name_stream
+from pondquay.requests.lifecycle import Outcome, RequestLife, begin_request
+from pondquay.routing.policies import Work
+from pondquay.routing.retries import RetryBudget
+from pondquay.routing.upstreams import ENGINE, SERVICE
+from pondquay.streams import Answer, Frame, Verdict
+from pondquay_daemon.book import RequestBook
+from pondquay_daemon.calls import (
+    Call,
+    CompletionCall,
+    Delivered,
+    FrameSink,
+    KeptAnswer,
+    PlainCall,
+    Refusal,
+    RefusalCode,
+)
+from pondquay_daemon.engines import Completion, StreamState
+from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.tasks import Task, sleep
+from pondquay_daemon.treasury import BudgetExhausted, BudgetUnreachable
+from pondquay_daemon.upstreams import Placement, Wish
+
+if TYPE_CHECKING:
+    from pondquay.budgets.holder import Attempt
+    from pondquay_daemon.engines import Engines
+    from pondquay_daemon.keeper import Keeper
+    from pondquay_daemon.metrics import Metrics
+    from pondquay_daemon.platform import Platform
+    from pondquay_daemon.recovery import Recovery
+    from pondquay_daemon.services import ServiceAnswer, Services
+    from pondquay_daemon.treasury import Treasury
+    from pondquay_daemon.upstreams import Upstreams
+
+MOST_ATTEMPTS = 3
+MOST_RESUMES = 3
+RESUME_PAUSE_SECONDS = 0.2
+RETRY_SECONDS = 1
+REFILL_RETRY_SECONDS = 2
+UNCLAIM_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class Course:
+    """One request on its way.
+
+    :param nonce: of the claim, empty if there is none
+    :param failed: upstreams that already failed it
+    """
+
+    call: Call
+    life: RequestLife
+    nonce: str = ""
+    failed: set[str] = field(default_factory=set)
+    attempts: int = 0
+
+    def refusal(
+        self, code: RefusalCode, message: str, retry_after: int | None = None
+    ) -> Refusal:
+        """Return a refusal that says what is known of the request."""
+        return Refusal(code, message, self.life.outcome(), retry_after)
+
+
+@dataclass(slots=True)
+class Started:
+    """An attempt that may be dispatched."""
+
+    placement: Placement
+    attempt: Attempt
+
+
+class Runner(Task):
+    """Runs requests: claims, places, reserves, dispatches, settles."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        instance: str,
+        platform: Platform,
+        treasury: Treasury,
+        upstreams: Upstreams,
+        engines: Engines,
+        services: Services,
+        recovery: Recovery,
+        keeper: Keeper,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__(reactor)
+        self._instance = instance
+        self._platform = platform
+        self._treasury = treasury
+        self._upstreams = upstreams
+        self._engines = engines
+        self._services = services
+        self._recovery = recovery
+        self._keeper = keeper
+        self._metrics = metrics
+        self._retries = RetryBudget()
+        self._unclaim: list[Course] = []
+        self.book = RequestBook()
+        self.stopping = False
+
+    def start(self) -> None:
+        """Release doubtful claims from now on."""
+        self.repeat(UNCLAIM_SECONDS, self._release_doubtful)
+
+    def running(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self.book.running)
+
+    async def complete(
+        self, call: CompletionCall, sink: FrameSink
+    ) -> Delivered | Refusal:
+        """Run a chat completion, or find the answer it already has."""
+        known = self._recall(call)
+        if isinstance(known, Refusal):
+            return known
+        if known is not None:
+            for frame in known.frames:
+                sink.pass_on(frame)
+            return Delivered(known.tokens)
+        self.book.begin(call)
+        try:
+            return await self._complete_new(call, sink)
+        finally:
+            self.book.end(call)
+
+    async def call_service(self, call: PlainCall) -> KeptAnswer | Refusal:
+        """Make a call to a plain service, or find the answer it already has."""
+        known = self._recall(call)
+        if known is not None:
+            return known
+        self.book.begin(call)
+        try:
+            course = Course(call, begin_request(repeatable=call.repeatable))
+            refusal = await self._claim(course)
+            answer = refusal or await self._call_until_done(course, call)
+            await self._end_claim(course)
+            return answer
+        finally:
+            self.book.end(call)
+
+    def _recall(self, call: Call) -> KeptAnswer | Refusal | None:
+        if self.stopping or not self._keeper.loaded:
+            return Refusal(
+                RefusalCode.NOT_READY,
+                "this instance takes no requests now",
+                retry_after=RETRY_SECONDS,
+            )
+        return self.book.find(call)
+
+    # Claims
+
+    async def _claim(self, course: Course) -> Refusal | None:
+        """Claim a request that may not be repeated before anything else is done."""
+        call = course.call
+        if call.repeatable:
+            return None
+        course.nonce = f"{self._instance}/{self._metrics.next_number()}"
+        outcome = await self._platform.run(
+            claim_request(call.request, self._instance, course.nonce)
+        )
+        match outcome:
+            case Claimed():
+                return None
+            case AlreadyClaimed(row):
+                course.nonce = ""
+                code = RefusalCode.REQUEST_RUNNING
+                if row.finished:
+                    code = RefusalCode.REQUEST_RAN
+                return Refusal(code, "this key was used before", Outcome.UNKNOWN)
+            case ClaimUnknown():
+                self._unclaim.append(course)
+            case _:
+                course.nonce = ""
+        return course.refusal(
+            RefusalCode.PLATFORM_UNREACHABLE,
+            "the request cannot be claimed now",
+            REFILL_RETRY_SECONDS,
+        )
+
+    async def _end_claim(self, course: Course) -> None:
+        if not course.nonce or course in self._unclaim:
+            return
+        outcome = course.life.outcome()
+        if outcome is Outcome.DONE:
+            await self._platform.run(finish_claim(course.call.request, course.nonce))
+        elif outcome is Outcome.NOT_RUN:
+            self._unclaim.append(course)
+            await self._release_doubtful()
+
+    async def _release_doubtful(self) -> None:
+        """Release claims on requests that certainly did not run."""
+        for course in list(self._unclaim):
+            released = await self._platform.run(
+                release_claim(course.call.request, course.nonce)
+            )
+            if isinstance(released, Released) and course in self._unclaim:
+                self._unclaim.remove(course)
+
+    # Getting started
+
+    async def _start(self, course: Course, wish: Wish) -> Started | Refusal:
+        """Take a place and reserve what the attempt can cost."""
+        call = course.call
+        if not self._upstreams.is_served(wish):
+            return course.refusal(
+                RefusalCode.UPSTREAM_FAILED,
+                f"no upstream serves {wish.target} now",
+                RETRY_SECONDS,
+            )
+        placement = await self._upstreams.place(wish, call.priority, call.wait)
+        if placement is None:
+            return course.refusal(
+                RefusalCode.OVER_CAPACITY, "no place came free in time", RETRY_SECONDS
+            )
+        reserved = await self._treasury.reserve(
+            call.request, wish.work.tokens, placement.upstream.name
+        )
+        if isinstance(reserved, BudgetExhausted | BudgetUnreachable):
+            self._upstreams.release(placement)
+            return _refuse_budget(course, reserved)
+        return Started(placement, reserved)
+
+    def _may_try_again(self, course: Course) -> bool:
+        """Decide whether another attempt is allowed and affordable."""
+        course.attempts += 1
+        if course.attempts >= MOST_ATTEMPTS:
+            return False
+        if course.life.outcome() is Outcome.UNKNOWN and not course.call.repeatable:
+            return False
+        return self._retries.spend()
+
+    # Chat completions
+
+    async def _complete_new(
+        self, call: CompletionCall, sink: FrameSink
+    ) -> Delivered | Refusal:
+        course = Course(call, begin_request(repeatable=call.repeatable))
+        if call.keyed:
+            taken_over = await self._recovery.take_over(call, sink)
+            if taken_over is not None:
+                return self._keep_taken_over(call, taken_over)
+        refusal = await self._claim(course)
+        if refusal is not None:
+            return refusal
+        self._retries.earn()
+        result = await self._complete_until_done(course, call, sink)
+        await self._end_claim(course)
+        return result
+
+    def _keep_taken_over(
+        self, call: CompletionCall, taken_over: KeptAnswer | Refusal
+    ) -> Delivered | Refusal:
+        if isinstance(taken_over, Refusal):
+            return taken_over
+        self.book.keep(call, taken_over)
+        return Delivered(taken_over.tokens)
+
+    async def _complete_until_done(
+        self, course: Course, call: CompletionCall, sink: FrameSink
+    ) -> Delivered | Refusal:
+        while True:
+            work = Work(call.reserve, call.prefix)
+            wish = Wish(
+                call.request,
+                ENGINE,
+                call.model,
+                call.workspace.partner,
+                work,
+                frozenset(course.failed),
+            )
+            started = await self._start(course, wish)
+            if isinstance(started, Refusal):
+                return started
+            answer = Answer(started.attempt.stream)
+            try:
+                await self._run_stream(course, call, started, answer, sink)
+            finally:
+                self._upstreams.release(started.placement)
+            if answer.whole:
+                return await self._finish(course, call, started, answer, sink)
+            if answer.frames or not self._may_try_again(course):
+                return _refuse_unfinished(course)
+            self._metrics.retries.inc()
+
+    async def _run_stream(
+        self,
+        course: Course,
+        call: CompletionCall,
+        started: Started,
+        answer: Answer,
+        sink: FrameSink,
+    ) -> None:
+        """Run one attempt until its answer is whole or it is given up."""
+        upstream = started.placement.upstream
+        completion = Completion(
+            call.model,
+            started.placement.version,
+            call.messages,
+            call.max_tokens,
+            call.priority.value,
+        )
+
+        def take(frame: Frame) -> None:
+            verdict = answer.take(frame)
+            if verdict is not Verdict.PASS_ON:
+                self._metrics.dropped_frames.labels(verdict.value).inc()
+            elif not frame.finish:
+                sink.pass_on(frame)
+
+        course.life.dispatch()
+        stream = started.attempt.stream
+        try:
+            await self._engines.start(upstream.url, stream, completion, take)
+        except (NotSentError, RefusedError) as error:
+            await self._give_up_unstarted(course, started, error)
+            return
+        except MayHaveRunError as error:
+            self._log_failure(call, upstream.name, error)
+        if not answer.whole:
+            await self._resume(started, answer, take)
+        if answer.whole:
+            upstream.circuit.succeed()
+            course.life.finish()
+            return
+        await self._give_up_started(course, started)
+
+    async def _resume(self, started: Started, answer: Answer, take: Any) -> None:
+        """Fetch what is missing of an answer from the engine that has it."""
+        url = started.placement.upstream.url
+        for _ in range(MOST_RESUMES):
+            await sleep(RESUME_PAUSE_SECONDS, self.clock)
+            try:
+                await self._engines.resume(
+                    url, started.attempt.stream, answer.next_offset, take
+                )
+            except RefusedError:
+                return
+            except MayHaveRunError:
+                continue
+            if answer.whole:
+                self._metrics.resumes.inc()
+                return
+
+    async def _give_up_unstarted(
+        self, course: Course, started: Started, error: Exception
+    ) -> None:
+        """Give back all that was taken for an attempt that certainly did not run."""
+        upstream = started.placement.upstream
+        self._log_failure(course.call, upstream.name, error)
+        course.failed.add(upstream.name)
+        upstream.circuit.fail(self.clock.seconds())
+        course.life.refuse()
+        await self._treasury.settle(started.attempt, None)
+
+    async def _give_up_started(self, course: Course, started: Started) -> None:
+        """End an attempt that may have run, for good if the engine answers."""
+        upstream = started.placement.upstream
+        course.failed.add(upstream.name)
+        upstream.circuit.fail(self.clock.seconds())
+        status = await self._engines.cancel(upstream.url, started.attempt.stream)
+        if status.state is StreamState.CANCELLED:
+            course.life.refuse()
+            await self._treasury.settle(started.attempt, None)
+            return
+        course.life.lose()
+        if status.state is StreamState.FINISHED:
+            await self._treasury.settle(started.attempt, status.tokens)
+            return
+        self._recovery.watch(started.attempt, upstream.name)
+
+    async def _finish(
+        self,
+        course: Course,
+        call: CompletionCall,
+        started: Started,
+        answer: Answer,
+        sink: FrameSink,
+    ) -> Delivered:
+        """Settle, then let the last piece go: its bill is safe before it leaves."""
+        last = answer.frames[-1]
+        used = last.prompt_tokens + last.output_tokens
+        charged = await self._treasury.settle(started.attempt, used)
+        tokens = used if charged is None else charged
+        sink.pass_on(last)
+        self.book.keep(call, KeptAnswer(call.content, tokens, tuple(answer.frames)))
+        self._metrics.billed_tokens.labels(call.request.workspace).inc(tokens)
+        log_event(
+            "request-done",
+            Level.DEBUG,
+            request=call.request,
+            workspace=call.request.workspace,
+            upstream=started.placement.upstream.name,
+            tokens=tokens,
+        )
+        return Delivered(tokens)
+
+    # Plain services
+
+    async def _call_until_done(
+        self, course: Course, call: PlainCall
+    ) -> KeptAnswer | Refusal:
+        while True:
+            wish = Wish(
+                call.request,
+                SERVICE,
+                call.service,
+                call.workspace.partner,
+                Work(call.price),
+                frozenset(course.failed),
+            )
+            started = await self._start(course, wish)
+            if isinstance(started, Refusal):
+                return started
+            try:
+                answer = await self._call_once(course, call, started)
+            finally:
+                self._upstreams.release(started.placement)
+            if answer is not None:
+                return await self._finish_call(course, call, started, answer)
+            if not self._may_try_again(course):
+                return _refuse_unfinished(course)
+            self._metrics.retries.inc()
+
+    async def _call_once(
+        self, course: Course, call: PlainCall, started: Started
+    ) -> ServiceAnswer | None:
+        upstream = started.placement.upstream
+        course.life.dispatch()
+        name = name_stream(call.request, started.attempt.id)
+        try:
+            answer = await self._services.call(upstream.url, name, call.call)
+        except NotSentError as error:
+            await self._give_up_unstarted(course, started, error)
+            return None
+        except MayHaveRunError as error:
+            self._log_failure(call, upstream.name, error)
+            course.failed.add(upstream.name)
+            upstream.circuit.fail(self.clock.seconds())
+            course.life.lose()
+            return None
+        upstream.circuit.succeed()
+        course.life.finish()
+        return answer
+
+    async def _finish_call(
+        self, course: Course, call: PlainCall, started: Started, answer: ServiceAnswer
+    ) -> KeptAnswer:
+        await self._treasury.settle(started.attempt, call.price)
+        kept = KeptAnswer(
+            call.content,
+            call.price,
+            status=answer.status,
+            body=answer.body,
+            headers=dict(answer.headers),
+        )
+        self.book.keep(call, kept)
+        self._metrics.billed_tokens.labels(call.request.workspace).inc(call.price)
+        return kept
+
+    def _log_failure(self, call: Call, upstream: str, error: Exception) -> None:
+        log_event(
+            "attempt-failed",
+            Level.WARNING,
+            request=call.request,
+            workspace=call.request.workspace,
+            upstream=upstream,
+            error=error,
+        )
+
+
+def _refuse_budget(
+    course: Course, reason: BudgetExhausted | BudgetUnreachable
+) -> Refusal:
+    if isinstance(reason, BudgetExhausted):
+        return course.refusal(
+            RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
+        )
+    return course.refusal(
+        RefusalCode.PLATFORM_UNREACHABLE,
+        "no tokens are at hand and the platform does not answer",
+        REFILL_RETRY_SECONDS,
+    )
+
+
+def _refuse_unfinished(course: Course) -> Refusal:
+    if course.life.outcome() is Outcome.NOT_RUN:
+        return course.refusal(
+            RefusalCode.UPSTREAM_FAILED, "no upstream took the request", RETRY_SECONDS
+        )
+    return course.refusal(
+        RefusalCode.OUTCOME_UNKNOWN, "the request may have run", RETRY_SECONDS
+    )
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/services.py
@@ -0,0 +1,84 @@
+"""The client of plain services."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import treq
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.web.client import Agent
+
+from pondquay_daemon.errors import MayHaveRunError, NotSentError
+from pondquay_daemon.platform import NETWORK_ERRORS, make_pool
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 30.0
+REQUEST_HEADER = "Pondquay-Request"
+PASSED_ON = ("content-type", "etag", "last-modified", "location", "cache-control")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A call to a plain service.
+
+    :param path: path and query below the service's address
+    """
+
+    method: str
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The whole answer of a plain service."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+
+class Services:
+    """Calls to plain services from one instance."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        agent = Agent(reactor, pool=make_pool(reactor), connectTimeout=CONNECT_SECONDS)
+        self._http = treq.client.HTTPClient(agent)
+
+    async def call(self, url: str, name: str, call: ServiceCall) -> ServiceAnswer:
+        """Make a call and return its whole answer.
+
+        :param name: the attempt's name, for the service's own log
+        :raises NotSentError: if nothing was written
+        :raises MayHaveRunError: if the answer did not come, or not whole
+        """
+        headers: dict[bytes | str, bytes | str] = {REQUEST_HEADER: name}
+        headers.update(call.headers)
+        try:
+            response = await self._http.request(
+                call.method,
+                f"{url}/{call.path}",
+                data=call.body or None,
+                headers=headers,
+                timeout=ANSWER_SECONDS,
+                allow_redirects=False,
+            )
+            body = await treq.content(response).addTimeout(
+                ANSWER_SECONDS, self._reactor
+            )
+        except (ConnectError, ConnectingCancelledError) as error:
+            raise NotSentError(str(error)) from error
+        except NETWORK_ERRORS as error:
+            raise MayHaveRunError(str(error)) from error
+        passed = {
+            name: values[0].decode("latin-1")
+            for name in PASSED_ON
+            if (values := response.headers.getRawHeaders(name.encode()))
+        }
+        return ServiceAnswer(response.code, body, passed)
--- /dev/null
+++ b/packages/pondquay-daemon/tests/conftest.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@pytest.fixture
+def settings_text(tmp_path: Path) -> str:
+    """Settings without a fault."""
+    key = tmp_path / "fleet.key"
+    key.write_text("0123456789abcdef")
+    return "\n".join(
+        [
+            "[instance]",
+            "name = entry-1",
+            "domain = hall-a",
+            "[doors]",
+            "callers = 127.0.0.1:1",
+            "operators = 127.0.0.1:2",
+            "peers = 127.0.0.1:3",
+            "metrics = 127.0.0.1:4",
+            "[platform]",
+            "url = http://127.0.0.1:5",
+            "[fleet]",
+            f"key_file = {key}",
+        ]
+    )
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -0,0 +1,351 @@
+"""The engine's stand-in: batches, streams, a prefix cache, and orders.
+
+Faults, by ``POST /faults``: ``frozen`` (accepts and says nothing), ``cut_after`` (each
+connection breaks after so many pieces, the stream goes on), ``late_ms`` (before the
+first piece), ``slow_factor``, ``refuse`` (503 before starting), ``foreign`` (each
+piece is sent a second time under another stream's name).
+"""
+
+from __future__ import annotations
+
+import json
+from argparse import ArgumentParser
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from hashlib import sha256
+from heapq import heappop, heappush
+from secrets import token_hex
+from typing import TYPE_CHECKING, Any
+
+from klein import Klein
+from pydantic import BaseModel, ConfigDict
+from twisted.internet.defer import Deferred
+
+from pondquay_standins.web import (
+    drop_connection,
+    read_body,
+    serve,
+    sleep,
+    write_body,
+)
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+STREAM_HEADER = "Pondquay-Stream"
+PRIORITY_HEADER = "Pondquay-Priority"
+PRIORITIES = {"high": 0, "normal": 1, "low": 2}
+BYTES_PER_TOKEN = 4
+PREFIX_CHARACTERS = 256
+MOST_STREAMS = 50_000
+MOST_CACHED = 200
+REPORT_LAG_SECONDS = 0.3
+WORDS = ("split", "verified", "hours", "crew", "record", "run", "shift", "ok")
+CONFLICT = 409
+NOT_FOUND = 404
+REFUSED = 503
+
+
+class Faults(BaseModel):
+    """What is wrong with the engine just now."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    frozen: bool = False
+    cut_after: int = 0
+    late_ms: int = 0
+    slow_factor: float = 1.0
+    refuse: bool = False
+    foreign: bool = False
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class Stream:
+    """One stream, from its arrival until it is forgotten.
+
+    :param pieces: what was produced so far
+    :param state: ``waiting``, ``running``, ``finished`` or ``cancelled``
+    """
+
+    name: str
+    priority: int
+    prompt_tokens: int
+    wanted: int
+    seed: str
+    prefix: str = ""
+    state: str = "waiting"
+    pieces: list[str] = field(default_factory=list)
+    readers: list[Deferred[None]] = field(default_factory=list)
+
+    @property
+    def tokens(self) -> int:
+        """What the stream cost so far."""
+        return self.prompt_tokens + len(self.pieces)
+
+    def wake(self) -> None:
+        """Let all readers look again."""
+        readers, self.readers = self.readers, []
+        for reader in readers:
+            reader.callback(None)
+
+
+class EngineStandIn:
+    """Runs streams in a batch and serves them.
+
+    :param pace: seconds between the pieces of a stream
+    :param slots: streams that run at the same time
+    """
+
+    def __init__(
+        self, name: str, model: str, versions: list[str], pace: float, slots: int
+    ) -> None:
+        self.name = name
+        self.model = model
+        self.versions = versions
+        self.pace = pace
+        self.slots = slots
+        self.boot = token_hex(4)
+        self.faults = Faults()
+        self.streams: OrderedDict[str, Stream] = OrderedDict()
+        self.log: list[dict[str, Any]] = []
+        self.fence = 0
+        self._waiting: list[tuple[int, int, str]] = []
+        self._arrivals = 0
+        self._running = 0
+        self._cached: OrderedDict[str, None] = OrderedDict()
+        self._report: dict[str, Any] = {}
+        self.app = Klein()
+        route = self.app.route
+        route("/v1/chat/completions", methods=["POST"])(self.complete)
+        route("/v1/streams/<name>", methods=["GET"])(self.resume)
+        route("/v1/streams/<name>/status", methods=["GET"])(self.show_status)
+        route("/v1/streams/<name>/cancel", methods=["POST"])(self.cancel)
+        route("/v1/load", methods=["GET"])(self.show_load)
+        route("/v1/orders", methods=["POST"])(self.take_order)
+        route("/log", methods=["GET"])(self.show_log)
+        route("/faults", methods=["POST"])(self.set_faults)
+
+    # Streams
+
+    def complete(self, request: Request) -> Any:
+        """Start a stream and send its pieces."""
+        if self.faults.frozen:
+            return Deferred()
+        body = read_body(request)
+        name = request.getHeader(STREAM_HEADER) or token_hex(8)
+        if self.faults.refuse:
+            return write_body(request, {"error": "refused"}, REFUSED)
+        if body["model"] != self.model or body["version"] not in self.versions:
+            return write_body(request, {"error": "model"}, NOT_FOUND)
+        if name in self.streams:
+            return write_body(request, {"error": "stream exists"}, CONFLICT)
+        stream = self._make_stream(name, body, request)
+        self.streams[name] = stream
+        self._arrivals += 1
+        heappush(self._waiting, (stream.priority, self._arrivals, name))
+        self._start_next()
+        return Deferred.fromCoroutine(self._send(request, stream, 0))
+
+    def _make_stream(self, name: str, body: Any, request: Request) -> Stream:
+        text = "\n".join(one["content"] for one in body["messages"])
+        prompt = max(1, len(text.encode()) // BYTES_PER_TOKEN)
+        seed = sha256(text.encode()).hexdigest()
+        least = max(1, body["max_tokens"] // 4)
+        wanted = least + int(seed[:6], 16) % max(1, body["max_tokens"] - least)
+        prefix = ""
+        if len(text) >= PREFIX_CHARACTERS:
+            prefix = sha256(text[:PREFIX_CHARACTERS].encode()).hexdigest()[:16]
+        priority = PRIORITIES.get(request.getHeader(PRIORITY_HEADER) or "normal", 1)
+        while len(self.streams) >= MOST_STREAMS:
+            self.streams.popitem(last=False)
+        return Stream(name, priority, prompt, wanted, seed, prefix)
+
+    def _start_next(self) -> None:
+        while self._running < self.slots and self._waiting:
+            _, _, name = heappop(self._waiting)
+            stream = self.streams.get(name)
+            if stream is None or stream.state != "waiting":
+                continue
+            stream.state = "running"
+            self._running += 1
+            Deferred.fromCoroutine(self._run(stream))
+
+    async def _run(self, stream: Stream) -> None:
+        if self.faults.late_ms:
+            await sleep(self.faults.late_ms / 1000)
+        warm = stream.prefix in self._cached
+        await sleep(self.pace * (1 if warm else 1 + stream.prompt_tokens / 500))
+        if stream.prefix:
+            self._cached[stream.prefix] = None
+            while len(self._cached) > MOST_CACHED:
+                self._cached.popitem(last=False)
+        while stream.state == "running" and len(stream.pieces) < stream.wanted:
+            if not self.faults.frozen:
+                index = len(stream.pieces)
+                word = WORDS[int(stream.seed[index % 60], 16) % len(WORDS)]
+                stream.pieces.append(f"{word} ")
+                stream.wake()
+            await sleep(self.pace * self.faults.slow_factor)
+        if stream.state == "running":
+            stream.state = "finished"
+        self._running -= 1
+        self._note_end(stream)
+        stream.wake()
+        self._start_next()
+
+    def _note_end(self, stream: Stream) -> None:
+        self.log.append(
+            {"stream": stream.name, "state": stream.state, "tokens": stream.tokens}
+        )
+
+    async def _send(self, request: Request, stream: Stream, offset: int) -> bytes:
+        request.setHeader("Content-Type", "text/event-stream")
+        gone: list[bool] = []
+        request.notifyFinish().addErrback(lambda _: gone.append(True))
+        request.write(b": accepted\n\n")
+        sent = 0
+        while not gone:
+            while offset < len(stream.pieces) and not gone:
+                self._write_piece(request, stream, offset)
+                offset += 1
+                sent += 1
+                if self.faults.cut_after and sent >= self.faults.cut_after:
+                    drop_connection(request)
+                    return b""
+            if stream.state in ("finished", "cancelled"):
+                break
+            reader: Deferred[None] = Deferred()
+            stream.readers.append(reader)
+            await reader
+        if gone:
+            return b""
+        if stream.state == "finished":
+            self._write_end(request, stream)
+        return b""
+
+    def _write_piece(self, request: Request, stream: Stream, offset: int) -> None:
+        choice = {"index": 0, "delta": {"content": stream.pieces[offset]}}
+        event = {"id": stream.name, "offset": offset, "choices": [choice]}
+        request.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        if self.faults.foreign:
+            event["id"] = "another-stream"
+            request.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+
+    def _write_end(self, request: Request, stream: Stream) -> None:
+        event = {
+            "id": stream.name,
+            "offset": len(stream.pieces),
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+            "usage": {
+                "prompt_tokens": stream.prompt_tokens,
+                "completion_tokens": len(stream.pieces),
+            },
+        }
+        request.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        request.write(b"data: [DONE]\n\n")
+
+    def resume(self, request: Request, name: str) -> Any:
+        """Send the pieces of a stream from an offset on."""
+        if self.faults.frozen:
+            return Deferred()
+        stream = self.streams.get(name)
+        if stream is None or stream.state == "cancelled":
+            return write_body(request, {"error": "no such stream"}, NOT_FOUND)
+        offset = int((request.args or {}).get(b"offset", [b"0"])[0])
+        return Deferred.fromCoroutine(self._send(request, stream, offset))
+
+    def show_status(self, request: Request, name: str) -> Any:
+        """Say what became of a stream."""
+        if self.faults.frozen:
+            return Deferred()
+        stream = self.streams.get(name)
+        if stream is None:
+            return write_body(request, {"state": "unknown"})
+        state = "running" if stream.state == "waiting" else stream.state
+        return write_body(request, {"state": state, "tokens": stream.tokens})
+
+    def cancel(self, request: Request, name: str) -> Any:
+        """End a stream for good, also one that has not arrived yet."""
+        if self.faults.frozen:
+            return Deferred()
+        stream = self.streams.setdefault(name, Stream(name, 1, 0, 0, "", ""))
+        if stream.state != "finished":
+            if stream.state == "waiting":
+                self._note_end(stream)
+            stream.state = "cancelled"
+            stream.wake()
+        return write_body(request, {"state": stream.state, "tokens": stream.tokens})
+
+    # Load, orders, faults
+
+    def show_load(self, request: Request) -> Any:
+        """Report the load as it was a while ago."""
+        if self.faults.frozen:
+            return Deferred()
+        return write_body(request, self._report or self._measure())
+
+    def _measure(self) -> dict[str, Any]:
+        ahead = sum(
+            one.wanted - len(one.pieces)
+            for one in self.streams.values()
+            if one.state in ("waiting", "running")
+        )
+        return {
+            "tokens": ahead,
+            "slots": self.slots,
+            "boot": self.boot,
+            "leaving": self.faults.leaving,
+            "models": [{"model": self.model, "version": one} for one in self.versions],
+            "cached": list(self._cached)[-20:],
+        }
+
+    async def follow_load(self) -> None:
+        """Bring the report up to date again and again, with its lag."""
+        while True:
+            self._report = self._measure()
+            await sleep(REPORT_LAG_SECONDS)
+
+    def take_order(self, request: Request) -> bytes:
+        """Change what the engine serves, unless the order is older than the last."""
+        order = read_body(request)
+        if order["fence"] < self.fence:
+            return write_body(request, {"error": "old fence"}, CONFLICT)
+        self.fence = order["fence"]
+        self.versions = order.get("versions", self.versions)
+        return write_body(request, {"versions": self.versions})
+
+    def show_log(self, request: Request) -> bytes:
+        """Return every stream that ended, for comparing with bills."""
+        return write_body(request, {"streams": self.log})
+
+    def set_faults(self, request: Request) -> bytes:
+        """Switch faults on or off."""
+        changed = {**self.faults.model_dump(), **read_body(request)}
+        self.faults = Faults.model_validate(changed)
+        return write_body(request, self.faults.model_dump())
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = ArgumentParser(prog="python -m pondquay_standins.engine")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--versions", default="v1")
+    parser.add_argument("--pace", type=float, default=0.01)
+    parser.add_argument("--slots", type=int, default=16)
+    options = parser.parse_args()
+    engine = EngineStandIn(
+        options.name,
+        options.model,
+        options.versions.split(","),
+        options.pace,
+        options.slots,
+    )
+    Deferred.fromCoroutine(engine.follow_load())
+    serve(engine.app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/fleet.py
@@ -0,0 +1,543 @@
+"""A whole fleet on the loopback address: stand-ins and daemons as processes.
+
+``python -m pondquay_standins.fleet`` starts it, writes ``var/fleet.json`` and keeps
+it up until it is interrupted. Tests and the demonstration use the class.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from functools import partial
+from hashlib import sha256
+from pathlib import Path
+from secrets import randbelow, token_hex
+from tempfile import TemporaryDirectory
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+DOMAINS = ("hall-a", "hall-b")
+PARTNERS = ("khuree", "lima")
+MODEL = "judge"
+SERVICE = "ranking"
+READY_SECONDS = 30.0
+STEP_SECONDS = 0.02
+STOP_SECONDS = 15.0
+AMPLE_TOKENS = 2_000_000
+SMALL_TOKENS = 40
+CALL_SECONDS = 10.0
+HOST = "127.0.0.1"
+PORTS = range(10_000, 30_000)
+
+
+@dataclass(slots=True)
+class Process:
+    """One process of the fleet, ended by its own id."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: Path
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self.popen.pid
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def stop(self, seconds: float = STOP_SECONDS) -> int:
+        """Ask the process to stop and return its exit status."""
+        if self.popen.poll() is None:
+            self.popen.terminate()
+        try:
+            return self.popen.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self.popen.returncode
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """The answer to an HTTP call."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+def call_http(
+    method: str,
+    url: str,
+    body: object = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = CALL_SECONDS,
+) -> HttpAnswer:
+    """Make one HTTP call.
+
+    :raises OSError: if there is no answer
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return HttpAnswer(response.status, response.read(), dict(response.headers))
+    except urllib.error.HTTPError as error:
+        return HttpAnswer(error.code, error.read(), dict(error.headers))
+
+
+def wait_until(
+    check: Callable[[], bool], what: str, seconds: float = READY_SECONDS
+) -> float:
+    """Wait for a condition and return how many seconds it took.
+
+    :raises TimeoutError: if it does not come to hold
+    """
+    begun = time.monotonic()
+    while True:
+        try:
+            if check():
+                return time.monotonic() - begun
+        except OSError:
+            pass
+        if time.monotonic() - begun > seconds:
+            raise TimeoutError(f"{what} did not come within {seconds:.0f} s")
+        time.sleep(STEP_SECONDS)
+
+
+def pick_port() -> int:
+    """Return a port that is free.
+
+    It lies below the range from which the system takes the ports of outgoing
+    connections, so none of those takes it before it is listened on.
+    """
+    while True:
+        port = PORTS.start + randbelow(len(PORTS))
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+
+
+def digest(key: str) -> str:
+    """Return the digest by which a key is known."""
+    return "sha256:" + sha256(key.encode()).hexdigest()
+
+
+@dataclass(slots=True)
+class Daemon:
+    """One entry instance."""
+
+    name: str
+    domain: str
+    process: Process
+    caller_url: str
+    operator_url: str
+    metrics_url: str
+    peer: str
+
+    def metric(self, name: str) -> float:
+        """Return the value of a metric without labels."""
+        text = call_http("GET", f"{self.metrics_url}/metrics").body.decode()
+        for line in text.splitlines():
+            if line.startswith(f"{name} "):
+                return float(line.split()[1])
+        raise KeyError(name)
+
+
+@dataclass(slots=True)
+class UpstreamProcess:
+    """One engine or plain service."""
+
+    name: str
+    domain: str
+    kind: str
+    partner: str
+    url: str
+    process: Process
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All processes; leaving the context ends them.
+
+    :param engines: engines in each domain
+    :param daemons: entry instances in all, dealt out to the domains in turn
+    :param pace: seconds between the pieces of an engine's stream
+    """
+
+    engines: int = 2
+    daemons: int = 4
+    domains: tuple[str, ...] = DOMAINS
+    pace: float = 0.01
+    slots: int = 16
+    settings: dict[str, dict[str, str]] = field(default_factory=dict)
+    instances: list[Daemon] = field(default_factory=list)
+    upstreams: list[UpstreamProcess] = field(default_factory=list)
+    operator_keys: dict[str, str] = field(default_factory=dict)
+    platform_url: str = ""
+    platform: Process | None = None
+    _folder: TemporaryDirectory[str] | None = None
+    _processes: list[Process] = field(default_factory=list)
+
+    def __enter__(self) -> Fleet:
+        """Start everything and wait until it answers."""
+        self._folder = TemporaryDirectory(prefix="pondquay-")
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process and remove what they wrote."""
+        for process in self._processes:
+            if process.popen.poll() is None:
+                process.kill()
+        if self._folder is not None:
+            self._folder.cleanup()
+
+    @property
+    def folder(self) -> Path:
+        """Where settings and logs are."""
+        assert self._folder is not None
+        return Path(self._folder.name)
+
+    def _start(self) -> None:
+        self.operator_keys = {one: f"op-{one}-{token_hex(8)}" for one in PARTNERS}
+        (self.folder / "fleet.key").write_text(token_hex(32))
+        port = pick_port()
+        self.platform_url = f"http://{HOST}:{port}"
+        self.platform = self._spawn(
+            "platform", "pondquay_standins.platform", "--port", str(port)
+        )
+        wait_until(
+            lambda: call_http("GET", f"{self.platform_url}/instances").status == 200,
+            "the platform",
+        )
+        for domain in self.domains:
+            for number in range(self.engines):
+                self.add_engine(f"engine-{domain}-{number + 1}", domain)
+            self.add_service(f"service-{domain}", domain)
+        for number in range(self.daemons):
+            self.add_daemon(
+                f"entry-{number + 1}", self.domains[number % len(self.domains)]
+            )
+        self.wait_connected()
+
+    def wait_connected(self) -> None:
+        """Wait until all instances see each other and the upstreams."""
+        live = [one for one in self.instances if one.process.popen.poll() is None]
+        for daemon in live:
+            wait_until(
+                partial(_has_peers, daemon, len(live) - 1),
+                f"{daemon.name} with all its peers",
+            )
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> Process:
+        log = self.folder / f"{name}-{token_hex(2)}.log"
+        with log.open("wb") as out:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=out,
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+            )
+        process = Process(name, popen, log)
+        self._processes.append(process)
+        return process
+
+    def register(self, **entry: str) -> None:
+        """Put an entry into the platform's list."""
+        call_http("POST", f"{self.platform_url}/instances", entry)
+
+    def unregister(self, name: str) -> None:
+        """Take an entry out of the platform's list."""
+        call_http("DELETE", f"{self.platform_url}/instances/{name}")
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Switch faults of the platform."""
+        call_http("POST", f"{self.platform_url}/faults", faults)
+
+    def add_engine(self, name: str, domain: str, partner: str = "") -> UpstreamProcess:
+        """Start an engine."""
+        port = pick_port()
+        process = self._spawn(
+            name,
+            "pondquay_standins.engine",
+            "--port",
+            str(port),
+            "--name",
+            name,
+            "--model",
+            MODEL,
+            "--pace",
+            str(self.pace),
+            "--slots",
+            str(self.slots),
+        )
+        return self._add_upstream(name, domain, "engine", partner, port, process)
+
+    def add_service(self, name: str, domain: str) -> UpstreamProcess:
+        """Start a plain service."""
+        port = pick_port()
+        process = self._spawn(
+            name, "pondquay_standins.service", "--port", str(port), "--name", SERVICE
+        )
+        return self._add_upstream(name, domain, "service", "", port, process)
+
+    def _add_upstream(
+        self,
+        name: str,
+        domain: str,
+        kind: str,
+        partner: str,
+        port: int,
+        process: Process,
+    ) -> UpstreamProcess:
+        url = f"http://{HOST}:{port}"
+        upstream = UpstreamProcess(name, domain, kind, partner, url, process)
+        self.upstreams.append(upstream)
+        wait_until(lambda: call_http("GET", f"{url}/v1/load").status == 200, name)
+        self.register(name=name, role=kind, domain=domain, partner=partner, url=url)
+        return upstream
+
+    def add_daemon(self, name: str, domain: str) -> Daemon:
+        """Start an entry instance."""
+        ports = {
+            one: pick_port() for one in ("callers", "operators", "peers", "metrics")
+        }
+        path = self.folder / f"{name}.ini"
+        path.write_text(self._write_settings(name, domain, ports))
+        process = self._spawn(name, "pondquay_daemon", "--settings", str(path))
+        daemon = Daemon(
+            name,
+            domain,
+            process,
+            f"http://{HOST}:{ports['callers']}",
+            f"http://{HOST}:{ports['operators']}",
+            f"http://{HOST}:{ports['metrics']}",
+            f"{HOST}:{ports['peers']}",
+        )
+        self.instances = [one for one in self.instances if one.name != name]
+        self.instances.append(daemon)
+        wait_until(
+            lambda: call_http("GET", f"{daemon.metrics_url}/health").status == 200, name
+        )
+        self.register(name=name, role="entry", domain=domain, peer=daemon.peer)
+        return daemon
+
+    def _write_settings(self, name: str, domain: str, ports: dict[str, int]) -> str:
+        sections: dict[str, dict[str, str]] = {
+            "instance": {"name": name, "domain": domain},
+            "doors": {one: f"{HOST}:{port}" for one, port in ports.items()},
+            "platform": {"url": self.platform_url},
+            "fleet": {"key_file": str(self.folder / "fleet.key")},
+        }
+        for partner, key in self.operator_keys.items():
+            sections[f"partner {partner}"] = {"operator_key_digest": digest(key)}
+        for section, values in self.settings.items():
+            sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        return "\n".join(lines) + "\n"
+
+    # Operators
+
+    def operate(
+        self, partner: str, method: str, path: str, body: object = None, at: int = 0
+    ) -> HttpAnswer:
+        """Call the operator door of an instance."""
+        headers = {
+            "Authorization": f"Bearer {self.operator_keys[partner]}",
+            "Content-Type": "application/json",
+        }
+        url = f"{self.instances[at].operator_url}{path}"
+        return call_http(method, url, body, headers)
+
+    def configure(self, partner: str, *entities: dict[str, Any]) -> int:
+        """Plan and confirm entities; return the version that they make."""
+        wanted = [{"partner": partner, **one} for one in entities]
+        plan = self.operate(partner, "POST", "/plans", {"wanted": wanted})
+        if plan.status != 200:
+            raise RuntimeError(plan.body.decode())
+        path = f"/plans/{plan.json()['id']}/confirm"
+        confirmed = self.operate(partner, "POST", path, {})
+        if confirmed.status != 200:
+            raise RuntimeError(confirmed.body.decode())
+        version: int = confirmed.json()["version"]
+        return version
+
+    def wait_version(self, version: int, seconds: float = READY_SECONDS) -> float:
+        """Wait until a version is in force everywhere; return how long it took."""
+        live = [one for one in self.instances if one.process.popen.poll() is None]
+        return wait_until(
+            lambda: all(
+                one.metric("pondquay_configuration_version") >= version for one in live
+            ),
+            f"version {version} everywhere",
+            seconds,
+        )
+
+    # Callers
+
+    def complete(
+        self,
+        key: str,
+        text: str,
+        at: int = 0,
+        max_tokens: int = 16,
+        headers: dict[str, str] | None = None,
+        timeout: float = CALL_SECONDS,
+    ) -> HttpAnswer:
+        """Ask for a chat completion."""
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": max_tokens,
+        }
+        url = f"{self.instances[at].caller_url}/v1/chat/completions"
+        return call_http("POST", url, body, self.caller_headers(key, headers), timeout)
+
+    def caller_headers(
+        self, key: str, headers: dict[str, str] | None = None
+    ) -> dict[str, str]:
+        """Return the headers of a caller."""
+        return {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+            **(headers or {}),
+        }
+
+    def describe(self, workspaces: list[dict[str, Any]]) -> dict[str, Any]:
+        """Return what ``var/fleet.json`` holds."""
+        assert self.platform is not None
+        return {
+            "instances": [
+                {
+                    "name": one.name,
+                    "domain": one.domain,
+                    "caller_url": one.caller_url,
+                    "operator_url": one.operator_url,
+                    "metrics_url": one.metrics_url,
+                    "pid": one.process.pid,
+                }
+                for one in self.instances
+            ],
+            "upstreams": [
+                {
+                    "name": one.name,
+                    "domain": one.domain,
+                    "kind": one.kind,
+                    "url": one.url,
+                    "pid": one.process.pid,
+                }
+                for one in self.upstreams
+            ],
+            "platform": {"url": self.platform_url, "pid": self.platform.pid},
+            "workspaces": workspaces,
+            "operators": [
+                {"partner": partner, "key": key}
+                for partner, key in self.operator_keys.items()
+            ],
+            "models": [MODEL],
+            "services": [SERVICE],
+        }
+
+
+def _has_peers(daemon: Daemon, count: int) -> bool:
+    return daemon.metric("pondquay_peers") >= count
+
+
+def make_workspace(name: str, key: str, tokens: int) -> list[dict[str, Any]]:
+    """Return the entities of a workspace with its budget."""
+    return [
+        {"kind": "workspace", "name": name, "key_digest": digest(key)},
+        {"kind": "budget", "name": name, "tokens": tokens},
+    ]
+
+
+def make_shared() -> list[dict[str, Any]]:
+    """Return the entities of the model and the service that all workspaces use."""
+    return [
+        {"kind": "model", "name": MODEL, "output_limit": 512, "versions": {"v1": 100}},
+        {"kind": "service", "name": SERVICE, "price": 5},
+    ]
+
+
+WORKSPACES = (
+    ("captions", "khuree", AMPLE_TOKENS),
+    ("verification", "khuree", AMPLE_TOKENS),
+    ("rosters", "lima", AMPLE_TOKENS),
+    ("trial", "lima", SMALL_TOKENS),
+)
+
+
+def configure_workspaces(fleet: Fleet) -> list[dict[str, Any]]:
+    """Configure the usual workspaces and return them with their keys."""
+    described = []
+    for name, partner, tokens in WORKSPACES:
+        key = f"sk-{name}-{token_hex(8)}"
+        entities = make_workspace(name, key, tokens)
+        if name == WORKSPACES[0][0]:
+            entities += make_shared()
+        version = fleet.configure(partner, *entities)
+        fleet.wait_version(version)
+        described.append(
+            {"name": name, "partner": partner, "key": key, "budget_tokens": tokens}
+        )
+    return described
+
+
+def main() -> None:
+    """Start a fleet and keep it up until interrupted."""
+    var = Path("var")
+    var.mkdir(exist_ok=True)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with Fleet() as fleet:
+        content = fleet.describe(configure_workspaces(fleet))
+        (var / "fleet.json").write_text(json.dumps(content, indent=2) + "\n")
+        print("the fleet is up; see var/fleet.json; interrupt to end it", flush=True)
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            print("ending the fleet")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/platform.py
@@ -0,0 +1,205 @@
+"""The platform's stand-in: table service, object store and instance list.
+
+Faults, by ``POST /faults``: ``down`` (no answer at all), ``slow_ms``, ``lose`` (the
+next so many transactions take effect and their answers are lost), ``cut`` (domains
+that get no answer), ``list_lag_seconds``.
+"""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from klein import Klein
+from pydantic import BaseModel, ConfigDict
+from twisted.internet.defer import Deferred
+
+from pondquay_standins.tables import Table
+from pondquay_standins.web import (
+    drop_connection,
+    reactor,
+    read_body,
+    serve,
+    sleep,
+    write_body,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from twisted.web.server import Request
+
+WRITES_A_SECOND = 300
+READS_A_SECOND = 2000
+MOST_WRITES = 1000
+TOO_MANY = 429
+CONFLICT = 409
+NOT_FOUND = 404
+DOMAIN_HEADER = "Pondquay-Domain"
+
+
+class Faults(BaseModel):
+    """What is wrong with the platform just now."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    down: bool = False
+    slow_ms: int = 0
+    lose: int = 0
+    cut: list[str] = []
+    list_lag_seconds: float = 0.0
+
+
+class RateLimit:
+    """At most so many calls in any second."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._times: deque[float] = deque()
+
+    def take(self, now: float) -> bool:
+        """Take one call, if the limit allows it."""
+        while self._times and self._times[0] <= now - 1.0:
+            self._times.popleft()
+        if len(self._times) >= self._most:
+            return False
+        self._times.append(now)
+        return True
+
+
+class PlatformStandIn:
+    """Serves the table, the objects and the list."""
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self.objects: dict[str, bytes] = {}
+        self.instances: dict[str, dict[str, Any]] = {}
+        self.faults = Faults()
+        self._published: list[dict[str, Any]] = []
+        self._writes = RateLimit(WRITES_A_SECOND)
+        self._reads = RateLimit(READS_A_SECOND)
+        self.app = Klein()
+        self._route("/table/read", "POST", self._read)
+        self._route("/table/transact", "POST", self._transact)
+        self._route("/instances", "GET", self._list_instances)
+        self._route("/objects/<path:key>", "GET", self._load_object)
+        self._route("/objects/<path:key>", "PUT", self._store_object)
+        self.app.route("/instances", methods=["POST"], endpoint="register")(
+            self._register
+        )
+        self.app.route("/instances/<name>", methods=["DELETE"], endpoint="remove")(
+            self._remove
+        )
+        self.app.route("/faults", methods=["POST"], endpoint="faults")(self._set_faults)
+        self.app.route("/counts", methods=["GET"], endpoint="counts")(self._count)
+
+    def _route(
+        self,
+        path: str,
+        method: str,
+        answer: Callable[..., Coroutine[Deferred[Any], Any, Any]],
+    ) -> None:
+        def run(request: Request, **values: str) -> Deferred[Any]:
+            return Deferred.fromCoroutine(self._answer(request, answer, values))
+
+        self.app.route(path, methods=[method], endpoint=f"{method}-{path}")(run)
+
+    async def _answer(
+        self, request: Request, answer: Callable[..., Any], values: dict[str, str]
+    ) -> Any:
+        domain = request.getHeader(DOMAIN_HEADER) or ""
+        if self.faults.slow_ms:
+            await sleep(self.faults.slow_ms / 1000)
+        if self.faults.down or domain in self.faults.cut:
+            return await drop_connection(request)
+        return await answer(request, **values)
+
+    async def _read(self, request: Request) -> Any:
+        if not self._reads.take(reactor.seconds()):
+            return write_body(request, {}, TOO_MANY)
+        body = read_body(request)
+        return write_body(
+            request, {"rows": self.table.read(body["keys"], body["prefixes"])}
+        )
+
+    async def _transact(self, request: Request) -> Any:
+        body = read_body(request)
+        too_many = not self._writes.take(reactor.seconds())
+        if too_many or len(body["writes"]) > MOST_WRITES:
+            return write_body(request, {}, TOO_MANY)
+        committed = self.table.transact(body["conditions"], body["writes"])
+        if self.faults.lose > 0:
+            self.faults.lose -= 1
+            return await drop_connection(request)
+        return write_body(request, {}, 200 if committed else CONFLICT)
+
+    async def _load_object(self, request: Request, key: str) -> Any:
+        if key not in self.objects:
+            return write_body(request, {}, NOT_FOUND)
+        return self.objects[key]
+
+    async def _store_object(self, request: Request, key: str) -> Any:
+        assert request.content is not None
+        request.content.seek(0)
+        self.objects[key] = request.content.read()
+        return write_body(request, {})
+
+    # The list of instances
+
+    async def _list_instances(self, request: Request) -> Any:
+        return write_body(request, self._published)
+
+    def _register(self, request: Request) -> bytes:
+        entry = read_body(request)
+        self.instances[entry["name"]] = {
+            **self.instances.get(entry["name"], {}),
+            **entry,
+        }
+        self._publish()
+        return write_body(request, entry)
+
+    def _remove(self, request: Request, name: str) -> bytes:
+        self.instances.pop(name, None)
+        self._publish()
+        return write_body(request, {})
+
+    def _publish(self) -> None:
+        """Show the list as it is now, after the lag."""
+        snapshot = list(self.instances.values())
+
+        def show() -> None:
+            self._published = snapshot
+
+        if self.faults.list_lag_seconds:
+            reactor.callLater(self.faults.list_lag_seconds, show)
+        else:
+            show()
+
+    def _set_faults(self, request: Request) -> bytes:
+        changed = {**self.faults.model_dump(), **read_body(request)}
+        self.faults = Faults.model_validate(changed)
+        return write_body(request, self.faults.model_dump())
+
+    def _count(self, request: Request) -> bytes:
+        return write_body(
+            request,
+            {
+                "transactions": self.table.transactions,
+                "row_writes": self.table.row_writes,
+                "reads": self.table.reads,
+                "rows": len(self.table.rows),
+            },
+        )
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = ArgumentParser(prog="python -m pondquay_standins.platform")
+    parser.add_argument("--port", type=int, required=True)
+    options = parser.parse_args()
+    serve(PlatformStandIn().app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/web.py
@@ -0,0 +1,54 @@
+"""What the stand-ins share: JSON over HTTP and a main function."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.web.server import Site
+
+if TYPE_CHECKING:
+    from klein import Klein
+    from twisted.web.server import Request
+
+reactor: Any = _reactor
+
+
+def read_body(request: Request) -> Any:
+    """Return the JSON body of a request, an empty object if there is none."""
+    assert request.content is not None
+    request.content.seek(0)
+    return json.loads(request.content.read() or b"{}")
+
+
+def write_body(request: Request, content: object, status: int = 200) -> bytes:
+    """Return a JSON answer."""
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    return json.dumps(content).encode()
+
+
+def drop_connection(request: Request) -> Deferred[bytes]:
+    """Break a connection without an answer."""
+    transport: Any = request.transport
+    if transport is not None:
+        transport.abortConnection()
+    return Deferred()
+
+
+async def sleep(seconds: float) -> None:
+    """Wait for some seconds."""
+    deferred: Deferred[None] = Deferred()
+    reactor.callLater(seconds, deferred.callback, None)
+    await deferred
+
+
+def serve(app: Klein, port: int) -> None:
+    """Serve an application on the loopback address until the process is ended."""
+    site = Site(app.resource())
+    site.noisy = False
+    TCP4ServerEndpoint(reactor, port, interface="127.0.0.1").listen(site)
+    reactor.run()
--- /dev/null
+++ b/packages/pondquay/src/pondquay/budgets/holder.py
@@ -0,0 +1,387 @@
+"""The holder's side of grants: what an instance may still spend, and on what.
+
+A holder reserves the most that an attempt can cost, tells the witness, and makes the
+attempt only after the witness has acknowledged it. See ``docs/design/budgets.md``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from pondquay.billing.bills import make_bill
+from pondquay.budgets.messages import Flushed, Forget, Intend, Intent, Settle
+from pondquay.budgets.messages import Settlement as SettlementMessage
+from pondquay.budgets.programs import Closing
+from pondquay.budgets.rows import HeldIntent
+from pondquay.errors import InvariantError
+from pondquay.names import AttemptId, GrantId, InstanceId, RequestName, name_stream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from pondquay.billing.bills import Bill
+    from pondquay.budgets.messages import HolderMessage
+
+
+class HoldingState(StrEnum):
+    """What a grant can still be used for, as its holder knows it.
+
+    ``OPENING``: asked for, outcome not known; ``OPEN``: may be drawn on;
+    ``CLOSING``: never drawn on again, not yet closed in the table;
+    ``CLOSED``: closed in the table, ends of its attempts may still come.
+    """
+
+    OPENING = "opening"
+    OPEN = "open"
+    CLOSING = "closing"
+    CLOSED = "closed"
+
+
+class AttemptState(StrEnum):
+    """How far an attempt has come."""
+
+    INTENDED = "intended"
+    ACKNOWLEDGED = "acknowledged"
+    SETTLED = "settled"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt, from its reservation until its end is in the table.
+
+    :param billed: tokens to bill, ``None`` while not known or if not billed
+    :param witnessed: the witness keeps the end of this attempt
+    :param flushed: the table has the bill of this attempt
+    :param sent: the witness was told of the attempt's state on this connection
+    """
+
+    id: AttemptId
+    request: RequestName
+    reserve: int
+    upstream: str
+    stream: str
+    state: AttemptState = AttemptState.INTENDED
+    billed: int | None = None
+    witnessed: bool = False
+    flushed: bool = False
+    sent: bool = False
+
+    @property
+    def intent(self) -> Intent:
+        """What the witness is told of this attempt."""
+        return Intent(
+            self.id.seq, self.request, self.reserve, self.upstream, self.stream
+        )
+
+    @property
+    def bill(self) -> Bill | None:
+        """The bill, if there is one."""
+        if self.billed is None:
+            return None
+        return make_bill(self.request, self.id, self.billed)
+
+
+@dataclass(slots=True)
+class Holding:
+    """A grant in the hands of its holder.
+
+    :param amount: tokens granted; taken down before tokens are given back
+    :param spent: tokens used for good
+    :param attempts: attempts whose end is not yet in the table, by sequence
+    """
+
+    id: GrantId
+    workspace: str
+    witness: InstanceId | None
+    amount: int = 0
+    spent: int = 0
+    next_seq: int = 1
+    state: HoldingState = HoldingState.OPENING
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+
+    @property
+    def reserved(self) -> int:
+        """Tokens kept for attempts that have not ended."""
+        return sum(
+            one.reserve
+            for one in self.attempts.values()
+            if one.state is not AttemptState.SETTLED
+        )
+
+    @property
+    def free(self) -> int:
+        """Tokens that can still be reserved."""
+        if self.state is not HoldingState.OPEN:
+            return 0
+        return max(0, self.amount - self.spent - self.reserved)
+
+    def running(self) -> Iterator[Attempt]:
+        """Return the attempts that have not ended."""
+        return (
+            one
+            for one in self.attempts.values()
+            if one.state is not AttemptState.SETTLED
+        )
+
+    def settled(self) -> Iterator[Attempt]:
+        """Return the attempts that have ended and are not in the table."""
+        return (
+            one for one in self.attempts.values() if one.state is AttemptState.SETTLED
+        )
+
+
+class Holder:
+    """All grants that one instance holds.
+
+    :param instance: the instance, in this one of its lives
+    """
+
+    def __init__(self, instance: InstanceId) -> None:
+        self.instance = instance
+        self.holdings: dict[GrantId, Holding] = {}
+        self._next_number = 1
+
+    def open(self, workspace: str, witness: InstanceId | None) -> Holding:
+        """Begin a grant; it can be drawn on once the table has granted it."""
+        grant = GrantId(self.instance, self._next_number)
+        self._next_number += 1
+        holding = Holding(grant, workspace, witness)
+        self.holdings[grant] = holding
+        return holding
+
+    def of_workspace(self, workspace: str) -> list[Holding]:
+        """Return the grants of one workspace, in the order they were begun."""
+        return [one for one in self.holdings.values() if one.workspace == workspace]
+
+    def set_amount(self, grant: GrantId, amount: int, *, lost: bool = False) -> None:
+        """Take over the amount that the table holds for a grant.
+
+        :param lost: the grant no longer stands open in the table
+        """
+        holding = self.holdings[grant]
+        if lost and holding.state in (HoldingState.OPENING, HoldingState.OPEN):
+            holding.state = HoldingState.CLOSING
+            return
+        holding.amount = amount
+        if holding.state is HoldingState.OPENING and amount > 0:
+            holding.state = HoldingState.OPEN
+
+    def drop_unopened(self, grant: GrantId) -> None:
+        """Forget a grant of which the table granted nothing, and never will."""
+        if self.holdings[grant].state is HoldingState.OPENING:
+            del self.holdings[grant]
+
+    def shrink(self, grant: GrantId, tokens: int) -> int:
+        """Stop counting on tokens that will be given back; return how many."""
+        holding = self.holdings[grant]
+        given = min(tokens, holding.free)
+        holding.amount -= given
+        return given
+
+    def reserve(
+        self,
+        request: RequestName,
+        tokens: int,
+        upstream: str,
+        usable: Callable[[InstanceId | None], bool],
+    ) -> Attempt | None:
+        """Reserve tokens for one attempt, from the fullest grant that can bear them.
+
+        :param tokens: the most that the attempt can cost
+        :param usable: tells whether a witness can be reached
+        :returns: the attempt, ``None`` if no grant has so much left
+        """
+        fitting = [
+            one
+            for one in self.of_workspace(request.workspace)
+            if one.free >= tokens and usable(one.witness)
+        ]
+        if not fitting:
+            return None
+        holding = max(fitting, key=lambda one: one.free)
+        attempt_id = AttemptId(holding.id, holding.next_seq)
+        holding.next_seq += 1
+        stream = name_stream(request, attempt_id)
+        attempt = Attempt(attempt_id, request, tokens, upstream, stream)
+        if holding.witness is None:
+            attempt.state = AttemptState.ACKNOWLEDGED
+        holding.attempts[attempt_id.seq] = attempt
+        return attempt
+
+    def find(self, attempt: AttemptId) -> Attempt | None:
+        """Return an attempt whose end is not in the table yet."""
+        holding = self.holdings.get(attempt.grant)
+        return None if holding is None else holding.attempts.get(attempt.seq)
+
+    def acknowledge(self, grant: GrantId, seqs: tuple[int, ...]) -> list[Attempt]:
+        """Note that the witness knows of attempts; return those that may now run."""
+        holding = self.holdings.get(grant)
+        if holding is None or holding.state is not HoldingState.OPEN:
+            return []
+        ready = []
+        for seq in seqs:
+            attempt = holding.attempts.get(seq)
+            if attempt is not None and attempt.state is AttemptState.INTENDED:
+                attempt.state = AttemptState.ACKNOWLEDGED
+                ready.append(attempt)
+        return ready
+
+    def refuse(self, grant: GrantId) -> list[Attempt]:
+        """Note that the witness sealed the grant; return attempts that will not run.
+
+        They were never acknowledged, so nothing of them was or will be dispatched.
+        """
+        holding = self.holdings.get(grant)
+        if holding is None:
+            return []
+        return self.begin_close(holding)
+
+    def begin_close(self, holding: Holding) -> list[Attempt]:
+        """Never draw on a grant again; return attempts that will not run."""
+        if holding.state in (HoldingState.OPENING, HoldingState.OPEN):
+            holding.state = HoldingState.CLOSING
+        refused = [
+            one
+            for one in holding.attempts.values()
+            if one.state is AttemptState.INTENDED
+        ]
+        for attempt in refused:
+            self.settle(attempt.id, None)
+        return refused
+
+    def settle(self, attempt_id: AttemptId, billed: int | None) -> int | None:
+        """Note how an attempt ended and free what it did not use.
+
+        :param billed: tokens to bill, ``None`` if the attempt is not billed
+        :returns: what is billed: never more than was reserved
+        :raises InvariantError: if an attempt that was never acknowledged is billed
+        """
+        attempt = self.find(attempt_id)
+        if attempt is None or attempt.state is AttemptState.SETTLED:
+            return None
+        if attempt.state is AttemptState.INTENDED and billed is not None:
+            raise InvariantError(f"attempt {attempt_id} ran without its witness")
+        attempt.state = AttemptState.SETTLED
+        attempt.sent = False
+        if billed is not None:
+            attempt.billed = min(billed, attempt.reserve)
+            self.holdings[attempt_id.grant].spent += attempt.billed
+        return attempt.billed
+
+    def take_messages(self, witness: InstanceId) -> list[HolderMessage]:
+        """Return what a witness has not been told since the last connection."""
+        messages: list[HolderMessage] = []
+        for holding in self.holdings.values():
+            if holding.witness == witness:
+                messages.extend(_take_holding_messages(holding))
+        return messages
+
+    def forget_connection(self, witness: InstanceId) -> None:
+        """Send everything unanswered again on the next connection to a witness."""
+        for holding in self.holdings.values():
+            if holding.witness != witness:
+                continue
+            for attempt in holding.attempts.values():
+                attempt.sent = False
+
+    def note_witnessed(self, grant: GrantId, seqs: tuple[int, ...]) -> list[Attempt]:
+        """Note that the witness keeps ends of attempts; return those attempts."""
+        holding = self.holdings.get(grant)
+        if holding is None:
+            return []
+        kept = []
+        for seq in seqs:
+            attempt = holding.attempts.get(seq)
+            if attempt is not None and attempt.state is AttemptState.SETTLED:
+                attempt.witnessed = True
+                kept.append(attempt)
+        return kept
+
+    def unflushed(self, most: int) -> list[Attempt]:
+        """Return ended attempts whose bills are not yet known to be in the table."""
+        found: list[Attempt] = []
+        for holding in self.holdings.values():
+            if holding.state is HoldingState.CLOSED:
+                continue
+            found.extend(one for one in holding.settled() if not one.flushed)
+            if len(found) >= most:
+                break
+        return found[:most]
+
+    def note_flushed(self, attempts: list[Attempt]) -> None:
+        """Note that the bills of attempts are in the table."""
+        for attempt in attempts:
+            attempt.flushed = True
+
+    def take_finished(self) -> list[tuple[InstanceId, Flushed]]:
+        """Drop attempts that need nothing more; return word for their witnesses."""
+        notices = []
+        for holding in list(self.holdings.values()):
+            witness = holding.witness
+            done = [
+                one.id.seq
+                for one in holding.settled()
+                if one.flushed and (one.witnessed or witness is None)
+            ]
+            for seq in done:
+                del holding.attempts[seq]
+            if done and witness is not None:
+                notices.append((witness, Flushed(holding.id, tuple(done))))
+            self._drop_if_done(holding)
+        return notices
+
+    def describe_close(self, holding: Holding, segment: str) -> Closing:
+        """Return what is known of a grant that is about to be closed in the table."""
+        held = {
+            one.id.seq: HeldIntent(
+                str(one.request), one.reserve, one.upstream, one.stream
+            )
+            for one in holding.running()
+        }
+        bills = tuple(
+            one.bill
+            for one in holding.settled()
+            if one.bill is not None and not one.flushed
+        )
+        return Closing(
+            holding.workspace, holding.id, holding.spent, held, bills, segment
+        )
+
+    def note_closed(self, holding: Holding, written: list[Attempt]) -> Forget | None:
+        """Note that a grant is closed and that the ends given are in the table.
+
+        :returns: word for the witness, if the grant has one
+        """
+        holding.state = HoldingState.CLOSED
+        for attempt in written:
+            holding.attempts.pop(attempt.id.seq, None)
+        self._drop_if_done(holding)
+        return None if holding.witness is None else Forget(holding.id)
+
+    def _drop_if_done(self, holding: Holding) -> None:
+        if holding.state is HoldingState.CLOSED and not holding.attempts:
+            self.holdings.pop(holding.id, None)
+
+
+def _take_holding_messages(holding: Holding) -> list[HolderMessage]:
+    intents = []
+    settlements = []
+    for attempt in holding.attempts.values():
+        if attempt.sent:
+            continue
+        if attempt.state is AttemptState.INTENDED:
+            intents.append(attempt.intent)
+            attempt.sent = True
+        elif attempt.state is AttemptState.SETTLED and not attempt.witnessed:
+            settlements.append(
+                SettlementMessage(attempt.id.seq, attempt.request, attempt.billed)
+            )
+            attempt.sent = True
+    messages: list[HolderMessage] = []
+    if intents:
+        messages.append(Intend(holding.id, holding.workspace, tuple(intents)))
+    if settlements:
+        messages.append(Settle(holding.id, holding.workspace, tuple(settlements)))
+    return messages
--- /dev/null
+++ b/packages/pondquay/src/pondquay/budgets/messages.py
@@ -0,0 +1,121 @@
+"""What the holder and the witness of a grant tell each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+from pondquay.names import GrantId, InstanceId, RequestName
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """An attempt that the holder will make once the witness has acknowledged it.
+
+    :param seq: place in the sequence of the grant
+    :param reserve: the most tokens that the attempt can cost
+    """
+
+    seq: int
+    request: RequestName
+    reserve: int
+    upstream: str
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class Settlement:
+    """How an attempt ended.
+
+    :param billed: tokens to bill, ``None`` if the attempt is not billed at all
+    """
+
+    seq: int
+    request: RequestName
+    billed: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Intend:
+    """Holder to witness: attempts to acknowledge. The first one opens the grant."""
+
+    grant: GrantId
+    workspace: str
+    intents: tuple[Intent, ...]
+    kind: Literal["intend"] = "intend"
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Witness to holder: these attempts are noted and may be made."""
+
+    grant: GrantId
+    seqs: tuple[int, ...]
+    kind: Literal["acknowledge"] = "acknowledge"
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Witness to holder: the grant is sealed or unknown here; nothing was noted."""
+
+    grant: GrantId
+    kind: Literal["refuse"] = "refuse"
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Holder to witness: ends of attempts. They are facts, also after sealing."""
+
+    grant: GrantId
+    workspace: str
+    settlements: tuple[Settlement, ...]
+    kind: Literal["settle"] = "settle"
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """Witness to holder: these ends are kept and will be billed."""
+
+    grant: GrantId
+    seqs: tuple[int, ...]
+    kind: Literal["settled"] = "settled"
+
+
+@dataclass(frozen=True, slots=True)
+class SettleRefused:
+    """Witness to holder: this grant is not kept here; write to the table instead."""
+
+    grant: GrantId
+    seqs: tuple[int, ...]
+    kind: Literal["settle-refused"] = "settle-refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Flushed:
+    """Holder to witness: the bills of these attempts are in the table."""
+
+    grant: GrantId
+    seqs: tuple[int, ...]
+    kind: Literal["flushed"] = "flushed"
+
+
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """Holder to witness: the holder closed the grant in the table."""
+
+    grant: GrantId
+    kind: Literal["forget"] = "forget"
+
+
+HolderMessage = Intend | Settle | Flushed | Forget
+WitnessMessage = Acknowledge | Refuse | Settled | SettleRefused
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAttempt:
+    """An attempt that a witness knows of and whose end it does not know."""
+
+    grant: GrantId
+    workspace: str
+    intent: Intent
+    holder: InstanceId
--- /dev/null
+++ b/packages/pondquay/src/pondquay/configuration/entities.py
@@ -0,0 +1,123 @@
+"""What operators configure: workspaces, budgets, services, models and loans."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated, Literal, TypeAlias
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, field_validator
+
+MOST_TOKENS = 10**15
+NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+DIGEST_PATTERN = r"^sha256:[0-9a-f]{64}$"
+WHOLE_SHARE = 100
+
+Name: TypeAlias = Annotated[str, Field(pattern=NAME_PATTERN)]
+Tokens: TypeAlias = Annotated[int, Field(ge=0, le=MOST_TOKENS)]
+
+
+class Priority(StrEnum):
+    """How urgent a request is, the most urgent first."""
+
+    HIGH = "high"
+    NORMAL = "normal"
+    LOW = "low"
+
+
+class Entity(BaseModel):
+    """Base of everything that is configured.
+
+    :param name: unique among the entities of its kind
+    :param partner: the partner it belongs to
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    name: Name
+    partner: Name
+
+    def consenting(self) -> frozenset[str]:
+        """Return the partners that must agree to a change of this entity."""
+        return frozenset({self.partner})
+
+
+class Workspace(Entity):
+    """A workspace of a partner, named by a caller's key.
+
+    :param key_digest: SHA-256 of the caller's key; the key itself is never stored
+    :param priority: what requests have that state none
+    """
+
+    kind: Literal["workspace"] = "workspace"
+    key_digest: Annotated[str, Field(pattern=DIGEST_PATTERN)]
+    priority: Priority = Priority.NORMAL
+
+
+class Budget(Entity):
+    """The prepaid budget of the workspace of the same name, in tokens."""
+
+    kind: Literal["budget"] = "budget"
+    tokens: Tokens
+
+
+class Service(Entity):
+    """A plain service.
+
+    :param price: tokens that one call costs
+    :param repeatable: HTTP methods whose calls may be repeated
+    """
+
+    kind: Literal["service"] = "service"
+    price: Annotated[int, Field(ge=1, le=10**9)] = 1
+    repeatable: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+
+
+class Model(Entity):
+    """A model with the versions that serve it.
+
+    :param output_limit: output tokens of a request that states no limit, and the
+        most that a request may ask for
+    :param versions: share of the requests for each version, in percent
+    """
+
+    kind: Literal["model"] = "model"
+    output_limit: Annotated[int, Field(ge=1, le=10**6)] = 1024
+    versions: dict[Name, Annotated[int, Field(ge=0, le=WHOLE_SHARE)]]
+
+    @field_validator("versions")
+    @classmethod
+    def check_shares(cls, versions: dict[str, int]) -> dict[str, int]:
+        """Refuse shares that do not make a whole."""
+        if sum(versions.values()) != WHOLE_SHARE:
+            raise ValueError(f"shares must add up to {WHOLE_SHARE}")
+        return versions
+
+
+class Loan(Entity):
+    """Replicas of a model that their owner lets another partner use as well.
+
+    :param borrower: the partner that may use them
+    :param replicas: how many
+    """
+
+    kind: Literal["loan"] = "loan"
+    model: Name
+    borrower: Name
+    replicas: Annotated[int, Field(ge=0, le=10**4)]
+
+    def consenting(self) -> frozenset[str]:
+        """Both sides must agree to a loan."""
+        return frozenset({self.partner, self.borrower})
+
+
+AnyEntity = Annotated[
+    Workspace | Budget | Service | Model | Loan, Field(discriminator="kind")
+]
+ENTITY_TYPES: dict[str, type[Entity]] = {
+    "workspace": Workspace,
+    "budget": Budget,
+    "service": Service,
+    "model": Model,
+    "loan": Loan,
+}
+ENTITY: TypeAdapter[AnyEntity] = TypeAdapter(AnyEntity)
--- /dev/null
+++ b/packages/pondquay/src/pondquay/findings.py
@@ -0,0 +1,54 @@
+"""Findings: what is wrong with an input, and where."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from difflib import get_close_matches
+from typing import TYPE_CHECKING
+
+from pondquay.errors import InvalidInputError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong.
+
+    :param place: where, as ``file:line`` or as a field's path
+    :param subject: the key or field concerned
+    :param message: what is wrong, in words for a person
+    """
+
+    place: str
+    subject: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.subject}: {self.message}"
+
+
+@dataclass(slots=True)
+class Findings:
+    """A collector, so that all findings of one input are reported together."""
+
+    found: list[Finding] = field(default_factory=list)
+
+    def add(self, place: str, subject: str, message: str) -> None:
+        """Note one finding."""
+        self.found.append(Finding(place, subject, message))
+
+    def raise_if_any(self) -> None:
+        """Report all findings at once.
+
+        :raises InvalidInputError: if anything was found
+        """
+        if self.found:
+            raise InvalidInputError(self.found)
+
+
+def suggest_name(name: str, known: Iterable[str]) -> str:
+    """Return a hint that names the nearest known name, or an empty text."""
+    matches = get_close_matches(name, list(known), n=1)
+    return f"; did you mean {matches[0]!r}?" if matches else ""
--- /dev/null
+++ b/packages/pondquay/src/pondquay/ini.py
@@ -0,0 +1,94 @@
+"""INI files with the line of every key, so that findings can name their place."""
+
+from __future__ import annotations
+
+import re
+from configparser import ConfigParser
+from configparser import Error as ConfigParserError
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pondquay.findings import Findings
+
+_SECTION = re.compile(r"^\[(?P<name>[^\]]+)\]")
+_KEY = re.compile(r"^(?P<key>[^\s=:#;\[][^=:]*?)\s*[=:]")
+
+
+@dataclass(frozen=True, slots=True)
+class IniSection:
+    """One section.
+
+    :param place: ``file:line`` of its heading
+    :param lines: the line of each key
+    """
+
+    name: str
+    source: str
+    line: int
+    values: dict[str, str]
+    lines: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def place(self) -> str:
+        """Where the section begins."""
+        return f"{self.source}:{self.line}"
+
+    def place_of(self, key: str) -> str:
+        """Return where a key stands, or the section's place if it does not stand."""
+        return f"{self.source}:{self.lines.get(key, self.line)}"
+
+
+@dataclass(frozen=True, slots=True)
+class IniDocument:
+    """The sections of one file, in order."""
+
+    sections: tuple[IniSection, ...] = ()
+
+    def find(self, name: str) -> IniSection | None:
+        """Return the section of this name."""
+        return next((one for one in self.sections if one.name == name), None)
+
+
+def read_ini(text: str, source: str, findings: Findings) -> IniDocument:
+    """Read a file; what cannot be read at all is added to the findings.
+
+    :param source: the file's name
+    """
+    parser = ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text, source)
+    except ConfigParserError as error:
+        line = getattr(error, "lineno", None) or _first_line(error)
+        findings.add(f"{source}:{line}", "file", error.message.splitlines()[0])
+        return IniDocument()
+    headings, keys = _find_lines(text)
+    return IniDocument(
+        tuple(
+            IniSection(
+                name, source, headings[name], dict(parser[name]), keys.get(name, {})
+            )
+            for name in parser.sections()
+        )
+    )
+
+
+def _first_line(error: ConfigParserError) -> int:
+    errors = getattr(error, "errors", None)
+    return int(errors[0][0]) if errors else 1
+
+
+def _find_lines(text: str) -> tuple[dict[str, int], dict[str, dict[str, int]]]:
+    headings: dict[str, int] = {}
+    keys: dict[str, dict[str, int]] = {}
+    current = ""
+    for number, line in enumerate(text.splitlines(), start=1):
+        heading = _SECTION.match(line)
+        if heading:
+            current = heading["name"]
+            headings[current] = number
+            continue
+        key = _KEY.match(line)
+        if key and current:
+            keys.setdefault(current, {})[key["key"].lower()] = number
+    return headings, keys
--- /dev/null
+++ b/packages/pondquay/src/pondquay/routing/upstreams.py
@@ -0,0 +1,91 @@
+"""What an instance knows of an upstream: lagging reports and its own requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pondquay.routing.circuits import Circuit
+
+ENGINE = "engine"
+SERVICE = "service"
+
+
+class UpstreamState(StrEnum):
+    """Whether an upstream may be given new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an upstream said of itself.
+
+    :param tokens: output tokens that it had still to produce
+    :param received: when the report came, in seconds
+    """
+
+    tokens: int
+    slots: int
+    received: float
+    models: tuple[tuple[str, str], ...] = ()
+    boot: str = ""
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One upstream as this instance sees it.
+
+    :param serves: for engines the model's name, for services the service's
+    :param outstanding: reserved tokens of this instance's own requests there
+    :param since_report: tokens that this instance sent since the last report
+    """
+
+    name: str
+    kind: str
+    domain: str
+    url: str
+    partner: str
+    state: UpstreamState = UpstreamState.LIVE
+    report: LoadReport | None = None
+    outstanding: int = 0
+    running: int = 0
+    since_report: int = 0
+    circuit: Circuit = field(default_factory=Circuit)
+    prefixes: dict[str, int] = field(default_factory=dict)
+
+    def take_report(self, report: LoadReport) -> None:
+        """Replace the last report by a newer one."""
+        self.report = report
+        self.since_report = 0
+
+    @property
+    def load(self) -> int:
+        """Tokens that are probably ahead of a new request.
+
+        The last report counts what all instances had sent; added to it is what this
+        instance sent since, and at least its own requests in flight.
+        """
+        reported = 0 if self.report is None else self.report.tokens
+        return max(reported + self.since_report, self.outstanding)
+
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream runs at the same time."""
+        return 1 if self.report is None else max(1, self.report.slots)
+
+    def begin(self, tokens: int) -> None:
+        """Note that a request of this instance starts there."""
+        self.outstanding += tokens
+        self.since_report += tokens
+        self.running += 1
+
+    def end(self, tokens: int) -> None:
+        """Note that a request of this instance ended there."""
+        self.outstanding -= tokens
+        self.running -= 1
+
+    def serves(self, model: str, version: str) -> bool:
+        """Tell whether the upstream has this version of a model loaded."""
+        return self.report is not None and (model, version) in self.report.models
