--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -24,6 +24,7 @@
 
 STREAM_HEADER = "Pondquay-Stream"
 PRIORITY_HEADER = "Pondquay-Priority"
+BOOT_HEADER = "Pondquay-Boot"
 CONNECT_SECONDS = 1.0
 ACCEPT_SECONDS = 5.0
 STALL_SECONDS = 10.0
@@ -54,21 +55,36 @@
     """An engine's word on a stream.
 
     :param tokens: what it cost, if it finished
+    :param boot: the life of the engine that answers
     """
 
     state: StreamState
     tokens: int = 0
+    boot: str = ""
+
+    def seen_from(self, boot: str) -> StreamStatus:
+        """Return what the answer says of a stream begun in some life of the engine.
+
+        In another life the engine knows nothing of it, whatever it answers.
+        """
+        if boot in ("", self.boot):
+            return self
+        return StreamStatus(StreamState.UNREACHABLE)
 
 
 @dataclass(frozen=True, slots=True)
 class Completion:
-    """What an engine is asked to run."""
+    """What an engine is asked to run.
+
+    :param boot: the life of the engine that it is meant for; another one refuses
+    """
 
     model: str
     version: str
     messages: tuple[dict[str, str], ...]
     max_tokens: int
     priority: str
+    boot: str
 
 
 class FrameReceiver(Protocol):
@@ -174,6 +190,7 @@
         headers: dict[bytes | str, bytes | str] = {
             STREAM_HEADER: stream,
             PRIORITY_HEADER: completion.priority,
+            BOOT_HEADER: completion.boot,
             "Content-Type": "application/json",
         }
         try:
@@ -236,7 +253,9 @@
             response = await self._http.request(method, url, timeout=QUESTION_SECONDS)
             content = await treq.json_content(response)
             return StreamStatus(
-                StreamState(content["state"]), int(content.get("tokens", 0))
+                StreamState(content["state"]),
+                int(content.get("tokens", 0)),
+                str(content.get("boot", "")),
             )
         except (*NETWORK_ERRORS, ValueError, KeyError):
             return StreamStatus(StreamState.UNREACHABLE)
--- a/packages/pondquay-daemon/src/pondquay_daemon/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/peers.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pondquay.budgets.directory import WitnessDirectory
 from pondquay.membership.messages import (
     Deltas,
     FetchDeltas,
@@ -73,7 +74,7 @@
     waiter: Deferred[FoundRequest | None]
 
 
-class PeerTask(Task, LinkHandler):
+class PeerTask(Task, LinkHandler, WitnessDirectory):
     """Owns the links and what is known of the peers behind them."""
 
     def __init__(
--- a/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
@@ -2,26 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 
-from pondquay.billing.bills import segment_key
 from pondquay.billing.fold import fold_segments
 from pondquay.budgets.messages import Settle, Settlement
-from pondquay.budgets.programs import (
-    Closed,
-    Resolution,
-    Resolved,
-    close_grant,
-    resolve_held,
-)
-from pondquay.budgets.rows import GrantState, holder_prefix, load_grant, parse_grant_key
+from pondquay.budgets.succession import Succession
+from pondquay.membership.leases import Lease
 from pondquay.names import AttemptId
 from pondquay.requests.lifecycle import Outcome
+from pondquay.routing.upstreams import ENGINE
 from pondquay.streams import Answer, Frame
-from pondquay.tables import Unreachable, read_rows
+from pondquay.tables import Unreachable
 from pondquay_daemon.calls import (
     CompletionCall,
     FrameSink,
@@ -29,7 +23,7 @@
     Refusal,
     RefusalCode,
 )
-from pondquay_daemon.engines import StreamState
+from pondquay_daemon.engines import StreamState, StreamStatus
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.tasks import Task, wait_at_most
@@ -46,24 +40,15 @@
     from pondquay_daemon.upstreams import Upstreams
 
 SWEEP_SECONDS = 0.5
+SEARCH_SECONDS = 5.0
 FOLD_SECONDS = 2.0
+FOLD = "fold"
+MOST_FOLDS = 20
 REPORT_SECONDS = 2.0
 RETRY_SECONDS = 1
 MOST_RESUMES = 3
 
 
-@dataclass(slots=True)
-class _Sealed:
-    """A sealed grant on its way out.
-
-    :param closed: its remainder is back in the budget
-    :param held: attempts that the table still holds, by sequence
-    """
-
-    closed: bool = False
-    held: set[int] = field(default_factory=set)
-
-
 @dataclass(frozen=True, slots=True)
 class _Found:
     """A running attempt that a dead peer left, and the witness that knows of it."""
@@ -94,11 +79,11 @@
         self._treasury = treasury
         self._upstreams = upstreams
         self._engines = engines
-        self._sealed: dict[GrantId, _Sealed] = {}
-        self._searched: set[InstanceId] = set()
+        self.succession = Succession(instance, treasury.witness, peers)
         self._lost: dict[AttemptId, tuple[Attempt, str]] = {}
         self._reports: dict[AttemptId, Deferred[bool]] = {}
-        self._segment = 0
+        self._searched: dict[InstanceId, float] = {}
+        self._fold_lease = Lease(FOLD, str(instance))
 
     def start(self) -> None:
         """Look after what others left from now on."""
@@ -109,12 +94,15 @@
     def _witness(self) -> Witness:
         return self._treasury.witness
 
-    def _next_segment(self) -> str:
-        self._segment += 1
-        return segment_key(f"{self._instance}-recovery", self._segment)
-
     async def _fold(self) -> None:
-        await self._platform.run(fold_segments())
+        """Fold bills, if the lease says that this instance does it for all."""
+        await self._platform.run(self._fold_lease.renew(self.clock.seconds()))
+        if not self._fold_lease.held:
+            return
+        for _ in range(MOST_FOLDS):
+            folded = await self._platform.run(fold_segments())
+            if isinstance(folded, Unreachable) or folded.segments == 0:
+                return
 
     # Own attempts lost sight of
 
@@ -127,7 +115,8 @@
             upstream = self._upstreams.known.get(name)
             if upstream is None:
                 continue
-            status = await self._engines.cancel(upstream.url, attempt.stream)
+            answer = await self._engines.cancel(upstream.url, attempt.stream)
+            status = answer.seen_from(attempt.boot)
             if status.state is StreamState.FINISHED:
                 await self._treasury.settle(attempt, status.tokens)
             elif status.state is StreamState.CANCELLED:
@@ -140,81 +129,35 @@
 
     async def _sweep(self) -> None:
         await self._ask_lost()
-        self._seal_silent()
-        for holder in self._silent_holders():
-            await self._seal_unheard(holder)
-        for grant_id, sealed in list(self._sealed.items()):
-            grant = self._witness.grants.get(grant_id)
-            if grant is None:
-                del self._sealed[grant_id]
-                continue
-            await self._wind_up(grant, sealed)
-
-    def _silent_holders(self) -> list[InstanceId]:
+        for grant in self.succession.seal_silent():
+            log_event("grant-sealed", grant=grant)
+        await self._search_unheard()
+        for sealed in list(self.succession.sealed.values()):
+            known = self._witness.grants.get(sealed.id)
+            if known is not None and sealed.closed:
+                await self._ask_open(known)
+            await self._platform.run(self.succession.wind_up(sealed))
+
+    async def _search_unheard(self) -> None:
+        """Look in the table for grants of silent holders that name us as witness."""
         now = self._peers.now()
-        return [one for one in self._peers.table.suspects(now)]
-
-    def _seal_silent(self) -> None:
-        """Seal the grants of holders that are silent; a wrong guess does no harm."""
-        for holder in self._witness.holders():
-            if not self._peers.is_gone(holder):
+        suspects = self._peers.table.suspects(now)
+        self._searched = {
+            one: at for one, at in self._searched.items() if one in suspects
+        }
+        for holder in suspects:
+            if now - self._searched.get(holder, -SEARCH_SECONDS) < SEARCH_SECONDS:
                 continue
-            for grant in self._witness.of_holder(holder):
-                if grant.id not in self._sealed:
-                    self._begin_seal(grant.id, grant.workspace)
-
-    def _begin_seal(self, grant: GrantId, workspace: str) -> None:
-        self._witness.seal(grant, workspace)
-        self._sealed[grant] = _Sealed()
-        log_event("grant-sealed", grant=grant, workspace=workspace)
-
-    async def _seal_unheard(self, holder: InstanceId) -> None:
-        """Seal grants that name us as witness and of which we never heard."""
-        if holder in self._searched:
-            return
-        rows = await self._platform.run(read_rows(prefixes=(holder_prefix(holder),)))
-        if isinstance(rows, Unreachable):
-            return
-        self._searched.add(holder)
-        for row in rows.starting(holder_prefix(holder)):
-            grant = load_grant(row)
-            grant_id = parse_grant_key(row.key)
-            if grant is None or grant.witness_id != self._instance:
-                continue
-            if grant.state is GrantState.OPEN and grant_id not in self._sealed:
-                self._begin_seal(grant_id, grant.workspace)
-
-    async def _wind_up(self, grant: WitnessedGrant, sealed: _Sealed) -> None:
-        """Bring a sealed grant one step further: close, resolve, forget."""
-        if not sealed.closed and not await self._close(grant, sealed):
-            return
-        await self._ask_open(grant)
-        ended = {seq for seq in sealed.held if grant.has_ended(seq)}
-        if ended and await self._resolve(grant, ended):
-            sealed.held -= ended
-        if not sealed.held:
-            self._witness.drop(grant.id)
-            self._sealed.pop(grant.id, None)
-
-    async def _close(self, grant: WitnessedGrant, sealed: _Sealed) -> bool:
-        closing = self._witness.describe_close(grant, self._next_segment())
-        outcome = await self._platform.run(close_grant(closing))
-        if not isinstance(outcome, Closed):
-            return False
-        sealed.closed = True
-        sealed.held = set(closing.held) | set(grant.bills)
-        log_event("grant-closed", grant=grant.id, held=len(closing.held))
-        return True
+            self._searched[holder] = now
+            await self._platform.run(self.succession.seal_unheard(holder))
 
     async def _ask_open(self, grant: WitnessedGrant) -> None:
         """Ask engines what became of attempts whose holder is dead."""
         for seq, intent in list(grant.open.items()):
             upstream = self._upstreams.known.get(intent.upstream)
-            if upstream is None or upstream.kind != "engine":
+            if upstream is None or upstream.kind != ENGINE:
                 continue
-            status = await self._engines.ask(upstream.url, intent.stream)
-            if status.state is StreamState.UNKNOWN:
-                status = await self._engines.cancel(upstream.url, intent.stream)
+            status = await self._ask_end(upstream.url, intent.stream, intent.boot)
             attempt = AttemptId(grant.id, seq)
             if status.state is StreamState.FINISHED:
                 billed = min(status.tokens, intent.reserve)
@@ -222,18 +165,15 @@
             elif status.state is StreamState.CANCELLED:
                 self._witness.resolve(attempt, intent.request, None)
 
-    async def _resolve(self, grant: WitnessedGrant, ended: set[int]) -> bool:
-        bills = [grant.bills[seq] for seq in ended if seq in grant.bills]
-        resolutions = [
-            Resolution(seq, grant.bills[seq].tokens if seq in grant.bills else None)
-            for seq in ended
-        ]
-        outcome = await self._platform.run(
-            resolve_held(
-                grant.workspace, grant.id, resolutions, bills, self._next_segment()
-            )
-        )
-        return isinstance(outcome, Resolved)
+    async def _ask_end(self, url: str, stream: str, boot: str) -> StreamStatus:
+        """Ask for the end of a stream; one that never arrived is cancelled for good.
+
+        A stream that runs is left alone: its caller may still ask for its answer.
+        """
+        status = await self._engines.ask(url, stream)
+        if status.state is StreamState.UNKNOWN and status.boot == boot:
+            status = await self._engines.cancel(url, stream)
+        return status.seen_from(boot)
 
     # Callers that ask again after their instance died
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -232,7 +232,10 @@
                 RefusalCode.OVER_CAPACITY, "no place came free in time", RETRY_SECONDS
             )
         reserved = await self._treasury.reserve(
-            call.request, wish.work.tokens, placement.upstream.name
+            call.request,
+            wish.work.tokens,
+            placement.upstream.name,
+            placement.upstream.boot,
         )
         if isinstance(reserved, BudgetExhausted | BudgetUnreachable):
             self._upstreams.release(placement)
@@ -317,6 +320,7 @@
             call.messages,
             call.max_tokens,
             call.priority.value,
+            started.attempt.boot,
         )
 
         def take(frame: Frame) -> None:
@@ -376,7 +380,8 @@
         upstream = started.placement.upstream
         course.failed.add(upstream.name)
         upstream.circuit.fail(self.clock.seconds())
-        status = await self._engines.cancel(upstream.url, started.attempt.stream)
+        answer = await self._engines.cancel(upstream.url, started.attempt.stream)
+        status = answer.seen_from(started.attempt.boot)
         if status.state is StreamState.CANCELLED:
             course.life.refuse()
             await self._treasury.settle(started.attempt, None)
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -34,6 +34,7 @@
 
 STREAM_HEADER = "Pondquay-Stream"
 PRIORITY_HEADER = "Pondquay-Priority"
+BOOT_HEADER = "Pondquay-Boot"
 PRIORITIES = {"high": 0, "normal": 1, "low": 2}
 BYTES_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
@@ -138,6 +139,8 @@
             return write_body(request, {"error": "refused"}, REFUSED)
         if body["model"] != self.model or body["version"] not in self.versions:
             return write_body(request, {"error": "model"}, NOT_FOUND)
+        if (request.getHeader(BOOT_HEADER) or self.boot) != self.boot:
+            return write_body(request, {"error": "another boot"}, CONFLICT)
         if name in self.streams:
             return write_body(request, {"error": "stream exists"}, CONFLICT)
         stream = self._make_stream(name, body, request)
@@ -261,9 +264,9 @@
             return Deferred()
         stream = self.streams.get(name)
         if stream is None:
-            return write_body(request, {"state": "unknown"})
+            return write_body(request, {"state": "unknown", "boot": self.boot})
         state = "running" if stream.state == "waiting" else stream.state
-        return write_body(request, {"state": state, "tokens": stream.tokens})
+        return self._write_status(request, state, stream)
 
     def cancel(self, request: Request, name: str) -> Any:
         """End a stream for good, also one that has not arrived yet."""
@@ -275,7 +278,11 @@
                 self._note_end(stream)
             stream.state = "cancelled"
             stream.wake()
-        return write_body(request, {"state": stream.state, "tokens": stream.tokens})
+        return self._write_status(request, stream.state, stream)
+
+    def _write_status(self, request: Request, state: str, stream: Stream) -> bytes:
+        status = {"state": state, "tokens": stream.tokens, "boot": self.boot}
+        return write_body(request, status)
 
     # Load, orders, faults
 
--- a/packages/pondquay/src/pondquay/budgets/holder.py
+++ b/packages/pondquay/src/pondquay/budgets/holder.py
@@ -62,6 +62,7 @@
     reserve: int
     upstream: str
     stream: str
+    boot: str = ""
     state: AttemptState = AttemptState.INTENDED
     billed: int | None = None
     witnessed: bool = False
@@ -72,7 +73,12 @@
     def intent(self) -> Intent:
         """What the witness is told of this attempt."""
         return Intent(
-            self.id.seq, self.request, self.reserve, self.upstream, self.stream
+            self.id.seq,
+            self.request,
+            self.reserve,
+            self.upstream,
+            self.stream,
+            self.boot,
         )
 
     @property
@@ -155,6 +161,10 @@
         """Return the grants of one workspace, in the order they were begun."""
         return [one for one in self.holdings.values() if one.workspace == workspace]
 
+    def list_holdings(self) -> list[Holding]:
+        """Return all grants as they are now, so that some may go meanwhile."""
+        return list(self.holdings.values())
+
     def set_amount(self, grant: GrantId, amount: int, *, lost: bool = False) -> None:
         """Take over the amount that the table holds for a grant.
 
@@ -186,11 +196,13 @@
         tokens: int,
         upstream: str,
         usable: Callable[[InstanceId | None], bool],
+        boot: str = "",
     ) -> Attempt | None:
         """Reserve tokens for one attempt, from the fullest grant that can bear them.
 
         :param tokens: the most that the attempt can cost
         :param usable: tells whether a witness can be reached
+        :param boot: the life of the upstream
         :returns: the attempt, ``None`` if no grant has so much left
         """
         fitting = [
@@ -204,7 +216,7 @@
         attempt_id = AttemptId(holding.id, holding.next_seq)
         holding.next_seq += 1
         stream = name_stream(request, attempt_id)
-        attempt = Attempt(attempt_id, request, tokens, upstream, stream)
+        attempt = Attempt(attempt_id, request, tokens, upstream, stream, boot)
         if holding.witness is None:
             attempt.state = AttemptState.ACKNOWLEDGED
         holding.attempts[attempt_id.seq] = attempt
@@ -318,7 +330,10 @@
     def take_finished(self) -> list[tuple[InstanceId, Flushed]]:
         """Drop attempts that need nothing more; return word for their witnesses."""
         notices = []
-        for holding in list(self.holdings.values()):
+        for holding in self.list_holdings():
+            if holding.state is not HoldingState.OPEN:
+                # What ended while the grant is being closed may stand in its row.
+                continue
             witness = holding.witness
             done = [
                 one.id.seq
@@ -329,14 +344,13 @@
                 del holding.attempts[seq]
             if done and witness is not None:
                 notices.append((witness, Flushed(holding.id, tuple(done))))
-            self._drop_if_done(holding)
         return notices
 
     def describe_close(self, holding: Holding, segment: str) -> Closing:
         """Return what is known of a grant that is about to be closed in the table."""
         held = {
             one.id.seq: HeldIntent(
-                str(one.request), one.reserve, one.upstream, one.stream
+                str(one.request), one.reserve, one.upstream, one.stream, one.boot
             )
             for one in holding.running()
         }
--- /dev/null
+++ b/packages/pondquay/src/pondquay/budgets/manager.py
@@ -0,0 +1,402 @@
+"""The holder's programs: refilling, giving back, closing, and writing bills.
+
+They join what the holder knows (:mod:`pondquay.budgets.holder`) with the table. All
+are generators, so a pause or a crash can be tried between any two of their steps. At
+most one of :meth:`GrantManager.refill`, :meth:`~GrantManager.maintain` and
+:meth:`~GrantManager.close_all` may be under way at a time; flushing may always be.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from pondquay.billing.bills import segment_key
+from pondquay.billing.programs import Written, write_segment
+from pondquay.budgets.holder import Attempt, Holder, Holding, HoldingState
+from pondquay.budgets.policies import GrantView
+from pondquay.budgets.programs import (
+    Adjusted,
+    Adjustment,
+    AdjustmentsUnknown,
+    Closed,
+    Resolution,
+    Resolved,
+    adjust_grants,
+    close_grant,
+    learn_adjustments,
+    resolve_held,
+)
+from pondquay.tables import Unreachable
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from pondquay.budgets.directory import WitnessDirectory
+    from pondquay.budgets.messages import Forget
+    from pondquay.budgets.policies import GrantPolicy
+    from pondquay.budgets.programs import AdjustOutcome
+    from pondquay.budgets.rows import BudgetRow
+    from pondquay.names import InstanceId
+    from pondquay.tables import Program
+
+MOST_BILLS = 200
+MOST_ADJUSTMENTS = 50
+RATE_WEIGHT = 0.1
+
+
+class Refill(StrEnum):
+    """What a request for more tokens came to."""
+
+    GAINED = "gained"
+    EXHAUSTED = "exhausted"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(slots=True)
+class Demand:
+    """What a workspace uses here.
+
+    :param budget: the budget's row as last read
+    :param rate: tokens a second, smoothed
+    :param reserved: tokens reserved since the rate was last brought up to date
+    """
+
+    budget: BudgetRow | None = None
+    rate: float = 0.0
+    reserved: int = 0
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a program has brought about that others wait for.
+
+    :param safe: attempts whose bills are in the table now
+    :param refused: attempts that will not run
+    :param notices: word for witnesses
+    """
+
+    safe: list[Attempt] = field(default_factory=list)
+    refused: list[Attempt] = field(default_factory=list)
+    notices: list[tuple[InstanceId, Forget]] = field(default_factory=list)
+
+
+class GrantManager:
+    """Everything an instance does with its grants.
+
+    :param holder: the grants themselves
+    :param policy: how many tokens to keep at hand
+    :param directory: who can be a witness
+    """
+
+    def __init__(
+        self, holder: Holder, policy: GrantPolicy, directory: WitnessDirectory
+    ) -> None:
+        self.holder = holder
+        self.demands: dict[str, Demand] = {}
+        self.unknown: list[Adjustment] = []
+        self._policy = policy
+        self._directory = directory
+        self._number = 0
+
+    # Demand
+
+    def note_demand(self, workspace: str, tokens: int) -> None:
+        """Count tokens that a request wants to reserve."""
+        self._demand(workspace).reserved += tokens
+
+    def update_rates(self, seconds: float) -> None:
+        """Bring the rates up to date.
+
+        :param seconds: since the last time
+        """
+        for demand in self.demands.values():
+            demand.rate += RATE_WEIGHT * (demand.reserved / seconds - demand.rate)
+            demand.reserved = 0
+
+    def _demand(self, workspace: str) -> Demand:
+        return self.demands.setdefault(workspace, Demand())
+
+    def _view(self, workspace: str, wanted: int) -> GrantView:
+        demand = self._demand(workspace)
+        holdings = self.holder.of_workspace(workspace)
+        instances = self._directory.count() + 1
+        return GrantView(
+            limit=0 if demand.budget is None else demand.budget.limit,
+            free=0 if demand.budget is None else demand.budget.free,
+            holding=sum(one.free for one in holdings),
+            running=sum(one.reserved for one in holdings),
+            rate=demand.rate,
+            fleet_rate=demand.rate * instances,
+            instances=instances,
+            wanted=wanted,
+        )
+
+    # Refilling and giving back
+
+    def is_usable(self, witness: InstanceId | None) -> bool:
+        """Tell whether a grant with this witness can be drawn on now."""
+        return witness is None or self._directory.is_usable(witness)
+
+    def refill(self, wanted: Mapping[str, Sequence[int]]) -> Program[dict[str, Refill]]:
+        """Ask for what waiting requests need, for all workspaces in one transaction.
+
+        :param wanted: tokens of each waiting request, by workspace
+        """
+        planned = [
+            one
+            for workspace, tokens in wanted.items()
+            for one in self._plan_refill(workspace, tokens)
+        ]
+        return (yield from self._adjust(planned))
+
+    def give_back(self, workspace: str, tokens: int) -> Program[None]:
+        """Return tokens of a workspace to its budget."""
+        planned = self._plan_return(self.holder.of_workspace(workspace), tokens)
+        if planned:
+            yield from self._adjust(planned)
+
+    def _plan_refill(self, workspace: str, tokens: Sequence[int]) -> list[Adjustment]:
+        wanted = sum(tokens)
+        holding = self._choose_holding(workspace)
+        decided = self._policy.decide(self._view(workspace, wanted))
+        merged = self._merge(workspace, holding)
+        delta = max(wanted, decided) + sum(-one.delta for one in merged)
+        least = min(tokens) - holding.free
+        return [*merged, self._adjustment(holding, delta, max(1, least))]
+
+    def _merge(self, workspace: str, target: Holding) -> list[Adjustment]:
+        """Give back what other grants of the workspace have left.
+
+        A request must fit into one grant; what lies in several may not suffice.
+        """
+        others = [one for one in self.holder.of_workspace(workspace) if one != target]
+        return self._plan_return(others, sum(one.free for one in others))
+
+    def _plan_return(
+        self, holdings: Sequence[Holding], tokens: int
+    ) -> list[Adjustment]:
+        planned = []
+        for holding in holdings:
+            if self._is_pending(holding):
+                continue
+            given = self.holder.shrink(holding.id, tokens)
+            if given:
+                planned.append(self._adjustment(holding, -given))
+                tokens -= given
+        return planned
+
+    def _adjustment(
+        self, holding: Holding, delta: int, smallest: int = 1
+    ) -> Adjustment:
+        self._number += 1
+        return Adjustment(
+            workspace=holding.workspace,
+            grant=holding.id,
+            delta=delta,
+            witness=holding.witness,
+            operation=f"{self.holder.instance}/{self._number}",
+            smallest=smallest,
+            creates=holding.state is HoldingState.OPENING,
+        )
+
+    def _choose_holding(self, workspace: str) -> Holding:
+        """Return a grant that can be drawn on, or begin one."""
+        usable = [
+            one
+            for one in self.holder.of_workspace(workspace)
+            if one.state in (HoldingState.OPEN, HoldingState.OPENING)
+            and self.is_usable(one.witness)
+            and not self._is_pending(one)
+        ]
+        if usable:
+            return max(usable, key=lambda one: one.free)
+        return self.holder.open(workspace, self._choose_witness())
+
+    def _choose_witness(self) -> InstanceId | None:
+        """Return the peer of the domain that witnesses the fewest of our grants."""
+        counts = dict.fromkeys(self._directory.witnesses(), 0)
+        if not counts:
+            return None
+        for holding in self.holder.holdings.values():
+            if holding.witness in counts:
+                counts[holding.witness] += 1
+        return min(counts, key=lambda one: (counts[one], one))
+
+    def _is_pending(self, holding: Holding) -> bool:
+        return any(one.grant == holding.id for one in self.unknown)
+
+    def _adjust(self, planned: Sequence[Adjustment]) -> Program[dict[str, Refill]]:
+        """Carry adjustments out; return what came of them for each workspace."""
+        yield from self._learn()
+        if self.unknown:
+            self._undo(planned)
+            return {}
+        outcome = yield from adjust_grants(planned)
+        return self._take_outcome(planned, outcome)
+
+    def _learn(self) -> Program[None]:
+        """Find out about adjustments whose answer was lost."""
+        if not self.unknown:
+            return
+        pending = tuple(self.unknown)
+        outcome = yield from learn_adjustments(pending)
+        if isinstance(outcome, AdjustmentsUnknown | Unreachable):
+            return
+        self.unknown.clear()
+        self._take_outcome(pending, outcome)
+
+    def _take_outcome(
+        self, planned: Sequence[Adjustment], outcome: AdjustOutcome
+    ) -> dict[str, Refill]:
+        if isinstance(outcome, AdjustmentsUnknown):
+            self.unknown.extend(planned)
+            return {}
+        if isinstance(outcome, Unreachable):
+            self._undo(planned)
+            return {}
+        results: dict[str, Refill] = {}
+        for one in outcome:
+            workspace = one.adjustment.workspace
+            if self._take_adjusted(one):
+                results[workspace] = Refill.GAINED
+            else:
+                results.setdefault(workspace, Refill.EXHAUSTED)
+        return results
+
+    def _undo(self, planned: Sequence[Adjustment]) -> None:
+        """Take up again what was not given back, and drop grants never begun."""
+        for one in planned:
+            holding = self.holder.holdings[one.grant]
+            if one.delta < 0:
+                holding.amount -= one.delta
+            else:
+                self.holder.drop_unopened(one.grant)
+
+    def _take_adjusted(self, adjusted: Adjusted) -> bool:
+        """Take over one outcome; ``True`` if the grant gained tokens."""
+        one = adjusted.adjustment
+        self._demand(one.workspace).budget = adjusted.budget
+        holding = self.holder.holdings.get(one.grant)
+        if holding is None:
+            return False
+        before = holding.free
+        self.holder.set_amount(one.grant, adjusted.amount, lost=adjusted.lost_grant)
+        if adjusted.amount == 0 and one.delta > 0:
+            self.holder.drop_unopened(one.grant)
+        return one.delta > 0 and holding.free > before
+
+    # Maintenance
+
+    def maintain(self, *, rebalance: bool = True) -> Program[Progress]:
+        """Close grants that cannot be used, and keep the others as the policy says.
+
+        :param rebalance: refill ahead of need and give back what is too much
+        """
+        progress = Progress()
+        yield from self._learn()
+        for holding in self.holder.list_holdings():
+            witness = holding.witness
+            gone = witness is not None and self._directory.is_gone(witness)
+            if holding.state is HoldingState.OPEN and gone:
+                progress.refused += self.holder.begin_close(holding)
+        yield from self._close_closing(progress)
+        yield from self._settle_closed(progress)
+        if rebalance:
+            yield from self._rebalance()
+        return progress
+
+    def close_all(self) -> Program[Progress]:
+        """Close every grant, for a planned stop."""
+        progress = Progress()
+        yield from self._learn()
+        for holding in self.holder.list_holdings():
+            progress.refused += self.holder.begin_close(holding)
+        yield from self._close_closing(progress)
+        yield from self._settle_closed(progress)
+        return progress
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is held and nothing is left to be learnt or written."""
+        return not self.holder.holdings and not self.unknown
+
+    def _close_closing(self, progress: Progress) -> Program[None]:
+        for holding in self.holder.list_holdings():
+            closing = holding.state is HoldingState.CLOSING
+            if closing and not self._is_pending(holding):
+                yield from self._close(holding, progress)
+
+    def _close(self, holding: Holding, progress: Progress) -> Program[None]:
+        closing = self.holder.describe_close(holding, self._next_segment())
+        settled = list(holding.settled())
+        outcome = yield from close_grant(closing)
+        if not isinstance(outcome, Closed):
+            return
+        if not outcome.by_us:
+            resolved = yield from self._resolve(holding, settled)
+            if not resolved:
+                return
+        progress.safe += settled
+        forget = self.holder.note_closed(holding, settled)
+        if forget is not None and holding.witness is not None and outcome.by_us:
+            progress.notices.append((holding.witness, forget))
+
+    def _settle_closed(self, progress: Progress) -> Program[None]:
+        """Write ends of attempts that came after their grant was closed."""
+        for holding in self.holder.list_holdings():
+            settled = list(holding.settled())
+            if holding.state is not HoldingState.CLOSED or not settled:
+                continue
+            resolved = yield from self._resolve(holding, settled)
+            if resolved:
+                progress.safe += settled
+                self.holder.note_closed(holding, settled)
+
+    def _resolve(self, holding: Holding, settled: Sequence[Attempt]) -> Program[bool]:
+        """Settle attempts of a closed grant in the table."""
+        outcome = yield from resolve_held(
+            holding.workspace,
+            holding.id,
+            [Resolution(one.id.seq, one.billed) for one in settled],
+            [one.bill for one in settled if one.bill is not None],
+            self._next_segment(),
+        )
+        return isinstance(outcome, Resolved)
+
+    def _rebalance(self) -> Program[None]:
+        planned: list[Adjustment] = []
+        for workspace, demand in list(self.demands.items()):
+            if demand.budget is None:
+                continue
+            delta = self._policy.decide(self._view(workspace, 0))
+            if delta > 0:
+                planned.append(self._adjustment(self._choose_holding(workspace), delta))
+            elif delta < 0:
+                own = self.holder.of_workspace(workspace)
+                planned += self._plan_return(own, -delta)
+            if len(planned) >= MOST_ADJUSTMENTS:
+                break
+        if planned:
+            yield from self._adjust(planned)
+
+    # Bills
+
+    def flush(self, most: int = MOST_BILLS) -> Program[list[Attempt]]:
+        """Write the bills of ended attempts to the table in one transaction.
+
+        :returns: the attempts whose bills are safe now
+        """
+        attempts = self.holder.unflushed(most)
+        bills = [one.bill for one in attempts if one.bill is not None]
+        if bills:
+            outcome = yield from write_segment(self._next_segment(), bills)
+            if not isinstance(outcome, Written):
+                return []
+        self.holder.note_flushed(attempts)
+        return attempts
+
+    def _next_segment(self) -> str:
+        self._number += 1
+        return segment_key(str(self.holder.instance), self._number)
--- a/packages/pondquay/src/pondquay/budgets/messages.py
+++ b/packages/pondquay/src/pondquay/budgets/messages.py
@@ -14,6 +14,8 @@
 
     :param seq: place in the sequence of the grant
     :param reserve: the most tokens that the attempt can cost
+    :param boot: the life of the upstream in which the attempt is made; in another one
+        it knows nothing of the attempt
     """
 
     seq: int
@@ -21,6 +23,7 @@
     reserve: int
     upstream: str
     stream: str
+    boot: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pondquay/src/pondquay/budgets/programs.py
+++ b/packages/pondquay/src/pondquay/budgets/programs.py
@@ -294,17 +294,12 @@
 ) -> Transaction:
     at_budget = budget_key(closing.workspace)
     at_grant = grant_key(closing.grant)
-    kept = closing.spent + sum(one.reserve for one in closing.held.values())
-    remainder = max(0, grant.amount - kept)
-    sealed = None
-    if closing.held:
-        held = {str(seq): one for seq, one in closing.held.items()}
-        sealed = dump_row(
-            replace(grant, state=GrantState.SEALED, spent=closing.spent, held=held)
-        )
+    held = {str(seq): one for seq, one in closing.held.items()}
+    sealed = replace(grant, state=GrantState.SEALED, spent=closing.spent, held=held)
+    lowered = replace(budget, granted=budget.granted - sealed.remainder)
     writes = [
-        Write(at_budget, dump_row(replace(budget, granted=budget.granted - remainder))),
-        Write(at_grant, sealed),
+        Write(at_budget, dump_row(lowered)),
+        Write(at_grant, dump_row(sealed) if held else None),
     ]
     conditions = [
         Condition(at_budget, rows.version(at_budget)),
@@ -377,13 +372,12 @@
 ) -> Transaction:
     held = dict(sealed.held)
     spent = sealed.spent
-    returned = 0
     for one in pending:
         reserve = held.pop(str(one.seq)).reserve
-        used = min(one.billed or 0, reserve)
-        spent += used
-        returned += reserve - used
-    changed = dump_row(replace(sealed, held=held, spent=spent)) if held else None
+        spent += min(one.billed or 0, reserve)
+    resolved = replace(sealed, held=held, spent=spent)
+    returned = resolved.remainder - sealed.remainder
+    changed = dump_row(resolved) if held else None
     lowered = replace(budget, granted=budget.granted - returned)
     return Transaction(
         f"resolve/{at_grant}",
--- a/packages/pondquay/src/pondquay/budgets/rows.py
+++ b/packages/pondquay/src/pondquay/budgets/rows.py
@@ -55,6 +55,7 @@
     reserve: int
     upstream: str
     stream: str
+    boot: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,17 @@
         """The witness as a name, if the grant has one."""
         return InstanceId.parse(self.witness) if self.witness else None
 
+    @property
+    def remainder(self) -> int:
+        """Tokens that a sealed grant has neither spent nor kept for held attempts.
+
+        A witness that was not told of an end still holds its whole reserve, while the
+        holder may have reserved or given back what the attempt left. Then more is held
+        than the grant has, and nothing remains until the true costs are known.
+        """
+        held = sum(one.reserve for one in self.held.values())
+        return max(0, self.amount - self.spent - held)
+
 
 _BUDGET: TypeAdapter[BudgetRow] = TypeAdapter(BudgetRow)
 _GRANT: TypeAdapter[GrantRow] = TypeAdapter(GrantRow)
--- a/packages/pondquay/src/pondquay/budgets/witness.py
+++ b/packages/pondquay/src/pondquay/budgets/witness.py
@@ -155,7 +155,8 @@
 
     def _receive_flushed(self, message: Flushed) -> None:
         grant = self.grants.get(message.grant)
-        if grant is None:
+        if grant is None or grant.sealed:
+            # A sealed grant's row may hold the attempt until its bill is resolved.
             return
         for seq in message.seqs:
             grant.bills.pop(seq, None)
@@ -175,7 +176,11 @@
         """Return what is known of a sealed grant, to close it in the table."""
         held = {
             seq: HeldIntent(
-                str(intent.request), intent.reserve, intent.upstream, intent.stream
+                str(intent.request),
+                intent.reserve,
+                intent.upstream,
+                intent.stream,
+                intent.boot,
             )
             for seq, intent in grant.open.items()
         }
--- a/packages/pondquay/src/pondquay/routing/upstreams.py
+++ b/packages/pondquay/src/pondquay/routing/upstreams.py
@@ -70,6 +70,11 @@
         reported = 0 if self.report is None else self.report.tokens
         return max(reported + self.since_report, self.outstanding)
 
+    @property
+    def boot(self) -> str:
+        """The upstream's present life, as it last said."""
+        return "" if self.report is None else self.report.boot
+
     @property
     def slots(self) -> int:
         """Requests that the upstream runs at the same time."""
