Bring failures about in real processes; tell the truth of cancelled streams

Cause: nothing showed that the daemons behave as the model does.

Engines now say whether a cancelled stream had started, and only one that had not is called not run. - Resuming gave up after three connections although each had brought pieces; only connections without progress count now. - The first grant of a workspace covered one request, so an outage right after it refused the next. The budget is now read before a first grant, and a grant covers at least sixteen of the largest recent requests where the budget allows it.

Ruled out: holding the answer to a failed request back until the platform is there.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/mypy $(SOURCES)
 
 unit: .venv/.installed
-	$(BIN)/pytest
+	$(BIN)/pytest -n 4 --dist loadgroup
 
 clean:
 	rm -rf .venv var
--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -55,11 +55,13 @@
     """An engine's word on a stream.
 
     :param tokens: what it cost, if it finished
+    :param started: whether any of it ran; a stream can be cancelled after it began
     :param boot: the life of the engine that answers
     """
 
     state: StreamState
     tokens: int = 0
+    started: bool = True
     boot: str = ""
 
     def seen_from(self, boot: str) -> StreamStatus:
@@ -255,6 +257,7 @@
             return StreamStatus(
                 StreamState(content["state"]),
                 int(content.get("tokens", 0)),
+                bool(content.get("started", True)),
                 str(content.get("boot", "")),
             )
         except (*NETWORK_ERRORS, ValueError, KeyError):
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -350,19 +350,19 @@
     async def _resume(self, started: Started, answer: Answer, take: Any) -> None:
         """Fetch what is missing of an answer from the engine that has it."""
         url = started.placement.upstream.url
-        for _ in range(MOST_RESUMES):
-            await sleep(RESUME_PAUSE_SECONDS, self.clock)
+        failures = 0
+        while failures < MOST_RESUMES and not answer.whole:
+            await sleep(RESUME_PAUSE_SECONDS * failures, self.clock)
+            before = answer.next_offset
             try:
-                await self._engines.resume(
-                    url, started.attempt.stream, answer.next_offset, take
-                )
+                await self._engines.resume(url, answer.stream, before, take)
+                self._metrics.resumes.inc()
             except RefusedError:
                 return
             except MayHaveRunError:
+                failures += 1
                 continue
-            if answer.whole:
-                self._metrics.resumes.inc()
-                return
+            failures = 0 if answer.next_offset > before else failures + 1
 
     async def _give_up_unstarted(
         self, course: Course, started: Started, error: Exception
@@ -382,15 +382,16 @@
         upstream.circuit.fail(self.clock.seconds())
         answer = await self._engines.cancel(upstream.url, started.attempt.stream)
         status = answer.seen_from(started.attempt.boot)
-        if status.state is StreamState.CANCELLED:
+        if status.state is StreamState.CANCELLED and not status.started:
             course.life.refuse()
+        else:
+            course.life.lose()
+        if status.state is StreamState.CANCELLED:
             await self._treasury.settle(started.attempt, None)
-            return
-        course.life.lose()
-        if status.state is StreamState.FINISHED:
+        elif status.state is StreamState.FINISHED:
             await self._treasury.settle(started.attempt, status.tokens)
-            return
-        self._recovery.watch(started.attempt, upstream.name)
+        else:
+            self._recovery.watch(started.attempt, upstream.name)
 
     async def _finish(
         self,
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -78,6 +78,7 @@
     state: str = "waiting"
     pieces: list[str] = field(default_factory=list)
     readers: list[Deferred[None]] = field(default_factory=list)
+    started: bool = False
 
     @property
     def tokens(self) -> int:
@@ -122,6 +123,7 @@
         route("/v1/streams/<name>", methods=["GET"])(self.resume)
         route("/v1/streams/<name>/status", methods=["GET"])(self.show_status)
         route("/v1/streams/<name>/cancel", methods=["POST"])(self.cancel)
+        route("/cancel-all", methods=["POST"])(self.cancel_all)
         route("/v1/load", methods=["GET"])(self.show_load)
         route("/v1/orders", methods=["POST"])(self.take_order)
         route("/log", methods=["GET"])(self.show_log)
@@ -171,6 +173,7 @@
             if stream is None or stream.state != "waiting":
                 continue
             stream.state = "running"
+            stream.started = True
             self._running += 1
             Deferred.fromCoroutine(self._run(stream))
 
@@ -280,8 +283,21 @@
             stream.wake()
         return self._write_status(request, stream.state, stream)
 
+    def cancel_all(self, request: Request) -> bytes:
+        """End every stream for good, as an engine that is overwhelmed may."""
+        for stream in self.streams.values():
+            if stream.state in ("waiting", "running"):
+                stream.state = "cancelled"
+                stream.wake()
+        return write_body(request, {})
+
     def _write_status(self, request: Request, state: str, stream: Stream) -> bytes:
-        status = {"state": state, "tokens": stream.tokens, "boot": self.boot}
+        status = {
+            "state": state,
+            "tokens": stream.tokens,
+            "started": stream.started,
+            "boot": self.boot,
+        }
         return write_body(request, status)
 
     # Load, orders, faults
--- a/packages/pondquay-standins/tests/test_callers.py
+++ b/packages/pondquay-standins/tests/test_callers.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from conftest import RunningFleet
 
+pytestmark = pytest.mark.xdist_group("callers")
 MESSAGES: Any = [{"role": "user", "content": "caption this split"}]
 
 
--- a/packages/pondquay/src/pondquay/budgets/manager.py
+++ b/packages/pondquay/src/pondquay/budgets/manager.py
@@ -28,10 +28,11 @@
     learn_adjustments,
     resolve_held,
 )
-from pondquay.tables import Unreachable
+from pondquay.budgets.rows import budget_key, load_budget
+from pondquay.tables import Unreachable, read_rows
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from pondquay.budgets.directory import WitnessDirectory
     from pondquay.budgets.messages import Forget
@@ -61,11 +62,13 @@
     :param budget: the budget's row as last read
     :param rate: tokens a second, smoothed
     :param reserved: tokens reserved since the rate was last brought up to date
+    :param largest: the most that a recent request reserved
     """
 
     budget: BudgetRow | None = None
     rate: float = 0.0
     reserved: int = 0
+    largest: int = 0
 
 
 @dataclass(slots=True)
@@ -104,7 +107,9 @@
 
     def note_demand(self, workspace: str, tokens: int) -> None:
         """Count tokens that a request wants to reserve."""
-        self._demand(workspace).reserved += tokens
+        demand = self._demand(workspace)
+        demand.reserved += tokens
+        demand.largest = max(demand.largest, tokens)
 
     def update_rates(self, seconds: float) -> None:
         """Bring the rates up to date.
@@ -131,6 +136,7 @@
             fleet_rate=demand.rate * instances,
             instances=instances,
             wanted=wanted,
+            largest=demand.largest,
         )
 
     # Refilling and giving back
@@ -144,6 +150,7 @@
 
         :param wanted: tokens of each waiting request, by workspace
         """
+        yield from self._read_budgets(wanted)
         planned = [
             one
             for workspace, tokens in wanted.items()
@@ -151,6 +158,18 @@
         ]
         return (yield from self._adjust(planned))
 
+    def _read_budgets(self, workspaces: Iterable[str]) -> Program[None]:
+        """Read budgets that are not known yet, so that a first grant is well sized."""
+        missing = [one for one in workspaces if self._demand(one).budget is None]
+        if not missing:
+            return
+        rows = yield from read_rows(*(budget_key(one) for one in missing))
+        if isinstance(rows, Unreachable):
+            return
+        for workspace in missing:
+            row = rows.rows.get(budget_key(workspace))
+            self._demand(workspace).budget = load_budget(row)
+
     def give_back(self, workspace: str, tokens: int) -> Program[None]:
         """Return tokens of a workspace to its budget."""
         planned = self._plan_return(self.holder.of_workspace(workspace), tokens)
--- a/packages/pondquay/src/pondquay/budgets/policies.py
+++ b/packages/pondquay/src/pondquay/budgets/policies.py
@@ -20,6 +20,7 @@
     :param fleet_rate: tokens a second that all instances spend, as far as known
     :param instances: instances that draw on the budget, as far as known
     :param wanted: tokens that waiting requests need now
+    :param largest: the most that a recent request reserved
     """
 
     limit: int
@@ -30,6 +31,7 @@
     fleet_rate: float
     instances: int
     wanted: int
+    largest: int = 0
 
 
 class GrantPolicy(ABC):
--- a/packages/pondquay/src/pondquay/budgets/sizing.py
+++ b/packages/pondquay/src/pondquay/budgets/sizing.py
@@ -5,7 +5,7 @@
 from pondquay.budgets.policies import GRANT_POLICIES, GrantPolicy, GrantView
 
 RESERVE_SECONDS = 3600.0
-LEAST_SECONDS = 10.0
+LEAST_REQUESTS = 16
 REFILL_BELOW = 0.5
 GIVE_BACK_ABOVE = 2.0
 
@@ -43,5 +43,7 @@
         share = view.rate / view.fleet_rate if view.fleet_rate > 0 else 0.0
         if share == 0.0:
             share = 1.0 / (4 * max(1, view.instances))
-        longest = max(view.wanted, int(view.rate * RESERVE_SECONDS))
+        longest = max(
+            view.wanted, LEAST_REQUESTS * view.largest, int(view.rate * RESERVE_SECONDS)
+        )
         return max(view.wanted, min(longest, int(left * min(1.0, share))))
