--- /dev/null
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/__init__.py
@@ -0,0 +1,29 @@
+"""The commands; each registers itself when its module is imported."""
+
+from __future__ import annotations
+
+from pondquay_cli.commands import (
+    bill,
+    budgets,
+    confirm,
+    drain,
+    dump,
+    plan,
+    plans,
+    show,
+    status,
+    upstreams,
+)
+
+__all__ = [
+    "bill",
+    "budgets",
+    "confirm",
+    "drain",
+    "dump",
+    "plan",
+    "plans",
+    "show",
+    "status",
+    "upstreams",
+]
--- /dev/null
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/budgets.py
@@ -0,0 +1,37 @@
+"""``pondquay budgets``: limits, what is granted, billed and held."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.output import format_table
+
+if TYPE_CHECKING:
+    from argparse import Namespace
+
+    from pondquay_cli.client import OperatorClient
+
+COLUMNS = (
+    "workspace",
+    "limit",
+    "granted",
+    "billed",
+    "held",
+    "surplus",
+    "requests",
+    "granted_to",
+)
+
+
+@COMMANDS.register("budgets")
+class BudgetsCommand(Command):
+    """Shows the budgets of the operator's partner, in tokens."""
+
+    help = "show each budget: its limit, what is granted, billed and held"
+    example = "pondquay budgets --json"
+
+    async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
+        """Show them."""
+        content = await client.get("/budgets")
+        return CommandResult(content, format_table(COLUMNS, content["budgets"]))
--- /dev/null
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/plans.py
@@ -0,0 +1,29 @@
+"""``pondquay plans``: list plans."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.output import format_table
+
+if TYPE_CHECKING:
+    from argparse import Namespace
+
+    from pondquay_cli.client import OperatorClient
+
+COLUMNS = ("id", "partner", "state", "base", "version", "changes", "consents")
+
+
+@COMMANDS.register("plans")
+class PlansCommand(Command):
+    """Lists all plans."""
+
+    help = "list plans and what became of them"
+    example = "pondquay plans"
+
+    async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
+        """List them."""
+        content = await client.get("/plans")
+        rows = [{**one, "changes": len(one["changes"])} for one in content["plans"]]
+        return CommandResult(content, format_table(COLUMNS, rows))
--- /dev/null
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/show.py
@@ -0,0 +1,30 @@
+"""``pondquay show PLAN``: show a plan."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.plantext import format_plan
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+    from pondquay_cli.client import OperatorClient
+
+
+@COMMANDS.register("show")
+class ShowCommand(Command):
+    """Shows one plan."""
+
+    help = "show a plan with each of its changes"
+    example = "pondquay show 3f9c2a1b7d"
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the plan's name."""
+        parser.add_argument("plan", metavar="PLAN")
+
+    async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
+        """Show it."""
+        plan = await client.get(f"/plans/{options.plan}")
+        return CommandResult(plan, format_plan(plan))
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/operators.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/doors/operators.py
@@ -205,6 +205,7 @@
             request,
             {
                 "version": application.keeper.document.version,
+                "partner": partner,
                 "platform_reachable": application.platform.reachable,
                 "instances": sorted(instances, key=lambda one: str(one["name"])),
             },
--- a/packages/pondquay-standins/src/pondquay_standins/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/fleet.py
@@ -390,6 +390,23 @@
         url = f"{self.instances[at].operator_url}{path}"
         return call_http(method, url, body, headers)
 
+    def run_cli(
+        self, partner: str, *arguments: str, operators: list[str] | None = None
+    ) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command line.
+
+        :param operators: doors to try, by default those of all instances
+        """
+        key_file = self.folder / f"{partner}.key"
+        key_file.write_text(self.operator_keys[partner])
+        urls = operators or [one.operator_url for one in self.instances]
+        doors = [part for url in urls for part in ("--operator", url)]
+        command = [sys.executable, "-m", "pondquay_cli", *doors]
+        command += ["--key-file", str(key_file), *arguments]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=READY_SECONDS, check=False
+        )
+
     def configure(self, partner: str, *entities: dict[str, Any]) -> int:
         """Plan and confirm entities; return the version that they make."""
         wanted = [{"partner": partner, **one} for one in entities]
