--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -16,6 +16,7 @@
 )
 from pondquay.names import name_stream
 from pondquay.requests.lifecycle import Outcome, RequestLife, begin_request
+from pondquay.routing.admission import ORDER
 from pondquay.routing.policies import Work
 from pondquay.routing.retries import RetryBudget
 from pondquay.routing.upstreams import ENGINE, SERVICE
@@ -281,7 +282,8 @@
         self, course: Course, call: CompletionCall, sink: FrameSink
     ) -> Delivered | Refusal:
         while True:
-            work = Work(call.reserve, call.prefix)
+            rank = ORDER.index(call.priority)
+            work = Work(call.reserve, call.prefix, rank)
             wish = Wish(
                 call.request,
                 ENGINE,
@@ -314,6 +316,7 @@
     ) -> None:
         """Run one attempt until its answer is whole or it is given up."""
         upstream = started.placement.upstream
+        pieces: list[float] = []
         completion = Completion(
             call.model,
             started.placement.version,
@@ -325,6 +328,7 @@
 
         def take(frame: Frame) -> None:
             verdict = answer.take(frame)
+            pieces.append(self.clock.seconds())
             if verdict is not Verdict.PASS_ON:
                 self._metrics.dropped_frames.labels(verdict.value).inc()
             elif not frame.finish:
@@ -343,6 +347,8 @@
             await self._resume(started, answer, take)
         if answer.whole:
             upstream.circuit.succeed()
+            if len(pieces) > 1:
+                upstream.observe_pace((pieces[-1] - pieces[0]) / (len(pieces) - 1))
             course.life.finish()
             return
         await self._give_up_started(course, started)
@@ -430,7 +436,7 @@
                 SERVICE,
                 call.service,
                 call.workspace.partner,
-                Work(call.price),
+                Work(call.price, rank=ORDER.index(call.priority)),
                 frozenset(course.failed),
             )
             started = await self._start(course, wish)
--- a/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
@@ -33,12 +33,11 @@
     from pondquay_daemon.keeper import Keeper
     from pondquay_daemon.platform import ListedInstance, Platform
 
-LIST_SECONDS = 0.5
-LOAD_SECONDS = 0.25
+LIST_SECONDS = 1.0
+LOAD_SECONDS = 0.5
 LATE_SECONDS = 0.1
 STALE_SECONDS = 5.0
 DRAIN_PREFIX = "drain/"
-QUEUE_FACTOR = 2
 WHOLE_SHARE = 100
 MOST_PREFIXES = 2000
 
@@ -204,6 +203,7 @@
             tokens=int(content.get("tokens", 0)),
             slots=int(content.get("slots", 1)),
             received=self.clock.seconds(),
+            streams=int(content.get("streams", 0)),
             models=models,
             boot=str(content.get("boot", "")),
         )
@@ -257,8 +257,7 @@
         candidates = [
             one
             for one in self.known.values()
-            if self._may_serve(one, wish, version)
-            and one.running < QUEUE_FACTOR * one.slots
+            if self._may_serve(one, wish, version) and one.has_room(wish.work.rank)
         ]
         fresh = [one for one in candidates if one.name not in wish.excluded]
         local = [one for one in fresh if one.domain == self._domain]
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -314,8 +314,10 @@
             for one in self.streams.values()
             if one.state in ("waiting", "running")
         )
+        waiting = sum(one.state == "waiting" for one in self.streams.values())
         return {
             "tokens": ahead,
+            "streams": self._running + waiting,
             "slots": self.slots,
             "boot": self.boot,
             "leaving": self.faults.leaving,
--- a/packages/pondquay/src/pondquay/configuration/documents.py
+++ b/packages/pondquay/src/pondquay/configuration/documents.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict
@@ -40,9 +41,12 @@
     return f"{DELTA_PREFIX}{version:012d}"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Document:
-    """All entities of one version, by ``kind name``."""
+    """All entities of one version, by ``kind name``.
+
+    What each request looks up is indexed once for each version.
+    """
 
     version: int = 0
     entities: Mapping[str, Entity] = field(default_factory=dict)
@@ -73,13 +77,22 @@
         entity = self.entities.get(f"{kind.__name__.lower()} {name}")
         return entity if isinstance(entity, kind) else None
 
+    @cached_property
+    def _by_kind(self) -> dict[type[Entity], list[Entity]]:
+        indexed: dict[type[Entity], list[Entity]] = {}
+        for entity in self.entities.values():
+            indexed.setdefault(type(entity), []).append(entity)
+        return indexed
+
+    @cached_property
+    def _by_digest(self) -> dict[str, Workspace]:
+        return {one.key_digest: one for one in self.list(Workspace)}
+
     def list(self, kind: type[E]) -> list[E]:
         """Return all entities of a kind."""
-        return [one for one in self.entities.values() if isinstance(one, kind)]
+        found = self._by_kind.get(kind, [])
+        return [one for one in found if isinstance(one, kind)]
 
     def find_workspace_by_digest(self, digest: str) -> Workspace | None:
         """Return the workspace whose callers' key has this digest."""
-        for one in self.list(Workspace):
-            if one.key_digest == digest:
-                return one
-        return None
+        return self._by_digest.get(digest)
--- a/packages/pondquay/src/pondquay/routing/policies.py
+++ b/packages/pondquay/src/pondquay/routing/policies.py
@@ -20,11 +20,13 @@
     """What a policy is told of a request.
 
     :param tokens: the most tokens that it can cost
+    :param rank: priority, 0 is the most urgent
     :param prefix: names the beginning of the prompt, empty if there is none
     """
 
     tokens: int
     prefix: str = ""
+    rank: int = 1
 
 
 class RoutingPolicy(ABC):
--- a/packages/pondquay/src/pondquay/routing/upstreams.py
+++ b/packages/pondquay/src/pondquay/routing/upstreams.py
@@ -9,6 +9,9 @@
 
 ENGINE = "engine"
 SERVICE = "service"
+PACE_WEIGHT = 0.1
+# Requests at an upstream at the same time, over its places.
+PLACES_BY_RANK = (2.0, 0.9, 0.75)
 
 
 class UpstreamState(StrEnum):
@@ -23,12 +26,14 @@
     """What an upstream said of itself.
 
     :param tokens: output tokens that it had still to produce
+    :param streams: requests that it ran or kept waiting
     :param received: when the report came, in seconds
     """
 
     tokens: int
     slots: int
     received: float
+    streams: int = 0
     models: tuple[tuple[str, str], ...] = ()
     boot: str = ""
 
@@ -40,6 +45,8 @@
     :param serves: for engines the model's name, for services the service's
     :param outstanding: reserved tokens of this instance's own requests there
     :param since_report: tokens that this instance sent since the last report
+    :param sent: requests that this instance sent since the last report
+    :param pace: seconds between two tokens of a stream there, as lately observed
     """
 
     name: str
@@ -52,6 +59,8 @@
     outstanding: int = 0
     running: int = 0
     since_report: int = 0
+    sent: int = 0
+    pace: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
     prefixes: dict[str, int] = field(default_factory=dict)
 
@@ -59,6 +68,7 @@
         """Replace the last report by a newer one."""
         self.report = report
         self.since_report = 0
+        self.sent = 0
 
     @property
     def load(self) -> int:
@@ -80,10 +90,29 @@
         """Requests that the upstream runs at the same time."""
         return 1 if self.report is None else max(1, self.report.slots)
 
+    def has_room(self, rank: int) -> bool:
+        """Tell whether a request of some priority may be sent there now.
+
+        Running streams are not interrupted, so a part of the places is kept free for
+        more urgent requests; the most urgent may even wait at the upstream.
+
+        :param rank: priority, 0 is the most urgent
+        """
+        reported = 0 if self.report is None else self.report.streams
+        busy = max(reported + self.sent, self.running)
+        return busy < PLACES_BY_RANK[rank] * self.slots
+
+    def observe_pace(self, seconds: float) -> None:
+        """Take in how long a token of a stream took."""
+        if self.pace == 0.0:
+            self.pace = seconds
+        self.pace += PACE_WEIGHT * (seconds - self.pace)
+
     def begin(self, tokens: int) -> None:
         """Note that a request of this instance starts there."""
         self.outstanding += tokens
         self.since_report += tokens
+        self.sent += 1
         self.running += 1
 
     def end(self, tokens: int) -> None:
