--- a/packages/pondquay-daemon/src/pondquay_daemon/treasury.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/treasury.py
@@ -30,7 +30,8 @@
     from pondquay_daemon.platform import Platform
 
 ACKNOWLEDGE_SECONDS = 1.0
-FLUSH_SECONDS = 0.25
+FLUSH_CHECK_SECONDS = 0.25
+FLUSH_SECONDS = 2.0
 MAINTAIN_SECONDS = 1.0
 MOST_TRIES = 4
 RECALL_SECONDS = 0.15
@@ -82,11 +83,13 @@
         self._pump_due = False
         self._refilling = False
         self._stopping = False
+        self._flushed_at = 0.0
+        self._doubtful: set[AttemptId] = set()
         self.unsafe_bills = 0
 
     def start(self) -> None:
         """Begin to flush bills and maintain grants."""
-        self.repeat(FLUSH_SECONDS, self._flush)
+        self.repeat(FLUSH_CHECK_SECONDS, self._flush_if_due)
         self.repeat(MAINTAIN_SECONDS, self._maintain)
 
     # Reserving
@@ -222,6 +225,19 @@
             if waiter is not None:
                 waiter.callback(True)
 
+    async def _flush_if_due(self) -> None:
+        """Flush at once what no witness keeps, and all else every few seconds.
+
+        What a witness keeps is safe already; flushing it seldom saves table writes.
+        """
+        now = self.clock.seconds()
+        due = now - self._flushed_at >= FLUSH_SECONDS
+        doubtful = self.holder.list_unwitnessed()
+        if due or doubtful & self._doubtful:
+            self._flushed_at = now
+            await self._flush()
+        self._doubtful = doubtful
+
     async def _flush(self) -> None:
         self._mark_safe(await self._platform.run(self.manager.flush()))
         self._send_finished()
--- a/packages/pondquay-standins/src/pondquay_standins/platform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/platform.py
@@ -1,6 +1,7 @@
 """The platform's stand-in: table service, object store and instance list.
 
-Faults, by ``POST /faults``: ``down`` (no answer at all), ``slow_ms``, ``lose`` (the
+Faults, by ``POST /faults``: ``down`` (no answer at all), ``table_down`` (only the
+table gives none), ``slow_ms``, ``lose`` (the
 next so many transactions take effect and their answers are lost), ``cut`` (domains
 that get no answer), ``list_lag_seconds``.
 """
@@ -45,6 +46,7 @@
     model_config = ConfigDict(extra="forbid")
 
     down: bool = False
+    table_down: bool = False
     slow_ms: int = 0
     lose: int = 0
     cut: list[str] = []
@@ -111,7 +113,8 @@
         domain = request.getHeader(DOMAIN_HEADER) or ""
         if self.faults.slow_ms:
             await sleep(self.faults.slow_ms / 1000)
-        if self.faults.down or domain in self.faults.cut:
+        table_down = self.faults.table_down and answer in (self._read, self._transact)
+        if self.faults.down or table_down or domain in self.faults.cut:
             return await drop_connection(request)
         return await answer(request, **values)
 
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -396,3 +396,52 @@
     for at in (0, 1, 2, 3):
         answer = fleet.complete(key, "hours", at=at, max_tokens=16)
         assert answer.status == 200, f"refused at instance {at}"
+
+
+def test_a_new_instance_learns_the_configuration_from_peers_alone(
+    fleet: Fleet,
+) -> None:
+    """The platform's list still answers, its table does not."""
+    fleet.set_platform_faults(table_down=True)
+    newcomer = fleet.add_daemon("entry-9", fleet.domains[0])
+    expected = fleet.instances[0].metric("pondquay_configuration_version")
+
+    def has_it() -> bool:
+        return newcomer.metric("pondquay_configuration_version") == expected
+
+    wait_until(has_it, "the configuration from a peer")
+    assert call_http("GET", f"{newcomer.metrics_url}/ready").status == 200
+
+
+def test_an_instance_that_knows_nothing_is_not_ready(fleet: Fleet) -> None:
+    fleet.set_platform_faults(down=True)
+    newcomer = fleet.add_daemon("entry-9", fleet.domains[0])
+    assert call_http("GET", f"{newcomer.metrics_url}/ready").status == 503
+    refused = fleet.complete(KEY, "too early", at=len(fleet.instances) - 1)
+    assert (refused.status, refused.json()["error"]["code"]) == (503, "not_ready")
+
+
+def test_racing_operators_have_one_winner_everywhere(fleet: Fleet) -> None:
+    def limit(tokens: int) -> dict[str, Any]:
+        budget = {"kind": "budget", "name": "proof", "partner": "khuree"}
+        return {"wanted": [{**budget, "tokens": tokens}]}
+
+    plans = [
+        fleet.operate("khuree", "POST", "/plans", limit(200_000 + at), at=at).json()
+        for at in range(4)
+    ]
+    answers: list[Any] = [None] * 4
+
+    def confirm(at: int) -> None:
+        path = f"/plans/{plans[at]['id']}/confirm"
+        answers[at] = fleet.operate("khuree", "POST", path, {}, at=at)
+
+    threads = [threading.Thread(target=confirm, args=(at,)) for at in range(4)]
+    for one in threads:
+        one.start()
+    for one in threads:
+        one.join()
+    assert sorted(one.status for one in answers) == [200, 409, 409, 409]
+    winner = next(at for at in range(4) if answers[at].status == 200)
+    fleet.wait_version(answers[winner].json()["version"])
+    assert budget(fleet)["limit"] == 200_000 + winner
--- /dev/null
+++ b/packages/pondquay-standins/tests/test_links.py
@@ -0,0 +1,136 @@
+"""Strangers, floods and broken frames at the peer link of a real instance."""
+
+from __future__ import annotations
+
+import hmac
+import os
+import socket
+import struct
+from hashlib import sha256
+from typing import TYPE_CHECKING
+
+import msgpack
+import pytest
+
+from pondquay_standins.fleet import wait_until
+
+if TYPE_CHECKING:
+    from conftest import RunningFleet
+
+pytestmark = pytest.mark.xdist_group("links")
+
+
+def connect(running: RunningFleet) -> socket.socket:
+    """Open a connection to the peer link of the first instance."""
+    host, _, port = running.fleet.instances[0].peer.partition(":")
+    return socket.create_connection((host, int(port)), timeout=10)
+
+
+def read_frame(link: socket.socket) -> list[object]:
+    """Read one frame."""
+    (length,) = struct.unpack("!I", receive(link, 4))
+    content: list[object] = msgpack.unpackb(receive(link, length))
+    return content
+
+
+def receive(link: socket.socket, count: int) -> bytes:
+    data = b""
+    while len(data) < count:
+        part = link.recv(count - len(data))
+        if not part:
+            raise ConnectionResetError
+        data += part
+    return data
+
+
+def send_frame(link: socket.socket, frame: bytes) -> None:
+    link.sendall(struct.pack("!I", len(frame)) + frame)
+
+
+def is_cut(link: socket.socket) -> bool:
+    """Read until the connection ends."""
+    try:
+        while link.recv(65536):
+            pass
+    except ConnectionResetError:
+        return True
+    return True
+
+
+def join(running: RunningFleet, key: bytes) -> socket.socket:
+    """Do the handshake as an instance of the fleet would."""
+    link = connect(running)
+    _, kind, nonce = read_frame(link)
+    assert kind == "challenge"
+    assert isinstance(nonce, bytes)
+    text = b"|".join([b"proof", nonce, b"stranger", b"boot"])
+    proof = hmac.new(key, text, sha256).digest()
+    fields = ["stranger", "boot", "hall-a", os.urandom(32), proof]
+    send_frame(link, msgpack.packb([1, "proof", *fields]))
+    return link
+
+
+def check_unharmed(running: RunningFleet, cut_before: float) -> None:
+    """The peer was counted, and requests go on."""
+    daemon = running.fleet.instances[0]
+    wait_until(
+        lambda: daemon.metric("pondquay_links_cut") > cut_before, "the link to be cut"
+    )
+    assert running.fleet.complete(running.keys["captions"], "still here").status == 200
+
+
+def test_a_peer_without_the_key_is_cut_off(running: RunningFleet) -> None:
+    before = running.fleet.instances[0].metric("pondquay_links_cut")
+    link = join(running, b"not the fleet's key")
+    assert is_cut(link)
+    check_unharmed(running, before)
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"\xc1\xc1\xc1",
+        b"",
+        msgpack.packb([1, "intend", [[["e", "b"], 1], "w", []]]),
+        msgpack.packb([99, "challenge", b"x"]),
+        msgpack.packb({"a": 1}),
+    ],
+    ids=["broken", "empty", "before-proof", "other-version", "map"],
+)
+def test_broken_frames_cut_the_link(running: RunningFleet, frame: bytes) -> None:
+    before = running.fleet.instances[0].metric("pondquay_links_cut")
+    link = connect(running)
+    read_frame(link)
+    send_frame(link, frame)
+    assert is_cut(link)
+    check_unharmed(running, before)
+
+
+def test_a_frame_that_is_too_long_is_never_taken_in(running: RunningFleet) -> None:
+    before = running.fleet.instances[0].metric("pondquay_links_cut")
+    link = connect(running)
+    read_frame(link)
+    link.sendall(struct.pack("!I", 1 << 30))
+    assert is_cut(link)
+    check_unharmed(running, before)
+
+
+def test_a_member_that_floods_and_does_not_read_harms_nobody(
+    running: RunningFleet,
+) -> None:
+    key = (running.fleet.folder / "fleet.key").read_bytes().strip()
+    link = join(running, key)
+    assert read_frame(link)[1] == "welcome"
+    question = msgpack.packb([1, "find-request", 1, ["captions", "k"]])
+    frame = (struct.pack("!I", len(question)) + question) * 1000
+    link.settimeout(0.5)
+    sent = 0
+    try:
+        for _ in range(2000):
+            sent += link.send(frame)
+    except TimeoutError:
+        pass  # It no longer reads from us, as we do not read from it.
+    assert sent > 0
+    answer = running.fleet.complete(running.keys["captions"], "during the flood")
+    assert answer.status == 200
+    link.close()
--- a/packages/pondquay/src/pondquay/budgets/holder.py
+++ b/packages/pondquay/src/pondquay/budgets/holder.py
@@ -332,6 +332,10 @@
         """Return ended attempts whose bills are not yet known to be in the table."""
         return list(islice(self._unflushed.values(), most))
 
+    def list_unwitnessed(self) -> set[AttemptId]:
+        """Return ended attempts whose bill is neither in the table nor at a witness."""
+        return {one.id for one in self._unflushed.values() if not one.witnessed}
+
     def note_flushed(self, attempts: list[Attempt]) -> None:
         """Note that the bills of attempts are in the table."""
         for attempt in attempts:
--- /dev/null
+++ b/packages/pondquay/tests/test_embedding.py
@@ -0,0 +1,19 @@
+"""The program in ``docs/EMBEDDING.md`` runs as it stands there."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+PAGE = Path(__file__).parents[3] / "docs" / "EMBEDDING.md"
+
+
+def test_the_program_in_the_page_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    program = re.search(r"```python\n(.*?)```", PAGE.read_text(), re.DOTALL)
+    printed = re.search(r"```text\n(.*?)```", PAGE.read_text(), re.DOTALL)
+    assert program is not None
+    assert printed is not None
+    exec(compile(program[1], str(PAGE), "exec"), {"__name__": "page"})
+    assert capsys.readouterr().out == printed[1]
