--- a/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
@@ -7,11 +7,14 @@
 
 from twisted.internet.defer import Deferred
 
+from pondquay.billing.bills import make_bill, segment_key
 from pondquay.billing.fold import fold_segments
 from pondquay.budgets.messages import Settle, Settlement
+from pondquay.budgets.programs import Resolution, list_grants, resolve_held
+from pondquay.budgets.rows import GrantState
 from pondquay.budgets.succession import Succession
 from pondquay.membership.leases import Lease
-from pondquay.names import AttemptId
+from pondquay.names import AttemptId, RequestName
 from pondquay.requests.lifecycle import Outcome
 from pondquay.routing.upstreams import ENGINE
 from pondquay.streams import Answer, Frame
@@ -30,9 +33,10 @@
 
 if TYPE_CHECKING:
     from pondquay.budgets.holder import Attempt
+    from pondquay.budgets.programs import StandingGrant
     from pondquay.budgets.witness import Witness, WitnessedGrant
     from pondquay.membership.messages import FindRequest, FoundRequest
-    from pondquay.names import GrantId, InstanceId, RequestName
+    from pondquay.names import GrantId, InstanceId
     from pondquay_daemon.engines import Engines
     from pondquay_daemon.peers import PeerTask
     from pondquay_daemon.platform import Platform
@@ -42,6 +46,7 @@
 SWEEP_SECONDS = 0.5
 SEARCH_SECONDS = 5.0
 FOLD_SECONDS = 2.0
+ORPHAN_SECONDS = 5.0
 FOLD = "fold"
 MOST_FOLDS = 20
 REPORT_SECONDS = 2.0
@@ -82,6 +87,7 @@
         self.succession = Succession(instance, treasury.witness, peers)
         self._lost: dict[AttemptId, tuple[Attempt, str]] = {}
         self._reports: dict[AttemptId, Deferred[bool]] = {}
+        self._segment = 0
         self._searched: dict[InstanceId, float] = {}
         self._fold_lease = Lease(FOLD, str(instance))
 
@@ -89,6 +95,7 @@
         """Look after what others left from now on."""
         self.repeat(SWEEP_SECONDS, self._sweep)
         self.repeat(FOLD_SECONDS, self._fold)
+        self.repeat(ORPHAN_SECONDS, self._adopt_orphans)
 
     @property
     def _witness(self) -> Witness:
@@ -175,6 +182,49 @@
             status = await self._engines.cancel(url, stream)
         return status.seen_from(boot)
 
+    # Grants that nobody looks after
+
+    async def _adopt_orphans(self) -> None:
+        """Resolve what stands in rows of closed grants whose holders are gone.
+
+        That is an attempt that ran on while its holder closed the grant, as its witness
+        was gone, before the holder died as well.
+        """
+        if not self._fold_lease.held:
+            return
+        grants = await self._platform.run(list_grants())
+        if isinstance(grants, Unreachable):
+            return
+        for standing in grants:
+            sealed = standing.row.state is GrantState.SEALED
+            holder = standing.grant.holder
+            if sealed and holder != self._instance and self._peers.is_gone(holder):
+                await self._resolve_orphan(standing)
+
+    async def _resolve_orphan(self, standing: StandingGrant) -> None:
+        resolutions = []
+        bills = []
+        for number, held in standing.row.held.items():
+            upstream = self._upstreams.known.get(held.upstream)
+            if upstream is None or upstream.kind != ENGINE:
+                continue
+            status = await self._ask_end(upstream.url, held.stream, held.boot)
+            attempt = AttemptId(standing.grant, int(number))
+            if status.state is StreamState.FINISHED:
+                tokens = min(status.tokens, held.reserve)
+                resolutions.append(Resolution(attempt.seq, tokens))
+                request = RequestName.parse(held.request)
+                bills.append(make_bill(request, attempt, tokens))
+            elif status.state is StreamState.CANCELLED:
+                resolutions.append(Resolution(attempt.seq, None))
+        if resolutions:
+            self._segment += 1
+            segment = segment_key(f"{self._instance}-orphans", self._segment)
+            workspace = standing.row.workspace
+            await self._platform.run(
+                resolve_held(workspace, standing.grant, resolutions, bills, segment)
+            )
+
     # Callers that ask again after their instance died
 
     def answer_question(
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from returns.result import Failure
+
 from pondquay.claims.programs import (
     AlreadyClaimed,
     Claimed,
@@ -36,7 +38,7 @@
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.tasks import Task, sleep
-from pondquay_daemon.treasury import BudgetExhausted, BudgetUnreachable
+from pondquay_daemon.treasury import BudgetRefusal
 from pondquay_daemon.upstreams import Placement, Wish
 
 if TYPE_CHECKING:
@@ -238,10 +240,10 @@
             placement.upstream.name,
             placement.upstream.boot,
         )
-        if isinstance(reserved, BudgetExhausted | BudgetUnreachable):
+        if isinstance(reserved, Failure):
             self._upstreams.release(placement)
-            return _refuse_budget(course, reserved)
-        return Started(placement, reserved)
+            return _refuse_budget(course, reserved.failure())
+        return Started(placement, reserved.unwrap())
 
     def _may_try_again(self, course: Course) -> bool:
         """Decide whether another attempt is allowed and affordable."""
@@ -499,10 +501,8 @@
         )
 
 
-def _refuse_budget(
-    course: Course, reason: BudgetExhausted | BudgetUnreachable
-) -> Refusal:
-    if isinstance(reason, BudgetExhausted):
+def _refuse_budget(course: Course, reason: BudgetRefusal) -> Refusal:
+    if reason is BudgetRefusal.EXHAUSTED:
         return course.refusal(
             RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/treasury.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/treasury.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
+from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred, DeferredLock
 
 from pondquay.budgets.holder import Attempt, AttemptState, Holder
@@ -38,14 +40,15 @@
 SETTLE_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetExhausted:
-    """The budget cannot bear the request."""
+class BudgetRefusal(StrEnum):
+    """Why nothing could be reserved.
 
+    ``EXHAUSTED``: the budget cannot bear the request;
+    ``UNREACHABLE``: nothing is at hand and the table does not answer
+    """
 
-@dataclass(frozen=True, slots=True)
-class BudgetUnreachable:
-    """Nothing is at hand and the table does not answer."""
+    EXHAUSTED = "exhausted"
+    UNREACHABLE = "unreachable"
 
 
 @dataclass(slots=True)
@@ -96,7 +99,7 @@
 
     async def reserve(
         self, request: RequestName, tokens: int, upstream: str, boot: str
-    ) -> Attempt | BudgetExhausted | BudgetUnreachable:
+    ) -> Result[Attempt, BudgetRefusal]:
         """Reserve tokens; what comes back as an attempt may be dispatched.
 
         :param tokens: the most that the attempt can cost
@@ -115,17 +118,17 @@
                     await self._recall(request.workspace, tokens)
                     continue
                 if refill is Refill.EXHAUSTED:
-                    return BudgetExhausted()
+                    return Failure(BudgetRefusal.EXHAUSTED)
                 if refill is Refill.UNREACHABLE:
-                    return BudgetUnreachable()
+                    return Failure(BudgetRefusal.UNREACHABLE)
                 continue
             if attempt.state is AttemptState.ACKNOWLEDGED:
-                return attempt
+                return Success(attempt)
             if await self._acknowledge(attempt):
-                return attempt
+                return Success(attempt)
             self.holder.settle(attempt.id, None)
             self._pump_soon()
-        return BudgetUnreachable()
+        return Failure(BudgetRefusal.UNREACHABLE)
 
     async def _acknowledge(self, attempt: Attempt) -> bool:
         """Wait until the witness knows of an attempt."""
--- a/packages/pondquay-daemon/tests/test_settings.py
+++ b/packages/pondquay-daemon/tests/test_settings.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 import pytest
 
@@ -8,9 +8,6 @@
 from pondquay_daemon.__main__ import main
 from pondquay_daemon.settings import load_settings
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 
 def test_all_findings_are_reported_together(tmp_path: Path, settings_text: str) -> None:
     path = tmp_path / "entry.ini"
@@ -56,3 +53,11 @@
     path.write_text(settings_text.replace("name = entry-1", "name = Entry 1"))
     assert main(["--settings", str(path), "--check"]) == 2
     assert f"{path}:2: instance.name" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("name", ["khuree-a1", "lima-1a"])
+def test_the_examples_are_valid_but_for_their_key_file(name: str) -> None:
+    path = Path(__file__).parents[3] / "docs" / "examples" / f"{name}.ini"
+    with pytest.raises(InvalidInputError) as caught:
+        load_settings(path)
+    assert [one.subject for one in caught.value.findings] == ["fleet.key_file"]
--- a/packages/pondquay-lab/src/pondquay_lab/budgetruns.py
+++ b/packages/pondquay-lab/src/pondquay_lab/budgetruns.py
@@ -18,7 +18,13 @@
 from pondquay.budgets.manager import GrantManager, Refill
 from pondquay.budgets.messages import Recall
 from pondquay.budgets.policies import GRANT_POLICIES
-from pondquay.budgets.rows import BudgetRow, budget_key, dump_row
+from pondquay.budgets.rows import (
+    GRANT_PREFIX,
+    BudgetRow,
+    budget_key,
+    dump_row,
+    parse_grant_key,
+)
 from pondquay.budgets.succession import Succession
 from pondquay.budgets.witness import Witness
 from pondquay.names import InstanceId, RequestName
@@ -30,6 +36,7 @@
     from collections.abc import Callable
 
     from pondquay.budgets.messages import HolderMessage, WitnessMessage
+    from pondquay.names import GrantId
     from pondquay.tables import Program
     from pondquay_lab.workloads import Arrival
 
@@ -237,6 +244,7 @@
     _order: count[int] = field(default_factory=count)
     _reserved: int = 0
     _spent: int = 0
+    _spent_of: dict[GrantId, int] = field(default_factory=dict)
     limit: int = 0
 
     def run(self) -> Figures:
@@ -252,6 +260,7 @@
             world.now, _, event = heappop(self._events)
             event()
         self.figures.writes = world.table.table.transactions
+        self.figures.stranded = self.count_stranded(world)
         self.figures.overspend = max(0, self._spent - self.limit)
         return self.figures
 
@@ -283,12 +292,17 @@
 
     def die(self, world: World, index: int) -> None:
         """Replace an instance by a new one that knows nothing."""
-        old = world.nodes[index]
-        if not self.witnesses:
-            holdings = old.holder.list_holdings()
-            self.figures.stranded += sum(one.free for one in holdings)
         world.nodes[index] = Node(world, index)
 
+    def count_stranded(self, world: World) -> int:
+        """Return what grants of dead holders still keep from the budget."""
+        stranded = 0
+        for key, row in world.table.values(GRANT_PREFIX).items():
+            grant = parse_grant_key(key)
+            if world.find(grant.holder) is None:
+                stranded += row["amount"] - self._spent_of.get(grant, 0)
+        return stranded
+
     def arrive(self, world: World, arrival: Arrival, number: int) -> None:
         """Take in one request."""
         measured = arrival.at >= WARM_SECONDS
@@ -302,15 +316,23 @@
             return
         self._reserved += arrival.reserve
         self.schedule(
-            arrival.at + arrival.seconds, lambda: self.end(node, attempt, arrival)
+            arrival.at + arrival.seconds,
+            partial(self.end, world, node, attempt, arrival),
         )
 
-    def end(self, node: Node, attempt: Attempt, arrival: Arrival) -> None:
+    def end(self, world: World, node: Node, attempt: Attempt, arrival: Arrival) -> None:
         """Settle one request."""
         self._reserved -= arrival.reserve
         self._spent += arrival.used
-        node.holder.settle(attempt.id, arrival.used)
-        node.exchange()
+        grant = attempt.id.grant
+        self._spent_of[grant] = self._spent_of.get(grant, 0) + arrival.used
+        if world.find(node.me) is not None:
+            node.holder.settle(attempt.id, arrival.used)
+            node.exchange()
+            return
+        # Its instance died; the engine tells the witness what it cost.
+        for other in world.nodes:
+            other.witness.resolve(attempt.id, attempt.request, arrival.used)
 
 
 def make_scenario(scenario: Scenario) -> list[Arrival]:
@@ -354,27 +376,31 @@
         group = groups(one.instance)
         if group is not None:
             left[group] = left.get(group, 0.0) + budget * one.used / total
-    return _play_counters(hour, left, groups)
+    return _play_counters(hour, left, budget, groups)
 
 
 def _play_counters(
     hour: list[Arrival],
     left: dict[int | None, float],
+    whole: float,
     groups: Callable[[int], int | None],
 ) -> Figures:
+    """Play the hour; what is refused falsely is judged by the whole budget."""
     figures = Figures()
     ends: list[tuple[float, int, int | None, int]] = []
     for number, one in enumerate(hour):
         while ends and ends[0][0] <= one.at:
             _, _, group, back = heappop(ends)
             left[group] += back
+            whole += back
         group = groups(one.instance)
         figures.requests += 1
         if left[group] >= one.reserve:
             left[group] -= one.reserve
+            whole -= one.reserve
             back = one.reserve - one.used
             heappush(ends, (one.at + one.seconds, number, group, back))
             continue
         figures.refused += 1
-        figures.false_refusals += sum(left.values()) >= one.reserve
+        figures.false_refusals += whole >= one.reserve
     return figures
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -445,3 +445,21 @@
     winner = next(at for at in range(4) if answers[at].status == 200)
     fleet.wait_version(answers[winner].json()["version"])
     assert budget(fleet)["limit"] == 200_000 + winner
+
+
+def test_an_attempt_whose_witness_and_holder_both_die_is_billed(fleet: Fleet) -> None:
+    """The holder closes its grant while the attempt runs, and then dies as well."""
+    reader = read_stream(fleet, 0, "orphan", 512)
+    wait_until(lambda: len(reader.events) > 3, "an open stream")
+    holder = fleet.instances[0]
+    domain = [one for one in fleet.instances if one.domain == holder.domain]
+    witness = next(one for one in domain if one is not holder)
+    witness.process.kill()
+    wait_until(
+        lambda: budget(fleet, at=1)["held"] > 0, "the grant closed by its holder"
+    )
+    holder.process.kill()
+    reader.wait()
+    wait_until(lambda: "orphan" in bill(fleet, at=1)["requests"], "its bill", 60)
+    wait_until(lambda: budget(fleet, at=1)["held"] == 0, "nothing held")
+    check_spend(fleet, at=1)
--- a/packages/pondquay/src/pondquay/names.py
+++ b/packages/pondquay/src/pondquay/names.py
@@ -74,6 +74,12 @@
     def __str__(self) -> str:
         return f"{self.workspace}{SEPARATOR}{self.key}"
 
+    @classmethod
+    def parse(cls, text: str) -> RequestName:
+        """Read the form that ``str`` writes."""
+        workspace, _, key = text.partition(SEPARATOR)
+        return cls(workspace, key)
+
 
 def name_stream(request: RequestName, attempt: AttemptId) -> str:
     """Return the name of the stream that one attempt runs at an upstream.
--- a/packages/pondquay/tests/test_embedding.py
+++ b/packages/pondquay/tests/test_embedding.py
@@ -4,8 +4,11 @@
 
 import re
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import pytest
 
-import pytest
 
 PAGE = Path(__file__).parents[3] / "docs" / "EMBEDDING.md"
 
