--- a/packages/pondquay-cli/src/pondquay_cli/client.py
+++ b/packages/pondquay-cli/src/pondquay_cli/client.py
@@ -39,6 +39,23 @@
         """
         return await self._call("GET", path, None)
 
+    async def list_answers(self, path: str) -> list[Any]:
+        """Read something from every door that answers.
+
+        :raises UnreachableError: if none does
+        """
+        answers = []
+        for url in self._urls:
+            try:
+                status, content = await self._call_one("GET", url + path, None)
+            except Exception:  # a door that does not answer is left out
+                continue
+            if status < FIRST_ERROR:
+                answers.append(content)
+        if not answers:
+            raise UnreachableError("no operator door answered")
+        return answers
+
     async def post(self, path: str, body: object) -> Any:
         """Ask for something; every such request may be sent twice without harm.
 
--- a/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
@@ -1,4 +1,4 @@
-"""``pondquay dump``: the whole state of the instance that answers."""
+"""``pondquay dump INSTANCE``: the whole state of one instance."""
 
 from __future__ import annotations
 
@@ -18,22 +18,22 @@
 class DumpCommand(Command):
     """Dumps the state of one instance."""
 
-    help = "dump the state of the instance whose door is given with --operator"
-    example = "pondquay --operator http://10.0.0.7:8002 dump khuree-a1"
+    help = "dump the state of one instance, whose door must be among those given"
+    example = "pondquay dump khuree-a1"
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the instance's name."""
-        parser.add_argument("instance", nargs="?", metavar="INSTANCE")
+        parser.add_argument("instance", metavar="INSTANCE")
 
     async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
         """Dump it.
 
-        :raises InvalidUsageError: if another instance answers than was asked for
+        :raises InvalidUsageError: if no door that answers is that instance's
         """
-        content = await client.get("/dump")
-        name = content["instance"].partition("~")[0]
-        if options.instance not in (None, name):
-            raise InvalidUsageError(
-                f"the door given is that of {name}, not of {options.instance}"
-            )
+        dumps = await client.list_answers("/dump")
+        names = {one["instance"].partition("~")[0]: one for one in dumps}
+        content = names.get(options.instance)
+        if content is None:
+            known = ", ".join(sorted(names))
+            raise InvalidUsageError(f"the doors that answer are those of {known}")
         return CommandResult(content, json.dumps(content, indent=2))
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/courses.py
@@ -0,0 +1,71 @@
+"""One request on its way, and the refusals that it can end in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pondquay.requests.lifecycle import Outcome
+from pondquay_daemon.calls import Call, Refusal, RefusalCode
+from pondquay_daemon.treasury import BudgetRefusal
+
+if TYPE_CHECKING:
+    from pondquay.budgets.holder import Attempt
+    from pondquay.requests.lifecycle import RequestLife
+    from pondquay_daemon.upstreams import Placement
+
+RETRY_SECONDS = 1
+PLATFORM_RETRY_SECONDS = 2
+
+
+@dataclass(slots=True)
+class Course:
+    """One request on its way.
+
+    :param nonce: of the claim, empty if there is none
+    :param failed: upstreams that already failed it
+    """
+
+    call: Call
+    life: RequestLife
+    nonce: str = ""
+    failed: set[str] = field(default_factory=set)
+    attempts: int = 0
+
+    def refusal(
+        self, code: RefusalCode, message: str, retry_after: int | None = None
+    ) -> Refusal:
+        """Return a refusal that says what is known of the request."""
+        return Refusal(code, message, self.life.outcome(), retry_after)
+
+
+@dataclass(slots=True)
+class Started:
+    """An attempt that may be dispatched."""
+
+    placement: Placement
+    attempt: Attempt
+
+
+def refuse_budget(course: Course, reason: BudgetRefusal) -> Refusal:
+    """Return the refusal of a request for which nothing could be reserved."""
+    if reason is BudgetRefusal.EXHAUSTED:
+        return course.refusal(
+            RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
+        )
+    return course.refusal(
+        RefusalCode.PLATFORM_UNREACHABLE,
+        "no tokens are at hand and the platform does not answer",
+        PLATFORM_RETRY_SECONDS,
+    )
+
+
+def refuse_unfinished(course: Course) -> Refusal:
+    """Return the refusal of a request whose attempts all failed."""
+    if course.life.outcome() is Outcome.NOT_RUN:
+        return course.refusal(
+            RefusalCode.UPSTREAM_FAILED, "no upstream took the request", RETRY_SECONDS
+        )
+    return course.refusal(
+        RefusalCode.OUTCOME_UNKNOWN, "the request may have run", RETRY_SECONDS
+    )
--- a/packages/pondquay-daemon/src/pondquay_daemon/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/peers.py
@@ -159,8 +159,7 @@
         asked = [
             peer
             for peer in self.connected()
-            if peer in self.table.known
-            and self.table.known[peer].domain == self._domain
+            if self.is_usable(peer) and self.table.known[peer].domain == self._domain
         ]
         waiters: list[tuple[InstanceId, int, Deferred[FoundRequest | None]]] = []
         for peer in asked:
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure
@@ -17,7 +16,7 @@
     release_claim,
 )
 from pondquay.names import name_stream
-from pondquay.requests.lifecycle import Outcome, RequestLife, begin_request
+from pondquay.requests.lifecycle import Outcome, begin_request
 from pondquay.routing.admission import ORDER
 from pondquay.routing.policies import Work
 from pondquay.routing.retries import RetryBudget
@@ -34,15 +33,21 @@
     Refusal,
     RefusalCode,
 )
+from pondquay_daemon.courses import (
+    PLATFORM_RETRY_SECONDS,
+    RETRY_SECONDS,
+    Course,
+    Started,
+    refuse_budget,
+    refuse_unfinished,
+)
 from pondquay_daemon.engines import Completion, StreamState
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.tasks import Task, sleep
-from pondquay_daemon.treasury import BudgetRefusal
-from pondquay_daemon.upstreams import Placement, Wish
+from pondquay_daemon.upstreams import Wish
 
 if TYPE_CHECKING:
-    from pondquay.budgets.holder import Attempt
     from pondquay_daemon.engines import Engines
     from pondquay_daemon.keeper import Keeper
     from pondquay_daemon.metrics import Metrics
@@ -55,40 +60,9 @@
 MOST_ATTEMPTS = 3
 MOST_RESUMES = 3
 RESUME_PAUSE_SECONDS = 0.2
-RETRY_SECONDS = 1
-REFILL_RETRY_SECONDS = 2
 UNCLAIM_SECONDS = 1.0
 
 
-@dataclass(slots=True)
-class Course:
-    """One request on its way.
-
-    :param nonce: of the claim, empty if there is none
-    :param failed: upstreams that already failed it
-    """
-
-    call: Call
-    life: RequestLife
-    nonce: str = ""
-    failed: set[str] = field(default_factory=set)
-    attempts: int = 0
-
-    def refusal(
-        self, code: RefusalCode, message: str, retry_after: int | None = None
-    ) -> Refusal:
-        """Return a refusal that says what is known of the request."""
-        return Refusal(code, message, self.life.outcome(), retry_after)
-
-
-@dataclass(slots=True)
-class Started:
-    """An attempt that may be dispatched."""
-
-    placement: Placement
-    attempt: Attempt
-
-
 class Runner(Task):
     """Runs requests: claims, places, reserves, dispatches, settles."""
 
@@ -196,7 +170,7 @@
         return course.refusal(
             RefusalCode.PLATFORM_UNREACHABLE,
             "the request cannot be claimed now",
-            REFILL_RETRY_SECONDS,
+            PLATFORM_RETRY_SECONDS,
         )
 
     async def _end_claim(self, course: Course) -> None:
@@ -242,7 +216,7 @@
         )
         if isinstance(reserved, Failure):
             self._upstreams.release(placement)
-            return _refuse_budget(course, reserved.failure())
+            return refuse_budget(course, reserved.failure())
         return Started(placement, reserved.unwrap())
 
     def _may_try_again(self, course: Course) -> bool:
@@ -305,7 +279,7 @@
             if answer.whole:
                 return await self._finish(course, call, started, answer, sink)
             if answer.frames or not self._may_try_again(course):
-                return _refuse_unfinished(course)
+                return refuse_unfinished(course)
             self._metrics.retries.inc()
 
     async def _run_stream(
@@ -451,7 +425,7 @@
             if answer is not None:
                 return await self._finish_call(course, call, started, answer)
             if not self._may_try_again(course):
-                return _refuse_unfinished(course)
+                return refuse_unfinished(course)
             self._metrics.retries.inc()
 
     async def _call_once(
@@ -499,25 +473,3 @@
             upstream=upstream,
             error=error,
         )
-
-
-def _refuse_budget(course: Course, reason: BudgetRefusal) -> Refusal:
-    if reason is BudgetRefusal.EXHAUSTED:
-        return course.refusal(
-            RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
-        )
-    return course.refusal(
-        RefusalCode.PLATFORM_UNREACHABLE,
-        "no tokens are at hand and the platform does not answer",
-        REFILL_RETRY_SECONDS,
-    )
-
-
-def _refuse_unfinished(course: Course) -> Refusal:
-    if course.life.outcome() is Outcome.NOT_RUN:
-        return course.refusal(
-            RefusalCode.UPSTREAM_FAILED, "no upstream took the request", RETRY_SECONDS
-        )
-    return course.refusal(
-        RefusalCode.OUTCOME_UNKNOWN, "the request may have run", RETRY_SECONDS
-    )
--- a/packages/pondquay-standins/tests/test_callers.py
+++ b/packages/pondquay-standins/tests/test_callers.py
@@ -7,7 +7,8 @@
 import openai
 import pytest
 
-from pondquay_standins.fleet import MODEL, SERVICE, call_http, wait_until
+from pondquay_standins.fleet import MODEL, SERVICE
+from pondquay_standins.processes import call_http, wait_until
 
 if TYPE_CHECKING:
     from conftest import RunningFleet
--- a/packages/pondquay-standins/tests/test_links.py
+++ b/packages/pondquay-standins/tests/test_links.py
@@ -12,7 +12,7 @@
 import msgpack
 import pytest
 
-from pondquay_standins.fleet import wait_until
+from pondquay_standins.processes import wait_until
 
 if TYPE_CHECKING:
     from conftest import RunningFleet
