--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/operators.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/doors/operators.py
@@ -27,6 +27,7 @@
     read_plans,
 )
 from pondquay.errors import InvalidInputError
+from pondquay.membership.drains import store_drain
 from pondquay.tables import Lost, Unreachable, read_rows
 from pondquay_daemon.doors.answers import (
     BAD_REQUEST,
@@ -308,9 +309,7 @@
             )
         self._application.upstreams.mark_leaving([name])
         self._application.peers.announce()
-        stored = await self._application.platform.run(
-            self._application.upstreams.drain(name)
-        )
+        stored = await self._application.platform.run(store_drain(name))
         return write_json(request, {"upstream": name, "stored": stored})
 
     async def _dump(self, request: Request, partner: str) -> bytes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
@@ -10,17 +10,11 @@
 from twisted.internet.defer import Deferred
 
 from pondquay.configuration.entities import Loan, Model, Priority
+from pondquay.membership.drains import read_drains
 from pondquay.routing.admission import AdmissionQueue, Waiting
 from pondquay.routing.policies import ROUTING_POLICIES, Work
 from pondquay.routing.upstreams import ENGINE, LoadReport, Upstream, UpstreamState
-from pondquay.tables import (
-    Condition,
-    Transaction,
-    Unreachable,
-    Write,
-    commit_rows,
-    read_rows,
-)
+from pondquay.tables import Unreachable
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.tasks import Task, spawn
 
@@ -28,7 +22,6 @@
     from collections.abc import Iterable
 
     from pondquay.names import RequestName
-    from pondquay.tables import Program
     from pondquay_daemon.engines import Engines
     from pondquay_daemon.keeper import Keeper
     from pondquay_daemon.platform import ListedInstance, Platform
@@ -37,7 +30,6 @@
 LOAD_SECONDS = 0.5
 LATE_SECONDS = 0.1
 STALE_SECONDS = 5.0
-DRAIN_PREFIX = "drain/"
 WHOLE_SHARE = 100
 MOST_PREFIXES = 2000
 
@@ -120,10 +112,9 @@
         if listed is not None:
             self.listed = listed
             self._take_list([one for one in listed if one.role != "entry"])
-        rows = await self._platform.run(read_rows(prefixes=(DRAIN_PREFIX,)))
-        if not isinstance(rows, Unreachable):
-            names = [key.removeprefix(DRAIN_PREFIX) for key in rows.rows]
-            self.mark_leaving(names)
+        drained = await self._platform.run(read_drains())
+        if not isinstance(drained, Unreachable):
+            self.mark_leaving(drained)
 
     def _take_list(self, listed: list[ListedInstance]) -> None:
         names = {one.name for one in listed}
@@ -155,20 +146,6 @@
         """Return the upstreams known to be leaving."""
         return tuple(sorted(self._leaving & set(self.known)))
 
-    def drain(self, name: str) -> Program[bool]:
-        """Return a program by which all instances learn that an upstream leaves."""
-        key = f"{DRAIN_PREFIX}{name}"
-        rows = yield from read_rows(key)
-        if isinstance(rows, Unreachable):
-            return False
-        if key in rows.rows:
-            return True
-        write = Write(key, {"upstream": name})
-        reply = yield from commit_rows(
-            Transaction(f"drain/{name}", (Condition(key, 0),), (write,))
-        )
-        return not isinstance(reply, Unreachable)
-
     # What they report
 
     async def _ask_loads(self) -> None:
--- a/packages/pondquay-lab/src/pondquay_lab/bench.py
+++ b/packages/pondquay-lab/src/pondquay_lab/bench.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import pondquay.routing
 from pondquay_lab.budgetruns import DOMAINS, BudgetRun, Scenario, run_shared
 from pondquay_lab.plots import plot_bars
 from pondquay_lab.routingruns import KINDS, RoutingRun
@@ -31,8 +30,6 @@
 WORKERS = 6
 PERCENT = 100
 
-__all__ = ["main", "pondquay"]
-
 
 @dataclass(frozen=True, slots=True)
 class Row:
