--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import sys
-from argparse import ArgumentParser
+from argparse import ArgumentParser, Namespace
 from pathlib import Path
 from signal import SIGINT, SIGTERM, signal
 from typing import TYPE_CHECKING, Any
 
 from pondquay.errors import InvalidInputError
 from pondquay_daemon.logs import Level, log_event, start_logs
-from pondquay_daemon.settings import Settings, load_settings
 from pondquay_daemon.tasks import spawn
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
+    from pondquay_daemon.settings import Settings
+
 EXIT_INVALID = 2
 EXIT_FAILED = 1
 
@@ -27,7 +28,13 @@
         description="An entry instance of a pondquay fleet.",
         epilog="example: pondquayd --settings docs/examples/khuree-a1.ini --check",
     )
-    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument("--settings", type=Path, metavar="FILE")
+    source.add_argument(
+        "--border",
+        metavar="MODULE",
+        help="run a relay on the platform that this plug-in speaks to",
+    )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
@@ -40,6 +47,16 @@
     :returns: 0 after a planned stop, 1 if it failed, 2 for invalid settings
     """
     options = make_parser().parse_args(arguments)
+    if options.border is not None:
+        from pondquay_daemon.relay.command import run_relay
+
+        return run_relay(options.border, check=options.check)
+    return _run_instance(options)
+
+
+def _run_instance(options: Namespace) -> int:
+    from pondquay_daemon.settings import load_settings
+
     try:
         settings = load_settings(options.settings)
     except InvalidInputError as error:
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/addresses.py
@@ -0,0 +1,27 @@
+"""Addresses on the network."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``.
+
+        :raises ValueError: if the text has another form
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or int(port) > 65535:
+            raise ValueError("must be HOST:PORT")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -21,7 +21,8 @@
 from pondquay_daemon.recovery import Recovery
 from pondquay_daemon.runner import Runner
 from pondquay_daemon.services import Services
-from pondquay_daemon.settings import Address, Settings
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.settings import Settings
 from pondquay_daemon.tasks import sleep
 from pondquay_daemon.treasury import Treasury
 from pondquay_daemon.upstreams import Upstreams
--- a/packages/pondquay-daemon/src/pondquay_daemon/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/peers.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from pondquay.names import InstanceId, RequestName
-    from pondquay_daemon.settings import Address
+    from pondquay_daemon.addresses import Address
 
 HEARTBEAT_SECONDS = 0.5
 ANSWER_SECONDS = 0.5
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -0,0 +1,238 @@
+"""The accounts of all workspaces at one instance, kept in step with the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.budgets.accounts import Account, Refused
+from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
+from pondquay.budgets.headroom import plan_headroom, target_headroom
+from pondquay.tables import (
+    ABSENT,
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Unreachable,
+    Write,
+)
+from pondquay_daemon.logs import log_event
+from pondquay_daemon.relay.feeds import TableListener
+from pondquay_daemon.tasks import Task, sleep, spawn
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.routes.table import RouteTable
+    from pondquay.tables import JsonObject, Row
+    from pondquay_daemon.relay.store import RowChange, Snapshot, Store
+
+TABLE = "allotments"
+ADJUST_SECONDS = 0.5
+RETRY_SECONDS = 0.1
+# Waits for tokens to come from the table, in turn, before a request is refused.
+OBTAIN_WAITS = (0.02, 0.04, 0.08)
+HAND_BACK_ATTEMPTS = 4
+WRITE_ATTEMPTS = 4
+
+
+class AccountBook(Task, TableListener):
+    """All accounts of this life of an instance.
+
+    For each workspace one write is under way at most, so what a lost answer can have
+    done is known to the account.
+    """
+
+    def __init__(
+        self, clock: IReactorTime, store: Store, holder: str, boot: str
+    ) -> None:
+        super().__init__(clock)
+        self._store = store
+        self._holder = holder
+        self._boot = boot
+        self._accounts: dict[str, Account] = {}
+        self._writing: set[str] = set()
+        self._closed = False
+
+    def start(self) -> None:
+        """Begin to adjust the allotments."""
+        self.repeat(ADJUST_SECONDS, self._adjust_all)
+
+    def take_table(self, table: RouteTable) -> None:
+        """Take in what each workspace has prepaid."""
+        for workspace in table.configuration.workspaces:
+            if workspace.prepaid is None:
+                continue
+            account = self._accounts.get(workspace.name)
+            if account is None:
+                account = Account(self._holder, self._boot, workspace.prepaid)
+                self._accounts[workspace.name] = account
+            account.prepaid = workspace.prepaid
+            self._adjust_soon(workspace.name)
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in all rows of the table."""
+        for row in snapshot.rows:
+            self._take_row(row.key, row.value, row.version)
+
+    def take_change(self, change: RowChange) -> None:
+        """Take in one row of the table."""
+        if change.value is not None:
+            self._take_row(change.key, change.value, change.version)
+
+    def find(self, workspace: str) -> Account | None:
+        """Return a workspace's account, ``None`` if it has no bound."""
+        return self._accounts.get(workspace)
+
+    def describe(self) -> Mapping[str, tuple[int, int, int]]:
+        """Return ceiling, spent and reserved tokens by workspace."""
+        return {
+            name: (one.ceiling, one.spent, one.reserved)
+            for name, one in self._accounts.items()
+        }
+
+    async def obtain(self, workspace: str, tokens: int, patience: float) -> Refused | None:
+        """Reserve tokens, asking the table for more if need be.
+
+        :param patience: the most seconds that this may take
+        :returns: why not, ``None`` if they are reserved
+        """
+        account = self._accounts[workspace]
+        account.demand.note(tokens, self.clock.seconds())
+        refused = account.reserve(tokens)
+        if refused is None:
+            self._adjust_soon(workspace)
+            return None
+        until = self.clock.seconds() + patience
+        for wait in OBTAIN_WAITS:
+            if refused is Refused.EXHAUSTED or self.clock.seconds() + wait > until:
+                break
+            self._adjust_soon(workspace)
+            await sleep(wait, self.clock)
+            refused = account.reserve(tokens)
+            if refused is None:
+                break
+        if refused is None:
+            account.wanted = 0
+        return refused
+
+    def settle(self, workspace: str, reserved: int, used: int) -> None:
+        """Replace a reservation by what was used of it."""
+        self._accounts[workspace].settle(reserved, used)
+
+    async def hand_back(self) -> None:
+        """Close this life's allotments: what was not spent returns to the budgets."""
+        self._closed = True
+        for name, account in self._accounts.items():
+            for _ in range(HAND_BACK_ATTEMPTS):
+                if await self._close_account(name, account):
+                    break
+
+    def _take_row(self, key: str, value: JsonObject, version: int) -> None:
+        account = self._accounts.get(key)
+        if account is None:
+            return
+        if account.version is not None and version <= account.version:
+            return
+        if key in self._writing:
+            return
+        account.read(AllotmentRow.from_value(value), version)
+        self._adjust_soon(key)
+
+    def _adjust_soon(self, name: str) -> None:
+        if name in self._writing or self._closed:
+            return
+        account = self._accounts[name]
+        if account.version is not None and (
+            plan_headroom(account, self.clock.seconds()) is None
+        ):
+            return
+        self._writing.add(name)
+        spawn(self._adjust(name), "AccountBook")
+
+    async def _adjust_all(self) -> None:
+        for name in self._accounts:
+            self._adjust_soon(name)
+
+    async def _adjust(self, name: str) -> None:
+        account = self._accounts[name]
+        try:
+            if account.version is None and not await self._open(name, account):
+                return
+            for _ in range(WRITE_ATTEMPTS):
+                if await self._write(name, account):
+                    break
+        finally:
+            self._writing.discard(name)
+
+    async def _open(self, name: str, account: Account) -> bool:
+        reply = await self._store.read_row(row_key(name))
+        if isinstance(reply, Unreachable):
+            await sleep(RETRY_SECONDS, self.clock)
+            return False
+        self._read_row(account, reply)
+        return True
+
+    async def _write(self, name: str, account: Account) -> bool:
+        """Write what is planned; ``False`` if another's write came before."""
+        now = self.clock.seconds()
+        headroom = plan_headroom(account, now)
+        if headroom is None:
+            if account.row.find(self._holder, self._boot) is not None:
+                return True
+            headroom = max(0, min(target_headroom(account, now), account.free()))
+        change = account.propose(headroom, now)
+        account.begin(change)
+        transaction = make_transaction(name, account.version or ABSENT, change.row)
+        reply = await self._store.commit(transaction)
+        if isinstance(reply, Committed):
+            account.confirm(change, reply.version)
+            log_event(
+                "allotment-written",
+                workspace=name,
+                ceiling=change.ceiling,
+                spent=account.spent,
+                free=account.free(),
+            )
+        elif isinstance(reply, Conflict):
+            self._read_row(account, reply.rows.rows.get(row_key(name)))
+            return False
+        else:
+            log_event("allotment-unknown", workspace=name, ceiling=change.ceiling)
+            await sleep(RETRY_SECONDS, self.clock)
+        return True
+
+    async def _close_account(self, name: str, account: Account) -> bool:
+        """Write one account's end; tell whether nothing is left to do."""
+        if account.version is None or account.reserved:
+            return True
+        if account.row.find(self._holder, self._boot) is None:
+            return True
+        account.ceiling = account.spent
+        row = account.row.without(self._holder, account.spent)
+        reply = await self._store.commit(make_transaction(name, account.version, row))
+        if isinstance(reply, Conflict):
+            self._read_row(account, reply.rows.rows.get(row_key(name)))
+            return False
+        return isinstance(reply, Committed)
+
+    def _read_row(self, account: Account, row: Row | None) -> None:
+        if row is None:
+            account.read(EMPTY_ROW, ABSENT)
+        else:
+            account.read(AllotmentRow.from_value(row.value), row.version)
+
+
+def row_key(workspace: str) -> str:
+    """Return the key of a workspace's row."""
+    return f"{TABLE}/{workspace}"
+
+
+def make_transaction(workspace: str, version: int, row: AllotmentRow) -> Transaction:
+    """Return the write of a row that must still be at a version."""
+    key = row_key(workspace)
+    return Transaction(
+        "allotment", (Condition(key, version),), (Write(key, row.to_value()),)
+    )
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -0,0 +1,245 @@
+"""One sending of a request to one upstream, and what came of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from twisted.internet.defer import Deferred
+
+from pondquay.streamevents import EventReader, StreamOrderError
+from pondquay_daemon.relay.egress import Exchange, ExchangeListener
+from pondquay_daemon.relay.heads import drop_connection_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+    from pondquay_daemon.addresses import Address
+    from pondquay_daemon.relay.border import Border
+    from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.errors import BrokenExchangeError
+    from pondquay_daemon.relay.ingress import CallerAnswer
+    from pondquay_daemon.relay.messages import AnswerHead, HeaderList
+
+SUCCESS = range(200, 300)
+# Statuses by which a caller is promised that its request has not run. An upstream's
+# own do not say so without its mark.
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class Unsent:
+    """No byte of the request left this instance."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The upstream turned the request away.
+
+    :param misdirected: another upstream has the address now
+    """
+
+    status: int
+    misdirected: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The upstream's whole answer, which has not been passed on."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Streamed:
+    """A whole stream, which has been passed on."""
+
+    events: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request may have run; its answer is not whole.
+
+    :param silent: the upstream said nothing for too long and was given up
+    """
+
+    reason: str
+    silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """This instance ended the attempt: the caller has gone, or the time is up."""
+
+    sent: bool
+
+
+Outcome: TypeAlias = Unsent | NotRun | Answered | Streamed | Lost | Stopped
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """What a caller has got of a stream, over all attempts."""
+
+    reader: EventReader
+    started: bool = False
+
+
+class Attempt(ExchangeListener):
+    """Sends a request to one upstream and waits for what comes of it.
+
+    :param attempt: the caller's name for its try, which the answer must echo
+    :param progress: set for routes whose answers are streams
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        border: Border,
+        attempt: str,
+        answer: CallerAnswer,
+        progress: StreamProgress | None,
+    ) -> None:
+        self._clock = clock
+        self._border = border
+        self._attempt = attempt
+        self._answer = answer
+        self._progress = progress
+        self._exchange: Exchange | None = None
+        self._result: Deferred[Outcome] = Deferred()
+        self._head: AnswerHead | None = None
+        self._not_run: NotRun | None = None
+        self._body: list[bytes] = []
+        self._streaming = False
+        self._events_before = 0
+        self._watch: IDelayedCall | None = None
+        self._patience = 0.0
+        self._may_leave: Callable[[], bool] | None = None
+
+    def run(
+        self,
+        pool: EgressPool,
+        address: Address,
+        request: tuple[bytes, bytes, HeaderList, bytes],
+    ) -> Deferred[Outcome]:
+        """Send the request; the deferred fires once."""
+        if self._progress is not None:
+            self._events_before = self._progress.reader.count
+        method, target, headers, body = request
+        self._exchange = Exchange(self, method, target, headers, body)
+        pool.start(address, self._exchange)
+        return self._result
+
+    def give_up_after(self, seconds: float, may_leave: Callable[[], bool]) -> None:
+        """Give the upstream up once it was silent for some seconds.
+
+        :param may_leave: asked at that moment whether the request may go elsewhere
+        """
+        self._patience = seconds
+        self._may_leave = may_leave
+        self._watch = self._clock.callLater(seconds, self._notice_silence)
+
+    def stop(self) -> None:
+        """End the attempt at once."""
+        sent = self._exchange is not None and self._exchange.sent
+        self._end(Stopped(sent), cancel=True)
+
+    def answered(self, head: AnswerHead) -> None:
+        """Judge the head of the answer."""
+        self._touch()
+        marks = self._border.read_answer(head)
+        if marks.not_run or marks.misdirected:
+            self._not_run = NotRun(head.status, marks.misdirected)
+            return
+        if marks.attempt != self._attempt:
+            self._lose("an answer to another request")
+            return
+        if head.status in SUCCESS and not marks.signed:
+            self._lose("a success that no upstream vouches for")
+            return
+        self._head = head
+        self._streaming = self._progress is not None and head.status in SUCCESS
+
+    def received(self, data: bytes) -> None:
+        """Pass whole events on, or keep a piece of a plain answer."""
+        self._touch()
+        if not self._streaming:
+            self._body.append(data)
+            return
+        progress = self._progress
+        if progress is None:
+            return
+        try:
+            whole = progress.reader.feed(data)
+        except StreamOrderError as error:
+            self._lose(f"events out of order: {error}")
+            return
+        if whole:
+            self._pass_on(whole, progress)
+
+    def ended(self) -> None:
+        """Learn that the answer is whole."""
+        if self._not_run is not None:
+            self._end(self._not_run)
+            return
+        if self._head is None:
+            self._end(Lost("an answer without a head"))
+            return
+        if not self._streaming:
+            self._end(Answered(self._head, b"".join(self._body)))
+            return
+        progress = self._progress
+        if progress is None or progress.reader.partial:
+            self._end(Lost("a stream that ends within an event"))
+            return
+        if not progress.started:
+            self._pass_on(b"", progress)
+        self._end(Streamed(progress.reader.count))
+
+    def broke(self, error: BrokenExchangeError) -> None:
+        """Learn that no whole answer will come."""
+        if not error.sent:
+            self._end(Unsent(str(error)))
+        elif self._not_run is not None:
+            self._end(self._not_run)
+        else:
+            self._end(Lost(str(error)))
+
+    def _pass_on(self, whole: bytes, progress: StreamProgress) -> None:
+        if progress.started:
+            self._answer.send(whole)
+            return
+        if self._head is None:
+            return
+        progress.started = True
+        headers = drop_connection_headers(self._head.headers)
+        self._answer.begin(self._head.status, headers, whole)
+
+    def _lose(self, reason: str) -> None:
+        self._end(Lost(reason), cancel=True)
+
+    def _touch(self) -> None:
+        if self._watch is not None and self._watch.active():
+            self._watch.reset(self._patience)
+
+    def _notice_silence(self) -> None:
+        if self._may_leave is not None and self._may_leave():
+            self._end(Lost("silent", silent=True), cancel=True)
+            return
+        self._watch = self._clock.callLater(self._patience, self._notice_silence)
+
+    def _end(self, outcome: Outcome, *, cancel: bool = False) -> None:
+        if self._watch is not None and self._watch.active():
+            self._watch.cancel()
+        if cancel and self._exchange is not None:
+            self._exchange.cancel()
+        if self._progress is not None:
+            self._progress.reader.break_off()
+        if not self._result.called:
+            self._result.callback(outcome)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -0,0 +1,128 @@
+"""Following tables of the store: everything once, then what changes."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from random import uniform
+from typing import TYPE_CHECKING
+
+from pondquay.tables import Unreachable
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.store import Changes, HistoryLost, Snapshot
+from pondquay_daemon.tasks import sleep, spawn
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay_daemon.relay.store import RowChange, Store
+
+# A poll is short, so that a connection that has gone silent is noticed.
+POLL_SECONDS = 0.9
+# Pause after a failed call, drawn between the two.
+PAUSE_SECONDS = (0.1, 0.35)
+# After the history was lost, or the store away, reads may lag behind for a while; the
+# table is read again and again until this has passed.
+DOUBT_SECONDS = 10.0
+REREAD_SECONDS = 0.7
+
+
+class TableListener(ABC):
+    """What is told of a table."""
+
+    @abstractmethod
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the table as a whole, perhaps older than what is known."""
+
+    @abstractmethod
+    def take_change(self, change: RowChange) -> None:
+        """Take in one row."""
+
+
+class TableFeed:
+    """Keeps a listener up to date with a table.
+
+    :param table: its name
+    """
+
+    def __init__(
+        self, clock: IReactorTime, store: Store, table: str, listener: TableListener
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._table = table
+        self._listener = listener
+        self._since: int | None = None
+        self._doubt_until = 0.0
+        self._last_read = 0.0
+        self._confirmed: float | None = None
+        self._reachable: bool | None = None
+        self._running = False
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._running = True
+        spawn(self._run(), f"feed-{self._table}")
+
+    def stop(self) -> None:
+        """Follow no longer."""
+        self._running = False
+
+    def age(self) -> float | None:
+        """Seconds since the store last confirmed what is known, ``None`` if never."""
+        if self._confirmed is None:
+            return None
+        return self._clock.seconds() - self._confirmed
+
+    async def _run(self) -> None:
+        while self._running:
+            if self._since is None:
+                succeeded = await self._read()
+            else:
+                succeeded = await self._poll(self._since)
+            self._note(succeeded)
+            if not succeeded:
+                await sleep(uniform(*PAUSE_SECONDS), self._clock)
+
+    async def _read(self) -> bool:
+        asked = self._clock.seconds()
+        reply = await self._store.read_table(self._table)
+        if isinstance(reply, Unreachable):
+            return False
+        self._last_read = asked
+        self._listener.take_snapshot(reply)
+        self._since = max(self._since or 0, reply.version)
+        self._confirmed = asked
+        return True
+
+    async def _poll(self, since: int) -> bool:
+        doubtful = self._clock.seconds() < self._doubt_until
+        if doubtful and self._clock.seconds() - self._last_read > REREAD_SECONDS:
+            await self._read()
+        asked = self._clock.seconds()
+        reply = await self._store.follow(self._table, since, POLL_SECONDS)
+        if isinstance(reply, HistoryLost):
+            log_event("history-lost", Level.WARNING, table=self._table, since=since)
+            self._begin_doubt()
+            self._since = None
+            return True
+        if isinstance(reply, Unreachable):
+            self._begin_doubt()
+            return False
+        self._take(reply)
+        self._confirmed = asked
+        return True
+
+    def _take(self, reply: Changes) -> None:
+        for change in reply.changes:
+            self._listener.take_change(change)
+        self._since = max(self._since or 0, reply.version)
+
+    def _begin_doubt(self) -> None:
+        self._doubt_until = self._clock.seconds() + DOUBT_SECONDS
+
+    def _note(self, succeeded: bool) -> None:
+        if succeeded is self._reachable:
+            return
+        self._reachable = succeeded
+        event = "dependency-regained" if succeeded else "dependency-lost"
+        log_event(event, dependency="store", table=self._table)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -0,0 +1,115 @@
+"""What an instance knows of the fleet: the configuration and the upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.routes.table import RouteTable
+from pondquay.routing.directory import UpstreamDirectory
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.feeds import TableListener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+    from pondquay.tables import JsonObject
+    from pondquay_daemon.relay.border import Border
+    from pondquay_daemon.relay.store import RowChange, Snapshot
+
+
+class ConfigurationView(TableListener):
+    """The newest configuration that was heard of; its version only rises.
+
+    :param on_change: called with each new table
+    """
+
+    def __init__(self, border: Border, on_change: Callable[[RouteTable], None]) -> None:
+        self._border = border
+        self._key = border.store_names.configuration[1]
+        self._on_change = on_change
+        self.table: RouteTable | None = None
+        self.value: JsonObject | None = None
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the table as a whole."""
+        for row in snapshot.rows:
+            if row.key == self._key:
+                self.offer(row.value)
+
+    def take_change(self, change: RowChange) -> None:
+        """Take in one row."""
+        if change.key == self._key and change.value is not None:
+            self.offer(change.value)
+
+    def offer(self, value: JsonObject) -> bool:
+        """Take in a configuration; tell whether it is newer than the one known."""
+        known = 0 if self.table is None else self.table.version
+        if self.value is not None and value == self.value:
+            return False
+        try:
+            configuration = self._border.read_configuration(value)
+        except MalformedValueError as error:
+            log_event("configuration-malformed", Level.ERROR, error=error)
+            return False
+        if configuration.version <= known:
+            return False
+        self.table = RouteTable(configuration)
+        self.value = value
+        log_event(
+            "configuration-in-force",
+            version=configuration.version,
+            before=known,
+            routes=len(configuration.routes),
+        )
+        self._on_change(self.table)
+        return True
+
+
+class UpstreamView(TableListener):
+    """Keeps the directory of upstreams up to date with the store's list."""
+
+    def __init__(self, border: Border, directory: UpstreamDirectory) -> None:
+        self._border = border
+        self.directory = directory
+        self.known = False
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the list as a whole."""
+        records: dict[str, tuple[UpstreamRecord, int]] = {}
+        for row in snapshot.rows:
+            record = self._read(row.key, row.value)
+            if record is not None:
+                records[row.key] = (record, row.version)
+        self.directory.replace(records, snapshot.version)
+        self.known = True
+        log_event("upstreams-read", count=len(records), version=snapshot.version)
+
+    def take_change(self, change: RowChange) -> None:
+        """Take in one row of the list."""
+        if change.value is None:
+            removed = self.directory.remove(change.key, change.version)
+            self._log("upstream-vanished", removed)
+            return
+        record = self._read(change.key, change.value)
+        if record is not None:
+            self._log("upstream-changed", self.directory.put(record, change.version))
+
+    def _read(self, key: str, value: JsonObject) -> UpstreamRecord | None:
+        try:
+            return self._border.read_upstream(key, value)
+        except MalformedValueError as error:
+            log_event("upstream-malformed", Level.ERROR, upstream=key, error=error)
+            return None
+
+    def _log(self, event: str, upstream: KnownUpstream | None) -> None:
+        if upstream is None:
+            return
+        log_event(
+            event,
+            upstream=upstream.name,
+            service=upstream.record.service,
+            leaving=upstream.leaving,
+            version=upstream.version,
+        )
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -0,0 +1,62 @@
+"""Which upstream a request is sent to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.routing.rendezvous import choose_by_prefix, choose_nearest
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
+    from pondquay_daemon.relay.messages import PromptPart
+
+# Part of an upstream's places that one instance may take in its own domain before it
+# looks further.
+CROWDED_PART = 0.5
+
+
+class Placement:
+    """Chooses upstreams by what their caches hold and by how they behave."""
+
+    def __init__(
+        self, clock: IReactorTime, directory: UpstreamDirectory, domain: str
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._domain = domain
+
+    def choose(
+        self, service: str, prefix: tuple[PromptPart, ...], tried: Collection[str]
+    ) -> KnownUpstream | None:
+        """Return an upstream that was not tried yet, ``None`` if there is none."""
+        candidates = [
+            one for one in self._directory.candidates(service) if one.name not in tried
+        ]
+        if not candidates:
+            return None
+        now = self._clock.seconds()
+        sound = [one for one in candidates if one.circuit.allows(now)] or candidates
+        if prefix:
+            return choose_by_prefix(sound, shared_part(prefix))
+        crowded = max(1, int(CROWDED_PART * sound[0].record.slots))
+        return choose_nearest(sound, self._domain, crowded)
+
+    def has_other(self, service: str, tried: Collection[str]) -> bool:
+        """Tell whether a sound upstream is left that was not tried."""
+        now = self._clock.seconds()
+        return any(
+            one.name not in tried and one.circuit.allows(now)
+            for one in self._directory.candidates(service)
+        )
+
+
+def shared_part(prefix: tuple[PromptPart, ...]) -> str:
+    """Return the name of the last part that other prompts share.
+
+    The last part of all belongs to the request itself, unless it is the only one.
+    """
+    return prefix[-2].name if len(prefix) > 1 else prefix[-1].name
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -0,0 +1,164 @@
+"""The relay as a whole: its parts, its start and its planned stop."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+from pondquay.routes.entities import CallerLimits
+from pondquay.routing.directory import UpstreamDirectory
+from pondquay.routing.retryshares import RetryShare
+from pondquay_daemon.logs import log_event
+from pondquay_daemon.relay.accounts import TABLE as ALLOTMENTS
+from pondquay_daemon.relay.accounts import AccountBook
+from pondquay_daemon.relay.egress import EgressPool
+from pondquay_daemon.relay.feeds import TableFeed
+from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
+from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.placement import Placement
+from pondquay_daemon.relay.requests import (
+    Refusal,
+    RelayParts,
+    RequestRun,
+    admit_request,
+    send_refusal,
+)
+from pondquay_daemon.tasks import sleep, spawn
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from pondquay.routes.table import RouteTable
+    from pondquay_daemon.relay.border import Border
+    from pondquay_daemon.relay.ingress import CallerAnswer
+    from pondquay_daemon.relay.messages import RequestHead
+    from pondquay_daemon.relay.settings import RelaySettings
+
+OK = 200
+UNAVAILABLE = 503
+# What is not known is said not to exist only if the store confirmed it this lately, as
+# a part of the time in which a configuration must be in force.
+CURRENT_PART = 0.8
+# After the balancer is told, connections may still come for this long.
+BALANCER_SECONDS = 2.6
+# Kept free at the end of a planned stop, to hand allotments back.
+HAND_BACK_SECONDS = 0.8
+STOP_STEP_SECONDS = 0.05
+
+
+class Relay(RequestHandler):
+    """Serves routed requests at one instance."""
+
+    def __init__(self, reactor: Any, border: Border, settings: RelaySettings) -> None:
+        self._reactor = reactor
+        self._border = border
+        self._settings = settings
+        self._pool = EgressPool(reactor)
+        self._store = border.open_store(settings, reactor)
+        directory = UpstreamDirectory()
+        bounds = settings.bounds
+        self._accounts = AccountBook(
+            reactor, self._store, settings.instance, uuid4().hex[:12]
+        )
+        self._parts = RelayParts(
+            reactor,
+            border,
+            self._pool,
+            directory,
+            Placement(reactor, directory, settings.domain),
+            self._accounts,
+            RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
+            Random(),
+        )
+        self._configuration = ConfigurationView(border, self._accounts.take_table)
+        self._upstreams = UpstreamView(border, directory)
+        names = border.store_names
+        self._feed = TableFeed(
+            reactor, self._store, names.configuration[0], self._configuration
+        )
+        self._feeds = [
+            self._feed,
+            TableFeed(reactor, self._store, names.upstreams, self._upstreams),
+            TableFeed(reactor, self._store, ALLOTMENTS, self._accounts),
+        ]
+        self._callers = IngressServer(reactor, self)
+        self._probes = IngressServer(reactor, ReadinessHandler(self, border))
+        self.stopping = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send connections here."""
+        known = self._configuration.table is not None and self._upstreams.known
+        return known and not self.stopping
+
+    def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        settings = self._settings
+        for address, server in (
+            (settings.callers, self._callers),
+            (settings.readiness, self._probes),
+        ):
+            self._reactor.listenTCP(address.port, server, 512, address.host)
+        for feed in self._feeds:
+            feed.start()
+        self._accounts.start()
+        log_event("started", instance=settings.instance, domain=settings.domain)
+
+    async def stop(self) -> None:
+        """End in order: serve what is open and what still comes, then hand back."""
+        self.stopping = True
+        self._callers.stopping = True
+        began = self._reactor.seconds()
+        log_event("stopping", open=len(self._callers.connections))
+        await sleep(BALANCER_SECONDS, self._reactor)
+        until = began + self._settings.bounds.stop - HAND_BACK_SECONDS
+        while self._reactor.seconds() < until:
+            self._callers.close_idle()
+            if not self._callers.connections:
+                break
+            await sleep(STOP_STEP_SECONDS, self._reactor)
+        await self._accounts.hand_back()
+        log_event("stopped", open=len(self._callers.connections))
+
+    def limits(self) -> CallerLimits:
+        """Return what a caller may send now."""
+        table = self._configuration.table
+        return CallerLimits() if table is None else table.configuration.limits
+
+    def handle(self, head: RequestHead, body: bytes, answer: CallerAnswer) -> None:
+        """Begin to serve a request."""
+        table = self._configuration.table
+        admitted = admit_request(
+            head, table, self._border, self._parts.random, current=self._current()
+        )
+        if isinstance(admitted, Refusal):
+            log_event("request-refused", status=admitted.status, reason=admitted.reason)
+            send_refusal(self._border, answer, "", admitted)
+            return
+        service = None if table is None else table.service(admitted.service)
+        run = RequestRun(self._parts, admitted, service, head, body, answer)
+        spawn(run.run(), "RequestRun")
+
+    def _current(self) -> bool:
+        age = self._feed.age()
+        return age is not None and (
+            age < CURRENT_PART * self._settings.bounds.configuration
+        )
+
+
+class ReadinessHandler(RequestHandler):
+    """Tells the balancer whether the relay is ready."""
+
+    def __init__(self, relay: Relay, border: Border) -> None:
+        self._relay = relay
+        self._path = border.ready_path
+
+    def limits(self) -> CallerLimits:
+        """Return what a balancer may send."""
+        return CallerLimits(body_bytes=0)
+
+    def handle(self, head: RequestHead, body: bytes, answer: CallerAnswer) -> None:
+        """Answer one question."""
+        ready = head.target == self._path and self._relay.ready
+        answer.send_whole(OK if ready else UNAVAILABLE, [], b"")
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -0,0 +1,411 @@
+"""One request's way: who asks, where it goes, what it may cost, what it is told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+from pondquay.budgets.accounts import Refused
+from pondquay.routes.table import choose_service
+from pondquay.streamevents import EventReader
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.attempts import (
+    PROMISES,
+    SUCCESS,
+    Answered,
+    Attempt,
+    Lost,
+    NotRun,
+    Stopped,
+    Streamed,
+    StreamProgress,
+    Unsent,
+)
+from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.heads import drop_connection_headers
+from pondquay_daemon.relay.messages import Dispatch
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+    from pondquay.routes.entities import Route, RoutedWorkspace, Service
+    from pondquay.routes.table import RouteTable
+    from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
+    from pondquay.routing.retryshares import RetryShare
+    from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay_daemon.relay.attempts import Outcome
+    from pondquay_daemon.relay.border import Border
+    from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.ingress import CallerAnswer
+    from pondquay_daemon.relay.messages import RequestHead, RequestMarks
+    from pondquay_daemon.relay.placement import Placement
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+PAYMENT_REQUIRED = 402
+NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+# Connections that may fail before a request is refused; nothing was sent on them.
+MOST_CONNECT_FAILURES = 3
+# Part of the objective after which a request without tokens is refused.
+OBTAIN_PART = 0.2
+# An upstream that says nothing for this many objectives is given up, where the request
+# may run again.
+SILENT_OBJECTIVES = 2.0
+LEAST_SILENT_SECONDS = 0.3
+# Seconds after which a refused caller should come back.
+SOON = 0.25
+LATER = 1.0
+LEAST_REMAINING_SECONDS = 0.01
+# Routes' priorities are below this, and tenants' come ahead of them.
+ROUTE_PRIORITIES = 3
+MOST_URGENCY = 9
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer that the relay gives by itself.
+
+    :param retry_after: seconds after which asking again may help
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+@dataclass(slots=True)
+class RelayParts:
+    """What requests share."""
+
+    clock: IReactorTime
+    border: Border
+    pool: EgressPool
+    directory: UpstreamDirectory
+    placement: Placement
+    accounts: AccountBook
+    retries: RetryShare
+    random: Random
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that has a route and an owner."""
+
+    marks: RequestMarks
+    route: Route
+    workspace: RoutedWorkspace | None
+    service: str
+
+
+def admit_request(
+    head: RequestHead,
+    table: RouteTable | None,
+    border: Border,
+    random: Random,
+    *,
+    current: bool,
+) -> Admission | Refusal:
+    """Find a request's route and owner.
+
+    :param current: whether the table was confirmed lately; if not, what it does not
+        know may exist all the same
+    """
+    if table is None:
+        return Refusal(UNAVAILABLE, "no configuration yet", LATER)
+    try:
+        marks = border.read_request(head)
+    except MalformedValueError as error:
+        return Refusal(BAD_REQUEST, str(error))
+    route = table.find_route(marks.host, head.path)
+    if route is None:
+        if not current:
+            return Refusal(UNAVAILABLE, "unknown route, old configuration", SOON)
+        return Refusal(NOT_FOUND, "no such route")
+    workspace = None
+    if table.needs_keys and not route.public:
+        workspace = table.find_workspace(marks.key or "")
+        if workspace is None and not current:
+            return Refusal(UNAVAILABLE, "unknown key, old configuration", SOON)
+        if workspace is None:
+            return Refusal(UNAUTHORIZED, "unknown key")
+    return Admission(marks, route, workspace, choose_service(route, random))
+
+
+class RequestRun:
+    """Runs one admitted request to its end."""
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        admission: Admission,
+        service: Service | None,
+        head: RequestHead,
+        body: bytes,
+        answer: CallerAnswer,
+    ) -> None:
+        self._parts = parts
+        self._marks = admission.marks
+        self._route = admission.route
+        self._workspace = admission.workspace
+        self._service_name = admission.service
+        self._service = service
+        self._head = head
+        self._body = body
+        self._answer = answer
+        self._attempt: Attempt | None = None
+        self._stopped = ""
+        self._may_have_run = False
+        self._reserved = 0
+        self._retry_taken = False
+        self._tried: set[str] = set()
+        self._progress: StreamProgress | None = None
+        if self._route.streaming:
+            reader = EventReader(last=self._marks.last_event)
+            self._progress = StreamProgress(reader)
+        seconds = self._route.timeout
+        if self._marks.deadline is not None:
+            seconds = min(seconds, self._marks.deadline)
+        self._until = answer.arrived + seconds
+
+    async def run(self) -> None:
+        """Serve the request or refuse it."""
+        self._answer.on_gone = self._note_gone
+        timer = self._start_timer()
+        try:
+            refusal = await self._reserve(self._marks.most_tokens)
+            if refusal is None:
+                refusal = await self._try_upstreams()
+            if refusal is not None:
+                self._refuse(refusal)
+        finally:
+            if timer.active():
+                timer.cancel()
+            self._settle(self._reserved)
+
+    def _start_timer(self) -> IDelayedCall:
+        seconds = max(0.0, self._until - self._parts.clock.seconds())
+        return self._parts.clock.callLater(seconds, self._note_timeout)
+
+    def _note_timeout(self) -> None:
+        self._stop("timeout")
+
+    def _note_gone(self) -> None:
+        if self._attempt is None or self._route.streaming or self._route.repeatable:
+            self._stop("caller gone")
+
+    def _stop(self, why: str) -> None:
+        self._stopped = self._stopped or why
+        if self._attempt is not None:
+            self._attempt.stop()
+
+    async def _reserve(self, tokens: int) -> Refusal | None:
+        """Reserve tokens for a run, or say why it cannot be."""
+        workspace = self._workspace
+        if workspace is None or workspace.prepaid is None:
+            return None
+        if self._service is None or not self._service.counts_tokens:
+            return None
+        patience = OBTAIN_PART * self._route.objective
+        refused = await self._parts.accounts.obtain(workspace.name, tokens, patience)
+        if refused is None:
+            self._reserved += tokens
+            return None
+        if refused is Refused.EXHAUSTED:
+            return Refusal(PAYMENT_REQUIRED, "budget exhausted", None)
+        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", LATER)
+
+    def _settle(self, used: int) -> None:
+        reserved, self._reserved = self._reserved, 0
+        if reserved and self._workspace is not None:
+            self._parts.accounts.settle(self._workspace.name, reserved, used)
+
+    async def _try_upstreams(self) -> Refusal | None:
+        """Send the request until it is answered, or no further attempt is allowed."""
+        sends = 0
+        connect_failures = 0
+        while not self._stopped:
+            upstream = self._place()
+            if upstream is None:
+                return self._give_up("no upstream")
+            if sends and not self._take_retry():
+                return self._give_up("no retries left")
+            if not sends:
+                now = self._parts.clock.seconds()
+                self._parts.retries.note_first(self._service_name, now)
+            outcome = await self._send(upstream, last=sends + 1 >= self._route.attempts)
+            self._observe(upstream, outcome)
+            if isinstance(outcome, Unsent):
+                connect_failures += 1
+                if connect_failures >= MOST_CONNECT_FAILURES:
+                    return self._give_up("no connection")
+                continue
+            sends += 1
+            if self._finish(outcome, last=sends >= self._route.attempts):
+                return None
+            if sends >= self._route.attempts:
+                return self._give_up("attempts used up")
+            refusal = await self._prepare_again(outcome)
+            if refusal is not None:
+                return refusal
+        return self._give_up(self._stopped)
+
+    def _place(self) -> KnownUpstream | None:
+        prefix = self._marks.prefix
+        return self._parts.placement.choose(self._service_name, prefix, self._tried)
+
+    def _take_retry(self) -> bool:
+        """Take a further attempt from this instance's share, unless one was taken."""
+        if self._retry_taken:
+            self._retry_taken = False
+            return True
+        now = self._parts.clock.seconds()
+        return self._parts.retries.spend(self._service_name, now)
+
+    async def _send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
+        parts = self._parts
+        remaining = self._until - parts.clock.seconds()
+        if remaining < LEAST_REMAINING_SECONDS:
+            self._stopped = self._stopped or "timeout"
+            return Stopped(sent=False)
+        dispatch = Dispatch(
+            upstream.name,
+            remaining,
+            None if self._workspace is None else self._workspace.name,
+            self._urgency(),
+            self._resume_after(),
+        )
+        headers = drop_connection_headers(self._head.headers)
+        headers = parts.border.write_request(headers, dispatch)
+        self._attempt = Attempt(
+            parts.clock, parts.border, self._marks.attempt, self._answer, self._progress
+        )
+        if self._route.repeatable and not last:
+            patience = SILENT_OBJECTIVES * self._route.objective
+            patience = max(LEAST_SILENT_SECONDS, patience)
+            self._attempt.give_up_after(patience, self._may_leave)
+        upstream.running += 1
+        self._tried.add(upstream.name)
+        try:
+            return await self._attempt.run(
+                parts.pool,
+                Address.parse(upstream.record.address),
+                (self._head.method, self._head.target, headers, self._body),
+            )
+        finally:
+            upstream.running -= 1
+            self._attempt = None
+
+    def _urgency(self) -> int:
+        route = min(self._route.priority, ROUTE_PRIORITIES - 1)
+        if self._workspace is None or self._workspace.priority is None:
+            return min(MOST_URGENCY, route)
+        return min(MOST_URGENCY, self._workspace.priority * ROUTE_PRIORITIES + route)
+
+    def _resume_after(self) -> int | None:
+        if self._progress is None or not self._progress.started:
+            return None
+        return self._progress.reader.last
+
+    def _may_leave(self) -> bool:
+        """Take a retry for a request whose upstream is silent, if that may help."""
+        if not self._parts.placement.has_other(self._service_name, self._tried):
+            return False
+        self._retry_taken = self._retry_taken or self._take_retry()
+        return self._retry_taken
+
+    def _observe(self, upstream: KnownUpstream, outcome: Outcome) -> None:
+        """Learn about the upstream from what came of an attempt."""
+        now = self._parts.clock.seconds()
+        if isinstance(outcome, NotRun) and outcome.misdirected:
+            self._parts.directory.note_leaving(upstream.name)
+        elif isinstance(outcome, Unsent):
+            upstream.circuit.trip(now)
+        elif isinstance(outcome, Lost):
+            upstream.circuit.fail(now)
+        elif isinstance(outcome, Answered | Streamed):
+            upstream.circuit.succeed()
+        if not isinstance(outcome, Answered | Streamed | Stopped):
+            log_event(
+                "attempt-failed",
+                request=self._marks.attempt,
+                upstream=upstream.name,
+                outcome=outcome,
+            )
+
+    def _finish(self, outcome: Outcome, *, last: bool) -> bool:
+        """Give the caller its final answer, if this outcome is one."""
+        if isinstance(outcome, Streamed):
+            self._settle_stream(outcome.events)
+            self._answer.finish()
+            return True
+        if isinstance(outcome, Answered):
+            return self._finish_answered(outcome, last=last)
+        if isinstance(outcome, Lost) or (isinstance(outcome, Stopped) and outcome.sent):
+            self._may_have_run = True
+        return False
+
+    def _finish_answered(self, outcome: Answered, *, last: bool) -> bool:
+        status = outcome.head.status
+        self._may_have_run = True
+        if self._progress is not None and self._progress.started:
+            return False
+        if status in PROMISES:
+            return False
+        if status not in SUCCESS and self._route.repeatable and not last:
+            if self._may_leave():
+                return False
+        headers = drop_connection_headers(outcome.head.headers)
+        self._answer.send_whole(status, headers, outcome.body)
+        return True
+
+    def _settle_stream(self, events: int) -> None:
+        event_tokens = 0 if self._service is None else self._service.event_tokens
+        output = min(self._marks.output_tokens, events * event_tokens)
+        self._settle(self._reserved - self._marks.output_tokens + output)
+
+    async def _prepare_again(self, outcome: Outcome) -> Refusal | None:
+        """Make ready for a further attempt, or say why there is none."""
+        if not self._may_have_run:
+            return None
+        if not self._route.repeatable:
+            return self._give_up("may have run")
+        if isinstance(outcome, Lost | Answered):
+            return await self._reserve(self._marks.output_tokens)
+        return None
+
+    def _give_up(self, why: str) -> Refusal:
+        if not self._may_have_run:
+            self._settle(0)
+            return Refusal(UNAVAILABLE, why, SOON)
+        status = GATEWAY_TIMEOUT if self._stopped == "timeout" else BAD_GATEWAY
+        return Refusal(status, why)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        log_event(
+            "request-refused",
+            Level.INFO,
+            request=self._marks.attempt,
+            route=self._route.name,
+            status=refusal.status,
+            reason=refusal.reason,
+        )
+        if self._answer.started:
+            self._answer.break_off()
+            return
+        send_refusal(self._parts.border, self._answer, self._marks.attempt, refusal)
+
+
+def send_refusal(
+    border: Border, answer: CallerAnswer, attempt: str, refusal: Refusal
+) -> None:
+    """Give a caller an answer of the relay's own."""
+    headers = border.write_refusal(attempt, refusal.retry_after)
+    body = f"{refusal.reason}\n".encode()
+    answer.send_whole(refusal.status, headers, body)
--- a/packages/pondquay-daemon/src/pondquay_daemon/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -13,6 +12,7 @@
 from pondquay.findings import Findings, suggest_name
 from pondquay.ini import read_ini
 from pondquay.routing.policies import ROUTING_POLICIES
+from pondquay_daemon.addresses import Address
 
 if TYPE_CHECKING:
     from pondquay.ini import IniDocument, IniSection
@@ -21,28 +21,6 @@
 SECRET_BYTES_LEAST = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and a port."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Read ``host:port``.
-
-        :raises ValueError: if the text has another form
-        """
-        host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isdigit() or int(port) > 65535:
-            raise ValueError("must be HOST:PORT")
-        return cls(host, int(port))
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 class Section(BaseModel):
     """Base of the sections of the settings file."""
 
--- /dev/null
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -0,0 +1,157 @@
+"""An instance's account of one workspace's prepaid tokens, below its allotment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import exp
+from typing import TYPE_CHECKING
+
+from pondquay.budgets.allotments import EMPTY_ROW, Allotment, AllotmentRow
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+RATE_SECONDS = 8.0
+
+
+class Refused(StrEnum):
+    """Why tokens could not be reserved.
+
+    ``EXHAUSTED`` is said only where the row shows that no instance can have them.
+    """
+
+    EXHAUSTED = "exhausted"
+    ELSEWHERE = "elsewhere"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class Demand:
+    """How many tokens a second are asked for, as an exponential average."""
+
+    rate: float = 0.0
+    largest: int = 0
+    _at: float = 0.0
+
+    def note(self, tokens: int, now: float) -> None:
+        """Note a request."""
+        self.rate = self.at(now) + tokens / RATE_SECONDS
+        self._at = now
+        self.largest = max(self.largest, tokens)
+
+    def at(self, now: float) -> float:
+        """Return the rate at some time, in tokens a second."""
+        return self.rate * exp((self._at - now) / RATE_SECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A new row that an instance wants to write.
+
+    :param ceiling: its own ceiling in it
+    """
+
+    row: AllotmentRow
+    ceiling: int
+
+
+@dataclass(slots=True)
+class Account:
+    """What one life of an instance may spend, has spent and has reserved.
+
+    :param ceiling: the lowest that the row's ceiling for this life can be
+    :param version: of the row as last known, ``None`` if it never was read
+    """
+
+    holder: str
+    boot: str
+    prepaid: int
+    ceiling: int = 0
+    spent: int = 0
+    reserved: int = 0
+    version: int | None = None
+    row: AllotmentRow = EMPTY_ROW
+    demand: Demand = field(default_factory=Demand)
+    wanted: int = 0
+    _lowered: int | None = None
+
+    @property
+    def unspent(self) -> int:
+        """Tokens that may be reserved now; below zero never spends."""
+        return self.ceiling - self.spent - self.reserved
+
+    def reserve(self, tokens: int) -> Refused | None:
+        """Set tokens aside before a request is sent, ``None`` if that succeeded."""
+        if tokens <= self.unspent:
+            self.reserved += tokens
+            return None
+        self.wanted = max(self.wanted, tokens)
+        if self.version is None:
+            return Refused.UNKNOWN
+        if self._surely_spent() + tokens > self.prepaid:
+            return Refused.EXHAUSTED
+        return Refused.ELSEWHERE
+
+    def settle(self, reserved: int, used: int) -> None:
+        """Replace a reservation by what was used of it."""
+        self.reserved -= reserved
+        self.spent += min(reserved, used)
+
+    def read(self, row: AllotmentRow, version: int) -> None:
+        """Take in the row as it stood at a version.
+
+        A ceiling that is higher than this life knows is from a write whose answer was
+        lost. It counts unless a write that lowers it may still take effect.
+        """
+        if self.version is not None and version < self.version:
+            return
+        self.row = row
+        self.version = version
+        entry = row.find(self.holder, self.boot)
+        stored = 0 if entry is None else entry.ceiling
+        if self._lowered is not None:
+            stored = min(stored, self._lowered)
+        self.ceiling = max(stored, self.spent + self.reserved)
+
+    def propose(self, headroom: int, now: float) -> Change:
+        """Return the row with this instance's entry as it should be.
+
+        :param headroom: tokens beyond those spent and reserved
+        """
+        ceiling = self.spent + self.reserved + headroom
+        rate = int(self.demand.at(now))
+        entry = Allotment(self.boot, ceiling, self.spent, rate, self.wanted)
+        return Change(self.row.with_entry(self.holder, entry), ceiling)
+
+    def begin(self, change: Change) -> None:
+        """Be about to write a change: a lower ceiling counts from now on."""
+        if change.ceiling < self.ceiling:
+            self.ceiling = change.ceiling
+            self._lowered = change.ceiling
+
+    def confirm(self, change: Change, version: int) -> None:
+        """Learn that a change was written."""
+        self.row = change.row
+        self.version = version
+        self.ceiling = change.ceiling
+        self._lowered = None
+
+    def free(self) -> int:
+        """Tokens that no instance holds, by the row as last known."""
+        return self.prepaid - self.row.committed
+
+    def left(self) -> int:
+        """Tokens that the workspace may still spend, by what is known here."""
+        others = sum(one.spent for one in self.others().values())
+        return self.prepaid - self.row.closed - others - self.spent - self.reserved
+
+    def _surely_spent(self) -> int:
+        others = sum(one.spent for one in self.others().values())
+        return self.row.closed_spent + others + self.spent
+
+    def others(self) -> Mapping[str, Allotment]:
+        """Return the other living instances' entries."""
+        return {
+            name: one for name, one in self.row.holders.items() if name != self.holder
+        }
--- /dev/null
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -0,0 +1,103 @@
+"""Allotments: each instance's part of a prepaid budget, kept in one row a workspace.
+
+The row holds what instances that are closed can have spent, and for each living one a
+ceiling on all that it spends in this life. The sum never exceeds the prepaid tokens,
+and an instance spends only below the ceiling that it knows to be in the row, so the
+budget holds in any cut and after any death, whatever the clocks say. The next life of
+an instance closes the one before as if its whole ceiling had been spent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class Allotment:
+    """One living instance's entry.
+
+    :param boot: the life of the instance that it is for
+    :param ceiling: the most tokens that this life may ever spend
+    :param spent: what it had spent when it wrote this
+    :param rate: tokens a second that it was asked for
+    :param wanted: tokens that it lacks for a request, 0 if it lacks none
+    """
+
+    boot: str
+    ceiling: int
+    spent: int = 0
+    rate: int = 0
+    wanted: int = 0
+
+    @property
+    def unspent(self) -> int:
+        """What was left of it when it was written."""
+        return max(0, self.ceiling - self.spent)
+
+
+@dataclass(frozen=True, slots=True)
+class AllotmentRow:
+    """All of one workspace's allotments.
+
+    :param closed: tokens that lives which have ended can have spent
+    :param closed_spent: what they are known to have spent of these
+    """
+
+    closed: int = 0
+    closed_spent: int = 0
+    holders: Mapping[str, Allotment] = field(default_factory=dict)
+
+    @property
+    def committed(self) -> int:
+        """Tokens that have been or may be spent by what the row says."""
+        return self.closed + sum(one.ceiling for one in self.holders.values())
+
+    @property
+    def surely_spent(self) -> int:
+        """Tokens that are known to be spent."""
+        return self.closed_spent + sum(one.spent for one in self.holders.values())
+
+    def find(self, holder: str, boot: str) -> Allotment | None:
+        """Return the entry of one life of an instance."""
+        entry = self.holders.get(holder)
+        return entry if entry is not None and entry.boot == boot else None
+
+    def with_entry(self, holder: str, entry: Allotment) -> AllotmentRow:
+        """Return the row with a new entry; another life's is closed."""
+        holders = {**self.holders, holder: entry}
+        before = self.holders.get(holder)
+        if before is None or before.boot == entry.boot:
+            return replace(self, holders=holders)
+        return AllotmentRow(
+            self.closed + before.ceiling, self.closed_spent + before.spent, holders
+        )
+
+    def without(self, holder: str, spent: int) -> AllotmentRow:
+        """Return the row after an instance has handed back what it did not spend."""
+        holders = {name: one for name, one in self.holders.items() if name != holder}
+        return AllotmentRow(
+            self.closed + spent, self.closed_spent + spent, holders
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the form in which it is stored."""
+        return {
+            "closed": [self.closed, self.closed_spent],
+            "holders": {
+                name: [one.boot, one.ceiling, one.spent, one.rate, one.wanted]
+                for name, one in self.holders.items()
+            },
+        }
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> AllotmentRow:
+        """Read the form in which it is stored."""
+        holders = {name: Allotment(*entry) for name, entry in value["holders"].items()}
+        return cls(*value["closed"], holders)
+
+
+EMPTY_ROW = AllotmentRow()
--- a/packages/pondquay/src/pondquay/routing/circuits.py
+++ b/packages/pondquay/src/pondquay/routing/circuits.py
@@ -30,6 +30,11 @@
         self.pause = FIRST_PAUSE_SECONDS
         self.open_until = 0.0
 
+    def trip(self, now: float) -> None:
+        """Open at once: the upstream cannot be reached at all."""
+        self.failures = max(self.failures, FAILURES_TO_OPEN - 1)
+        self.fail(now)
+
     def fail(self, now: float) -> None:
         """Note that the upstream failed; each pause is twice as long as the last."""
         self.failures += 1
--- /dev/null
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -0,0 +1,132 @@
+"""The upstreams that an instance has heard of, from a list that lags and forgets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pondquay.routing.circuits import Circuit
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRecord:
+    """What an upstream says of itself in the list.
+
+    :param address: ``host:port``
+    :param slots: requests that it runs at the same time
+    :param leaving: whether it will end soon
+    """
+
+    name: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class KnownUpstream:
+    """An upstream and what this instance has seen of it.
+
+    :param version: of the list's row that the record is from
+    :param running: requests of this instance that are there now
+    """
+
+    record: UpstreamRecord
+    version: int
+    leaving: bool = False
+    vanished: bool = False
+    running: int = 0
+    circuit: Circuit = field(default_factory=Circuit)
+
+    @property
+    def name(self) -> str:
+        """The name of this life of the upstream."""
+        return self.record.name
+
+
+class UpstreamDirectory:
+    """Upstreams by service; the first sign that one leaves is final.
+
+    Each start of an upstream has a name of its own, so a name that has left never
+    comes back.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, KnownUpstream] = {}
+        self._gone: dict[str, int] = {}
+        self.version = 0
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def all(self) -> list[KnownUpstream]:
+        """Return all that are known."""
+        return list(self._known.values())
+
+    def find(self, name: str) -> KnownUpstream | None:
+        """Return an upstream by its name."""
+        return self._known.get(name)
+
+    def put(self, record: UpstreamRecord, version: int) -> KnownUpstream | None:
+        """Take in a row of the list, ``None`` if it says nothing new."""
+        if self._gone.get(record.name, 0) >= version:
+            return None
+        known = self._known.get(record.name)
+        if known is None:
+            known = KnownUpstream(record, version, leaving=record.leaving)
+            self._known[record.name] = known
+            return known
+        if known.version >= version and not known.vanished:
+            return None
+        known.record = record
+        known.version = version
+        known.vanished = False
+        known.leaving = known.leaving or record.leaving
+        return known
+
+    def remove(self, name: str, version: int) -> KnownUpstream | None:
+        """Take in that a row is gone, ``None`` if that is not new."""
+        self._gone[name] = max(version, self._gone.get(name, 0))
+        known = self._known.get(name)
+        if known is None or known.version > version or known.vanished:
+            return None
+        known.vanished = True
+        return known
+
+    def replace(self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int) -> None:
+        """Take in the whole list as it was at some version.
+
+        A list that is older than what is known removes nothing newer.
+        """
+        for record, version in records.values():
+            self.put(record, version)
+        for name, known in list(self._known.items()):
+            if name not in records and known.version <= at:
+                self.remove(name, at)
+
+    def note_leaving(self, name: str) -> bool:
+        """Note an upstream's own sign that it leaves; tell whether that is new."""
+        known = self._known.get(name)
+        if known is None or known.leaving:
+            return False
+        known.leaving = True
+        return True
+
+    def candidates(self, service: str) -> list[KnownUpstream]:
+        """Return those that may get new work.
+
+        Entries vanish when an upstream leaves without a word, but also when the list's
+        store is in trouble. Vanished ones are tried only where nothing else is left.
+        """
+        of_service = [
+            one
+            for one in self._known.values()
+            if one.record.service == service and not one.leaving
+        ]
+        present = [one for one in of_service if not one.vanished]
+        return present or of_service
--- a/packages/pondquay/src/pondquay/tables.py
+++ b/packages/pondquay/src/pondquay/tables.py
@@ -82,12 +82,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Committed:
-    """The transaction took effect."""
+    """The transaction took effect.
+
+    :param version: of the rows that it wrote, where the table tells it
+    """
+
+    version: int = ABSENT
 
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """A condition did not hold; nothing took effect."""
+    """A condition did not hold; nothing took effect.
+
+    :param rows: the rows of the conditions as they stand, where the table tells them
+    """
+
+    rows: Rows = field(default_factory=Rows)
 
 
 @dataclass(frozen=True, slots=True)
