Keep less ahead of spending, so that a power loss strands less

Change: 22% of prepaid ahead in all, shared by demand; no standing requests; refusal at once while the store is away.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -21,7 +21,7 @@
 from pondquay_daemon.tasks import Task, sleep, spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -43,13 +43,21 @@
 
     For each workspace one write is under way at most, so what a lost answer can have
     done is known to the account.
+
+    :param reachable: tells whether the table answered lately
     """
 
     def __init__(
-        self, clock: IReactorTime, store: Store, holder: str, boot: str
+        self,
+        clock: IReactorTime,
+        store: Store,
+        holder: str,
+        boot: str,
+        reachable: Callable[[], bool],
     ) -> None:
         super().__init__(clock)
         self._store = store
+        self._reachable = reachable
         self._holder = holder
         self._boot = boot
         self._accounts: dict[str, Account] = {}
@@ -102,20 +110,19 @@
         account = self._accounts[workspace]
         account.demand.note(tokens, self.clock.seconds())
         refused = account.reserve(tokens)
-        if refused is None:
-            self._adjust_soon(workspace)
-            return None
         until = self.clock.seconds() + patience
         for wait in OBTAIN_WAITS:
-            if refused is Refused.EXHAUSTED or self.clock.seconds() + wait > until:
+            out_of_reach = refused is Refused.UNKNOWN or not self._reachable()
+            if refused in (None, Refused.EXHAUSTED) or out_of_reach:
                 break
+            if self.clock.seconds() + wait > until:
+                break
+            account.wanted = max(account.wanted, tokens)
             self._adjust_soon(workspace)
             await sleep(wait, self.clock)
             refused = account.reserve(tokens)
-            if refused is None:
-                break
-        if refused is None:
-            account.wanted = 0
+        account.wanted = 0
+        self._adjust_soon(workspace)
         return refused
 
     def settle(self, workspace: str, reserved: int, used: int) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -55,7 +55,7 @@
         self._doubt_until = 0.0
         self._last_read = 0.0
         self._confirmed: float | None = None
-        self._reachable: bool | None = None
+        self._answered: bool | None = None
         self._running = False
 
     def start(self) -> None:
@@ -67,6 +67,11 @@
         """Follow no longer."""
         self._running = False
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._answered is True
+
     def age(self) -> float | None:
         """Seconds since the store last confirmed what is known, ``None`` if never."""
         if self._confirmed is None:
@@ -121,8 +126,8 @@
         self._doubt_until = self._clock.seconds() + DOUBT_SECONDS
 
     def _note(self, succeeded: bool) -> None:
-        if succeeded is self._reachable:
+        if succeeded is self._answered:
             return
-        self._reachable = succeeded
+        self._answered = succeeded
         event = "dependency-regained" if succeeded else "dependency-lost"
         log_event(event, dependency="store", table=self._table)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -59,7 +59,11 @@
         directory = UpstreamDirectory()
         bounds = settings.bounds
         self._accounts = AccountBook(
-            reactor, self._store, settings.instance, uuid4().hex[:12]
+            reactor,
+            self._store,
+            settings.instance,
+            uuid4().hex[:12],
+            lambda: self._feed.reachable,
         )
         self._parts = RelayParts(
             reactor,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -61,6 +61,8 @@
 LEAST_SILENT_SECONDS = 0.3
 # Seconds after which a refused caller should come back.
 SOON = 0.25
+# Another instance, to which a caller's next try may come, may have what lacks here.
+AT_ANOTHER = 0.1
 LATER = 1.0
 LEAST_REMAINING_SECONDS = 0.01
 # Routes' priorities are below this, and tenants' come ahead of them.
@@ -219,7 +221,7 @@
             return None
         if refused is Refused.EXHAUSTED:
             return Refusal(PAYMENT_REQUIRED, "budget exhausted", None)
-        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", LATER)
+        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", AT_ANOTHER)
 
     def _settle(self, used: int) -> None:
         reserved, self._reserved = self._reserved, 0
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -62,6 +62,7 @@
 
     :param ceiling: the lowest that the row's ceiling for this life can be
     :param version: of the row as last known, ``None`` if it never was read
+    :param wanted: tokens that a request waits for, 0 if none does
     """
 
     holder: str
@@ -86,7 +87,6 @@
         if tokens <= self.unspent:
             self.reserved += tokens
             return None
-        self.wanted = max(self.wanted, tokens)
         if self.version is None:
             return Refused.UNKNOWN
         if self._surely_spent() + tokens > self.prepaid:
@@ -121,7 +121,7 @@
         """
         ceiling = self.spent + self.reserved + headroom
         rate = int(self.demand.at(now))
-        entry = Allotment(self.boot, ceiling, self.spent, rate, self.wanted)
+        entry = Allotment(self.boot, ceiling, self.spent, rate)
         return Change(self.row.with_entry(self.holder, entry), ceiling)
 
     def begin(self, change: Change) -> None:
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -24,14 +24,12 @@
     :param ceiling: the most tokens that this life may ever spend
     :param spent: what it had spent when it wrote this
     :param rate: tokens a second that it was asked for
-    :param wanted: tokens that it lacks for a request, 0 if it lacks none
     """
 
     boot: str
     ceiling: int
     spent: int = 0
     rate: int = 0
-    wanted: int = 0
 
     @property
     def unspent(self) -> int:
@@ -88,7 +86,7 @@
         return {
             "closed": [self.closed, self.closed_spent],
             "holders": {
-                name: [one.boot, one.ceiling, one.spent, one.rate, one.wanted]
+                name: [one.boot, one.ceiling, one.spent, one.rate]
                 for name, one in self.holders.items()
             },
         }
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -12,21 +12,19 @@
 if TYPE_CHECKING:
     from pondquay.budgets.accounts import Account
 
-# Seconds of demand that are kept ahead.
-COVER_SECONDS = 12.0
-# Largest requests that are kept ahead besides: few requests can need many tokens.
-COVER_REQUESTS = 3
-# Part of the budget that is kept before any demand is known.
-FIRST_PART = 0.06
-# Part of what is left that all instances together keep ahead.
-KEPT_PART = 0.85
+# Part of the prepaid tokens that all instances together keep ahead.
+KEPT_OF_PREPAID = 0.22
+# Part of what is left that they keep at most.
+KEPT_OF_LEFT = 0.7
+# Part of the prepaid tokens that an instance keeps before it knows the others.
+FIRST_PART = 0.03
 # Rate that is added to each instance's, as a part of the mean, so that all get some.
 FLOOR_PART = 0.5
 # Below this part of the target more is asked for, above the other some is returned.
-LOW_PART = 0.6
+LOW_PART = 0.7
 HIGH_PART = 1.4
 # Part of what is left below which free tokens count as short.
-SHORT_PART = 0.08
+SHORT_PART = 0.15
 
 
 def share_of_demand(account: Account, now: float) -> float:
@@ -40,11 +38,10 @@
 
 def target_headroom(account: Account, now: float) -> int:
     """Return the tokens that this instance should have unspent."""
-    need = COVER_SECONDS * account.demand.at(now)
-    need += COVER_REQUESTS * account.demand.largest
-    need = max(need, FIRST_PART * account.prepaid)
-    fair = KEPT_PART * account.left() * share_of_demand(account, now)
-    return max(0, int(min(need, fair)))
+    kept = min(KEPT_OF_PREPAID * account.prepaid, KEPT_OF_LEFT * account.left())
+    if not account.others():
+        kept = min(kept, FIRST_PART * account.prepaid)
+    return max(0, int(kept * share_of_demand(account, now)))
 
 
 def plan_headroom(account: Account, now: float) -> int | None:
@@ -54,12 +51,11 @@
     most = max(0, account.free() + unspent)
     if account.free() < 0:
         return min(unspent, most) if unspent > most else None
-    if account.wanted > unspent:
+    if unspent < account.wanted <= most:
         return min(most, max(target, account.wanted))
     if unspent < LOW_PART * target and most > unspent:
         return min(most, target)
     short = account.free() < SHORT_PART * account.left()
-    wanted = any(one.wanted for one in account.others().values())
-    if (short or wanted) and unspent > HIGH_PART * target:
+    if short and unspent > HIGH_PART * target:
         return target
     return None
