Make the platform a package of the workspace; formatter, linter and types clean

Cause: the thin path landed before its checks. Change: platform/ joins the Makefile, ruff, mypy strict and pytest; types of the relay mended.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,15 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 PACKAGES := pondquay pondquay-daemon pondquay-cli pondquay-standins pondquay-lab
-SOURCES := $(PACKAGES:%=packages/%/src)
+DIRECTORIES := $(PACKAGES:%=packages/%) platform
+SOURCES := $(DIRECTORIES:%=%/src)
 
 .PHONY: demo test fleet bench lint types unit clean
 
-.venv/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+.venv/.installed: requirements.txt $(DIRECTORIES:%=%/pyproject.toml)
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install -q -r requirements.txt
-	$(BIN)/pip install -q --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install -q --no-build-isolation --no-deps $(DIRECTORIES:%=-e %)
 	touch $@
 
 demo: .venv/.installed
@@ -23,8 +24,8 @@
 test: lint types unit
 
 lint: .venv/.installed
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
 
 types: .venv/.installed
 	$(BIN)/mypy $(SOURCES)
--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -8,6 +8,7 @@
 
 from pondquay.membership.messages import FoundRequest, Heartbeat
 from pondquay.names import InstanceId
+from pondquay_daemon.addresses import Address
 from pondquay_daemon.doors.callers import CallerDoor
 from pondquay_daemon.doors.metrics import MetricsDoor
 from pondquay_daemon.doors.operators import OperatorDoor
@@ -21,8 +22,6 @@
 from pondquay_daemon.recovery import Recovery
 from pondquay_daemon.runner import Runner
 from pondquay_daemon.services import Services
-from pondquay_daemon.addresses import Address
-from pondquay_daemon.settings import Settings
 from pondquay_daemon.tasks import sleep
 from pondquay_daemon.treasury import Treasury
 from pondquay_daemon.upstreams import Upstreams
@@ -32,6 +31,7 @@
 
     from pondquay.budgets.messages import HolderMessage, Recall
     from pondquay.membership.messages import Deltas, FindRequest
+    from pondquay_daemon.settings import Settings
 
 BOOT_BYTES = 6
 STOP_STEP_SECONDS = 0.05
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -101,7 +101,9 @@
             for name, one in self._accounts.items()
         }
 
-    async def obtain(self, workspace: str, tokens: int, patience: float) -> Refused | None:
+    async def obtain(
+        self, workspace: str, tokens: int, patience: float
+    ) -> Refused | None:
         """Reserve tokens, asking the table for more if need be.
 
         :param patience: the most seconds that this may take
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections import defaultdict
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
 import h11
 from twisted.internet.error import ConnectionDone
@@ -15,7 +15,7 @@
 from pondquay_daemon.relay.messages import AnswerHead
 
 if TYPE_CHECKING:
-    from twisted.internet.interfaces import IAddress, IDelayedCall, IReactorTCP
+    from twisted.internet.interfaces import IAddress, IDelayedCall
     from twisted.internet.tcp import Client
     from twisted.python.failure import Failure
 
@@ -60,7 +60,7 @@
             h11.CLIENT, max_incomplete_event_size=MOST_ANSWER_HEAD_BYTES
         )
         self._listener: ExchangeListener | None = None
-        self._rest: float | None = None
+        self._rest: int | None = None
         self._close_after = False
         self.open = False
         self.sent = False
@@ -86,7 +86,9 @@
         if not body and method in (b"GET", b"HEAD", b"DELETE"):
             framing = []
         try:
-            request = h11.Request(method=method, target=target, headers=headers + framing)
+            request = h11.Request(
+                method=method, target=target, headers=headers + framing
+            )
             parts = [self._http.send(request)]
             if body:
                 parts.append(self._http.send(h11.Data(data=body)))
@@ -190,10 +192,9 @@
         self._address = address
         self._exchange = exchange
 
-    def buildProtocol(self, addr: IAddress) -> EgressConnection:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> EgressConnection:  # noqa: N802
         """Hand the new connection to the exchange that waits for it."""
-        connection = _FreshConnection(self._pool, self._address, self._exchange)
-        return connection
+        return _FreshConnection(self._pool, self._address, self._exchange)
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: object, reason: Failure
@@ -261,12 +262,14 @@
 class EgressPool:
     """Kept connections by address."""
 
-    def __init__(self, reactor: IReactorTCP) -> None:
+    def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._resting: dict[Address, list[EgressConnection]] = defaultdict(list)
         self.opened = 0
 
-    def start(self, address: Address, exchange: Exchange, *, fresh: bool = False) -> None:
+    def start(
+        self, address: Address, exchange: Exchange, *, fresh: bool = False
+    ) -> None:
         """Carry an exchange.
 
         :param fresh: take a new connection even if one is kept
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
@@ -81,7 +81,9 @@
     async def fetch(self, call: Call, seconds: float) -> Fetched | Unreachable | Lost:
         """Make a call; an answer that takes longer counts as lost."""
         collector = _Collector()
-        exchange = Exchange(collector, call.method, call.target, call.headers, call.body)
+        exchange = Exchange(
+            collector, call.method, call.target, call.headers, call.body
+        )
 
         def give_up() -> None:
             sent = exchange.sent
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -57,7 +57,9 @@
         """Send an answer that is known as a whole."""
         if not self.open:
             return
-        framing = [] if status in (204, 304) else [(b"Content-Length", b"%d" % len(body))]
+        framing = (
+            [] if status in (204, 304) else [(b"Content-Length", b"%d" % len(body))]
+        )
         self.begin(status, headers + framing)
         if body:
             self.send(body)
@@ -234,7 +236,9 @@
 
     def _invite_body(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
-            out = self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
+            out = self._http.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
             cast("Server", self.transport).write(out or b"")
 
     def _refuse(self, status: int) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routes.table import RouteTable
-from pondquay.routing.directory import UpstreamDirectory
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.feeds import TableListener
@@ -13,7 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+    from pondquay.routing.directory import (
+        KnownUpstream,
+        UpstreamDirectory,
+        UpstreamRecord,
+    )
     from pondquay.tables import JsonObject
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.store import RowChange, Snapshot
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -29,7 +29,6 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from pondquay.routes.table import RouteTable
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from random import Random
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.accounts import Refused
@@ -28,6 +27,8 @@
 from pondquay_daemon.relay.messages import Dispatch
 
 if TYPE_CHECKING:
+    from random import Random
+
     from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
     from pondquay.routes.entities import Route, RoutedWorkspace, Service
@@ -360,9 +361,9 @@
             return False
         if status in PROMISES:
             return False
-        if status not in SUCCESS and self._route.repeatable and not last:
-            if self._may_leave():
-                return False
+        may_repeat = status not in SUCCESS and self._route.repeatable and not last
+        if may_repeat and self._may_leave():
+            return False
         headers = drop_connection_headers(outcome.head.headers)
         self._answer.send_whole(status, headers, outcome.body)
         return True
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -77,9 +77,7 @@
     def without(self, holder: str, spent: int) -> AllotmentRow:
         """Return the row after an instance has handed back what it did not spend."""
         holders = {name: one for name, one in self.holders.items() if name != holder}
-        return AllotmentRow(
-            self.closed + spent, self.closed_spent + spent, holders
-        )
+        return AllotmentRow(self.closed + spent, self.closed_spent + spent, holders)
 
     def to_value(self) -> dict[str, Any]:
         """Return the form in which it is stored."""
@@ -95,7 +93,8 @@
     def from_value(cls, value: Mapping[str, Any]) -> AllotmentRow:
         """Read the form in which it is stored."""
         holders = {name: Allotment(*entry) for name, entry in value["holders"].items()}
-        return cls(*value["closed"], holders)
+        closed, closed_spent = value["closed"]
+        return cls(closed, closed_spent, holders)
 
 
 EMPTY_ROW = AllotmentRow()
--- a/packages/pondquay/src/pondquay/routes/table.py
+++ b/packages/pondquay/src/pondquay/routes/table.py
@@ -26,9 +26,7 @@
             by_prefix[route.path_prefix] = route
         self._services = {one.name: one for one in configuration.services}
         self._workspaces = {one.name: one for one in configuration.workspaces}
-        self._keys = {
-            key: one for one in configuration.workspaces for key in one.keys
-        }
+        self._keys = {key: one for one in configuration.workspaces for key in one.keys}
 
     @property
     def version(self) -> int:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -98,7 +98,9 @@
         known.vanished = True
         return known
 
-    def replace(self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int) -> None:
+    def replace(
+        self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int
+    ) -> None:
         """Take in the whole list as it was at some version.
 
         A list that is older than what is known removes nothing newer.
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -23,9 +23,7 @@
     return blake2b(f"{prefix}\0{upstream}".encode(), digest_size=8).digest()
 
 
-def choose_by_prefix(
-    candidates: Sequence[KnownUpstream], prefix: str
-) -> KnownUpstream:
+def choose_by_prefix(candidates: Sequence[KnownUpstream], prefix: str) -> KnownUpstream:
     """Return the first upstream in rank that is not crowded by this instance."""
     ranked = sorted(
         candidates, key=lambda one: score_pair(prefix, one.name), reverse=True
