Link instances: loans of tokens, configuration, leaving upstreams

Cause: each instance needed tokens of its own for 8 s out of reach of the store; few requests use many tokens, so each had to keep far more than its demand, and what it kept was lost with it. Machines out of the store's reach reach each other. Change: msgpack links between all instances; a request that lacks tokens borrows them from peers, who count them as spent; kept ahead are ten seconds of the fleet's demand, together. A configuration or a leaving upstream that one has heard of reaches the others. Seeds and a table of instances tell who there is.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.accounts import Account, Refused
@@ -25,6 +26,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.budgets.allotments import Allotment
     from pondquay.routes.table import RouteTable
     from pondquay.tables import JsonObject, Row
     from pondquay_daemon.relay.store import RowChange, Snapshot, Store
@@ -35,9 +37,23 @@
 # Waits for tokens to come from the table, in turn, before a request is refused.
 OBTAIN_WAITS = (0.02, 0.04, 0.08)
 HAND_BACK_ATTEMPTS = 4
+MOST_LENDERS = 8
 WRITE_ATTEMPTS = 4
 
 
+class Lender(ABC):
+    """Asks other instances for tokens."""
+
+    @property
+    @abstractmethod
+    def peers(self) -> list[str]:
+        """Names of the instances that can be asked."""
+
+    @abstractmethod
+    async def borrow(self, peer: str, workspace: str, tokens: int) -> int:
+        """Ask for tokens; those that come are taken in before this returns."""
+
+
 class AccountBook(Task, TableListener):
     """All accounts of this life of an instance.
 
@@ -45,6 +61,7 @@
     done is known to the account.
 
     :param reachable: tells whether the table answered lately
+    :param lender: asks other instances for tokens
     """
 
     def __init__(
@@ -54,8 +71,10 @@
         holder: str,
         boot: str,
         reachable: Callable[[], bool],
+        lender: Lender,
     ) -> None:
         super().__init__(clock)
+        self._lender = lender
         self._store = store
         self._reachable = reachable
         self._holder = holder
@@ -124,9 +143,44 @@
             await sleep(wait, self.clock)
             refused = account.reserve(tokens)
         account.wanted = 0
+        if refused is not None:
+            refused = await self._borrow(account, workspace, tokens, refused)
         self._adjust_soon(workspace)
         return refused
 
+    async def _borrow(
+        self, account: Account, workspace: str, tokens: int, refused: Refused
+    ) -> Refused | None:
+        """Ask the peers that seem to have most for what lacks."""
+        others = account.others()
+        peers = sorted(self._lender.peers, key=lambda one: _unspent(others, one))
+        for peer in reversed(peers[-MOST_LENDERS:]):
+            lacking = tokens - account.unspent
+            if lacking > 0:
+                await self._lender.borrow(peer, workspace, lacking)
+            again = account.reserve(tokens)
+            if again is None:
+                return None
+        return refused
+
+    def lend(self, workspace: str, tokens: int) -> int:
+        """Hand tokens to a peer that has none; return how many."""
+        account = self._accounts.get(workspace)
+        if account is None or self._closed:
+            return 0
+        lent = account.lend(tokens)
+        if lent:
+            log_event("tokens-lent", workspace=workspace, tokens=lent)
+        self._adjust_soon(workspace)
+        return lent
+
+    def receive_loan(self, workspace: str, tokens: int) -> None:
+        """Take tokens that a peer has handed over."""
+        account = self._accounts.get(workspace)
+        if account is not None:
+            account.receive_loan(tokens)
+            log_event("tokens-borrowed", workspace=workspace, tokens=tokens)
+
     def settle(self, workspace: str, reserved: int, used: int) -> None:
         """Replace a reservation by what was used of it."""
         self._accounts[workspace].settle(reserved, used)
@@ -234,6 +288,11 @@
             account.read(AllotmentRow.from_value(row.value), row.version)
 
 
+def _unspent(others: Mapping[str, Allotment], instance: str) -> int:
+    entry = others.get(instance)
+    return 0 if entry is None else entry.unspent
+
+
 def row_key(workspace: str) -> str:
     """Return the key of a workspace's row."""
     return f"{TABLE}/{workspace}"
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -71,10 +71,19 @@
 
 
 class UpstreamView(TableListener):
-    """Keeps the directory of upstreams up to date with the store's list."""
+    """Keeps the directory of upstreams up to date with the store's list.
 
-    def __init__(self, border: Border, directory: UpstreamDirectory) -> None:
+    :param on_leaving: called with the name of an upstream that is heard to leave
+    """
+
+    def __init__(
+        self,
+        border: Border,
+        directory: UpstreamDirectory,
+        on_leaving: Callable[[str], None],
+    ) -> None:
         self._border = border
+        self._on_leaving = on_leaving
         self.directory = directory
         self.known = False
 
@@ -109,6 +118,8 @@
     def _log(self, event: str, upstream: KnownUpstream | None) -> None:
         if upstream is None:
             return
+        if upstream.leaving:
+            self._on_leaving(upstream.name)
         log_event(
             event,
             upstream=upstream.name,
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -0,0 +1,134 @@
+"""What instances say to each other, as msgpack arrays that begin with a code."""
+
+from __future__ import annotations
+
+from dataclasses import astuple, dataclass
+from typing import Any, ClassVar, TypeAlias
+
+import msgpack
+
+from pondquay_daemon.relay.errors import MalformedValueError
+
+MOST_MESSAGE_BYTES = 16 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The first message on a link.
+
+    :param members: addresses of the instances that are known, by name
+    """
+
+    CODE: ClassVar[int] = 1
+    instance: str
+    members: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Says that the sender lives, and which configuration it has."""
+
+    CODE: ClassVar[int] = 2
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfiguration:
+    """Asks for the configuration."""
+
+    CODE: ClassVar[int] = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationValue:
+    """The configuration as the operators wrote it."""
+
+    CODE: ClassVar[int] = 4
+    version: int
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaves:
+    """Says that an upstream leaves, or that its row is gone."""
+
+    CODE: ClassVar[int] = 5
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class LoanRequest:
+    """Asks for tokens of a workspace."""
+
+    CODE: ClassVar[int] = 6
+    number: int
+    workspace: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """Hands tokens over; the sender has counted them as spent.
+
+    :param tokens: 0 if it has none to spare
+    """
+
+    CODE: ClassVar[int] = 7
+    number: int
+    workspace: str
+    tokens: int
+
+
+PeerMessage: TypeAlias = (
+    Hello
+    | Heartbeat
+    | FetchConfiguration
+    | ConfigurationValue
+    | UpstreamLeaves
+    | LoanRequest
+    | Loan
+)
+MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
+    one.CODE: one
+    for one in (
+        Hello,
+        Heartbeat,
+        FetchConfiguration,
+        ConfigurationValue,
+        UpstreamLeaves,
+        LoanRequest,
+        Loan,
+    )
+}
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return a message's bytes."""
+    packed: bytes = msgpack.packb([message.CODE, *astuple(message)])
+    return packed
+
+
+class MessageReader:
+    """Reads messages from a stream of bytes."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MOST_MESSAGE_BYTES)
+
+    def feed(self, data: bytes) -> list[PeerMessage]:
+        """Return the messages that are whole now.
+
+        :raises MalformedValueError: if the bytes are no message
+        """
+        try:
+            self._unpacker.feed(data)
+            return [_read_message(one) for one in self._unpacker]
+        except (msgpack.UnpackException, ValueError, TypeError) as error:
+            raise MalformedValueError(f"peer message: {error!r}") from error
+
+
+def _read_message(fields: Any) -> PeerMessage:
+    code, *values = fields
+    message_type = MESSAGE_TYPES.get(code)
+    if message_type is None:
+        raise MalformedValueError(f"peer message: unknown code {code!r}")
+    return message_type(*values)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -0,0 +1,313 @@
+"""Links between instances: configuration, leaving upstreams, and loans of tokens.
+
+An instance that the store does not serve learns through them what the others know, and
+tokens that one instance holds and another needs go over without the store.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from itertools import count
+from random import shuffle
+from typing import TYPE_CHECKING, Any, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
+
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.accounts import Lender
+from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.peermessages import (
+    ConfigurationValue,
+    FetchConfiguration,
+    Heartbeat,
+    Hello,
+    Loan,
+    LoanRequest,
+    MessageReader,
+    UpstreamLeaves,
+    encode_message,
+)
+from pondquay_daemon.tasks import Task, wait_at_most
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from twisted.internet.interfaces import IAddress, IReactorTime
+    from twisted.internet.tcp import Connection
+    from twisted.python.failure import Failure
+
+    from pondquay_daemon.relay.peermessages import PeerMessage
+
+HEARTBEAT_SECONDS = 0.5
+SILENT_SECONDS = 2.0
+CONNECT_SECONDS = 0.5
+LOAN_SECONDS = 0.04
+# Links that an instance opens by itself; in a larger fleet each has some of the others.
+MOST_LINKS = 16
+
+
+class PeerListener(ABC):
+    """What the rest of the relay offers to its peers."""
+
+    @abstractmethod
+    def configuration_version(self) -> int:
+        """Return the version in force here, 0 if there is none."""
+
+    @abstractmethod
+    def configuration_value(self) -> dict[str, Any] | None:
+        """Return the configuration as the operators wrote it."""
+
+    @abstractmethod
+    def offer_configuration(self, value: dict[str, Any]) -> None:
+        """Take in a configuration that may be newer."""
+
+    @abstractmethod
+    def note_leaving(self, upstream: str) -> None:
+        """Take in that an upstream leaves."""
+
+    @abstractmethod
+    def lend(self, workspace: str, tokens: int) -> int:
+        """Count tokens as spent here and return how many, 0 if none can be spared."""
+
+    @abstractmethod
+    def receive_loan(self, workspace: str, tokens: int) -> None:
+        """Take tokens that a peer has counted as spent."""
+
+
+class PeerLink(Protocol):
+    """A connection to another instance; both ends are alike."""
+
+    def __init__(self, mesh: PeerMesh) -> None:
+        self._mesh = mesh
+        self._reader = MessageReader()
+        self.instance = ""
+        self.heard = 0.0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Greet the peer."""
+        cast("Connection", self.transport).setTcpNoDelay(True)
+        self._mesh.greet(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of messages."""
+        try:
+            messages = self._reader.feed(data)
+        except MalformedValueError as error:
+            log_event("peer-malformed", Level.WARNING, peer=self.instance, error=error)
+            self.drop()
+            return
+        for message in messages:
+            self._mesh.receive(self, message)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Learn that the link is gone."""
+        self._mesh.lose(self)
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message."""
+        cast("Connection", self.transport).write(encode_message(message))
+
+    def drop(self) -> None:
+        """Close the link at once."""
+        cast("Connection", self.transport).abortConnection()
+
+
+class _Listening(Factory):
+    """Accepts links."""
+
+    noisy = False
+
+    def __init__(self, mesh: PeerMesh) -> None:
+        self._mesh = mesh
+
+    def buildProtocol(self, addr: IAddress | None) -> PeerLink:  # noqa: N802
+        return PeerLink(self._mesh)
+
+
+class _Connecting(ClientFactory):
+    """Opens one link."""
+
+    noisy = False
+
+    def __init__(self, mesh: PeerMesh, address: Address) -> None:
+        self._mesh = mesh
+        self._address = address
+
+    def buildProtocol(self, addr: IAddress | None) -> PeerLink:  # noqa: N802
+        return PeerLink(self._mesh)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+        self._mesh.connecting.discard(self._address)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+        self._mesh.connecting.discard(self._address)
+
+
+class PeerMesh(Task, Lender):
+    """All links of one instance.
+
+    :param address: where this instance accepts links
+    :param seeds: addresses of some others
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        instance: str,
+        address: Address,
+        seeds: Iterable[Address],
+        listener: PeerListener,
+    ) -> None:
+        super().__init__(reactor)
+        self._reactor: Any = reactor
+        self._instance = instance
+        self._address = address
+        self._listener = listener
+        self._members: dict[str, Address] = {instance: address}
+        self._seeds = [one for one in seeds if one != address]
+        self._links: dict[str, PeerLink] = {}
+        self._all: set[PeerLink] = set()
+        self.connecting: set[Address] = set()
+        self._numbers = count(1)
+        self._loans: dict[int, Deferred[int]] = {}
+
+    def start(self) -> None:
+        """Accept and open links."""
+        self._reactor.listenTCP(
+            self._address.port, _Listening(self), 64, self._address.host
+        )
+        self.repeat(HEARTBEAT_SECONDS, self._beat)
+
+    def learn(self, instance: str, address: Address) -> None:
+        """Take in where an instance accepts links."""
+        self._members[instance] = address
+
+    def forget(self, instance: str) -> None:
+        """Take in that an instance is gone."""
+        if instance != self._instance:
+            self._members.pop(instance, None)
+
+    @property
+    def peers(self) -> list[str]:
+        """Names of the instances to which a link is open."""
+        return list(self._links)
+
+    def announce_version(self) -> None:
+        """Tell all peers which configuration is in force here."""
+        self._send_all(Heartbeat(self._listener.configuration_version()))
+
+    def announce_leaving(self, upstream: str) -> None:
+        """Tell all peers that an upstream leaves."""
+        self._send_all(UpstreamLeaves(upstream))
+
+    async def borrow(self, peer: str, workspace: str, tokens: int) -> int:
+        """Ask a peer for tokens; return how many came in time."""
+        link = self._links.get(peer)
+        if link is None:
+            return 0
+        number = next(self._numbers)
+        waiting: Deferred[int] = Deferred()
+        self._loans[number] = waiting
+        link.send(LoanRequest(number, workspace, tokens))
+        lent = await wait_at_most(waiting, LOAN_SECONDS, self.clock, 0)
+        self._loans.pop(number, None)
+        return lent
+
+    def greet(self, link: PeerLink) -> None:
+        """Send the first message on a link."""
+        link.heard = self.clock.seconds()
+        self._all.add(link)
+        members = {name: str(address) for name, address in self._members.items()}
+        link.send(Hello(self._instance, members))
+        link.send(Heartbeat(self._listener.configuration_version()))
+
+    def lose(self, link: PeerLink) -> None:
+        """Forget a link."""
+        self._all.discard(link)
+        if self._links.get(link.instance) is link:
+            del self._links[link.instance]
+            log_event("peer-lost", peer=link.instance)
+
+    def receive(self, link: PeerLink, message: PeerMessage) -> None:
+        """Act on a message."""
+        link.heard = self.clock.seconds()
+        if isinstance(message, Hello):
+            self._receive_hello(link, message)
+        elif isinstance(message, Heartbeat):
+            if message.version > self._listener.configuration_version():
+                link.send(FetchConfiguration())
+        elif isinstance(message, FetchConfiguration):
+            self._send_configuration(link)
+        elif isinstance(message, ConfigurationValue):
+            if message.version > self._listener.configuration_version():
+                self._listener.offer_configuration(message.value)
+        elif isinstance(message, UpstreamLeaves):
+            self._listener.note_leaving(message.upstream)
+        elif isinstance(message, LoanRequest):
+            lent = self._listener.lend(message.workspace, message.tokens)
+            link.send(Loan(message.number, message.workspace, lent))
+        else:
+            self._receive_loan(message)
+
+    def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
+        link.instance = hello.instance
+        for name, address in hello.members.items():
+            self._members.setdefault(name, Address.parse(address))
+        if hello.instance not in self._links:
+            self._links[hello.instance] = link
+            log_event("peer-linked", peer=hello.instance)
+
+    def _send_configuration(self, link: PeerLink) -> None:
+        value = self._listener.configuration_value()
+        if value is not None:
+            version = self._listener.configuration_version()
+            link.send(ConfigurationValue(version, value))
+
+    def _receive_loan(self, loan: Loan) -> None:
+        """Take a loan, also one that comes after it was waited for."""
+        if loan.tokens > 0:
+            self._listener.receive_loan(loan.workspace, loan.tokens)
+        waiting = self._loans.get(loan.number)
+        if waiting is not None and not waiting.called:
+            waiting.callback(loan.tokens)
+
+    async def _beat(self) -> None:
+        self._drop_silent()
+        self.announce_version()
+        self._open_links()
+
+    def _drop_silent(self) -> None:
+        now = self.clock.seconds()
+        for link in list(self._all):
+            if now - link.heard > SILENT_SECONDS:
+                link.drop()
+
+    def _open_links(self) -> None:
+        missing = [
+            address
+            for name, address in self._members.items()
+            if name not in self._links and name != self._instance
+        ]
+        if not self._links:
+            missing += self._seeds
+        shuffle(missing)
+        room = MOST_LINKS - len(self._links)
+        for address in missing[: max(0, room)]:
+            self._connect(address)
+
+    def _connect(self, address: Address) -> None:
+        if address in self.connecting:
+            return
+        self.connecting.add(address)
+        self._reactor.connectTCP(
+            address.host,
+            address.port,
+            _Connecting(self, address),
+            timeout=CONNECT_SECONDS,
+        )
+
+    def _send_all(self, message: PeerMessage) -> None:
+        for link in self._links.values():
+            link.send(message)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -16,6 +16,9 @@
 from pondquay_daemon.relay.feeds import TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.members import TABLE as MEMBERS
+from pondquay_daemon.relay.members import MemberList
+from pondquay_daemon.relay.peers import PeerListener, PeerMesh
 from pondquay_daemon.relay.placement import Placement
 from pondquay_daemon.relay.requests import (
     Refusal,
@@ -29,6 +32,7 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from pondquay.routes.table import RouteTable
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -46,7 +50,7 @@
 STOP_STEP_SECONDS = 0.05
 
 
-class Relay(RequestHandler):
+class Relay(RequestHandler, PeerListener):
     """Serves routed requests at one instance."""
 
     def __init__(self, reactor: Any, border: Border, settings: RelaySettings) -> None:
@@ -57,12 +61,17 @@
         self._store = border.open_store(settings, reactor)
         directory = UpstreamDirectory()
         bounds = settings.bounds
+        self._peers = PeerMesh(
+            reactor, settings.instance, settings.peers, settings.seeds, self
+        )
+        self._members = MemberList(reactor, self._store, self._peers, settings.instance)
         self._accounts = AccountBook(
             reactor,
             self._store,
             settings.instance,
             uuid4().hex[:12],
             lambda: self._feed.reachable,
+            self._peers,
         )
         self._parts = RelayParts(
             reactor,
@@ -74,8 +83,8 @@
             RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
             Random(),
         )
-        self._configuration = ConfigurationView(border, self._accounts.take_table)
-        self._upstreams = UpstreamView(border, directory)
+        self._configuration = ConfigurationView(border, self._take_table)
+        self._upstreams = UpstreamView(border, directory, self._peers.announce_leaving)
         names = border.store_names
         self._feed = TableFeed(
             reactor, self._store, names.configuration[0], self._configuration
@@ -84,6 +93,7 @@
             self._feed,
             TableFeed(reactor, self._store, names.upstreams, self._upstreams),
             TableFeed(reactor, self._store, ALLOTMENTS, self._accounts),
+            TableFeed(reactor, self._store, MEMBERS, self._members),
         ]
         self._callers = IngressServer(reactor, self)
         self._probes = IngressServer(reactor, ReadinessHandler(self, border))
@@ -106,6 +116,8 @@
         for feed in self._feeds:
             feed.start()
         self._accounts.start()
+        self._peers.start()
+        spawn(self._members.join(settings.peers), "MemberList")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
     async def stop(self) -> None:
@@ -121,6 +133,7 @@
             if not self._callers.connections:
                 break
             await sleep(STOP_STEP_SECONDS, self._reactor)
+        await self._members.leave()
         await self._accounts.hand_back()
         log_event("stopped", open=len(self._callers.connections))
 
@@ -143,6 +156,37 @@
         run = RequestRun(self._parts, admitted, service, head, body, answer)
         spawn(run.run(), "RequestRun")
 
+    def configuration_version(self) -> int:
+        """Return the version in force here, 0 if there is none."""
+        table = self._configuration.table
+        return 0 if table is None else table.version
+
+    def configuration_value(self) -> dict[str, Any] | None:
+        """Return the configuration as the operators wrote it."""
+        value = self._configuration.value
+        return None if value is None else dict(value)
+
+    def offer_configuration(self, value: dict[str, Any]) -> None:
+        """Take in a configuration that a peer has."""
+        self._configuration.offer(value)
+
+    def note_leaving(self, upstream: str) -> None:
+        """Take in that a peer heard of an upstream's leaving."""
+        if self._parts.directory.note_leaving(upstream):
+            log_event("upstream-leaves", upstream=upstream, source="peer")
+
+    def lend(self, workspace: str, tokens: int) -> int:
+        """Hand tokens to a peer."""
+        return self._accounts.lend(workspace, tokens)
+
+    def receive_loan(self, workspace: str, tokens: int) -> None:
+        """Take tokens from a peer."""
+        self._accounts.receive_loan(workspace, tokens)
+
+    def _take_table(self, table: RouteTable) -> None:
+        self._accounts.take_table(table)
+        self._peers.announce_version()
+
     def _current(self) -> bool:
         age = self._feed.age()
         return age is not None and (
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -33,7 +33,7 @@
 
     :param callers: where callers' requests come in
     :param readiness: where the balancer asks whether this instance is ready
-    :param peers: where other instances connect, ``None`` for no links
+    :param peers: where other instances connect
     :param seeds: ``peers`` addresses of some other instances
     """
 
@@ -42,6 +42,6 @@
     callers: Address
     readiness: Address
     store: Address
-    peers: Address | None = None
+    peers: Address
     seeds: tuple[Address, ...] = ()
     bounds: RelayBounds = RelayBounds()
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -13,6 +13,7 @@
     from collections.abc import Mapping
 
 RATE_SECONDS = 8.0
+LEAST_AGE_SECONDS = 2.0
 
 
 class Refused(StrEnum):
@@ -28,21 +29,33 @@
 
 @dataclass(slots=True)
 class Demand:
-    """How many tokens a second are asked for, as an exponential average."""
+    """How many tokens a second are asked for, as an exponential average.
+
+    :param largest: tokens of the largest request
+    """
 
-    rate: float = 0.0
     largest: int = 0
+    _sum: float = 0.0
     _at: float = 0.0
+    _began: float | None = None
 
     def note(self, tokens: int, now: float) -> None:
         """Note a request."""
-        self.rate = self.at(now) + tokens / RATE_SECONDS
+        if self._began is None:
+            self._began = now
+        self._sum = self._sum_at(now) + tokens
         self._at = now
         self.largest = max(self.largest, tokens)
 
-    def at(self, now: float) -> float:
-        """Return the rate at some time, in tokens a second."""
-        return self.rate * exp((self._at - now) / RATE_SECONDS)
+    def rate(self, now: float) -> float:
+        """Return tokens a second; a short past is not taken for a low rate."""
+        if self._began is None:
+            return 0.0
+        age = max(LEAST_AGE_SECONDS, now - self._began)
+        return self._sum_at(now) / (RATE_SECONDS * (1 - exp(-age / RATE_SECONDS)))
+
+    def _sum_at(self, now: float) -> float:
+        return self._sum * exp((self._at - now) / RATE_SECONDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +74,7 @@
     """What one life of an instance may spend, has spent and has reserved.
 
     :param ceiling: the lowest that the row's ceiling for this life can be
+    :param spent: tokens used and lent, less those borrowed
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
     """
@@ -98,6 +112,22 @@
         self.reserved -= reserved
         self.spent += min(reserved, used)
 
+    def lend(self, tokens: int) -> int:
+        """Count tokens as spent here, so that a peer may spend them; return how many.
+
+        A peer asks only for what it cannot serve at once, so all that is unspent goes.
+        """
+        lent = max(0, min(tokens, self.unspent))
+        self.spent += lent
+        return lent
+
+    def receive_loan(self, tokens: int) -> None:
+        """Take tokens that a peer has counted as spent.
+
+        What this life has spent, less what it was lent, may fall below zero.
+        """
+        self.spent -= tokens
+
     def read(self, row: AllotmentRow, version: int) -> None:
         """Take in the row as it stood at a version.
 
@@ -120,7 +150,7 @@
         :param headroom: tokens beyond those spent and reserved
         """
         ceiling = self.spent + self.reserved + headroom
-        rate = int(self.demand.at(now))
+        rate = int(self.demand.rate(now))
         entry = Allotment(self.boot, ceiling, self.spent, rate)
         return Change(self.row.with_entry(self.holder, entry), ceiling)
 
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -12,10 +12,16 @@
 if TYPE_CHECKING:
     from pondquay.budgets.accounts import Account
 
-# Part of the prepaid tokens that all instances together keep ahead.
-KEPT_OF_PREPAID = 0.22
+# Seconds of all instances' demand that they together keep ahead: what one of them has
+# too little of in an outage it borrows from another.
+COVER_SECONDS = 10.0
+# Largest requests that they together keep ahead besides.
+COVER_REQUESTS = 2
+# Part of the prepaid tokens that they keep while no demand is known, and at most.
+FIRST_OF_PREPAID = 0.15
+MOST_OF_PREPAID = 0.25
 # Part of what is left that they keep at most.
-KEPT_OF_LEFT = 0.7
+MOST_OF_LEFT = 0.7
 # Part of the prepaid tokens that an instance keeps before it knows the others.
 FIRST_PART = 0.03
 # Rate that is added to each instance's, as a part of the mean, so that all get some.
@@ -29,16 +35,27 @@
 
 def share_of_demand(account: Account, now: float) -> float:
     """Return this instance's part of the demand that the row shows."""
-    own = account.demand.at(now)
+    own = account.demand.rate(now)
     rates = [float(one.rate) for one in account.others().values()]
     mean = (own + sum(rates)) / (1 + len(rates))
     floor = FLOOR_PART * mean + 1.0
     return (own + floor) / (own + sum(rates) + floor * (1 + len(rates)))
 
 
+def kept_ahead(account: Account, now: float) -> float:
+    """Return the tokens that all instances together should have unspent."""
+    rate = account.demand.rate(now)
+    rate += sum(one.rate for one in account.others().values())
+    need = COVER_SECONDS * rate + COVER_REQUESTS * account.demand.largest
+    if rate == 0.0:
+        need = FIRST_OF_PREPAID * account.prepaid
+    most = min(MOST_OF_PREPAID * account.prepaid, MOST_OF_LEFT * account.left())
+    return min(need, most)
+
+
 def target_headroom(account: Account, now: float) -> int:
     """Return the tokens that this instance should have unspent."""
-    kept = min(KEPT_OF_PREPAID * account.prepaid, KEPT_OF_LEFT * account.left())
+    kept = kept_ahead(account, now)
     if not account.others():
         kept = min(kept, FIRST_PART * account.prepaid)
     return max(0, int(kept * share_of_demand(account, now)))
