Keep four seconds of demand ahead; refuse late in a stop; keep the last tokens small

With loans, a cut needs far less. (3) the state machine found 402 said wrongly: loans were counted twice in what rows called spent. Changes: COVER_SECONDS 10 to 4, one largest request, four tenths of what is left; after 2.6 s of a stop new requests are refused as not run; the last 3% serve small requests only; rows tell what requests used, without loans.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -273,8 +273,7 @@
             return True
         if account.row.find(self._holder, self._boot) is None:
             return True
-        account.ceiling = account.spent
-        row = account.row.without(self._holder, account.spent)
+        row = account.close()
         reply = await self._store.commit(make_transaction(name, account.version, row))
         if isinstance(reply, Conflict):
             self._read_row(account, reply.rows.rows.get(row_key(name)))
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -46,8 +46,10 @@
 # After the balancer is told, connections may still come for this long.
 BALANCER_SECONDS = 2.6
 # Kept free at the end of a planned stop, to hand allotments back.
-HAND_BACK_SECONDS = 0.8
+HAND_BACK_SECONDS = 0.5
 STOP_STEP_SECONDS = 0.05
+# Seconds after which a caller that is refused for the stop should ask another instance.
+ELSEWHERE = 0.1
 
 
 class Relay(RequestHandler, PeerListener):
@@ -98,6 +100,7 @@
         self._callers = IngressServer(reactor, self)
         self._probes = IngressServer(reactor, ReadinessHandler(self, border))
         self.stopping = False
+        self._refusing = False
 
     @property
     def ready(self) -> bool:
@@ -127,6 +130,7 @@
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._callers.connections))
         await sleep(BALANCER_SECONDS, self._reactor)
+        self._refusing = True
         until = began + self._settings.bounds.stop - HAND_BACK_SECONDS
         while self._reactor.seconds() < until:
             self._callers.close_idle()
@@ -145,6 +149,12 @@
     def handle(self, head: RequestHead, body: bytes, answer: CallerAnswer) -> None:
         """Begin to serve a request."""
         table = self._configuration.table
+        if self._refusing:
+            # What begins now may outlast this process.
+            send_refusal(
+                self._border, answer, "", Refusal(UNAVAILABLE, "stopping", ELSEWHERE)
+            )
+            return
         admitted = admit_request(
             head, table, self._border, self._parts.random, current=self._current()
         )
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -13,6 +13,10 @@
     from collections.abc import Mapping
 
 RATE_SECONDS = 8.0
+# Part of the prepaid tokens that is kept for small requests, so that a workspace which
+# is nearly out of tokens is still answered; a small one needs this part at most.
+LAST_PART = 0.03
+SMALL_PART = 0.01
 LEAST_AGE_SECONDS = 2.0
 
 
@@ -75,6 +79,7 @@
 
     :param ceiling: the lowest that the row's ceiling for this life can be
     :param spent: tokens used and lent, less those borrowed
+    :param used: tokens that requests ran for
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
     """
@@ -84,6 +89,7 @@
     prepaid: int
     ceiling: int = 0
     spent: int = 0
+    used: int = 0
     reserved: int = 0
     version: int | None = None
     row: AllotmentRow = EMPTY_ROW
@@ -98,12 +104,13 @@
 
     def reserve(self, tokens: int) -> Refused | None:
         """Set tokens aside before a request is sent, ``None`` if that succeeded."""
-        if tokens <= self.unspent:
+        kept = self._kept_from(tokens)
+        if tokens <= self.unspent and tokens + kept <= self.left():
             self.reserved += tokens
             return None
         if self.version is None:
             return Refused.UNKNOWN
-        if self._surely_spent() + tokens > self.prepaid:
+        if self._surely_spent() + tokens + kept > self.prepaid:
             return Refused.EXHAUSTED
         return Refused.ELSEWHERE
 
@@ -111,6 +118,7 @@
         """Replace a reservation by what was used of it."""
         self.reserved -= reserved
         self.spent += min(reserved, used)
+        self.used += min(reserved, used)
 
     def lend(self, tokens: int) -> int:
         """Count tokens as spent here, so that a peer may spend them; return how many.
@@ -151,7 +159,7 @@
         """
         ceiling = self.spent + self.reserved + headroom
         rate = int(self.demand.rate(now))
-        entry = Allotment(self.boot, ceiling, self.spent, rate)
+        entry = Allotment(self.boot, ceiling, self.used, rate)
         return Change(self.row.with_entry(self.holder, entry), ceiling)
 
     def begin(self, change: Change) -> None:
@@ -167,6 +175,11 @@
         self.ceiling = change.ceiling
         self._lowered = None
 
+    def close(self) -> AllotmentRow:
+        """Return the row after this life's end; nothing may be reserved from now on."""
+        self.ceiling = self.spent
+        return self.row.without(self.holder, self.spent, self.used)
+
     def free(self) -> int:
         """Tokens that no instance holds, by the row as last known."""
         return self.prepaid - self.row.committed
@@ -174,11 +187,17 @@
     def left(self) -> int:
         """Tokens that the workspace may still spend, by what is known here."""
         others = sum(one.spent for one in self.others().values())
-        return self.prepaid - self.row.closed - others - self.spent - self.reserved
+        return self.prepaid - self.row.closed - others - self.used - self.reserved
+
+    def _kept_from(self, tokens: int) -> int:
+        """Return the tokens that a request of this size may not touch."""
+        if tokens <= SMALL_PART * self.prepaid:
+            return 0
+        return int(LAST_PART * self.prepaid)
 
     def _surely_spent(self) -> int:
         others = sum(one.spent for one in self.others().values())
-        return self.row.closed_spent + others + self.spent
+        return self.row.closed_spent + others + self.used
 
     def others(self) -> Mapping[str, Allotment]:
         """Return the other living instances' entries."""
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -22,7 +22,7 @@
 
     :param boot: the life of the instance that it is for
     :param ceiling: the most tokens that this life may ever spend
-    :param spent: what it had spent when it wrote this
+    :param spent: what requests had used there when it wrote this, without loans
     :param rate: tokens a second that it was asked for
     """
 
@@ -74,10 +74,14 @@
             self.closed + before.ceiling, self.closed_spent + before.spent, holders
         )
 
-    def without(self, holder: str, spent: int) -> AllotmentRow:
-        """Return the row after an instance has handed back what it did not spend."""
+    def without(self, holder: str, spent: int, used: int) -> AllotmentRow:
+        """Return the row after an instance has handed back what it did not spend.
+
+        :param spent: with what it lent, without what it borrowed
+        :param used: what requests used there
+        """
         holders = {name: one for name, one in self.holders.items() if name != holder}
-        return AllotmentRow(self.closed + spent, self.closed_spent + spent, holders)
+        return AllotmentRow(self.closed + spent, self.closed_spent + used, holders)
 
     def to_value(self) -> dict[str, Any]:
         """Return the form in which it is stored."""
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -14,14 +14,14 @@
 
 # Seconds of all instances' demand that they together keep ahead: what one of them has
 # too little of in an outage it borrows from another.
-COVER_SECONDS = 10.0
+COVER_SECONDS = 4.0
 # Largest requests that they together keep ahead besides.
-COVER_REQUESTS = 2
+COVER_REQUESTS = 1
 # Part of the prepaid tokens that they keep while no demand is known, and at most.
 FIRST_OF_PREPAID = 0.15
 MOST_OF_PREPAID = 0.25
 # Part of what is left that they keep at most.
-MOST_OF_LEFT = 0.7
+MOST_OF_LEFT = 0.4
 # Part of the prepaid tokens that an instance keeps before it knows the others.
 FIRST_PART = 0.03
 # Rate that is added to each instance's, as a part of the mean, so that all get some.
