Give what is left to a peer when a stop cannot reach the store

Change: a stopping instance closes its accounts side by side; where the store certainly did not take that, a peer gets the tokens, counted as spent here first.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from twisted.internet.defer import Deferred, gatherResults
+
 from pondquay.budgets.accounts import Account, Refused
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
 from pondquay.budgets.headroom import plan_headroom, target_headroom
@@ -53,6 +55,10 @@
     async def borrow(self, peer: str, workspace: str, tokens: int) -> int:
         """Ask for tokens; those that come are taken in before this returns."""
 
+    @abstractmethod
+    def give(self, peer: str, workspace: str, tokens: int) -> None:
+        """Hand over tokens that were counted as spent here."""
+
 
 class AccountBook(Task, TableListener):
     """All accounts of this life of an instance.
@@ -186,12 +192,34 @@
         self._accounts[workspace].settle(reserved, used)
 
     async def hand_back(self) -> None:
-        """Close this life's allotments: what was not spent returns to the budgets."""
+        """Close this life's allotments: what was not spent returns to the budgets.
+
+        Where the store certainly did not take the close, a peer gets the tokens.
+        """
         self._closed = True
-        for name, account in self._accounts.items():
-            for _ in range(HAND_BACK_ATTEMPTS):
-                if await self._close_account(name, account):
-                    break
+        steps = [
+            Deferred.fromCoroutine(self._hand_back(name, account))
+            for name, account in self._accounts.items()
+        ]
+        await gatherResults(steps)
+
+    async def _hand_back(self, name: str, account: Account) -> None:
+        closed: bool | None = None
+        for _ in range(HAND_BACK_ATTEMPTS):
+            closed = self._reachable() and await self._close_account(name, account)
+            if closed is not None:
+                break
+        if closed is False:
+            self._give_away(name, account)
+
+    def _give_away(self, name: str, account: Account) -> None:
+        peers = self._lender.peers
+        if not peers:
+            return
+        tokens = account.lend(account.unspent)
+        if tokens:
+            self._lender.give(peers[0], name, tokens)
+            log_event("tokens-given", workspace=name, tokens=tokens, peer=peers[0])
 
     def _take_row(self, key: str, value: JsonObject, version: int) -> None:
         account = self._accounts.get(key)
@@ -267,18 +295,26 @@
             await sleep(RETRY_SECONDS, self.clock)
         return True
 
-    async def _close_account(self, name: str, account: Account) -> bool:
-        """Write one account's end; tell whether nothing is left to do."""
-        if account.version is None or account.reserved:
-            return True
+    async def _close_account(self, name: str, account: Account) -> bool | None:
+        """Write one account's end.
+
+        :returns: whether it ended, ``None`` to try again
+        """
+        if account.version is None or account.reserved or name in self._writing:
+            return False
         if account.row.find(self._holder, self._boot) is None:
             return True
+        spent = account.spent
         row = account.close()
         reply = await self._store.commit(make_transaction(name, account.version, row))
         if isinstance(reply, Conflict):
             self._read_row(account, reply.rows.rows.get(row_key(name)))
+            return None
+        if isinstance(reply, Unreachable):
+            account.reopen()
             return False
-        return isinstance(reply, Committed)
+        log_event("allotment-closed", workspace=name, spent=spent, reply=reply)
+        return True
 
     def _read_row(self, account: Account, row: Row | None) -> None:
         if row is None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -215,6 +215,12 @@
         self._loans.pop(number, None)
         return lent
 
+    def give(self, peer: str, workspace: str, tokens: int) -> None:
+        """Hand over tokens that were counted as spent here."""
+        link = self._links.get(peer)
+        if link is not None:
+            link.send(Loan(0, workspace, tokens))
+
     def greet(self, link: PeerLink) -> None:
         """Send the first message on a link."""
         link.heard = self.clock.seconds()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -137,8 +137,9 @@
             if not self._callers.connections:
                 break
             await sleep(STOP_STEP_SECONDS, self._reactor)
-        await self._members.leave()
         await self._accounts.hand_back()
+        if self._feed.reachable:
+            await self._members.leave()
         log_event("stopped", open=len(self._callers.connections))
 
     def limits(self) -> CallerLimits:
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -180,6 +180,12 @@
         self.ceiling = self.spent
         return self.row.without(self.holder, self.spent, self.used)
 
+    def reopen(self) -> None:
+        """Learn that the end of this life was certainly not written."""
+        entry = self.row.find(self.holder, self.boot)
+        if entry is not None and self._lowered is None:
+            self.ceiling = entry.ceiling
+
     def free(self) -> int:
         """Tokens that no instance holds, by the row as last known."""
         return self.prepaid - self.row.committed
