--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -66,7 +66,7 @@
         self.sent = False
         self.expiry: IDelayedCall | None = None
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Begin to carry exchanges."""
         self.open = True
         transport = cast("Client", self.transport)
@@ -99,7 +99,7 @@
         self.sent = True
         cast("Client", self.transport).writeSequence([one or b"" for one in parts])
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:
         """Take bytes of an answer."""
         if self._listener is None:
             self.drop()
@@ -107,7 +107,7 @@
         self._http.receive_data(data)
         self._read_events()
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Learn that the connection is gone.
 
         Only a clean end may be the end of an answer that has no length.
@@ -192,13 +192,11 @@
         self._address = address
         self._exchange = exchange
 
-    def buildProtocol(self, addr: IAddress | None) -> EgressConnection:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> EgressConnection:
         """Hand the new connection to the exchange that waits for it."""
         return _FreshConnection(self._pool, self._address, self._exchange)
 
-    def clientConnectionFailed(  # noqa: N802
-        self, connector: object, reason: Failure
-    ) -> None:
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         """Tell the exchange that nothing was sent."""
         self._exchange.fail_connect(reason.getErrorMessage())
 
@@ -210,7 +208,7 @@
         super().__init__(pool, address)
         self._exchange: Exchange | None = exchange
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Send what waits."""
         super().connectionMade()
         exchange, self._exchange = self._exchange, None
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -116,20 +116,23 @@
         self._arrived: float | None = None
         self._answer: CallerAnswer | None = None
         self._no_body = False
+        self._refused = False
 
     @property
     def idle(self) -> bool:
         """Whether nothing has been read of a request, and none is answered."""
         return self._arrived is None and self._answer is None
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Wait for the first request."""
         self._server.connections.add(self)
         cast("Server", self.transport).setTcpNoDelay(True)
         self._wait(self._handler.limits().idle_timeout, self._end_idle)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take bytes of a request."""
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of a request; what follows a refused one is not read."""
+        if self._refused:
+            return
         if self._arrived is None and self._answer is None:
             self._arrived = self._clock.seconds()
             self._wait(self._handler.limits().header_timeout, self._end_slow)
@@ -139,7 +142,7 @@
         elif len(self._http.trailing_data[0]) > READ_AHEAD_BYTES:
             self.abort()
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Learn that the caller has gone."""
         self._server.connections.discard(self)
         self._stop_timer()
@@ -191,7 +194,7 @@
             self._clock.callLater(0, self._read_events)
 
     def _read_events(self) -> None:
-        while self._answer is None:
+        while self._answer is None and not self._refused:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -243,6 +246,7 @@
 
     def _refuse(self, status: int) -> None:
         """Answer what cannot be a request, and close."""
+        self._refused = True
         self._stop_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
@@ -279,7 +283,7 @@
         self.connections: set[IngressConnection] = set()
         self.stopping = False
 
-    def buildProtocol(self, addr: IAddress | None) -> IngressConnection:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> IngressConnection:
         """Return the protocol of a new connection."""
         return IngressConnection(self._clock, self._handler, self)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -85,12 +85,12 @@
         self.instance = ""
         self.heard = 0.0
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Greet the peer."""
         cast("Connection", self.transport).setTcpNoDelay(True)
         self._mesh.greet(self)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:
         """Take bytes of messages."""
         try:
             messages = self._reader.feed(data)
@@ -101,7 +101,7 @@
         for message in messages:
             self._mesh.receive(self, message)
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Learn that the link is gone."""
         self._mesh.lose(self)
 
@@ -122,7 +122,7 @@
     def __init__(self, mesh: PeerMesh) -> None:
         self._mesh = mesh
 
-    def buildProtocol(self, addr: IAddress | None) -> PeerLink:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> PeerLink:
         return PeerLink(self._mesh)
 
 
@@ -135,13 +135,13 @@
         self._mesh = mesh
         self._address = address
 
-    def buildProtocol(self, addr: IAddress | None) -> PeerLink:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> PeerLink:
         return PeerLink(self._mesh)
 
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
         self._mesh.connecting.discard(self._address)
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self._mesh.connecting.discard(self._address)
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -7,7 +7,7 @@
 from pondquay.routing.rendezvous import choose_by_prefix, choose_nearest
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -20,22 +20,29 @@
 
 
 class Placement:
-    """Chooses upstreams by what their caches hold and by how they behave."""
+    """Chooses upstreams by what their caches hold and by how they behave.
+
+    :param current: tells whether the list of upstreams was confirmed lately
+    """
 
     def __init__(
-        self, clock: IReactorTime, directory: UpstreamDirectory, domain: str
+        self,
+        clock: IReactorTime,
+        directory: UpstreamDirectory,
+        domain: str,
+        current: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._domain = domain
+        self._current = current
 
     def choose(
         self, service: str, prefix: tuple[PromptPart, ...], tried: Collection[str]
     ) -> KnownUpstream | None:
         """Return an upstream that was not tried yet, ``None`` if there is none."""
-        candidates = [
-            one for one in self._directory.candidates(service) if one.name not in tried
-        ]
+        known = self._directory.candidates(service, current=self._current())
+        candidates = [one for one in known if one.name not in tried]
         if not candidates:
             return None
         now = self._clock.seconds()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -61,7 +61,7 @@
         self._settings = settings
         self._pool = EgressPool(reactor)
         self._store = border.open_store(settings, reactor)
-        directory = UpstreamDirectory()
+        directory = UpstreamDirectory(reactor.seconds)
         bounds = settings.bounds
         self._peers = PeerMesh(
             reactor, settings.instance, settings.peers, settings.seeds, self
@@ -80,7 +80,7 @@
             border,
             self._pool,
             directory,
-            Placement(reactor, directory, settings.domain),
+            Placement(reactor, directory, settings.domain, self._current),
             self._accounts,
             RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
             Random(),
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pondquay.routes.entities import CallerLimits
+
+if TYPE_CHECKING:
+    from .conftest import CallerSide
+
+GET = b"GET /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Own: 1\r\n\r\n"
+
+
+def test_a_request_is_read_whole_with_its_names_as_written(caller: CallerSide) -> None:
+    caller.send(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nX-OwN: v\r\nContent-Length: 5\r\n\r\nhe"
+    )
+    assert not caller.handler.requests
+    caller.send(b"llo")
+    head, body, _ = caller.handler.requests[0]
+    assert (head.method, head.target, body) == (b"POST", b"/a", b"hello")
+    assert (b"X-OwN", b"v") in head.headers
+
+
+def test_a_chunked_body_is_joined(caller: CallerSide) -> None:
+    caller.send(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+    )
+    assert caller.handler.requests[0][1] == b"hello"
+
+
+def test_two_requests_on_one_connection_are_answered_in_order(
+    caller: CallerSide,
+) -> None:
+    caller.send(GET + GET)
+    assert len(caller.handler.requests) == 1
+    caller.handler.requests[0][2].send_whole(200, [], b"one")
+    caller.clock.advance(0)
+    assert len(caller.handler.requests) == 2
+    caller.handler.requests[1][2].send_whole(200, [], b"two")
+    assert caller.sent_back().count(b"HTTP/1.1 200") == 2
+    assert caller.sent_back().index(b"one") < caller.sent_back().index(b"two")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Content-Length: 5\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n",
+        b"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"GET /a HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_what_has_no_sure_end_is_refused_and_closed(
+    caller: CallerSide, head: bytes
+) -> None:
+    caller.send(head + b"0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert not caller.handler.requests
+    assert caller.sent_back()[:12] in (b"HTTP/1.1 400", b"HTTP/1.1 501")
+    assert caller.transport.disconnecting
+
+
+def test_a_body_that_is_too_large_is_refused(caller: CallerSide) -> None:
+    caller.handler.bounds = CallerLimits(body_bytes=4)
+    caller.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+    assert caller.sent_back().startswith(b"HTTP/1.1 413")
+    assert not caller.handler.requests
+
+
+def test_a_head_that_is_too_large_is_refused(caller: CallerSide) -> None:
+    caller.send(b"GET /a HTTP/1.1\r\nHost: h\r\nX-Long: " + b"a" * 20000)
+    assert caller.sent_back().startswith(b"HTTP/1.1 431")
+
+
+def test_a_head_that_does_not_end_is_refused_in_time(caller: CallerSide) -> None:
+    caller.send(b"GET /a HTTP/1.1\r\n")
+    caller.clock.advance(caller.handler.bounds.header_timeout)
+    assert caller.sent_back().startswith(b"HTTP/1.1 408")
+
+
+def test_an_idle_connection_is_closed_in_time(caller: CallerSide) -> None:
+    caller.send(GET)
+    caller.handler.requests[0][2].send_whole(200, [], b"")
+    caller.clock.advance(caller.handler.bounds.idle_timeout - 0.1)
+    assert not caller.transport.disconnecting
+    caller.clock.advance(0.2)
+    assert caller.transport.disconnecting
+
+
+def test_a_stream_that_is_broken_off_does_not_look_whole(caller: CallerSide) -> None:
+    caller.send(GET)
+    answer = caller.handler.requests[0][2]
+    answer.begin(200, [], b"id: 1\n\n")
+    answer.break_off()
+    assert caller.transport.aborted
+    assert b"0\r\n\r\n" not in caller.sent_back()
+
+
+def test_a_caller_that_leaves_is_noticed_once(caller: CallerSide) -> None:
+    caller.send(GET)
+    answer = caller.handler.requests[0][2]
+    gone: list[bool] = []
+    answer.on_gone = lambda: gone.append(True)
+    caller.protocol.connectionLost()
+    answer.send_whole(200, [], b"late")
+    assert gone == [True]
+    assert caller.sent_back() == b""
+
+
+def test_while_stopping_answers_close_their_connection(caller: CallerSide) -> None:
+    caller.server.stopping = True
+    caller.send(GET)
+    caller.handler.requests[0][2].send_whole(200, [], b"x")
+    assert b"connection: close" in caller.sent_back().lower()
+    assert caller.transport.disconnecting
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -0,0 +1,210 @@
+"""Stand-ins for the platform's replicas: byte by byte, with faults on demand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any, cast
+
+import h11
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+
+from pondquay_standins.web import reactor
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+EVENT_SECONDS = 0.01
+WORK_SECONDS = 0.01
+
+
+class ReplicaFault(StrEnum):
+    """What a replica does wrong."""
+
+    NONE = "none"
+    FULL = "full"
+    ERROR = "error"
+    HANG = "hang"
+    LOSE_ANSWER = "lose-answer"
+    CUT = "cut"
+    UNSIGNED = "unsigned"
+    FOREIGN = "foreign"
+    SURPLUS = "surplus"
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that a replica began to work on.
+
+    :param first: number of its first event
+    :param events: how many it sent
+    """
+
+    attempt: str
+    replica: str
+    tenant: str
+    target: str
+    body: str
+    first: int
+    events: int = 0
+    ended: str = "running"
+
+
+@dataclass(slots=True)
+class Replica:
+    """One replica, in one life."""
+
+    name: str
+    service: str
+    zone: str
+    fault: ReplicaFault = ReplicaFault.NONE
+    runs: list[Run] = field(default_factory=list)
+    arrivals: int = 0
+
+
+class ReplicaConnection(Protocol):
+    """One connection of a replica."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._http = h11.Connection(h11.SERVER)
+        self._request: h11.Request | None = None
+        self._body = b""
+        self._run: Run | None = None
+        self._timer: Any = None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of a request."""
+        self._http.receive_data(data)
+        self._read()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Drop the request that runs, as most replicas do."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._run is not None and self._run.ended == "running":
+            self._run.ended = "dropped"
+
+    def _read(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._request, self._body = event, b""
+            elif isinstance(event, h11.Data):
+                self._body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._begin()
+                return
+            else:
+                cast("Any", self.transport).loseConnection()
+                return
+
+    def _header(self, name: str) -> str:
+        assert self._request is not None
+        for one, value in self._request.headers:
+            if one == name.lower().encode():
+                return value.decode()
+        return ""
+
+    def _begin(self) -> None:
+        replica = self._replica
+        replica.arrivals += 1
+        expected = self._header("X-Pondquay-Expect-Replica")
+        if expected and expected != replica.name:
+            self._send_whole(421, [("X-Pondquay-Replica-Id", replica.name)], b"")
+            return
+        if replica.fault is ReplicaFault.FULL:
+            self._send_whole(503, [("X-Pondquay-Not-Executed", "1")], b"")
+            return
+        assert self._request is not None
+        self._run = Run(
+            self._header("X-Pondquay-Attempt-Id"),
+            replica.name,
+            self._header("X-Pondquay-Tenant"),
+            self._request.target.decode(),
+            self._body.decode("latin-1"),
+            int(self._header("Last-Event-Id") or 0) + 1,
+        )
+        replica.runs.append(self._run)
+        self._timer = reactor.callLater(WORK_SECONDS, self._work, self._run)
+
+    def _work(self, run: Run) -> None:
+        fault = self._replica.fault
+        if fault is ReplicaFault.HANG:
+            return
+        if fault is ReplicaFault.LOSE_ANSWER:
+            run.ended = "answer lost"
+            cast("Any", self.transport).abortConnection()
+            return
+        last = int(self._header("X-Test-Events") or 0)
+        if last:
+            self._send_head()
+            self._send_events(run, last)
+            return
+        status = 500 if fault is ReplicaFault.ERROR else 200
+        run.ended = str(status)
+        body = f"{run.replica}:{run.attempt}".encode()
+        self._send_whole(status, self._marks(), body)
+
+    def _marks(self) -> list[tuple[str, str]]:
+        fault = self._replica.fault
+        assert self._run is not None
+        attempt = "another" if fault is ReplicaFault.FOREIGN else self._run.attempt
+        marks = [("X-Pondquay-Attempt-Id", attempt)]
+        if fault is not ReplicaFault.UNSIGNED:
+            marks.append(("X-Pondquay-Replica-Signature", f"sig.{self._replica.name}"))
+        return marks
+
+    def _send_head(self) -> None:
+        headers = [*self._marks(), ("Content-Type", "text/event-stream")]
+        self._write(self._http.send(h11.Response(status_code=200, headers=headers)))
+
+    def _send_events(self, run: Run, last: int) -> None:
+        number = run.first + run.events
+        if number > last:
+            run.ended = "200"
+            self._write(self._http.send(h11.EndOfMessage()))
+            self._next()
+            return
+        if self._replica.fault is ReplicaFault.CUT and run.events >= 2:
+            run.ended = "cut"
+            self._write(self._http.send(h11.Data(data=b"id: 9")))
+            cast("Any", self.transport).abortConnection()
+            return
+        data = f"id: {number}\ndata: piece {number}\n\n".encode()
+        self._write(self._http.send(h11.Data(data=data)))
+        run.events += 1
+        self._timer = reactor.callLater(EVENT_SECONDS, self._send_events, run, last)
+
+    def _send_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        all_headers = [*headers, ("Content-Length", str(len(body)))]
+        response = h11.Response(status_code=status, headers=all_headers)
+        out = self._http.send(response) or b""
+        out += self._http.send(h11.Data(data=body)) or b""
+        out += self._http.send(h11.EndOfMessage()) or b""
+        self._write(out * 2 if self._replica.fault is ReplicaFault.SURPLUS else out)
+        self._next()
+
+    def _next(self) -> None:
+        self._http.start_next_cycle()
+        self._read()
+
+    def _write(self, data: bytes | None) -> None:
+        cast("Any", self.transport).write(data or b"")
+
+
+class ReplicaFactory(Factory):
+    """Accepts a replica's connections."""
+
+    noisy = False
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def buildProtocol(self, addr: object) -> ReplicaConnection:
+        """Return the protocol of a new connection."""
+        return ReplicaConnection(self._replica)
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -0,0 +1,271 @@
+"""Relays as separate processes before the stand-in of the platform, for tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from base64 import b64decode
+from contextlib import ExitStack
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from pondquay_standins.processes import HOST, Process, call_http, pick_port, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from types import TracebackType
+
+CALL_SECONDS = 10.0
+HOST_NAME = "board.example"
+ENGINE_SERVICE = "judge"
+PLAIN_SERVICE = "board"
+STOP_SECONDS = 4
+
+
+@dataclass(slots=True)
+class Relay:
+    """One relay process."""
+
+    name: str
+    port: int
+    ready_port: int
+    peer_port: int
+    settings: Path
+    process: Process
+
+    @property
+    def ready(self) -> bool:
+        """Whether it says that it is ready."""
+        url = f"http://{HOST}:{self.ready_port}/api/readyz"
+        return call_http("GET", url).status == 200
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """What a caller got.
+
+    :param complete: whether the answer came to its end
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    complete: bool
+
+
+def make_configuration(version: int, prepaid: int = 1_000_000) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+
+    def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST_NAME,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 2000,
+            "slo_ms": 300,
+            "service": service,
+            "attempts": 2,
+            **fields,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("audit", "streaming", ENGINE_SERVICE, resumable=True),
+            route("review", "streaming", ENGINE_SERVICE, attempts=1, timeout_ms=10_000),
+            route("fetch", "idempotent", PLAIN_SERVICE),
+            route("write", "non_idempotent", PLAIN_SERVICE),
+        ],
+        "services": [
+            {
+                "name": ENGINE_SERVICE,
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "engine": {"slots": 8, "stride": 3},
+            },
+            {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_conns": 100},
+        ],
+        "tenants": [
+            {"name": "moderators", "api_keys": ["key-1", "key-2"], "prepaid": prepaid}
+        ],
+    }
+
+
+class RoutedFleet:
+    """The stand-in of the platform, and relays before it."""
+
+    def __init__(self) -> None:
+        self._stack = ExitStack()
+        self.store_port = pick_port()
+        self.control_port = pick_port()
+        self.relays: dict[str, Relay] = {}
+        self.replica_ports: dict[str, int] = {}
+        self._attempts = 0
+
+    def __enter__(self) -> RoutedFleet:
+        """Start the platform."""
+        self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        self._spawn(
+            "platform",
+            "pondquay_standins.routedplatform",
+            {},
+            *("--store", str(self.store_port), "--control", str(self.control_port)),
+        )
+        wait_until(lambda: self.runs() == [], "the platform")
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self._stack.close()
+
+    def start_replicas(self, service: str, *names: str) -> None:
+        """Start replicas of a service."""
+        for name in names:
+            self.replica_ports[name] = pick_port()
+            self.control(
+                "start",
+                name=name,
+                service=service,
+                zone="a",
+                port=self.replica_ports[name],
+            )
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write the operators' configuration."""
+        self.control("put", table="op", key="config", value=configuration)
+
+    def start_relay(self, name: str, *, wait: bool = True) -> Relay:
+        """Start a relay, or start it again with its settings."""
+        known = self.relays.get(name)
+        ports = [pick_port() for _ in range(3)]
+        if known is not None:
+            ports = [known.port, known.ready_port, known.peer_port]
+        settings = self._folder / f"{name}.toml"
+        seeds = [f"{HOST}:{one.peer_port}" for one in self.relays.values()]
+        settings.write_text(self._settings(name, ports, seeds))
+        process = self._spawn(
+            name,
+            "pondquay_daemon",
+            {"PONDQUAY_SETTINGS": str(settings)},
+            *("--border", "pondquay_platform"),
+        )
+        front, ready, control = ports
+        relay = Relay(name, front, ready, control, settings, process)
+        self.relays[name] = relay
+        if wait:
+            wait_until(lambda: relay.ready, f"relay {name}")
+        return relay
+
+    def ask(
+        self,
+        relay: Relay,
+        path: str,
+        *,
+        method: str = "POST",
+        tokens: tuple[int, int] | None = None,
+        events: int = 0,
+        key: str = "key-1",
+        attempt: str = "",
+        deadline: float | None = None,
+    ) -> Answered:
+        """Send one request as a caller does.
+
+        :raises OSError: if there is no answer
+        """
+        self._attempts += 1
+        headers = {
+            "Host": HOST_NAME,
+            "X-Pondquay-Attempt-Id": attempt or f"attempt-{self._attempts}",
+            "Authorization": f"Bearer {key}",
+        }
+        if tokens is not None:
+            headers["X-Pondquay-Token-Usage"] = f"{tokens[0]},{tokens[1]}"
+            headers["X-Pondquay-Prefix-Hash"] = f"aa:{tokens[0] - 1},bb:1"
+        if events:
+            headers["X-Test-Events"] = str(events)
+        if deadline is not None:
+            headers["X-Pondquay-Deadline-Ms"] = str(int(deadline * 1000))
+        connection = HTTPConnection(HOST, relay.port, timeout=CALL_SECONDS)
+        try:
+            connection.request(method, path, body=b"body", headers=headers)
+            return _read_answer(connection)
+        finally:
+            connection.close()
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Return all that ran at replicas."""
+        url = f"http://{HOST}:{self.control_port}/runs"
+        found: list[dict[str, Any]] = call_http("GET", url).json()
+        return found
+
+    def allotments(self, workspace: str) -> dict[str, Any]:
+        """Return a workspace's row, empty if there is none."""
+        url = f"http://{HOST}:{self.control_port}/rows/allotments"
+        for row in call_http("GET", url).json():
+            if row["key"] == workspace:
+                value: dict[str, Any] = json.loads(b64decode(row["value"]))
+                return value
+        return {}
+
+    def control(self, action: str, **fields: Any) -> None:
+        """Change what stands or what is wrong."""
+        call_http("POST", f"http://{HOST}:{self.control_port}/{action}", fields)
+
+    def _settings(self, name: str, ports: list[int], seeds: list[str]) -> str:
+        front, ready, control = (f"{HOST}:{port}" for port in ports)
+        return "\n".join(
+            [
+                f'node_name = "{name}"',
+                'zone = "a"',
+                f"seeds = {json.dumps(seeds)}",
+                "[listen]",
+                f'front = "{front}"',
+                f'ready = "{ready}"',
+                f'control = "{control}"',
+                "[bounds]",
+                "config_ms = 2000",
+                f"grace_s = {STOP_SECONDS}",
+                "retry_ratio = 0.2",
+                "retry_extra = 400",
+                "[platform]",
+                f'address = "{HOST}:{self.store_port}"',
+            ]
+        )
+
+    def _spawn(
+        self, name: str, module: str, environment: dict[str, str], *arguments: str
+    ) -> Process:
+        log = self._folder / f"{name}.log"
+        with log.open("ab") as out:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=out,
+                stderr=out,
+                env={**os.environ, **environment},
+            )
+        process = Process(name, popen, log)
+        self._stack.callback(process.kill)
+        return process
+
+
+def _read_answer(connection: HTTPConnection) -> Answered:
+    response = connection.getresponse()
+    body = b""
+    complete = True
+    try:
+        while piece := response.read1(65536):
+            body += piece
+    except (OSError, HTTPException):
+        complete = False
+    return Answered(response.status, dict(response.headers), body, complete)
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -190,6 +190,17 @@
         """Tokens that no instance holds, by the row as last known."""
         return self.prepaid - self.row.committed
 
+    @property
+    def lowering(self) -> bool:
+        """Whether a lower ceiling counts here that is not known to be in the row."""
+        return self._lowered is not None
+
+    def most_headroom(self) -> int:
+        """Return the most headroom that the row has room for."""
+        entry = self.row.find(self.holder, self.boot)
+        stored = 0 if entry is None else entry.ceiling
+        return max(0, self.free() + stored - self.spent - self.reserved)
+
     def left(self) -> int:
         """Tokens that the workspace may still spend, by what is known here."""
         others = sum(one.spent for one in self.others().values())
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -65,7 +65,9 @@
     """Return the headroom that should be written, ``None`` if nothing is worth it."""
     target = target_headroom(account, now)
     unspent = account.unspent
-    most = max(0, account.free() + unspent)
+    most = account.most_headroom()
+    if account.lowering:
+        return min(most, max(unspent, target))
     if account.free() < 0:
         return min(unspent, most) if unspent > most else None
     if unspent < account.wanted <= most:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -8,7 +8,11 @@
 from pondquay.routing.circuits import Circuit
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+# Seconds for which an upstream whose row has vanished is still tried where no other is
+# left: rows also vanish when the list's store is in trouble.
+VANISHED_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +37,14 @@
     """An upstream and what this instance has seen of it.
 
     :param version: of the list's row that the record is from
+    :param vanished: when its row was gone, in seconds
     :param running: requests of this instance that are there now
     """
 
     record: UpstreamRecord
     version: int
     leaving: bool = False
-    vanished: bool = False
+    vanished: float | None = None
     running: int = 0
     circuit: Circuit = field(default_factory=Circuit)
 
@@ -54,9 +59,12 @@
 
     Each start of an upstream has a name of its own, so a name that has left never
     comes back.
+
+    :param clock: tells the time in seconds
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
         self._known: dict[str, KnownUpstream] = {}
         self._gone: dict[str, int] = {}
         self.version = 0
@@ -81,11 +89,11 @@
             known = KnownUpstream(record, version, leaving=record.leaving)
             self._known[record.name] = known
             return known
-        if known.version >= version and not known.vanished:
+        if known.version >= version and known.vanished is None:
             return None
         known.record = record
         known.version = version
-        known.vanished = False
+        known.vanished = None
         known.leaving = known.leaving or record.leaving
         return known
 
@@ -93,9 +101,11 @@
         """Take in that a row is gone, ``None`` if that is not new."""
         self._gone[name] = max(version, self._gone.get(name, 0))
         known = self._known.get(name)
-        if known is None or known.version > version or known.vanished:
+        if known is None or known.version > version:
+            return None
+        if known.vanished is not None:
             return None
-        known.vanished = True
+        known.vanished = self._clock()
         return known
 
     def replace(
@@ -119,16 +129,20 @@
         known.leaving = True
         return True
 
-    def candidates(self, service: str) -> list[KnownUpstream]:
+    def candidates(self, service: str, *, current: bool = True) -> list[KnownUpstream]:
         """Return those that may get new work.
 
-        Entries vanish when an upstream leaves without a word, but also when the list's
-        store is in trouble. Vanished ones are tried only where nothing else is left.
+        Rows vanish when an upstream leaves without a word, but also when the list's
+        store is in trouble. Vanished ones are tried only where nothing else is left,
+        and no longer than for a moment if the list is current.
         """
         of_service = [
             one
             for one in self._known.values()
             if one.record.service == service and not one.leaving
         ]
-        present = [one for one in of_service if not one.vanished]
-        return present or of_service
+        present = [one for one in of_service if one.vanished is None]
+        if present or not current:
+            return present or of_service
+        since = self._clock() - VANISHED_SECONDS
+        return [one for one in of_service if (one.vanished or 0.0) > since]
--- /dev/null
+++ b/packages/pondquay/tests/routing/test_rendezvous.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.rendezvous import (
+    MOST_RUNNING_BY_PREFIX,
+    choose_by_prefix,
+    choose_nearest,
+)
+
+
+def known(name: str, domain: str = "a") -> KnownUpstream:
+    return KnownUpstream(UpstreamRecord(name, "judge", "10.0.0.1:80", domain, 6), 1)
+
+
+def test_all_instances_choose_alike_whatever_order_they_know() -> None:
+    upstreams = [known(f"u{number}") for number in range(6)]
+    for prefix in map(str, range(50)):
+        one = choose_by_prefix(upstreams, prefix)
+        other = choose_by_prefix(upstreams[::-1], prefix)
+        assert one.name == other.name
+
+
+def test_only_the_prefixes_of_one_that_is_gone_move() -> None:
+    upstreams = [known(f"u{number}") for number in range(6)]
+    for prefix in map(str, range(100)):
+        before = choose_by_prefix(upstreams, prefix).name
+        after = choose_by_prefix(upstreams[1:], prefix).name
+        assert before in (after, "u0")
+
+
+def test_a_hot_prefix_spreads_once_an_upstream_is_crowded() -> None:
+    upstreams = [known("u1"), known("u2")]
+    first = choose_by_prefix(upstreams, "hot")
+    first.running = MOST_RUNNING_BY_PREFIX
+    assert choose_by_prefix(upstreams, "hot") is not first
+
+
+def test_the_own_domain_is_taken_until_it_is_crowded() -> None:
+    near, far = known("u1", "a"), known("u2", "b")
+    assert choose_nearest([far, near], "a", 3) is near
+    near.running = 3
+    assert choose_nearest([far, near], "a", 3) is far
+    far.running = 4
+    assert choose_nearest([far, near], "a", 3) is near
--- /dev/null
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondquay.routing.retryshares import RetryShare
+
+RATIO, EXTRA, WINDOW = 0.2, 54.0, 10.0
+MOST_INSTANCES = 16
+steps = st.lists(
+    st.tuples(
+        st.integers(0, MOST_INSTANCES - 1),
+        st.booleans(),
+        st.floats(0, 1.5),
+    ),
+    max_size=300,
+)
+
+
+@given(steps)
+def test_the_sum_over_all_instances_holds_in_every_window(
+    taken: list[tuple[int, bool, float]],
+) -> None:
+    shares = [RetryShare(RATIO, EXTRA, WINDOW) for _ in range(MOST_INSTANCES)]
+    first: list[float] = []
+    further: list[float] = []
+    now = 0.0
+    for instance, is_first, pause in taken:
+        now += pause
+        if is_first:
+            shares[instance].note_first("judge", now)
+            first.append(now)
+        elif shares[instance].spend("judge", now):
+            further.append(now)
+    for end in further:
+        begin = end - WINDOW
+        retries = sum(begin <= one <= end for one in further)
+        requests = sum(begin <= one <= end for one in first)
+        earlier = sum(begin - WINDOW <= one < begin for one in first)
+        assert retries <= RATIO * max(requests, earlier) + EXTRA
+
+
+def test_a_service_has_a_share_of_its_own() -> None:
+    share = RetryShare(0.0, 16.0, WINDOW)
+    assert share.spend("judge", 0.0)
+    assert not share.spend("judge", 1.0)
+    assert share.spend("board", 1.0)
+    assert share.spend("judge", WINDOW + 0.1)
--- /dev/null
+++ b/tests/border/test_headers.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import pytest
+
+from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.messages import (
+    AnswerHead,
+    Dispatch,
+    PromptPart,
+    RequestHead,
+)
+from pondquay_platform.headers import (
+    read_answer,
+    read_request,
+    write_refusal,
+    write_request,
+)
+
+HEADERS = [
+    (b"Host", b"ficu95.example"),
+    (b"X-Pondquay-Attempt-Id", b"9c41d07be2a35f68"),
+    (b"x-pondquay-token-usage", b"1460,80"),
+    (b"X-Pondquay-Prefix-Hash", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"X-Pondquay-Deadline-Ms", b"12000"),
+    (b"Authorization", b"Bearer n2ctnfzs989anu6wsjnb"),
+    (b"X-Pondquay-Tenant", b"forged"),
+    (b"X-Pondquay-Expect-Replica", b"forged"),
+    (b"Last-Event-Id", b"12"),
+]
+
+
+def head(*headers: tuple[bytes, bytes]) -> RequestHead:
+    return RequestHead(b"POST", b"/lohu930/2f", list(headers))
+
+
+def test_a_request_is_read_whatever_the_case_of_its_names() -> None:
+    marks = read_request(head(*HEADERS))
+    assert marks.attempt == "9c41d07be2a35f68"
+    assert marks.key == "n2ctnfzs989anu6wsjnb"
+    assert marks.deadline == 12.0
+    assert (marks.prompt_tokens, marks.output_tokens) == (1460, 80)
+    assert marks.prefix[1] == PromptPart("91bd3f06", 410)
+    assert marks.last_event == 12
+
+
+def test_a_request_may_say_nothing_of_itself() -> None:
+    marks = read_request(head((b"Host", b"h")))
+    assert (marks.attempt, marks.key, marks.deadline) == ("", None, None)
+    assert (marks.most_tokens, marks.prefix, marks.last_event) == (0, (), 0)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Pondquay-Deadline-Ms", b"soon"),
+        (b"X-Pondquay-Token-Usage", b"12"),
+        (b"X-Pondquay-Prefix-Hash", b"abc"),
+        (b"Last-Event-Id", b"x"),
+    ],
+)
+def test_what_cannot_be_read_is_an_error(header: tuple[bytes, bytes]) -> None:
+    with pytest.raises(MalformedValueError):
+        read_request(head(header))
+
+
+def test_an_upstream_learns_the_workspace_and_never_the_key() -> None:
+    sent = write_request(HEADERS, Dispatch("i-7f3a91c2", 1.2345, "hule930", 3))
+    names = [name.lower() for name, _ in sent]
+    assert b"authorization" not in names
+    assert names.count(b"x-pondquay-tenant") == 1
+    assert (b"X-Pondquay-Tenant", b"hule930") in sent
+    assert (b"X-Pondquay-Expect-Replica", b"i-7f3a91c2") in sent
+    assert (b"X-Pondquay-Deadline-Ms", b"1234") in sent
+    assert (b"Last-Event-Id", b"12") in sent
+    assert HEADERS[3] in sent
+
+
+def test_without_a_workspace_a_caller_cannot_name_one() -> None:
+    sent = write_request(HEADERS, Dispatch("i-1", 1.0, None, 3))
+    assert b"x-pondquay-tenant" not in [name.lower() for name, _ in sent]
+
+
+def test_a_resumed_stream_names_the_last_event_that_came() -> None:
+    sent = write_request(HEADERS, Dispatch("i-1", 1.0, None, 3, resume_after=20))
+    assert [value for name, value in sent if name == b"Last-Event-Id"] == [b"20"]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "misdirected"),
+    [
+        (200, [], False, False),
+        (503, [(b"X-Pondquay-Not-Executed", b"1")], True, False),
+        (503, [], False, False),
+        (421, [(b"X-Pondquay-Replica-Id", b"i-2")], False, True),
+    ],
+)
+def test_only_the_mark_says_that_nothing_ran(
+    status: int, headers: list[tuple[bytes, bytes]], not_run: bool, misdirected: bool
+) -> None:
+    marks = read_answer(AnswerHead(status, b"", headers))
+    assert (marks.not_run, marks.misdirected) == (not_run, misdirected)
+
+
+def test_a_refusal_bears_no_signature_and_says_when_to_come_back() -> None:
+    assert write_refusal("a1", 0.25) == [
+        (b"X-Pondquay-Attempt-Id", b"a1"),
+        (b"Retry-After", b"0.250"),
+    ]
--- /dev/null
+++ b/tests/border/test_settings.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from pondquay.errors import InvalidInputError
+from pondquay_daemon.addresses import Address
+from pondquay_platform.settings import read_settings
+
+
+def make_fields() -> dict[str, Any]:
+    return {
+        "node_name": "edge-1",
+        "zone": "hall-a",
+        "seeds": ["10.1.0.40:8229"],
+        "listen": {
+            "front": "10.1.0.40:8227",
+            "ready": "10.1.0.40:8220",
+            "control": "10.1.0.40:8229",
+        },
+        "bounds": {"config_ms": 3000, "grace_s": 8, "retry_ratio": 0.3},
+        "platform": {"address": "10.200.1.7:8223"},
+        "unknown": {"is": "ignored"},
+    }
+
+
+def test_settings_are_read_in_seconds_and_addresses() -> None:
+    settings = read_settings(make_fields(), "local.toml")
+    assert settings.instance == "edge-1"
+    assert settings.callers == Address("10.1.0.40", 8227)
+    assert settings.seeds == (Address("10.1.0.40", 8229),)
+    assert settings.bounds.configuration == 3.0
+    assert settings.bounds.retry_ratio == 0.3
+
+
+def test_all_that_is_wrong_is_reported_together() -> None:
+    fields = make_fields()
+    del fields["node_name"]
+    fields["listen"]["front"] = "nowhere"
+    fields["bounds"]["grace_s"] = "long"
+    fields["seeds"] = [7]
+    with pytest.raises(InvalidInputError) as caught:
+        read_settings(fields, "local.toml")
+    subjects = {finding.subject for finding in caught.value.findings}
+    assert {"node_name", "listen.front", "bounds.grace_s", "seeds"} <= subjects
+    assert all(finding.place == "local.toml" for finding in caught.value.findings)
