--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -286,6 +286,8 @@
                 ceiling=change.ceiling,
                 spent=account.spent,
                 free=account.free(),
+                closed=account.row.closed,
+                closed_spent=account.row.closed_spent,
             )
         elif isinstance(reply, Conflict):
             self._read_row(account, reply.rows.rows.get(row_key(name)))
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -26,11 +26,12 @@
 FIRST_PART = 0.03
 # Rate that is added to each instance's, as a part of the mean, so that all get some.
 FLOOR_PART = 0.5
-# Below this part of the target more is asked for, above the other some is returned.
+# Below this part of the target more is asked for.
 LOW_PART = 0.7
-HIGH_PART = 1.4
-# Part of what is left below which free tokens count as short.
-SHORT_PART = 0.15
+# What is above the target by this part of it, and by this part of the prepaid tokens,
+# is returned.
+HIGH_PART = 0.5
+WORTH_RETURNING = 0.005
 
 
 def share_of_demand(account: Account, now: float) -> float:
@@ -74,7 +75,7 @@
         return min(most, max(target, account.wanted))
     if unspent < LOW_PART * target and most > unspent:
         return min(most, target)
-    short = account.free() < SHORT_PART * account.left()
-    if short and unspent > HIGH_PART * target:
+    surplus = unspent - target
+    if surplus > max(HIGH_PART * target, WORTH_RETURNING * account.prepaid):
         return target
     return None
