Keep links alive at both ends; keep eight seconds ahead; log each request's end

The test with two links fails first. Change: heartbeats go on every link. One line at each request's end with what it was settled at.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -151,6 +151,16 @@
         account.wanted = 0
         if refused is not None:
             refused = await self._borrow(account, workspace, tokens, refused)
+        if refused is not None:
+            log_event(
+                "tokens-refused",
+                workspace=workspace,
+                reason=refused,
+                tokens=tokens,
+                unspent=account.unspent,
+                free=account.free(),
+                left=account.left(),
+            )
         self._adjust_soon(workspace)
         return refused
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -281,7 +281,10 @@
 
     async def _beat(self) -> None:
         self._drop_silent()
-        self.announce_version()
+        # Both ends of a pair may have opened a link and use different ones, so each
+        # link is kept alive by itself.
+        for link in self._all:
+            link.send(Heartbeat(self._listener.configuration_version()))
         self._open_links()
 
     def _drop_silent(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -9,7 +9,7 @@
 from pondquay.routes.table import choose_service
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
-from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.attempts import (
     PROMISES,
     SUCCESS,
@@ -166,6 +166,9 @@
         self._stopped = ""
         self._may_have_run = False
         self._reserved = 0
+        self._used = 0
+        self._sent_to: list[str] = []
+        self._outcome = ""
         self._retry_taken = False
         self._tried: set[str] = set()
         self._progress: StreamProgress | None = None
@@ -191,6 +194,7 @@
             if timer.active():
                 timer.cancel()
             self._settle(self._reserved)
+            self._log_end()
 
     def _start_timer(self) -> IDelayedCall:
         seconds = max(0.0, self._until - self._parts.clock.seconds())
@@ -227,8 +231,23 @@
     def _settle(self, used: int) -> None:
         reserved, self._reserved = self._reserved, 0
         if reserved and self._workspace is not None:
+            self._used = min(reserved, used)
             self._parts.accounts.settle(self._workspace.name, reserved, used)
 
+    def _log_end(self) -> None:
+        workspace = "" if self._workspace is None else self._workspace.name
+        log_event(
+            "request-ended",
+            request=self._marks.attempt,
+            route=self._route.name,
+            workspace=workspace,
+            upstreams=",".join(self._sent_to),
+            outcome=self._outcome,
+            tokens=self._used,
+            bound=self._marks.most_tokens,
+            seconds=round(self._parts.clock.seconds() - self._answer.arrived, 3),
+        )
+
     async def _try_upstreams(self) -> Refusal | None:
         """Send the request until it is answered, or no further attempt is allowed."""
         sends = 0
@@ -295,6 +314,7 @@
             self._attempt.give_up_after(patience, self._may_leave)
         upstream.running += 1
         self._tried.add(upstream.name)
+        self._sent_to.append(upstream.name)
         try:
             return await self._attempt.run(
                 parts.pool,
@@ -346,6 +366,7 @@
         """Give the caller its final answer, if this outcome is one."""
         if isinstance(outcome, Streamed):
             self._settle_stream(outcome.events)
+            self._outcome = "streamed"
             self._answer.finish()
             return True
         if isinstance(outcome, Answered):
@@ -365,6 +386,7 @@
         if may_repeat and self._may_leave():
             return False
         headers = drop_connection_headers(outcome.head.headers)
+        self._outcome = f"answered-{status}"
         self._answer.send_whole(status, headers, outcome.body)
         return True
 
@@ -391,14 +413,7 @@
         return Refusal(status, why)
 
     def _refuse(self, refusal: Refusal) -> None:
-        log_event(
-            "request-refused",
-            Level.INFO,
-            request=self._marks.attempt,
-            route=self._route.name,
-            status=refusal.status,
-            reason=refusal.reason,
-        )
+        self._outcome = f"refused-{refusal.status}: {refusal.reason}"
         if self._answer.started:
             self._answer.break_off()
             return
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+from twisted.test.iosim import FakeTransport, IOPump
+
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.relay.peers import PeerLink, PeerListener, PeerMesh
+
+
+@dataclass
+class Node(PeerListener):
+    """What one instance knows."""
+
+    version: int = 0
+    value: dict[str, Any] | None = None
+    left: list[str] = field(default_factory=list)
+    tokens: int = 0
+
+    def configuration_version(self) -> int:
+        return self.version
+
+    def configuration_value(self) -> dict[str, Any] | None:
+        return self.value
+
+    def offer_configuration(self, value: dict[str, Any]) -> None:
+        self.value, self.version = value, value["version"]
+
+    def note_leaving(self, upstream: str) -> None:
+        self.left.append(upstream)
+
+    def lend(self, workspace: str, tokens: int) -> int:
+        lent = min(self.tokens, tokens)
+        self.tokens -= lent
+        return lent
+
+    def receive_loan(self, workspace: str, tokens: int) -> None:
+        self.tokens += tokens
+
+
+class Transport(FakeTransport):
+    """One end of a link in memory."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        pass
+
+
+class Pair:
+    """Two instances with a link that each of them opened."""
+
+    def __init__(self, links: int) -> None:
+        self.clock: Any = MemoryReactorClock()
+        self.nodes = [Node(), Node()]
+        self.meshes = [
+            PeerMesh(self.clock, name, Address("10.0.0.1", port), (), node)
+            for name, port, node in zip("ab", (1, 2), self.nodes, strict=True)
+        ]
+        self.ends: list[list[PeerLink]] = []
+        self.pumps = [self.link() for _ in range(links)]
+        self.pump()
+        for mesh in self.meshes:
+            mesh.repeat(0.5, mesh._beat)
+        self.pump()
+
+    def link(self) -> IOPump:
+        ends = [PeerLink(mesh) for mesh in self.meshes]
+        transports = [Transport(end, isServer=bool(n)) for n, end in enumerate(ends)]
+        self.ends.append(ends)
+        for end, transport in zip(ends, transports, strict=True):
+            end.makeConnection(transport)
+        return IOPump(ends[0], ends[1], *transports, debug=False)
+
+    def pump(self) -> None:
+        for pump in self.pumps:
+            pump.flush()
+
+
+@pytest.mark.parametrize("links", [1, 2])
+def test_links_that_work_stay_whichever_end_uses_them(links: int) -> None:
+    pair = Pair(links)
+    if links == 2:
+        # Each end uses another link of the two.
+        first, second = (mesh for mesh in pair.meshes)
+        first._links["b"] = pair.ends[0][0]
+        second._links["a"] = pair.ends[1][1]
+    for _ in range(20):
+        pair.clock.advance(0.5)
+        pair.pump()
+    assert [len(mesh._all) for mesh in pair.meshes] == [links, links]
+    assert [mesh.peers for mesh in pair.meshes] == [["b"], ["a"]]
+
+
+def test_a_newer_configuration_reaches_a_peer_that_lacks_it() -> None:
+    pair = Pair(1)
+    pair.nodes[0].offer_configuration({"version": 7})
+    pair.meshes[0].announce_version()
+    pair.pump()
+    assert pair.nodes[1].value == {"version": 7}
+
+
+def test_a_peer_hears_that_an_upstream_leaves() -> None:
+    pair = Pair(1)
+    pair.meshes[1].announce_leaving("u1")
+    pair.pump()
+    assert pair.nodes[0].left == ["u1"]
+
+
+def test_tokens_go_over_once_and_none_are_made() -> None:
+    pair = Pair(1)
+    pair.nodes[1].tokens = 100
+    results: list[int] = []
+    for _ in range(2):
+        asked = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+        asked.addCallback(results.append)
+        pair.pump()
+    assert results == [80, 20]
+    assert (pair.nodes[0].tokens, pair.nodes[1].tokens) == (100, 0)
+
+
+def test_a_loan_that_comes_too_late_still_counts() -> None:
+    pair = Pair(1)
+    pair.nodes[1].tokens = 100
+    results: list[int] = []
+    asked = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+    asked.addCallback(results.append)
+    pair.clock.advance(0.2)
+    pair.pump()
+    assert results == [0]
+    assert pair.nodes[0].tokens == 80
+
+
+def test_a_silent_link_is_dropped() -> None:
+    pair = Pair(1)
+    for _ in range(6):
+        pair.clock.advance(0.5)
+    pair.pump()
+    assert [mesh.peers for mesh in pair.meshes] == [[], []]
+
+
+def test_what_is_no_message_drops_the_link() -> None:
+    pair = Pair(1)
+    link = next(iter(pair.meshes[0]._all))
+    link.dataReceived(b"\xc1\xc1\xc1")
+    pair.pump()
+    assert pair.meshes[0].peers == []
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -14,7 +14,7 @@
 
 # Seconds of all instances' demand that they together keep ahead: what one of them has
 # too little of in an outage it borrows from another.
-COVER_SECONDS = 4.0
+COVER_SECONDS = 8.0
 # Largest requests that they together keep ahead besides.
 COVER_REQUESTS = 1
 # Part of the prepaid tokens that they keep while no demand is known, and at most.
