Leave an upstream as silent only if it answers no one

Change: an upstream that answers other requests of this instance is busy; it is left after three objectives at the earliest. The test fails first without it.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -96,6 +96,7 @@
 
     :param attempt: the caller's name for its try, which the answer must echo
     :param progress: set for routes whose answers are streams
+    :param on_heard: called whenever something comes from the upstream
     """
 
     def __init__(
@@ -105,7 +106,9 @@
         attempt: str,
         answer: CallerAnswer,
         progress: StreamProgress | None,
+        on_heard: Callable[[], None],
     ) -> None:
+        self._on_heard = on_heard
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -225,6 +228,7 @@
         self._end(Lost(reason), cancel=True)
 
     def _touch(self) -> None:
+        self._on_heard()
         if self._watch is not None and self._watch.active():
             self._watch.reset(self._patience)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -60,6 +60,8 @@
 # may run again.
 SILENT_OBJECTIVES = 2.0
 LEAST_SILENT_SECONDS = 0.3
+# One that answers other requests meanwhile is given up after this many.
+BUSY_OBJECTIVES = 3.0
 # Seconds after which a refused caller should come back.
 SOON = 0.25
 # Another instance, to which a caller's next try may come, may have what lacks here.
@@ -306,12 +308,20 @@
         headers = drop_connection_headers(self._head.headers)
         headers = parts.border.write_request(headers, dispatch)
         self._attempt = Attempt(
-            parts.clock, parts.border, self._marks.attempt, self._answer, self._progress
+            parts.clock,
+            parts.border,
+            self._marks.attempt,
+            self._answer,
+            self._progress,
+            lambda: self._note_heard(upstream),
         )
         if self._route.repeatable and not last:
             patience = SILENT_OBJECTIVES * self._route.objective
             patience = max(LEAST_SILENT_SECONDS, patience)
-            self._attempt.give_up_after(patience, self._may_leave)
+            began = parts.clock.seconds()
+            self._attempt.give_up_after(
+                patience, lambda: self._may_leave_silent(upstream, began)
+            )
         upstream.running += 1
         self._tried.add(upstream.name)
         self._sent_to.append(upstream.name)
@@ -336,8 +346,24 @@
             return None
         return self._progress.reader.last
 
+    def _note_heard(self, upstream: KnownUpstream) -> None:
+        upstream.heard = self._parts.clock.seconds()
+
+    def _may_leave_silent(self, upstream: KnownUpstream, began: float) -> bool:
+        """Decide whether to leave an upstream that says nothing to this request.
+
+        One that answers others is busy, not dead: to leave it would have the prompt
+        read once more elsewhere and add to the load. It is left only much later.
+        """
+        now = self._parts.clock.seconds()
+        objective = self._route.objective
+        dead = now - upstream.heard >= max(LEAST_SILENT_SECONDS, objective)
+        if not dead and now - began < BUSY_OBJECTIVES * objective:
+            return False
+        return self._may_leave()
+
     def _may_leave(self) -> bool:
-        """Take a retry for a request whose upstream is silent, if that may help."""
+        """Take a retry, if another upstream may serve the request."""
         if not self._parts.placement.has_other(self._service_name, self._tried):
             return False
         self._retry_taken = self._retry_taken or self._take_retry()
--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -16,6 +16,7 @@
 
 EVENT_SECONDS = 0.01
 WORK_SECONDS = 0.01
+SLOW_SECONDS = 0.75
 
 
 class ReplicaFault(StrEnum):
@@ -25,6 +26,7 @@
     FULL = "full"
     ERROR = "error"
     HANG = "hang"
+    SLOW = "slow"
     LOSE_ANSWER = "lose-answer"
     CUT = "cut"
     UNSIGNED = "unsigned"
@@ -128,7 +130,9 @@
             int(self._header("Last-Event-Id") or 0) + 1,
         )
         replica.runs.append(self._run)
-        self._timer = reactor.callLater(WORK_SECONDS, self._work, self._run)
+        slow = replica.fault is ReplicaFault.SLOW
+        seconds = SLOW_SECONDS if slow else WORK_SECONDS
+        self._timer = reactor.callLater(seconds, self._work, self._run)
 
     def _work(self, run: Run) -> None:
         fault = self._replica.fault
--- a/packages/pondquay-standins/tests/test_routed.py
+++ b/packages/pondquay-standins/tests/test_routed.py
@@ -105,6 +105,25 @@
         assert (answer.status, answer.body) == (200, f"p2:f{number}".encode())
 
 
+def test_a_replica_that_says_nothing_at_all_is_left(fleet: RoutedFleet) -> None:
+    set_faults(fleet, "hang", "p1")
+    for number in range(3):
+        answer = fleet.ask(fleet.relays["r1"], "/fetch/", attempt=f"h{number}")
+        assert answer.body == f"p2:h{number}".encode()
+
+
+def test_a_replica_that_is_only_busy_is_not_left(fleet: RoutedFleet) -> None:
+    relay = fleet.relays["r1"]
+    with ThreadPoolExecutor(1) as pool:
+        other = pool.submit(fleet.ask, relay, "/audit/", tokens=TOKENS, events=150)
+        wait_until(lambda: bool(fleet.runs()), "a stream that goes on")
+        set_faults(fleet, "slow", fleet.runs()[0]["replica"])
+        answer = fleet.ask(relay, "/audit/", tokens=TOKENS, events=2, attempt="busy")
+        assert other.result().complete
+    assert answer.complete
+    assert len(runs_of(fleet, "busy")) == 1
+
+
 def test_a_full_replica_is_left_for_another(fleet: RoutedFleet) -> None:
     set_faults(fleet, "full", "p1")
     for number in range(4):
