Pass over an upstream where this instance's long prompts wait

Cause: prompts of 17,000 tokens take a third of a second each to read; an instance sent them one behind the other to the replica that their prefix names, above all in the first seconds, when nothing is cached. Change: from 24,000 prompt tokens that wait there, the next replica in rank is taken.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -171,6 +171,7 @@
         self._used = 0
         self._sent_to: list[str] = []
         self._outcome = ""
+        self._reading = False
         self._retry_taken = False
         self._tried: set[str] = set()
         self._progress: StreamProgress | None = None
@@ -323,6 +324,8 @@
                 patience, lambda: self._may_leave_silent(upstream, began)
             )
         upstream.running += 1
+        upstream.reading += self._marks.prompt_tokens
+        self._reading = True
         self._tried.add(upstream.name)
         self._sent_to.append(upstream.name)
         try:
@@ -333,6 +336,7 @@
             )
         finally:
             upstream.running -= 1
+            self._note_read(upstream)
             self._attempt = None
 
     def _urgency(self) -> int:
@@ -346,7 +350,14 @@
             return None
         return self._progress.reader.last
 
+    def _note_read(self, upstream: KnownUpstream) -> None:
+        """Note that the prompt no longer waits to be read there."""
+        if self._reading:
+            self._reading = False
+            upstream.reading -= self._marks.prompt_tokens
+
     def _note_heard(self, upstream: KnownUpstream) -> None:
+        self._note_read(upstream)
         upstream.heard = self._parts.clock.seconds()
 
     def _may_leave_silent(self, upstream: KnownUpstream, began: float) -> bool:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -39,6 +39,7 @@
     :param version: of the list's row that the record is from
     :param vanished: when its row was gone, in seconds
     :param running: requests of this instance that are there now
+    :param reading: prompt tokens of those of them to which nothing has come yet
     :param heard: when anything last came from it, in seconds
     """
 
@@ -47,6 +48,7 @@
     leaving: bool = False
     vanished: float | None = None
     running: int = 0
+    reading: int = 0
     heard: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
 
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -16,6 +16,8 @@
 
 # Requests of one instance at an upstream from which the next one in rank is taken.
 MOST_RUNNING_BY_PREFIX = 8
+# Prompt tokens that wait there to be read, from which the next one is taken.
+MOST_READING_TOKENS = 24_000
 
 
 def score_pair(prefix: str, upstream: str) -> bytes:
@@ -29,7 +31,8 @@
         candidates, key=lambda one: score_pair(prefix, one.name), reverse=True
     )
     for one in ranked:
-        if one.running < MOST_RUNNING_BY_PREFIX:
+        crowded = one.running >= MOST_RUNNING_BY_PREFIX
+        if not crowded and one.reading < MOST_READING_TOKENS:
             return one
     return min(ranked, key=lambda one: one.running)
 
--- a/packages/pondquay/tests/routing/test_rendezvous.py
+++ b/packages/pondquay/tests/routing/test_rendezvous.py
@@ -2,6 +2,7 @@
 
 from pondquay.routing.directory import KnownUpstream, UpstreamRecord
 from pondquay.routing.rendezvous import (
+    MOST_READING_TOKENS,
     MOST_RUNNING_BY_PREFIX,
     choose_by_prefix,
     choose_nearest,
@@ -42,3 +43,12 @@
     assert choose_nearest([far, near], "a", 3) is far
     far.running = 4
     assert choose_nearest([far, near], "a", 3) is near
+
+
+def test_long_prompts_do_not_queue_behind_each_other() -> None:
+    upstreams = [known("u1"), known("u2")]
+    first = choose_by_prefix(upstreams, "long")
+    first.reading = MOST_READING_TOKENS
+    assert choose_by_prefix(upstreams, "long") is not first
+    first.reading = 0
+    assert choose_by_prefix(upstreams, "long") is first
