--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -184,9 +184,9 @@
         self.keeper.hear_version(heartbeat.version)
         self.upstreams.mark_leaving(heartbeat.leaving_upstreams)
 
-    def find_request(self, question: FindRequest) -> FoundRequest:
-        """Look for a running attempt of a request."""
-        running = question.request in self.runner.book.running
+    def find_request(self, peer: InstanceId, question: FindRequest) -> FoundRequest:
+        """Look for a running attempt of a request, for a peer."""
+        running = self.runner.book.runs_before(question.request, self.instance, peer)
         found = FoundRequest(question.number)
         return self.recovery.answer_question(question, found, running)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/book.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/book.py
@@ -9,7 +9,7 @@
 from pondquay_daemon.calls import Call, KeptAnswer, Refusal, RefusalCode
 
 if TYPE_CHECKING:
-    from pondquay.names import RequestName
+    from pondquay.names import InstanceId, RequestName
 
 MOST_KEPT = 2000
 MOST_KEPT_BYTES = 8 << 20
@@ -27,6 +27,7 @@
         self, most_kept: int = MOST_KEPT, most_bytes: int = MOST_KEPT_BYTES
     ) -> None:
         self.running: dict[RequestName, Call] = {}
+        self._looking: set[RequestName] = set()
         self._kept: OrderedDict[RequestName, KeptAnswer] = OrderedDict()
         self._bytes = 0
         self._most_kept = most_kept
@@ -53,12 +54,30 @@
         return kept
 
     def begin(self, call: Call) -> None:
-        """Note that a request runs."""
+        """Note that a request is here, and that its attempts are looked for."""
         self.running[call.request] = call
+        self._looking.add(call.request)
+
+    def found_none(self, call: Call) -> None:
+        """Note that no attempt was found, so the request will run here."""
+        self._looking.discard(call.request)
 
     def end(self, call: Call) -> None:
         """Note that a request no longer runs."""
         self.running.pop(call.request, None)
+        self._looking.discard(call.request)
+
+    def runs_before(
+        self, request: RequestName, me: InstanceId, asker: InstanceId
+    ) -> bool:
+        """Tell a peer that has the same request whether it should leave it to us.
+
+        While both only look for attempts, the one whose name is less goes on; were
+        each to count the other as running, both would refuse and no one would run it.
+        """
+        if request not in self.running:
+            return False
+        return request not in self._looking or me < asker
 
     def keep(self, call: Call, answer: KeptAnswer) -> None:
         """Keep a whole answer, dropping the oldest ones for it."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/peers.py
@@ -42,8 +42,8 @@
         """Take in what a peer said of itself."""
 
     @abstractmethod
-    def find_request(self, question: FindRequest) -> FoundRequest:
-        """Look for a running attempt of a request."""
+    def find_request(self, peer: InstanceId, question: FindRequest) -> FoundRequest:
+        """Look for a running attempt of a request, for a peer."""
 
     @abstractmethod
     def list_deltas(self, base: int) -> Deltas:
@@ -213,7 +213,7 @@
                 self.listener.hear_peer(message)
                 return None
             case FindRequest():
-                return self.listener.find_request(message)
+                return self.listener.find_request(peer, message)
             case FetchDeltas(base):
                 return self.listener.list_deltas(base)
             case _:
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -125,6 +125,7 @@
         if known is not None:
             return known
         self.book.begin(call)
+        self.book.found_none(call)
         try:
             course = Course(call, begin_request(repeatable=call.repeatable))
             refusal = await self._claim(course)
@@ -238,6 +239,7 @@
             taken_over = await self._recovery.take_over(call, sink)
             if taken_over is not None:
                 return self._keep_taken_over(call, taken_over)
+        self.book.found_none(call)
         refusal = await self._claim(course)
         if refusal is not None:
             return refusal
--- /dev/null
+++ b/packages/pondquay-daemon/tests/test_book.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+from itertools import permutations
+
+from pondquay.configuration.entities import Priority, Workspace
+from pondquay.names import InstanceId, RequestName
+from pondquay_daemon.book import RequestBook
+from pondquay_daemon.calls import Call
+
+REQUEST = RequestName("captions", "one")
+INSTANCES = [InstanceId(name, "1") for name in "abcd"]
+
+
+def make_call() -> Call:
+    workspace = Workspace.model_construct(kind="workspace", name="captions")
+    return Call(REQUEST, workspace, True, False, Priority.NORMAL, 1.0, "content")
+
+
+def test_of_instances_that_look_at_once_exactly_one_goes_on() -> None:
+    books = {one: RequestBook() for one in INSTANCES}
+    for book in books.values():
+        book.begin(make_call())
+    for order in permutations(INSTANCES):
+        going_on = [
+            asker
+            for asker in order
+            if not any(
+                books[peer].runs_before(REQUEST, peer, asker)
+                for peer in INSTANCES
+                if peer != asker
+            )
+        ]
+        assert going_on == [INSTANCES[0]]
+
+
+def test_one_that_found_none_runs_before_all_that_still_look() -> None:
+    books = {one: RequestBook() for one in INSTANCES[:2]}
+    first, second = books
+    books[second].begin(make_call())
+    books[second].found_none(make_call())
+    books[first].begin(make_call())
+    assert books[second].runs_before(REQUEST, second, first)
+    books[second].end(make_call())
+    assert not books[second].runs_before(REQUEST, second, first)
--- a/packages/pondquay-standins/tests/test_callers.py
+++ b/packages/pondquay-standins/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any
 
 import openai
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from conftest import RunningFleet
 
+    from pondquay_standins.processes import HttpAnswer
+
 pytestmark = pytest.mark.xdist_group("callers")
 MESSAGES: Any = [{"role": "user", "content": "caption this split"}]
 
@@ -144,3 +147,27 @@
     assert added.headers["Pondquay-Billed"] == "5"
     unknown = url.replace(SERVICE, "nothing")
     assert call_http("GET", unknown, None, headers).status == 404
+
+
+def test_of_callers_at_once_with_one_key_exactly_one_is_served(
+    running: RunningFleet,
+) -> None:
+    key = running.keys["rosters"]
+    instances = range(len(running.fleet.instances))
+    for number in range(24):
+        headers = {"Idempotency-Key": f"race-{number}", "Pondquay-Repeatable": "no"}
+
+        def ask(at: int, headers: dict[str, str] = headers) -> HttpAnswer:
+            return running.fleet.complete(key, "draft", at=at, headers=headers)
+
+        with ThreadPoolExecutor(12) as pool:
+            answers = list(pool.map(ask, [*instances] * (12 // len(instances))))
+        codes = sorted({(one.status, _code(one)) for one in answers})
+        served = [one for one in answers if one.status == 200]
+        # One whose answer is kept already may be handed out again; it ran once.
+        assert len({one.body for one in served}) == 1, codes
+        assert {one.status for one in answers} <= {200, 409}
+
+
+def _code(answer: HttpAnswer) -> str:
+    return "" if answer.status == 200 else str(answer.json()["error"]["code"])
