--- a/packages/pondquay-cli/src/pondquay_cli/__main__.py
+++ b/packages/pondquay-cli/src/pondquay_cli/__main__.py
@@ -22,7 +22,8 @@
 OPERATORS_VARIABLE = "PONDQUAY_OPERATORS"
 KEY_FILE_VARIABLE = "PONDQUAY_KEY_FILE"
 STATUSES = """exit status: 0 done; 1 refused; 2 invalid arguments or intent;
-3 no operator door could do it; 4 confirmed, but another partner's consent is missing"""
+3 no operator endpoint could do it; 4 confirmed, but another partner's consent is
+missing"""
 
 __all__ = ["commands", "main"]
 
@@ -39,7 +40,7 @@
         "--operator",
         action="append",
         metavar="URL",
-        help=f"an operator door; may be repeated (or ${OPERATORS_VARIABLE})",
+        help=f"an operator endpoint; may be repeated (or ${OPERATORS_VARIABLE})",
     )
     parser.add_argument(
         "--key-file",
@@ -59,7 +60,7 @@
 
 
 def make_client(reactor: Any, options: Namespace) -> OperatorClient:
-    """Return a client with the doors and the key that were given.
+    """Return a client with the endpoints and the key that were given.
 
     :raises InvalidUsageError: if one is missing
     """
--- a/packages/pondquay-cli/src/pondquay_cli/client.py
+++ b/packages/pondquay-cli/src/pondquay_cli/client.py
@@ -1,4 +1,4 @@
-"""The client of the operator door; it tries one instance after another."""
+"""The client of the operator endpoint; it tries one instance after another."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
 
 
 class OperatorClient:
-    """Calls to operator doors, all of which are alike.
+    """Calls to operator endpoints, all of which are alike.
 
-    :param urls: doors in the order in which they are tried
+    :param urls: endpoints in the order in which they are tried
     :param key: the partner's operator key
     """
 
@@ -34,13 +34,13 @@
     async def get(self, path: str) -> Any:
         """Read something.
 
-        :raises RefusedError: if the door refuses
-        :raises UnreachableError: if no door answers
+        :raises RefusedError: if the endpoint refuses
+        :raises UnreachableError: if no endpoint answers
         """
         return await self._call("GET", path, None)
 
     async def list_answers(self, path: str) -> list[Any]:
-        """Read something from every door that answers.
+        """Read something from every endpoint that answers.
 
         :raises UnreachableError: if none does
         """
@@ -48,19 +48,19 @@
         for url in self._urls:
             try:
                 status, content = await self._call_one("GET", url + path, None)
-            except Exception:  # a door that does not answer is left out
+            except Exception:  # a endpoint that does not answer is left out
                 continue
             if status < FIRST_ERROR:
                 answers.append(content)
         if not answers:
-            raise UnreachableError("no operator door answered")
+            raise UnreachableError("no operator endpoint answered")
         return answers
 
     async def post(self, path: str, body: object) -> Any:
         """Ask for something; every such request may be sent twice without harm.
 
-        :raises RefusedError: if the door refuses
-        :raises UnreachableError: if no door answers
+        :raises RefusedError: if the endpoint refuses
+        :raises UnreachableError: if no endpoint answers
         """
         return await self._call("POST", path, body)
 
@@ -69,7 +69,7 @@
         for url in self._urls:
             try:
                 status, content = await self._call_one(method, url + path, body)
-            except Exception as error:  # whatever it was, the next door may answer
+            except Exception as error:  # whatever it was, the next endpoint may answer
                 failures.append(f"{url}: {error or type(error).__name__}")
                 continue
             if status == UNAVAILABLE:
@@ -78,7 +78,9 @@
             if status >= FIRST_ERROR:
                 raise RefusedError(_describe(content))
             return content
-        raise UnreachableError("no operator door could do it\n" + "\n".join(failures))
+        raise UnreachableError(
+            "no operator endpoint could do it\n" + "\n".join(failures)
+        )
 
     async def _call_one(self, method: str, url: str, body: object) -> tuple[int, Any]:
         headers: dict[bytes | str, bytes | str] = {
--- a/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
@@ -18,7 +18,7 @@
 class DumpCommand(Command):
     """Dumps the state of one instance."""
 
-    help = "dump the state of one instance, whose door must be among those given"
+    help = "dump the state of one instance, whose endpoint must be among those given"
     example = "pondquay dump khuree-a1"
 
     def add_arguments(self, parser: ArgumentParser) -> None:
@@ -28,12 +28,12 @@
     async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
         """Dump it.
 
-        :raises InvalidUsageError: if no door that answers is that instance's
+        :raises InvalidUsageError: if no endpoint that answers is that instance's
         """
         dumps = await client.list_answers("/dump")
         names = {one["instance"].partition("~")[0]: one for one in dumps}
         content = names.get(options.instance)
         if content is None:
             known = ", ".join(sorted(names))
-            raise InvalidUsageError(f"the doors that answer are those of {known}")
+            raise InvalidUsageError(f"the endpoints that answer are those of {known}")
         return CommandResult(content, json.dumps(content, indent=2))
--- a/packages/pondquay-cli/src/pondquay_cli/errors.py
+++ b/packages/pondquay-cli/src/pondquay_cli/errors.py
@@ -19,7 +19,7 @@
 
 
 class RefusedError(CommandError):
-    """The operator door refused."""
+    """The operator endpoint refused."""
 
 
 class InvalidUsageError(CommandError):
@@ -29,6 +29,6 @@
 
 
 class UnreachableError(CommandError):
-    """No operator door answered, or none could do it now."""
+    """No operator endpoint answered, or none could do it now."""
 
     status = EXIT_UNREACHABLE
--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -9,12 +9,13 @@
 from pondquay.membership.messages import FoundRequest, Heartbeat
 from pondquay.names import InstanceId
 from pondquay_daemon.addresses import Address
-from pondquay_daemon.doors.callers import CallerDoor
-from pondquay_daemon.doors.metrics import MetricsDoor
-from pondquay_daemon.doors.operators import OperatorDoor
-from pondquay_daemon.doors.sites import listen_http
+from pondquay_daemon.configuration import ConfigurationTask
+from pondquay_daemon.endpoints.callers import CallerEndpoint
+from pondquay_daemon.endpoints.metrics import MetricsEndpoint
+from pondquay_daemon.endpoints.operators import OperatorEndpoint
+from pondquay_daemon.endpoints.sites import listen_http
 from pondquay_daemon.engines import Engines
-from pondquay_daemon.keeper import Keeper
+from pondquay_daemon.grants import GrantTask
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.metrics import Metrics
 from pondquay_daemon.peers import PeerListener, PeerTask
@@ -23,7 +24,6 @@
 from pondquay_daemon.runner import Runner
 from pondquay_daemon.services import Services
 from pondquay_daemon.tasks import sleep
-from pondquay_daemon.treasury import Treasury
 from pondquay_daemon.upstreams import Upstreams
 
 if TYPE_CHECKING:
@@ -54,17 +54,17 @@
         self.peers = PeerTask(
             reactor, self.instance, self.domain, settings.read_fleet_key()
         )
-        self.keeper = Keeper(reactor, self.platform, self.peers)
+        self.configuration = ConfigurationTask(reactor, self.platform, self.peers)
         self.engines = Engines(reactor)
         self.upstreams = Upstreams(
             reactor,
             self.platform,
             self.engines,
-            self.keeper,
+            self.configuration,
             self.domain,
             settings.policies.routing,
         )
-        self.treasury = Treasury(
+        self.grants = GrantTask(
             reactor,
             self.instance,
             self.platform,
@@ -76,7 +76,7 @@
             self.instance,
             self.platform,
             self.peers,
-            self.treasury,
+            self.grants,
             self.upstreams,
             self.engines,
         )
@@ -84,12 +84,12 @@
             reactor,
             str(self.instance),
             self.platform,
-            self.treasury,
+            self.grants,
             self.upstreams,
             self.engines,
             Services(reactor),
             self.recovery,
-            self.keeper,
+            self.configuration,
             self.metrics,
         )
         self.stopping = False
@@ -97,31 +97,33 @@
         self._ports: list[IListeningPort] = []
 
     async def start(self) -> None:
-        """Open the doors and begin all tasks."""
-        doors = self.settings.doors
+        """Open the endpoints and begin all tasks."""
+        listen = self.settings.listen
         for task in (
             self.peers,
-            self.keeper,
+            self.configuration,
             self.upstreams,
-            self.treasury,
+            self.grants,
             self.recovery,
             self.runner,
         ):
             self._tasks.enter_context(task)
-        await self.peers.start(Address.parse(doors.peers), self)
-        self.keeper.start()
+        await self.peers.start(Address.parse(listen.peers), self)
+        self.configuration.start()
         self.upstreams.start()
-        self.treasury.start()
+        self.grants.start()
         self.recovery.start()
         self.runner.start()
         self.peers.repeat(1.0, self._follow_peers)
         most = self.settings.limits.body_bytes
-        for address, door in (
-            (doors.callers, CallerDoor(self).app),
-            (doors.operators, OperatorDoor(self).app),
-            (doors.metrics, MetricsDoor(self).app),
+        for address, endpoint in (
+            (listen.callers, CallerEndpoint(self).app),
+            (listen.operators, OperatorEndpoint(self).app),
+            (listen.metrics, MetricsEndpoint(self).app),
         ):
-            port = await listen_http(self.reactor, Address.parse(address), door, most)
+            port = await listen_http(
+                self.reactor, Address.parse(address), endpoint, most
+            )
             self._ports.append(port)
         log_event("started", instance=self.instance, domain=self.domain)
 
@@ -138,7 +140,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.keeper.loaded and not self.stopping
+        return self.configuration.loaded and not self.stopping
 
     async def stop(self) -> bool:
         """Stop as planned: streams finish, bills are written, grants go back.
@@ -153,12 +155,12 @@
         while self.runner.running() and self.reactor.seconds() < deadline:
             await sleep(STOP_STEP_SECONDS, self.reactor)
         deadline = self.reactor.seconds() + HAND_BACK_SECONDS
-        done = await self.treasury.hand_back(self.runner.running)
+        done = await self.grants.hand_back(self.runner.running)
         while not done and self.reactor.seconds() < deadline:
             await sleep(STOP_STEP_SECONDS, self.reactor)
-            done = await self.treasury.hand_back(self.runner.running)
+            done = await self.grants.hand_back(self.runner.running)
         level = Level.INFO if done else Level.ERROR
-        log_event("stopped", level, grants_left=len(self.treasury.holder.holdings))
+        log_event("stopped", level, grants_left=len(self.grants.holder.holdings))
         for port in self._ports:
             stopped = port.stopListening()
             if stopped is not None:
@@ -174,40 +176,40 @@
         return Heartbeat(
             self.instance,
             self.domain,
-            self.keeper.document.version,
+            self.configuration.document.version,
             self.stopping,
             self.upstreams.leaving(),
         )
 
     def hear_peer(self, heartbeat: Heartbeat) -> None:
         """Take in what a peer said of itself."""
-        self.keeper.hear_version(heartbeat.version)
+        self.configuration.hear_version(heartbeat.version)
         self.upstreams.mark_leaving(heartbeat.leaving_upstreams)
 
     def find_request(self, peer: InstanceId, question: FindRequest) -> FoundRequest:
         """Look for a running attempt of a request, for a peer."""
-        running = self.runner.book.runs_before(question.request, self.instance, peer)
+        running = self.runner.index.runs_before(question.request, self.instance, peer)
         found = FoundRequest(question.number)
         return self.recovery.answer_question(question, found, running)
 
     def list_deltas(self, base: int) -> Deltas:
         """Return the versions of the configuration after a base."""
-        return self.keeper.list_deltas(base)
+        return self.configuration.list_deltas(base)
 
     def receive_deltas(self, message: Deltas) -> None:
         """Take in versions of the configuration."""
-        self.keeper.receive_deltas(message)
+        self.configuration.receive_deltas(message)
 
     def receive_budget_call(self, message: HolderMessage | Recall) -> Any | None:
         """Answer the holder of a grant."""
-        return self.treasury.receive_call(message)
+        return self.grants.receive_call(message)
 
     def receive_budget_answer(self, message: Any) -> None:
         """Take in the answer of a witness."""
-        self.treasury.receive_answer(message)
+        self.grants.receive_answer(message)
         if message.kind == "settled":
             self.recovery.note_settled(message.grant, message.seqs)
 
     def link_opened(self, peer: InstanceId) -> None:
         """Learn that a peer can be reached."""
-        self.treasury.link_opened(peer)
+        self.grants.link_opened(peer)
--- a/packages/pondquay-daemon/src/pondquay_daemon/keeper.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/configuration.py
@@ -21,7 +21,7 @@
 MOST_KEPT = 200
 
 
-class Keeper(Task):
+class ConfigurationTask(Task):
     """Keeps the configuration; its version never goes down."""
 
     def __init__(self, reactor: Any, platform: Platform, peers: PeerTask) -> None:
@@ -54,7 +54,7 @@
     def hear_version(self, version: int) -> None:
         """Learn from a peer that there is a newer version."""
         if version > self.document.version and not self._fetching:
-            spawn(self._fetch(version), "Keeper")
+            spawn(self._fetch(version), "ConfigurationTask")
 
     async def _fetch(self, head: int) -> None:
         if self._fetching:
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""The doors: HTTP for callers, for operators and for metrics."""
-
-from __future__ import annotations
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/callers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/callers.py
@@ -1,4 +1,4 @@
-"""The caller door: chat completions, the list of models, and plain services."""
+"""The caller endpoint: chat completions, the list of models, and plain services."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     PlainCall,
     Refusal,
 )
-from pondquay_daemon.doors.answers import (
+from pondquay_daemon.endpoints.answers import (
     BAD_REQUEST,
     NOT_FOUND,
     TOO_LARGE,
@@ -31,7 +31,7 @@
     write_error,
     write_json,
 )
-from pondquay_daemon.doors.completions import (
+from pondquay_daemon.endpoints.completions import (
     BILLED_HEADER,
     OUTCOME_HEADER,
     CompletionAnswer,
@@ -40,7 +40,7 @@
     write_names,
     write_refusal,
 )
-from pondquay_daemon.doors.forms import (
+from pondquay_daemon.endpoints.forms import (
     HEADER_NAMES,
     CallHeaders,
     CompletionForm,
@@ -76,7 +76,7 @@
         self.param = param
 
 
-class CallerDoor:
+class CallerEndpoint:
     """Serves callers."""
 
     def __init__(self, application: Application) -> None:
@@ -103,7 +103,7 @@
 
     @property
     def _document(self) -> Document:
-        return self._application.keeper.document
+        return self._application.configuration.document
 
     def _find_workspace(self, request: Request) -> Workspace:
         key = read_bearer(request)
@@ -112,7 +112,7 @@
             workspace = self._document.find_workspace_by_digest(digest_key(key))
         if workspace is not None:
             return workspace
-        if not self._application.keeper.loaded:
+        if not self._application.configuration.loaded:
             raise RejectedError(UNAVAILABLE, "not_ready", "no configuration yet")
         raise RejectedError(UNAUTHORIZED, "invalid_api_key", "this key is not known")
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/dumps.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/dumps.py
@@ -14,13 +14,13 @@
 
 def dump_state(application: Application) -> dict[str, Any]:
     """Return the state of an instance as JSON objects."""
-    holder = application.treasury.holder
-    witness = application.treasury.witness
+    holder = application.grants.holder
+    witness = application.grants.witness
     return {
         "instance": str(application.instance),
         "domain": application.domain,
         "stopping": application.stopping,
-        "version": application.keeper.document.version,
+        "version": application.configuration.document.version,
         "platform": {
             "reachable": application.platform.reachable,
             "reads": application.platform.reads,
@@ -45,7 +45,7 @@
             for one in list(application.upstreams.known.values())[:MOST_ITEMS]
         ],
         "running": [
-            str(one) for one in list(application.runner.book.running)[:MOST_ITEMS]
+            str(one) for one in list(application.runner.index.running)[:MOST_ITEMS]
         ],
         "waiting": application.upstreams.waiting(),
         "holdings": [
@@ -54,7 +54,7 @@
         "witnessed": [
             _dump_witnessed(one) for one in list(witness.grants.values())[:MOST_ITEMS]
         ],
-        "bills_in_one_memory": application.treasury.unsafe_bills,
+        "bills_in_one_memory": application.grants.unsafe_bills,
     }
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/metrics.py
@@ -1,4 +1,4 @@
-"""The metrics door: metrics, liveness and readiness."""
+"""The metrics endpoint: metrics, liveness and readiness."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from klein import Klein
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from pondquay_daemon.doors.answers import UNAVAILABLE, write_json
+from pondquay_daemon.endpoints.answers import UNAVAILABLE, write_json
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -15,7 +15,7 @@
     from pondquay_daemon.application import Application
 
 
-class MetricsDoor:
+class MetricsEndpoint:
     """Serves ``/metrics``, ``/health`` and ``/ready``."""
 
     def __init__(self, application: Application) -> None:
@@ -34,10 +34,10 @@
     def _update(self) -> None:
         application = self._application
         metrics = application.metrics
-        holdings = application.treasury.holder.holdings.values()
+        holdings = application.grants.holder.holdings.values()
         metrics.running.set(application.runner.running())
         metrics.waiting.set(application.upstreams.waiting())
-        metrics.version.set(application.keeper.document.version)
+        metrics.version.set(application.configuration.document.version)
         metrics.peers.set(application.peers.count())
         metrics.platform_up.set(1 if application.platform.reachable else 0)
         metrics.table_writes.set(application.platform.writes)
@@ -45,7 +45,7 @@
         metrics.peer_bytes.set(application.peers.links.sent_bytes)
         metrics.peer_messages.set(application.peers.links.sent_messages)
         metrics.links_cut.set(application.peers.links.cut_off)
-        metrics.unsafe_bills.set(application.treasury.unsafe_bills)
+        metrics.unsafe_bills.set(application.grants.unsafe_bills)
         metrics.held_tokens.set(sum(one.amount - one.spent for one in holdings))
 
     def show_health(self, request: Request) -> bytes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/doors/operators.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/operators.py
@@ -1,4 +1,4 @@
-"""The operator door: plans, the state of the fleet, budgets, bills, and dumps."""
+"""The operator endpoint: plans, the state of the fleet, budgets, bills, and dumps."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 from pondquay.errors import InvalidInputError
 from pondquay.membership.drains import store_drain
 from pondquay.tables import Lost, Unreachable, read_rows
-from pondquay_daemon.doors.answers import (
+from pondquay_daemon.endpoints.answers import (
     BAD_REQUEST,
     CONFLICT,
     FORBIDDEN,
@@ -43,7 +43,7 @@
     write_error,
     write_json,
 )
-from pondquay_daemon.doors.dumps import dump_state
+from pondquay_daemon.endpoints.dumps import dump_state
 from pondquay_daemon.logs import log_event
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
 
 
 class IntentForm(BaseModel):
-    """An intent as it comes through the door."""
+    """An intent as it comes through the endpoint."""
 
     model_config = ConfigDict(extra="forbid")
 
@@ -67,7 +67,7 @@
     removed: list[Annotated[str, Field(max_length=100)]] = []
 
 
-class OperatorDoor:
+class OperatorEndpoint:
     """Serves operators; each request comes with a partner's operator key."""
 
     def __init__(self, application: Application) -> None:
@@ -121,7 +121,7 @@
             )
         except ValueError:
             return write_error(request, BAD_REQUEST, "invalid_json", "not JSON")
-        document = self._application.keeper.document
+        document = self._application.configuration.document
         plan_id = token_hex(PLAN_BYTES)
         try:
             plan = make_plan(plan_id, partner, document, form.wanted, form.removed)
@@ -172,7 +172,7 @@
         outcome = await self._application.platform.run(confirm_plan(plan_id, partner))
         if isinstance(outcome, Confirmed):
             log_event("plan-confirmed", plan=plan_id, version=outcome.version)
-            self._application.keeper.hear_version(outcome.version)
+            self._application.configuration.hear_version(outcome.version)
         return _write_confirm(request, outcome)
 
     # What stands
@@ -185,7 +185,7 @@
                 "name": application.instance.name,
                 "boot": application.instance.boot,
                 "domain": application.domain,
-                "version": application.keeper.document.version,
+                "version": application.configuration.document.version,
                 "state": "leaving" if application.stopping else "live",
             }
         ]
@@ -205,7 +205,7 @@
         return write_json(
             request,
             {
-                "version": application.keeper.document.version,
+                "version": application.configuration.document.version,
                 "partner": partner,
                 "platform_reachable": application.platform.reachable,
                 "instances": sorted(instances, key=lambda one: str(one["name"])),
@@ -251,7 +251,7 @@
         return write_json(request, {"budgets": budgets})
 
     def _owns(self, partner: str, workspace: str) -> bool:
-        document = self._application.keeper.document
+        document = self._application.configuration.document
         for kind in (Budget, Workspace):
             entity = document.find(kind, workspace)
             if entity is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/treasury.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -59,7 +59,7 @@
     fired: Deferred[Refill] = field(default_factory=Deferred)
 
 
-class Treasury(Task):
+class GrantTask(Task):
     """Owns every grant that this instance holds or witnesses.
 
     :param policy: name of the grant policy
@@ -160,7 +160,7 @@
         self._waiters.setdefault(workspace, []).append(waiter)
         if not self._refilling:
             self._refilling = True
-            spawn(self._refill(), "Treasury")
+            spawn(self._refill(), "GrantTask")
         return waiter.fired
 
     async def _recall(self, workspace: str, tokens: int) -> None:
@@ -274,7 +274,7 @@
     def receive_call(self, message: HolderMessage | Recall) -> WitnessMessage | None:
         """Answer a holder, as its witness."""
         if isinstance(message, Recall):
-            spawn(self._answer_recall(message), "Treasury")
+            spawn(self._answer_recall(message), "GrantTask")
             return None
         return self.witness.receive(message)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/courses.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/progress.py
@@ -7,7 +7,7 @@
 
 from pondquay.requests.lifecycle import Outcome
 from pondquay_daemon.calls import Call, Refusal, RefusalCode
-from pondquay_daemon.treasury import BudgetRefusal
+from pondquay_daemon.grants import BudgetRefusal
 
 if TYPE_CHECKING:
     from pondquay.budgets.holder import Attempt
@@ -19,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Course:
+class Progress:
     """One request on its way.
 
     :param nonce: of the claim, empty if there is none
@@ -47,25 +47,25 @@
     attempt: Attempt
 
 
-def refuse_budget(course: Course, reason: BudgetRefusal) -> Refusal:
+def refuse_budget(progress: Progress, reason: BudgetRefusal) -> Refusal:
     """Return the refusal of a request for which nothing could be reserved."""
     if reason is BudgetRefusal.EXHAUSTED:
-        return course.refusal(
+        return progress.refusal(
             RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
         )
-    return course.refusal(
+    return progress.refusal(
         RefusalCode.PLATFORM_UNREACHABLE,
         "no tokens are at hand and the platform does not answer",
         PLATFORM_RETRY_SECONDS,
     )
 
 
-def refuse_unfinished(course: Course) -> Refusal:
+def refuse_unfinished(progress: Progress) -> Refusal:
     """Return the refusal of a request whose attempts all failed."""
-    if course.life.outcome() is Outcome.NOT_RUN:
-        return course.refusal(
+    if progress.life.outcome() is Outcome.NOT_RUN:
+        return progress.refusal(
             RefusalCode.UPSTREAM_FAILED, "no upstream took the request", RETRY_SECONDS
         )
-    return course.refusal(
+    return progress.refusal(
         RefusalCode.OUTCOME_UNKNOWN, "the request may have run", RETRY_SECONDS
     )
--- a/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
@@ -38,9 +38,9 @@
     from pondquay.membership.messages import FindRequest, FoundRequest
     from pondquay.names import GrantId, InstanceId
     from pondquay_daemon.engines import Engines
+    from pondquay_daemon.grants import GrantTask
     from pondquay_daemon.peers import PeerTask
     from pondquay_daemon.platform import Platform
-    from pondquay_daemon.treasury import Treasury
     from pondquay_daemon.upstreams import Upstreams
 
 SWEEP_SECONDS = 0.5
@@ -73,7 +73,7 @@
         instance: InstanceId,
         platform: Platform,
         peers: PeerTask,
-        treasury: Treasury,
+        grants: GrantTask,
         upstreams: Upstreams,
         engines: Engines,
     ) -> None:
@@ -81,10 +81,10 @@
         self._instance = instance
         self._platform = platform
         self._peers = peers
-        self._treasury = treasury
+        self._grants = grants
         self._upstreams = upstreams
         self._engines = engines
-        self.succession = Succession(instance, treasury.witness, peers)
+        self.succession = Succession(instance, grants.witness, peers)
         self._lost: dict[AttemptId, tuple[Attempt, str]] = {}
         self._reports: dict[AttemptId, Deferred[bool]] = {}
         self._segment = 0
@@ -99,7 +99,7 @@
 
     @property
     def _witness(self) -> Witness:
-        return self._treasury.witness
+        return self._grants.witness
 
     async def _fold(self) -> None:
         """Fold bills, if the lease says that this instance does it for all."""
@@ -125,9 +125,9 @@
             answer = await self._engines.cancel(upstream.url, attempt.stream)
             status = answer.seen_from(attempt.boot)
             if status.state is StreamState.FINISHED:
-                await self._treasury.settle(attempt, status.tokens)
+                await self._grants.settle(attempt, status.tokens)
             elif status.state is StreamState.CANCELLED:
-                await self._treasury.settle(attempt, None)
+                await self._grants.settle(attempt, None)
             else:
                 continue
             self._lost.pop(attempt.id, None)
--- a/packages/pondquay-daemon/src/pondquay_daemon/book.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/requestindex.py
@@ -1,4 +1,4 @@
-"""The book of requests that this instance runs or ran a while ago."""
+"""The index of requests that this instance runs or ran a while ago."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 RETRY_SECONDS = 1
 
 
-class RequestBook:
+class RequestIndex:
     """Knows which requests run here, and keeps whole answers for callers that return.
 
     :param most_kept: answers kept at most
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -1,4 +1,4 @@
-"""The request task: one request's way from the door to its bill."""
+"""The request task: one request's way from the endpoint to its bill."""
 
 from __future__ import annotations
 
@@ -22,7 +22,6 @@
 from pondquay.routing.retries import RetryBudget
 from pondquay.routing.upstreams import ENGINE, SERVICE
 from pondquay.streams import Answer, Frame, Verdict
-from pondquay_daemon.book import RequestBook
 from pondquay_daemon.calls import (
     Call,
     CompletionCall,
@@ -33,28 +32,29 @@
     Refusal,
     RefusalCode,
 )
-from pondquay_daemon.courses import (
+from pondquay_daemon.engines import Completion, StreamState
+from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.progress import (
     PLATFORM_RETRY_SECONDS,
     RETRY_SECONDS,
-    Course,
+    Progress,
     Started,
     refuse_budget,
     refuse_unfinished,
 )
-from pondquay_daemon.engines import Completion, StreamState
-from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
-from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.requestindex import RequestIndex
 from pondquay_daemon.tasks import Task, sleep
 from pondquay_daemon.upstreams import Wish
 
 if TYPE_CHECKING:
+    from pondquay_daemon.configuration import ConfigurationTask
     from pondquay_daemon.engines import Engines
-    from pondquay_daemon.keeper import Keeper
+    from pondquay_daemon.grants import GrantTask
     from pondquay_daemon.metrics import Metrics
     from pondquay_daemon.platform import Platform
     from pondquay_daemon.recovery import Recovery
     from pondquay_daemon.services import ServiceAnswer, Services
-    from pondquay_daemon.treasury import Treasury
     from pondquay_daemon.upstreams import Upstreams
 
 MOST_ATTEMPTS = 3
@@ -71,27 +71,27 @@
         reactor: Any,
         instance: str,
         platform: Platform,
-        treasury: Treasury,
+        grants: GrantTask,
         upstreams: Upstreams,
         engines: Engines,
         services: Services,
         recovery: Recovery,
-        keeper: Keeper,
+        configuration: ConfigurationTask,
         metrics: Metrics,
     ) -> None:
         super().__init__(reactor)
         self._instance = instance
         self._platform = platform
-        self._treasury = treasury
+        self._grants = grants
         self._upstreams = upstreams
         self._engines = engines
         self._services = services
         self._recovery = recovery
-        self._keeper = keeper
+        self._configuration = configuration
         self._metrics = metrics
         self._retries = RetryBudget()
-        self._unclaim: list[Course] = []
-        self.book = RequestBook()
+        self._unclaim: list[Progress] = []
+        self.index = RequestIndex()
         self.stopping = False
 
     def start(self) -> None:
@@ -100,7 +100,7 @@
 
     def running(self) -> int:
         """Return how many requests are in progress."""
-        return len(self.book.running)
+        return len(self.index.running)
 
     async def complete(
         self, call: CompletionCall, sink: FrameSink
@@ -113,103 +113,105 @@
             for frame in known.frames:
                 sink.pass_on(frame)
             return Delivered(known.tokens)
-        self.book.begin(call)
+        self.index.begin(call)
         try:
             return await self._complete_new(call, sink)
         finally:
-            self.book.end(call)
+            self.index.end(call)
 
     async def call_service(self, call: PlainCall) -> KeptAnswer | Refusal:
         """Make a call to a plain service, or find the answer it already has."""
         known = self._recall(call)
         if known is not None:
             return known
-        self.book.begin(call)
-        self.book.found_none(call)
+        self.index.begin(call)
+        self.index.found_none(call)
         try:
-            course = Course(call, begin_request(repeatable=call.repeatable))
-            refusal = await self._claim(course)
-            answer = refusal or await self._call_until_done(course, call)
-            await self._end_claim(course)
+            progress = Progress(call, begin_request(repeatable=call.repeatable))
+            refusal = await self._claim(progress)
+            answer = refusal or await self._call_until_done(progress, call)
+            await self._end_claim(progress)
             return answer
         finally:
-            self.book.end(call)
+            self.index.end(call)
 
     def _recall(self, call: Call) -> KeptAnswer | Refusal | None:
-        if self.stopping or not self._keeper.loaded:
+        if self.stopping or not self._configuration.loaded:
             return Refusal(
                 RefusalCode.NOT_READY,
                 "this instance takes no requests now",
                 retry_after=RETRY_SECONDS,
             )
-        return self.book.find(call)
+        return self.index.find(call)
 
     # Claims
 
-    async def _claim(self, course: Course) -> Refusal | None:
+    async def _claim(self, progress: Progress) -> Refusal | None:
         """Claim a request that may not be repeated before anything else is done."""
-        call = course.call
+        call = progress.call
         if call.repeatable:
             return None
-        course.nonce = f"{self._instance}/{self._metrics.next_number()}"
+        progress.nonce = f"{self._instance}/{self._metrics.next_number()}"
         outcome = await self._platform.run(
-            claim_request(call.request, self._instance, course.nonce)
+            claim_request(call.request, self._instance, progress.nonce)
         )
         match outcome:
             case Claimed():
                 return None
             case AlreadyClaimed(row):
-                course.nonce = ""
+                progress.nonce = ""
                 code = RefusalCode.REQUEST_RUNNING
                 if row.finished:
                     code = RefusalCode.REQUEST_RAN
                 return Refusal(code, "this key was used before", Outcome.UNKNOWN)
             case ClaimUnknown():
-                self._unclaim.append(course)
+                self._unclaim.append(progress)
             case _:
-                course.nonce = ""
-        return course.refusal(
+                progress.nonce = ""
+        return progress.refusal(
             RefusalCode.PLATFORM_UNREACHABLE,
             "the request cannot be claimed now",
             PLATFORM_RETRY_SECONDS,
         )
 
-    async def _end_claim(self, course: Course) -> None:
-        if not course.nonce or course in self._unclaim:
+    async def _end_claim(self, progress: Progress) -> None:
+        if not progress.nonce or progress in self._unclaim:
             return
-        outcome = course.life.outcome()
+        outcome = progress.life.outcome()
         if outcome is Outcome.DONE:
-            await self._platform.run(finish_claim(course.call.request, course.nonce))
+            await self._platform.run(
+                finish_claim(progress.call.request, progress.nonce)
+            )
         elif outcome is Outcome.NOT_RUN:
-            self._unclaim.append(course)
+            self._unclaim.append(progress)
             await self._release_doubtful()
 
     async def _release_doubtful(self) -> None:
         """Release claims on requests that certainly did not run."""
-        for course in list(self._unclaim):
+        for progress in list(self._unclaim):
             released = await self._platform.run(
-                release_claim(course.call.request, course.nonce)
+                release_claim(progress.call.request, progress.nonce)
             )
-            if isinstance(released, Released) and course in self._unclaim:
-                self._unclaim.remove(course)
+            if isinstance(released, Released) and progress in self._unclaim:
+                self._unclaim.remove(progress)
 
     # Getting started
 
-    async def _start(self, course: Course, wish: Wish) -> Started | Refusal:
+    async def _start(self, progress: Progress, wish: Wish) -> Started | Refusal:
         """Take a place and reserve what the attempt can cost."""
-        call = course.call
+        call = progress.call
         if not self._upstreams.is_served(wish):
-            return course.refusal(
+            return progress.refusal(
                 RefusalCode.UPSTREAM_FAILED,
                 f"no upstream serves {wish.target} now",
                 RETRY_SECONDS,
             )
         placement = await self._upstreams.place(wish, call.priority, call.wait)
         if placement is None:
-            return course.refusal(
+            return progress.refusal(
                 RefusalCode.OVER_CAPACITY, "no place came free in time", RETRY_SECONDS
             )
-        reserved = await self._treasury.reserve(
+        reserved = await self._grants.reserve(
             call.request,
             wish.work.tokens,
             placement.upstream.name,
@@ -217,15 +219,15 @@
         )
         if isinstance(reserved, Failure):
             self._upstreams.release(placement)
-            return refuse_budget(course, reserved.failure())
+            return refuse_budget(progress, reserved.failure())
         return Started(placement, reserved.unwrap())
 
-    def _may_try_again(self, course: Course) -> bool:
+    def _may_try_again(self, progress: Progress) -> bool:
         """Decide whether another attempt is allowed and affordable."""
-        course.attempts += 1
-        if course.attempts >= MOST_ATTEMPTS:
+        progress.attempts += 1
+        if progress.attempts >= MOST_ATTEMPTS:
             return False
-        if course.life.outcome() is Outcome.UNKNOWN and not course.call.repeatable:
+        if progress.life.outcome() is Outcome.UNKNOWN and not progress.call.repeatable:
             return False
         return self._retries.spend()
 
@@ -234,18 +236,18 @@
     async def _complete_new(
         self, call: CompletionCall, sink: FrameSink
     ) -> Delivered | Refusal:
-        course = Course(call, begin_request(repeatable=call.repeatable))
+        progress = Progress(call, begin_request(repeatable=call.repeatable))
         if call.keyed:
             taken_over = await self._recovery.take_over(call, sink)
             if taken_over is not None:
                 return self._keep_taken_over(call, taken_over)
-        self.book.found_none(call)
-        refusal = await self._claim(course)
+        self.index.found_none(call)
+        refusal = await self._claim(progress)
         if refusal is not None:
             return refusal
         self._retries.earn()
-        result = await self._complete_until_done(course, call, sink)
-        await self._end_claim(course)
+        result = await self._complete_until_done(progress, call, sink)
+        await self._end_claim(progress)
         return result
 
     def _keep_taken_over(
@@ -253,11 +255,11 @@
     ) -> Delivered | Refusal:
         if isinstance(taken_over, Refusal):
             return taken_over
-        self.book.keep(call, taken_over)
+        self.index.keep(call, taken_over)
         return Delivered(taken_over.tokens)
 
     async def _complete_until_done(
-        self, course: Course, call: CompletionCall, sink: FrameSink
+        self, progress: Progress, call: CompletionCall, sink: FrameSink
     ) -> Delivered | Refusal:
         while True:
             rank = ORDER.index(call.priority)
@@ -268,25 +270,25 @@
                 call.model,
                 call.workspace.partner,
                 work,
-                frozenset(course.failed),
+                frozenset(progress.failed),
             )
-            started = await self._start(course, wish)
+            started = await self._start(progress, wish)
             if isinstance(started, Refusal):
                 return started
             answer = Answer(started.attempt.stream)
             try:
-                await self._run_stream(course, call, started, answer, sink)
+                await self._run_stream(progress, call, started, answer, sink)
             finally:
                 self._upstreams.release(started.placement)
             if answer.whole:
-                return await self._finish(course, call, started, answer, sink)
-            if answer.frames or not self._may_try_again(course):
-                return refuse_unfinished(course)
+                return await self._finish(progress, call, started, answer, sink)
+            if answer.frames or not self._may_try_again(progress):
+                return refuse_unfinished(progress)
             self._metrics.retries.inc()
 
     async def _run_stream(
         self,
-        course: Course,
+        progress: Progress,
         call: CompletionCall,
         started: Started,
         answer: Answer,
@@ -312,12 +314,12 @@
             elif not frame.finish:
                 sink.pass_on(frame)
 
-        course.life.dispatch()
+        progress.life.dispatch()
         stream = started.attempt.stream
         try:
             await self._engines.start(upstream.url, stream, completion, take)
         except (NotSentError, RefusedError) as error:
-            await self._give_up_unstarted(course, started, error)
+            await self._give_up_unstarted(progress, started, error)
             return
         except MayHaveRunError as error:
             self._log_failure(call, upstream.name, error)
@@ -327,9 +329,9 @@
             upstream.circuit.succeed()
             if len(pieces) > 1:
                 upstream.observe_pace((pieces[-1] - pieces[0]) / (len(pieces) - 1))
-            course.life.finish()
+            progress.life.finish()
             return
-        await self._give_up_started(course, started)
+        await self._give_up_started(progress, started)
 
     async def _resume(self, started: Started, answer: Answer, take: Any) -> None:
         """Fetch what is missing of an answer from the engine that has it."""
@@ -349,37 +351,37 @@
             failures = 0 if answer.next_offset > before else failures + 1
 
     async def _give_up_unstarted(
-        self, course: Course, started: Started, error: Exception
+        self, progress: Progress, started: Started, error: Exception
     ) -> None:
         """Give back all that was taken for an attempt that certainly did not run."""
         upstream = started.placement.upstream
-        self._log_failure(course.call, upstream.name, error)
-        course.failed.add(upstream.name)
+        self._log_failure(progress.call, upstream.name, error)
+        progress.failed.add(upstream.name)
         upstream.circuit.fail(self.clock.seconds())
-        course.life.refuse()
-        await self._treasury.settle(started.attempt, None)
+        progress.life.refuse()
+        await self._grants.settle(started.attempt, None)
 
-    async def _give_up_started(self, course: Course, started: Started) -> None:
+    async def _give_up_started(self, progress: Progress, started: Started) -> None:
         """End an attempt that may have run, for good if the engine answers."""
         upstream = started.placement.upstream
-        course.failed.add(upstream.name)
+        progress.failed.add(upstream.name)
         upstream.circuit.fail(self.clock.seconds())
         answer = await self._engines.cancel(upstream.url, started.attempt.stream)
         status = answer.seen_from(started.attempt.boot)
         if status.state is StreamState.CANCELLED and not status.started:
-            course.life.refuse()
+            progress.life.refuse()
         else:
-            course.life.lose()
+            progress.life.lose()
         if status.state is StreamState.CANCELLED:
-            await self._treasury.settle(started.attempt, None)
+            await self._grants.settle(started.attempt, None)
         elif status.state is StreamState.FINISHED:
-            await self._treasury.settle(started.attempt, status.tokens)
+            await self._grants.settle(started.attempt, status.tokens)
         else:
             self._recovery.watch(started.attempt, upstream.name)
 
     async def _finish(
         self,
-        course: Course,
+        progress: Progress,
         call: CompletionCall,
         started: Started,
         answer: Answer,
@@ -388,10 +390,10 @@
         """Settle, then let the last piece go: its bill is safe before it leaves."""
         last = answer.frames[-1]
         used = last.prompt_tokens + last.output_tokens
-        charged = await self._treasury.settle(started.attempt, used)
+        charged = await self._grants.settle(started.attempt, used)
         tokens = used if charged is None else charged
         sink.pass_on(last)
-        self.book.keep(call, KeptAnswer(call.content, tokens, tuple(answer.frames)))
+        self.index.keep(call, KeptAnswer(call.content, tokens, tuple(answer.frames)))
         self._metrics.billed_tokens.labels(call.request.workspace).inc(tokens)
         log_event(
             "request-done",
@@ -406,7 +408,7 @@
     # Plain services
 
     async def _call_until_done(
-        self, course: Course, call: PlainCall
+        self, progress: Progress, call: PlainCall
     ) -> KeptAnswer | Refusal:
         while True:
             wish = Wish(
@@ -415,46 +417,50 @@
                 call.service,
                 call.workspace.partner,
                 Work(call.price, rank=ORDER.index(call.priority)),
-                frozenset(course.failed),
+                frozenset(progress.failed),
             )
-            started = await self._start(course, wish)
+            started = await self._start(progress, wish)
             if isinstance(started, Refusal):
                 return started
             try:
-                answer = await self._call_once(course, call, started)
+                answer = await self._call_once(progress, call, started)
             finally:
                 self._upstreams.release(started.placement)
             if answer is not None:
-                return await self._finish_call(course, call, started, answer)
-            if not self._may_try_again(course):
-                return refuse_unfinished(course)
+                return await self._finish_call(progress, call, started, answer)
+            if not self._may_try_again(progress):
+                return refuse_unfinished(progress)
             self._metrics.retries.inc()
 
     async def _call_once(
-        self, course: Course, call: PlainCall, started: Started
+        self, progress: Progress, call: PlainCall, started: Started
     ) -> ServiceAnswer | None:
         upstream = started.placement.upstream
-        course.life.dispatch()
+        progress.life.dispatch()
         name = name_stream(call.request, started.attempt.id)
         try:
             answer = await self._services.call(upstream.url, name, call.call)
         except NotSentError as error:
-            await self._give_up_unstarted(course, started, error)
+            await self._give_up_unstarted(progress, started, error)
             return None
         except MayHaveRunError as error:
             self._log_failure(call, upstream.name, error)
-            course.failed.add(upstream.name)
+            progress.failed.add(upstream.name)
             upstream.circuit.fail(self.clock.seconds())
-            course.life.lose()
+            progress.life.lose()
             return None
         upstream.circuit.succeed()
-        course.life.finish()
+        progress.life.finish()
         return answer
 
     async def _finish_call(
-        self, course: Course, call: PlainCall, started: Started, answer: ServiceAnswer
+        self,
+        progress: Progress,
+        call: PlainCall,
+        started: Started,
+        answer: ServiceAnswer,
     ) -> KeptAnswer:
-        await self._treasury.settle(started.attempt, call.price)
+        await self._grants.settle(started.attempt, call.price)
         kept = KeptAnswer(
             call.content,
             call.price,
@@ -462,7 +468,7 @@
             body=answer.body,
             headers=dict(answer.headers),
         )
-        self.book.keep(call, kept)
+        self.index.keep(call, kept)
         self._metrics.billed_tokens.labels(call.request.workspace).inc(call.price)
         return kept
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/settings.py
@@ -34,7 +34,7 @@
     domain: Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
-class DoorsSection(Section):
+class ListenSection(Section):
     """Addresses that the instance listens on, each as ``host:port``."""
 
     callers: str
@@ -122,7 +122,7 @@
 
 
 class PartnerSection(Section):
-    """A partner whose operators may use the operator door.
+    """A partner whose operators may use the operator endpoint.
 
     :param operator_key_digest: SHA-256 of the partner's operator key
     """
@@ -134,7 +134,7 @@
     """All settings of one instance."""
 
     instance: InstanceSection
-    doors: DoorsSection
+    listen: ListenSection
     platform: PlatformSection
     fleet: FleetSection
     policies: PoliciesSection = PoliciesSection()
@@ -149,14 +149,14 @@
 
 SECTIONS: dict[str, type[Section]] = {
     "instance": InstanceSection,
-    "doors": DoorsSection,
+    "listen": ListenSection,
     "platform": PlatformSection,
     "fleet": FleetSection,
     "policies": PoliciesSection,
     "limits": LimitsSection,
     "logs": LogsSection,
 }
-REQUIRED = ("instance", "doors", "platform", "fleet")
+REQUIRED = ("instance", "listen", "platform", "fleet")
 
 
 def load_settings(path: Path) -> Settings:
--- a/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
@@ -22,8 +22,8 @@
     from collections.abc import Iterable
 
     from pondquay.names import RequestName
+    from pondquay_daemon.configuration import ConfigurationTask
     from pondquay_daemon.engines import Engines
-    from pondquay_daemon.keeper import Keeper
     from pondquay_daemon.platform import ListedInstance, Platform
 
 LIST_SECONDS = 1.0
@@ -82,14 +82,14 @@
         reactor: Any,
         platform: Platform,
         engines: Engines,
-        keeper: Keeper,
+        configuration: ConfigurationTask,
         domain: str,
         policy: str,
     ) -> None:
         super().__init__(reactor)
         self._platform = platform
         self._engines = engines
-        self._keeper = keeper
+        self._configuration = configuration
         self._domain = domain
         self._policy = ROUTING_POLICIES.create(policy)
         self._random = Random()
@@ -256,7 +256,7 @@
         """Return the version that the request's name falls to, by the shares."""
         if wish.kind != ENGINE:
             return ""
-        model = self._keeper.document.find(Model, wish.target)
+        model = self._configuration.document.find(Model, wish.target)
         if model is None:
             return None
         digest = blake2b(str(wish.request).encode(), digest_size=4).digest()
@@ -285,7 +285,7 @@
             return True
         lent = sum(
             loan.replicas
-            for loan in self._keeper.document.list(Loan)
+            for loan in self._configuration.document.list(Loan)
             if loan.model == wish.target
             and loan.partner == upstream.partner
             and loan.borrower == wish.partner
