Poll the allotments' table at most three times a second

Change: 0.3 s between two polls of that table, 2 s of the instances'. A write that meets a newer row learns of it from the conflict.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -42,12 +42,20 @@
     """Keeps a listener up to date with a table.
 
     :param table: its name
+    :param pause: seconds between two polls, for tables that change often and whose
+        news can wait
     """
 
     def __init__(
-        self, clock: IReactorTime, store: Store, table: str, listener: TableListener
+        self,
+        clock: IReactorTime,
+        store: Store,
+        table: str,
+        listener: TableListener,
+        pause: float = 0.0,
     ) -> None:
         self._clock = clock
+        self._pause = pause
         self._store = store
         self._table = table
         self._listener = listener
@@ -87,6 +95,8 @@
             self._note(succeeded)
             if not succeeded:
                 await sleep(uniform(*PAUSE_SECONDS), self._clock)
+            elif self._pause:
+                await sleep(self._pause, self._clock)
 
     async def _read(self) -> bool:
         asked = self._clock.seconds()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -48,6 +48,9 @@
 # Kept free at the end of a planned stop, to hand allotments back.
 HAND_BACK_SECONDS = 0.5
 STOP_STEP_SECONDS = 0.05
+# Seconds between two polls. A write that meets a newer row learns of it anyway.
+ALLOTMENTS_PAUSE = 0.3
+MEMBERS_PAUSE = 2.0
 # Seconds after which a caller that is refused for the stop should ask another instance.
 ELSEWHERE = 0.1
 
@@ -94,8 +97,10 @@
         self._feeds = [
             self._feed,
             TableFeed(reactor, self._store, names.upstreams, self._upstreams),
-            TableFeed(reactor, self._store, ALLOTMENTS, self._accounts),
-            TableFeed(reactor, self._store, MEMBERS, self._members),
+            TableFeed(
+                reactor, self._store, ALLOTMENTS, self._accounts, ALLOTMENTS_PAUSE
+            ),
+            TableFeed(reactor, self._store, MEMBERS, self._members, MEMBERS_PAUSE),
         ]
         self._callers = IngressServer(reactor, self)
         self._probes = IngressServer(reactor, ReadinessHandler(self, border))
