Refuse within 0.2 s what the frozen table cannot serve

Cause: in the product's own interface a request without tokens waited for the table's time-out three times, 6.0 s (seen earlier), while the table was frozen. Change: it waits 0.2 s for a refill; tokens that come later stay at the instance. The claim of a request that may not be repeated still waits for its own time-out; a base grant at each start was not built, since 32,000 budgets at 400 nodes would not bear one each.

--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -37,6 +37,8 @@
 MAINTAIN_SECONDS = 1.0
 MOST_TRIES = 4
 RECALL_SECONDS = 0.15
+# A request waits no longer than this for the table; tokens that come later stay here.
+REFILL_SECONDS = 0.2
 SETTLE_SECONDS = 2.0
 
 
@@ -112,7 +114,12 @@
                 request, tokens, upstream, self.manager.is_usable, boot
             )
             if attempt is None:
-                refill = await self._want(request.workspace, tokens)
+                refill = await wait_at_most(
+                    self._want(request.workspace, tokens),
+                    REFILL_SECONDS,
+                    self.clock,
+                    Refill.UNREACHABLE,
+                )
                 if refill is Refill.EXHAUSTED and not recalled:
                     recalled = True
                     await self._recall(request.workspace, tokens)
