Keep feeds alive at rows that cannot be read; answer internal errors

Causes, found by reading: an unreadable row of a table ended its feed for good, so an instance would have kept an old configuration; a body that takes longer than a head may was refused; an error inside a request left its caller without an answer. Change: each row is taken by itself and a failed step is tried again after a pause; a body may take as long as a rest; an internal error gets 502, or 503 if nothing was sent.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -19,7 +19,7 @@
     Unreachable,
     Write,
 )
-from pondquay_daemon.logs import log_event
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.feeds import TableListener
 from pondquay_daemon.tasks import Task, sleep, spawn
 
@@ -239,7 +239,12 @@
             return
         if key in self._writing:
             return
-        account.read(AllotmentRow.from_value(value), version)
+        try:
+            row = AllotmentRow.from_value(value)
+        except (KeyError, TypeError, ValueError) as error:
+            log_event("allotment-malformed", Level.ERROR, workspace=key, error=error)
+            return
+        account.read(row, version)
         self._adjust_soon(key)
 
     def _adjust_soon(self, name: str) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -88,16 +88,24 @@
 
     async def _run(self) -> None:
         while self._running:
-            if self._since is None:
-                succeeded = await self._read()
-            else:
-                succeeded = await self._poll(self._since)
+            succeeded = await self._step()
             self._note(succeeded)
             if not succeeded:
                 await sleep(uniform(*PAUSE_SECONDS), self._clock)
             elif self._pause:
                 await sleep(self._pause, self._clock)
 
+    async def _step(self) -> bool:
+        """Read or poll once; a row that nobody can read must not end the feed."""
+        try:
+            if self._since is None:
+                return await self._read()
+            return await self._poll(self._since)
+        except Exception as error:
+            self._log_failure(error)
+            self._begin_doubt()
+            return False
+
     async def _read(self) -> bool:
         asked = self._clock.seconds()
         reply = await self._store.read_table(self._table)
@@ -128,9 +136,15 @@
         return True
 
     def _take(self, reply: Changes) -> None:
-        for change in reply.changes:
-            self._listener.take_change(change)
         self._since = max(self._since or 0, reply.version)
+        for change in reply.changes:
+            try:
+                self._listener.take_change(change)
+            except Exception as error:
+                self._log_failure(error)
+
+    def _log_failure(self, error: Exception) -> None:
+        log_event("feed-failed", Level.ERROR, table=self._table, error=repr(error))
 
     def _begin_doubt(self) -> None:
         self._doubt_until = self._clock.seconds() + DOUBT_SECONDS
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -218,6 +218,8 @@
             self._no_body = event.method == b"HEAD"
             self._body = []
             self._size = 0
+            # The head is in time; a long body may take as long as a rest.
+            self._wait(self._handler.limits().idle_timeout, self._end_slow)
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
             if self._size > self._handler.limits().body_bytes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -9,7 +9,7 @@
 from pondquay.routes.table import choose_service
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
-from pondquay_daemon.logs import log_event
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.attempts import (
     PROMISES,
     SUCCESS,
@@ -193,6 +193,15 @@
                 refusal = await self._try_upstreams()
             if refusal is not None:
                 self._refuse(refusal)
+        except Exception as error:
+            log_event(
+                "request-failed",
+                Level.ERROR,
+                request=self._marks.attempt,
+                error=repr(error),
+            )
+            self._may_have_run = self._may_have_run or bool(self._sent_to)
+            self._refuse(self._give_up("internal error"))
         finally:
             if timer.active():
                 timer.cancel()
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -119,3 +119,10 @@
     caller.handler.requests[0][2].send_whole(200, [], b"x")
     assert b"connection: close" in caller.sent_back().lower()
     assert caller.transport.disconnecting
+
+
+def test_a_long_body_may_take_longer_than_a_head(caller: CallerSide) -> None:
+    caller.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe")
+    caller.clock.advance(caller.handler.bounds.header_timeout + 1)
+    caller.send(b"llo")
+    assert caller.handler.requests[0][1] == b"hello"
