Split a request's admission and shared parts from its run

Change: admission.py finds route, owner and service or refuses; parts.py is what requests share; requests.py runs one.

--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -0,0 +1,32 @@
+"""What the requests of one relay share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.retryshares import RetryShare
+    from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay_daemon.relay.border import Border
+    from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.placement import Placement
+
+
+@dataclass(slots=True)
+class RelayParts:
+    """What requests share."""
+
+    clock: IReactorTime
+    border: Border
+    pool: EgressPool
+    directory: UpstreamDirectory
+    placement: Placement
+    accounts: AccountBook
+    retries: RetryShare
+    random: Random
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -12,21 +12,22 @@
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.accounts import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.accounts import AccountBook
+from pondquay_daemon.relay.admission import (
+    UNAVAILABLE,
+    Refusal,
+    admit_request,
+    send_refusal,
+)
 from pondquay_daemon.relay.egress import EgressPool
 from pondquay_daemon.relay.feeds import TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
+from pondquay_daemon.relay.parts import RelayParts
 from pondquay_daemon.relay.peers import PeerListener, PeerMesh
 from pondquay_daemon.relay.placement import Placement
-from pondquay_daemon.relay.requests import (
-    Refusal,
-    RelayParts,
-    RequestRun,
-    admit_request,
-    send_refusal,
-)
+from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
@@ -39,7 +40,6 @@
     from pondquay_daemon.relay.settings import RelaySettings
 
 OK = 200
-UNAVAILABLE = 503
 # What is not known is said not to exist only if the store confirmed it this lately, as
 # a part of the time in which a configuration must be in force.
 CURRENT_PART = 0.8
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.accounts import Refused
-from pondquay.routes.table import choose_service
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.admission import (
+    SOON,
+    UNAVAILABLE,
+    Refusal,
+    send_refusal,
+)
 from pondquay_daemon.relay.attempts import (
     PROMISES,
     SUCCESS,
@@ -22,34 +26,23 @@
     StreamProgress,
     Unsent,
 )
-from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
 
 if TYPE_CHECKING:
-    from random import Random
-
-    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IDelayedCall
 
-    from pondquay.routes.entities import Route, RoutedWorkspace, Service
-    from pondquay.routes.table import RouteTable
-    from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
-    from pondquay.routing.retryshares import RetryShare
-    from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay.routes.entities import Service
+    from pondquay.routing.directory import KnownUpstream
+    from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome
-    from pondquay_daemon.relay.border import Border
-    from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.ingress import CallerAnswer
-    from pondquay_daemon.relay.messages import RequestHead, RequestMarks
-    from pondquay_daemon.relay.placement import Placement
+    from pondquay_daemon.relay.messages import RequestHead
+    from pondquay_daemon.relay.parts import RelayParts
 
-BAD_REQUEST = 400
-UNAUTHORIZED = 401
 PAYMENT_REQUIRED = 402
-NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
-UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
 # Connections that may fail before a request is refused; nothing was sent on them.
@@ -62,87 +55,14 @@
 LEAST_SILENT_SECONDS = 0.3
 # One that answers other requests meanwhile is given up after this many.
 BUSY_OBJECTIVES = 3.0
-# Seconds after which a refused caller should come back.
-SOON = 0.25
 # Another instance, to which a caller's next try may come, may have what lacks here.
 AT_ANOTHER = 0.1
-LATER = 1.0
 LEAST_REMAINING_SECONDS = 0.01
 # Routes' priorities are below this, and tenants' come ahead of them.
 ROUTE_PRIORITIES = 3
 MOST_URGENCY = 9
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """An answer that the relay gives by itself.
-
-    :param retry_after: seconds after which asking again may help
-    """
-
-    status: int
-    reason: str
-    retry_after: float | None = None
-
-
-@dataclass(slots=True)
-class RelayParts:
-    """What requests share."""
-
-    clock: IReactorTime
-    border: Border
-    pool: EgressPool
-    directory: UpstreamDirectory
-    placement: Placement
-    accounts: AccountBook
-    retries: RetryShare
-    random: Random
-
-
-@dataclass(frozen=True, slots=True)
-class Admission:
-    """A request that has a route and an owner."""
-
-    marks: RequestMarks
-    route: Route
-    workspace: RoutedWorkspace | None
-    service: str
-
-
-def admit_request(
-    head: RequestHead,
-    table: RouteTable | None,
-    border: Border,
-    random: Random,
-    *,
-    current: bool,
-) -> Admission | Refusal:
-    """Find a request's route and owner.
-
-    :param current: whether the table was confirmed lately; if not, what it does not
-        know may exist all the same
-    """
-    if table is None:
-        return Refusal(UNAVAILABLE, "no configuration yet", LATER)
-    try:
-        marks = border.read_request(head)
-    except MalformedValueError as error:
-        return Refusal(BAD_REQUEST, str(error))
-    route = table.find_route(marks.host, head.path)
-    if route is None:
-        if not current:
-            return Refusal(UNAVAILABLE, "unknown route, old configuration", SOON)
-        return Refusal(NOT_FOUND, "no such route")
-    workspace = None
-    if table.needs_keys and not route.public:
-        workspace = table.find_workspace(marks.key or "")
-        if workspace is None and not current:
-            return Refusal(UNAVAILABLE, "unknown key, old configuration", SOON)
-        if workspace is None:
-            return Refusal(UNAUTHORIZED, "unknown key")
-    return Admission(marks, route, workspace, choose_service(route, random))
-
-
 class RequestRun:
     """Runs one admitted request to its end."""
 
@@ -464,12 +384,3 @@
             self._answer.break_off()
             return
         send_refusal(self._parts.border, self._answer, self._marks.attempt, refusal)
-
-
-def send_refusal(
-    border: Border, answer: CallerAnswer, attempt: str, refusal: Refusal
-) -> None:
-    """Give a caller an answer of the relay's own."""
-    headers = border.write_refusal(attempt, refusal.retry_after)
-    body = f"{refusal.reason}\n".encode()
-    answer.send_whole(refusal.status, headers, body)
--- a/tests/border/test_border.py
+++ b/tests/border/test_border.py
@@ -53,7 +53,13 @@
         if isinstance(node, ast.Import)
         for one in node.names
     }
-    deciding = ("random", "time", "pondquay.budgets", "pondquay_daemon.relay.requests")
+    deciding = (
+        "random",
+        "time",
+        "pondquay.budgets",
+        "pondquay_daemon.relay.requests",
+        "pondquay_daemon.relay.admission",
+    )
     deciding += ("pondquay_daemon.relay.placement", "pondquay.routing.rendezvous")
     deciding += ("pondquay.routing.retryshares", "pondquay.routing.circuits")
     assert [one for one in imported if one.startswith(deciding)] == []
