Never call a request not run, for want of tokens, that may have run

Cause, found by reading: after an attempt whose answer was lost, tokens for another are reserved; where none were left the caller got 402 or 429, which promises that nothing ran. Also each failed connection counted as one more request, which widened this instance's share of the retry budget. Change: such a caller gets 502; a request is counted once. The test through processes fails first.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -184,15 +184,14 @@
         """Send the request until it is answered, or no further attempt is allowed."""
         sends = 0
         connect_failures = 0
+        now = self._parts.clock.seconds()
+        self._parts.retries.note_first(self._service_name, now)
         while not self._stopped:
             upstream = self._place()
             if upstream is None:
                 return self._give_up("no upstream")
             if sends and not self._take_retry():
                 return self._give_up("no retries left")
-            if not sends:
-                now = self._parts.clock.seconds()
-                self._parts.retries.note_first(self._service_name, now)
             outcome = await self._send(upstream, last=sends + 1 >= self._route.attempts)
             self._observe(upstream, outcome)
             if isinstance(outcome, Unsent):
@@ -367,9 +366,11 @@
             return None
         if not self._route.repeatable:
             return self._give_up("may have run")
-        if isinstance(outcome, Lost | Answered):
-            return await self._reserve(self._marks.output_tokens)
-        return None
+        if not isinstance(outcome, Lost | Answered):
+            return None
+        refusal = await self._reserve(self._marks.output_tokens)
+        # A refusal for want of tokens says that nothing ran, which is no longer true.
+        return None if refusal is None else self._give_up(refusal.reason)
 
     def _give_up(self, why: str) -> Refusal:
         if not self._may_have_run:
--- a/packages/pondquay-standins/tests/test_routed.py
+++ b/packages/pondquay-standins/tests/test_routed.py
@@ -242,6 +242,27 @@
     assert 0 < spent <= prepaid
 
 
+def test_one_that_ran_is_not_called_not_run_for_want_of_tokens(
+    fleet: RoutedFleet,
+) -> None:
+    bound = sum(TOKENS)
+    prepaid = int(bound * 1.06)
+    fleet.configure(make_configuration(2, prepaid))
+    wait_until(lambda: 0 < sum(ceilings(fleet).values()) <= prepaid, "allotments")
+    set_faults(fleet, "lose-answer", "e1", "e2")
+
+    def answered() -> bool:
+        attempt = f"ran-{len(fleet.runs())}"
+        answer = fleet.ask(
+            fleet.relays["r1"], "/audit/", tokens=TOKENS, events=2, attempt=attempt
+        )
+        ran = bool(runs_of(fleet, attempt))
+        assert not ran or answer.status == 502
+        return ran
+
+    wait_until(answered, "a run")
+
+
 def test_a_killed_relay_costs_no_more_than_it_held(fleet: RoutedFleet) -> None:
     wait_until(lambda: len(ceilings(fleet)) == 2, "both allotments")
     held = ceilings(fleet)["r1"]
