Keep the border's tests with those of the daemon

Cause: in a folder tests/ at the root they stood outside every package, and a check for names of the platform outside platform/ and tests found them. In platform/tests pytest would hide the standard library's module platform (tried: all collection fails).

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 test: lint types unit
 
 lint: .venv/.installed
-	$(BIN)/ruff format --check packages platform tests
-	$(BIN)/ruff check packages platform tests
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
 
 types: .venv/.installed
 	$(BIN)/mypy $(SOURCES)
--- a/tests/border/test_border.py
+++ b/packages/pondquay-daemon/tests/border/test_border.py
@@ -9,7 +9,7 @@
 
 from pondquay_platform import names
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[4]
 PRODUCT = sorted(
     path
     for package in ("pondquay", "pondquay-daemon", "pondquay-cli", "pondquay-lab")
