--- /dev/null
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -0,0 +1,84 @@
+"""What instances keep ahead: enough to serve, little enough to lose at once."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondquay.budgets.accounts import RATE_SECONDS, Account
+from pondquay.budgets.allotments import Allotment, AllotmentRow
+from pondquay.budgets.headroom import (
+    MOST_OF_LEFT,
+    MOST_OF_PREPAID,
+    plan_headroom,
+    target_headroom,
+)
+
+PREPAID = 1_000_000
+NOW = 100.0
+rates = st.lists(st.integers(0, 60_000), min_size=2, max_size=12)
+
+
+def make_account(
+    rate: int, others: list[int], *, used: int = 0, ceiling: int = 0
+) -> Account:
+    """Return an account beside others that ask for some tokens a second."""
+    holders = {
+        f"other-{number}": Allotment("1", 0, 0, one)
+        for number, one in enumerate(others)
+    }
+    holders["me"] = Allotment("1", used + ceiling, used, rate)
+    account = Account("me", "1", PREPAID, spent=used, used=used)
+    account.read(AllotmentRow(0, 0, holders), 1)
+    if rate:
+        # Long ago, so that the average is not taken for one over a short past.
+        account.demand.note(1, 0.0)
+        account.demand.note(int(rate * RATE_SECONDS), NOW)
+    return account
+
+
+@given(rates, st.integers(0, PREPAID))
+def test_all_together_keep_no_more_than_a_power_loss_may_cost(
+    asked: list[int], used: int
+) -> None:
+    total = 0
+    for at, rate in enumerate(asked):
+        others = asked[:at] + asked[at + 1 :]
+        total += target_headroom(make_account(rate, others, used=used), NOW)
+    left = PREPAID - used
+    bound = min(MOST_OF_PREPAID * PREPAID, MOST_OF_LEFT * left)
+    # Rates are whole numbers in the row, so parts may overlap by a little.
+    assert total <= 1.01 * bound + len(asked)
+
+
+def test_an_instance_without_demand_has_a_base() -> None:
+    account = make_account(0, [0, 0, 0])
+    assert target_headroom(account, NOW) > 0
+    assert plan_headroom(account, NOW) == target_headroom(account, NOW)
+
+
+def test_what_is_far_above_the_target_is_returned() -> None:
+    account = make_account(100, [100, 100], ceiling=400_000)
+    target = target_headroom(account, NOW)
+    assert target < 100_000
+    assert plan_headroom(account, NOW) == target
+
+
+def test_near_the_target_nothing_is_written() -> None:
+    account = make_account(1000, [1000, 1000])
+    target = target_headroom(account, NOW)
+    account = make_account(1000, [1000, 1000], ceiling=target)
+    assert plan_headroom(account, NOW) is None
+
+
+def test_a_request_that_lacks_tokens_has_them_asked_for() -> None:
+    account = make_account(100, [100, 100])
+    account.wanted = 200_000
+    assert plan_headroom(account, NOW) == 200_000
+
+
+def test_what_the_row_has_no_room_for_is_not_asked_for() -> None:
+    account = make_account(100, [100, 100], used=PREPAID - 50_000)
+    account.wanted = 200_000
+    planned = plan_headroom(account, NOW)
+    assert planned is None or planned <= account.most_headroom()
