Serve at every instance and refuse in time while the table is frozen

Cause: an instance that had seen no request of a workspace held no tokens of it, so with the table frozen it served nobody; and the claim of a request that may not be repeated waited for the table up to its time-out (6.0 s was seen).

Change: instances take a base of each budget before any request (5% of it over all of them, for 200 workspaces at most); a claim is waited for 0.2 s, its request is then refused as not run, and a claim that comes later is released. A refusal no longer waits for the release of its claim either. The claim of a refused request is released by its own name, not by way of the request.

Tests: a frozen stand-in of the platform; every instance answers, and the refusal comes in time (fails before: no base within 30 s).

--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -6,6 +6,7 @@
 from secrets import token_hex
 from typing import TYPE_CHECKING, Any
 
+from pondquay.configuration.entities import Budget
 from pondquay.membership.messages import FoundRequest, Heartbeat
 from pondquay.names import InstanceId
 from pondquay_daemon.addresses import Address
@@ -111,7 +112,7 @@
         await self.peers.start(Address.parse(listen.peers), self)
         self.configuration.start()
         self.upstreams.start()
-        self.grants.start()
+        self.grants.start(self._list_budgets)
         self.recovery.start()
         self.runner.start()
         self.peers.repeat(1.0, self._follow_peers)
@@ -127,6 +128,9 @@
             self._ports.append(port)
         log_event("started", instance=self.instance, domain=self.domain)
 
+    def _list_budgets(self) -> list[str]:
+        return [one.name for one in self.configuration.document.list(Budget)]
+
     async def _follow_peers(self) -> None:
         """Keep links to the entry instances that the platform lists."""
         addresses = {
--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/metrics.py
@@ -46,6 +46,7 @@
         metrics.peer_messages.set(application.peers.links.sent_messages)
         metrics.links_cut.set(application.peers.links.cut_off)
         metrics.unsafe_bills.set(application.grants.unsafe_bills)
+        metrics.grants_held.set(len(holdings))
         metrics.held_tokens.set(sum(one.amount - one.spent for one in holdings))
 
     def show_health(self, request: Request) -> bytes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -24,7 +24,7 @@
 from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from pondquay.budgets.messages import HolderMessage, WitnessMessage
     from pondquay.names import AttemptId, InstanceId, RequestName
@@ -88,12 +88,17 @@
         self._pump_due = False
         self._refilling = False
         self._stopping = False
+        self._list_workspaces: Callable[[], Iterable[str]] = list
         self._flushed_at = 0.0
         self._doubtful: set[AttemptId] = set()
         self.unsafe_bills = 0
 
-    def start(self) -> None:
-        """Begin to flush bills and maintain grants."""
+    def start(self, list_workspaces: Callable[[], Iterable[str]]) -> None:
+        """Begin to flush bills and maintain grants.
+
+        :param list_workspaces: returns the workspaces that have a budget
+        """
+        self._list_workspaces = list_workspaces
         self.repeat(FLUSH_CHECK_SECONDS, self._flush_if_due)
         self.repeat(MAINTAIN_SECONDS, self._maintain)
 
@@ -293,6 +298,7 @@
     # Maintenance and stopping
 
     async def _maintain(self) -> None:
+        self.manager.watch(self._list_workspaces())
         self.manager.update_rates(MAINTAIN_SECONDS)
         async with self._lock:
             maintain = self.manager.maintain(rebalance=not self._stopping)
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure
+from twisted.internet.defer import Deferred
 
 from pondquay.claims.programs import (
     AlreadyClaimed,
@@ -44,10 +46,12 @@
     refuse_unfinished,
 )
 from pondquay_daemon.requestindex import RequestIndex
-from pondquay_daemon.tasks import Task, sleep
+from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
 from pondquay_daemon.upstreams import Wish
 
 if TYPE_CHECKING:
+    from pondquay.claims.programs import ClaimOutcome
+    from pondquay.names import RequestName
     from pondquay_daemon.configuration import ConfigurationTask
     from pondquay_daemon.engines import Engines
     from pondquay_daemon.grants import GrantTask
@@ -61,6 +65,16 @@
 MOST_RESUMES = 3
 RESUME_PAUSE_SECONDS = 0.2
 UNCLAIM_SECONDS = 1.0
+# A request waits no longer than this for the table to take its claim.
+CLAIM_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class DoubtfulClaim:
+    """A claim that may stand though its request did not run."""
+
+    request: RequestName
+    nonce: str
 
 
 class Runner(Task):
@@ -90,7 +104,7 @@
         self._configuration = configuration
         self._metrics = metrics
         self._retries = RetryBudget()
-        self._unclaim: list[Progress] = []
+        self._unclaim: list[DoubtfulClaim] = []
         self.index = RequestIndex()
         self.stopping = False
 
@@ -152,10 +166,7 @@
         if call.repeatable:
             return None
         progress.nonce = f"{self._instance}/{self._metrics.next_number()}"
-        outcome = await self._platform.run(
-            claim_request(call.request, self._instance, progress.nonce)
-        )
-        match outcome:
+        match await self._make_claim(progress):
             case Claimed():
                 return None
             case AlreadyClaimed(row):
@@ -165,17 +176,41 @@
                     code = RefusalCode.REQUEST_RAN
                 return Refusal(code, "this key was used before", Outcome.UNKNOWN)
             case ClaimUnknown():
-                self._unclaim.append(progress)
-            case _:
-                progress.nonce = ""
+                self._doubt_claim(progress)
+        progress.nonce = ""
         return progress.refusal(
             RefusalCode.PLATFORM_UNREACHABLE,
             "the request cannot be claimed now",
             PLATFORM_RETRY_SECONDS,
         )
 
+    async def _make_claim(self, progress: Progress) -> ClaimOutcome | None:
+        """Write a claim; ``None`` if the table takes too long for the caller.
+
+        The request is refused then, and the claim is released once it is known.
+        """
+        request, nonce = progress.call.request, progress.nonce
+        program = claim_request(request, self._instance, nonce)
+        claiming: Deferred[ClaimOutcome | None] = Deferred.fromCoroutine(
+            self._platform.run(program)
+        )
+        outcome = await wait_at_most(claiming, CLAIM_SECONDS, self.clock, None)
+        if outcome is None:
+            claim = DoubtfulClaim(request, nonce)
+            claiming.addCallback(self._note_late_claim, claim)
+        return outcome
+
+    def _note_late_claim(
+        self, outcome: ClaimOutcome | None, claim: DoubtfulClaim
+    ) -> None:
+        if isinstance(outcome, Claimed | ClaimUnknown):
+            self._unclaim.append(claim)
+
+    def _doubt_claim(self, progress: Progress) -> None:
+        self._unclaim.append(DoubtfulClaim(progress.call.request, progress.nonce))
+
     async def _end_claim(self, progress: Progress) -> None:
-        if not progress.nonce or progress in self._unclaim:
+        if not progress.nonce:
             return
         outcome = progress.life.outcome()
         if outcome is Outcome.DONE:
@@ -183,17 +218,18 @@
                 finish_claim(progress.call.request, progress.nonce)
             )
         elif outcome is Outcome.NOT_RUN:
-            self._unclaim.append(progress)
-            await self._release_doubtful()
+            self._doubt_claim(progress)
+            # The caller is told at once, also where the table does not answer.
+            spawn(self._release_doubtful(), "Runner")
 
     async def _release_doubtful(self) -> None:
         """Release claims on requests that certainly did not run."""
-        for progress in list(self._unclaim):
+        for claim in list(self._unclaim):
             released = await self._platform.run(
-                release_claim(progress.call.request, progress.nonce)
+                release_claim(claim.request, claim.nonce)
             )
-            if isinstance(released, Released) and progress in self._unclaim:
-                self._unclaim.remove(progress)
+            if isinstance(released, Released) and claim in self._unclaim:
+                self._unclaim.remove(claim)
 
     # Getting started
 
--- a/packages/pondquay-standins/src/pondquay_standins/platform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/platform.py
@@ -1,6 +1,7 @@
 """The platform's stand-in: table service, object store and instance list.
 
-Faults, by ``POST /faults``: ``down`` (no answer at all), ``table_down`` (only the
+Faults, by ``POST /faults``: ``down`` (connections are dropped), ``frozen`` (nothing is
+answered until it ends), ``table_down`` (only the
 table gives none), ``slow_ms``, ``lose`` (the
 next so many transactions take effect and their answers are lost), ``cut`` (domains
 that get no answer), ``list_lag_seconds``.
@@ -38,6 +39,7 @@
 CONFLICT = 409
 NOT_FOUND = 404
 DOMAIN_HEADER = "Pondquay-Domain"
+FROZEN_STEP_SECONDS = 0.05
 
 
 class Faults(BaseModel):
@@ -46,6 +48,7 @@
     model_config = ConfigDict(extra="forbid")
 
     down: bool = False
+    frozen: bool = False
     table_down: bool = False
     slow_ms: int = 0
     lose: int = 0
@@ -113,6 +116,8 @@
         domain = request.getHeader(DOMAIN_HEADER) or ""
         if self.faults.slow_ms:
             await sleep(self.faults.slow_ms / 1000)
+        while self.faults.frozen:
+            await sleep(FROZEN_STEP_SECONDS)
         table_down = self.faults.table_down and answer in (self._read, self._transact)
         if self.faults.down or table_down or domain in self.faults.cut:
             return await drop_connection(request)
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -4,6 +4,7 @@
 
 import json
 import threading
+import time
 import urllib.request
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -13,6 +14,7 @@
 from pondquay_standins.fleet import (
     MODEL,
     SERVICE,
+    WORKSPACES,
     Fleet,
     configure_workspaces,
     make_workspace,
@@ -24,6 +26,8 @@
 
 KEY = "sk-failures"
 PACE = 0.02
+# What cannot be served is refused this soon, with room for a busy machine.
+MOST_REFUSAL_SECONDS = 0.5
 
 
 @pytest.fixture
@@ -214,6 +218,33 @@
     check_spend(fleet)
 
 
+def test_with_a_frozen_table_every_instance_serves_what_may_be_repeated(
+    fleet: Fleet,
+) -> None:
+    # One workspace has 40 tokens, which make no base.
+    based = len(WORKSPACES)
+    for one in fleet.instances:
+        wait_until(
+            lambda one=one: one.metric("pondquay_grants_held") >= based,
+            "a base of each workspace",
+        )
+    fleet.set_platform_faults(frozen=True)
+    for at in range(len(fleet.instances)):
+        headers = {"Idempotency-Key": f"frozen-{at}"}
+        assert fleet.complete(KEY, "caption", at=at, headers=headers).status == 200
+    once = {"Idempotency-Key": "once", "Pondquay-Repeatable": "no"}
+    asked = time.monotonic()
+    refused = fleet.complete(KEY, "payroll", headers=once)
+    took = time.monotonic() - asked
+    assert refused.status == 503
+    assert refused.headers["Pondquay-Outcome"] == "not-run"
+    assert took < MOST_REFUSAL_SECONDS
+    fleet.set_platform_faults(frozen=False)
+    count = len(fleet.instances)
+    wait_until(lambda: len(bill(fleet)["requests"]) == count, "bills after the freeze")
+    check_spend(fleet)
+
+
 def test_lost_answers_of_the_table_double_nothing(fleet: Fleet) -> None:
     for number in range(6):
         fleet.set_platform_faults(lose=3)
--- a/packages/pondquay/src/pondquay/budgets/manager.py
+++ b/packages/pondquay/src/pondquay/budgets/manager.py
@@ -45,6 +45,8 @@
 
 MOST_BILLS = 200
 MOST_ADJUSTMENTS = 50
+# Workspaces for which an instance keeps tokens without having seen a request.
+MOST_WATCHED = 200
 MEMORY_SECONDS = 900.0
 PRIOR_SECONDS = 60.0
 REPORT_DRIFT = 0.05
@@ -121,6 +123,16 @@
         demand.reserved += tokens
         demand.largest = max(demand.largest, tokens)
 
+    def watch(self, workspaces: Iterable[str]) -> None:
+        """Keep a base of tokens for some workspaces before any request asks for them.
+
+        :param workspaces: names; beyond a bound they wait for their first request
+        """
+        for workspace in workspaces:
+            if len(self.demands) >= MOST_WATCHED:
+                return
+            self._demand(workspace)
+
     def update_rates(self, seconds: float) -> None:
         """Bring the rates up to date.
 
@@ -436,6 +448,7 @@
         return isinstance(outcome, Resolved)
 
     def _rebalance(self) -> Program[None]:
+        yield from self._read_budgets(self.demands)
         planned: list[Adjustment] = []
         for workspace, demand in list(self.demands.items()):
             if demand.budget is not None:
--- a/packages/pondquay/src/pondquay/budgets/sizing.py
+++ b/packages/pondquay/src/pondquay/budgets/sizing.py
@@ -7,6 +7,9 @@
 RESERVE_SECONDS = 5400.0
 LEAST_REQUESTS = 16
 SLACK = 0.05
+# Part of a budget that all instances together hold where no demand was seen yet, so
+# that each can serve if the table is away when the first request comes.
+BASE_PART = 0.05
 
 
 @GRANT_POLICIES.register("equal-split")
@@ -26,7 +29,8 @@
     """Keeps what is left of the budget in proportion to each instance's demand.
 
     Where the budget is ample this is capped by what a long outage would use, and
-    within a slack around the target nothing is moved.
+    within a slack around the target nothing is moved. Where no request was seen yet it
+    is a base.
     """
 
     def decide(self, view: GrantView) -> int:
@@ -47,4 +51,6 @@
         if share == 0.0:
             share = 1.0 / (4 * max(1, view.instances))
         longest = max(LEAST_REQUESTS * view.largest, int(view.rate * RESERVE_SECONDS))
+        if view.largest == 0:
+            longest = int(BASE_PART * view.limit / max(1, view.instances))
         return min(longest, int(view.left * min(1.0, share)))
