--- a/packages/pondquay-cli/src/pondquay_cli/__main__.py
+++ b/packages/pondquay-cli/src/pondquay_cli/__main__.py
@@ -13,7 +13,7 @@
 
 from pondquay_cli import commands
 from pondquay_cli.client import OperatorClient
-from pondquay_cli.commands.base import COMMANDS
+from pondquay_cli.commands.base import COMMANDS, LocalCommand
 from pondquay_cli.errors import CommandError, InvalidUsageError
 
 if TYPE_CHECKING:
@@ -80,8 +80,11 @@
 async def run_command(reactor: Any, options: Namespace) -> int:
     """Run the command that was given and return its exit status."""
     try:
-        client = make_client(reactor, options)
-        result = await COMMANDS.create(options.command).run(client, options)
+        command = COMMANDS.create(options.command)
+        if isinstance(command, LocalCommand):
+            result = command.run(options)
+        else:
+            result = await command.run(make_client(reactor, options), options)
     except CommandError as error:
         print(f"pondquay: {error}", file=sys.stderr)
         return error.status
--- a/packages/pondquay-cli/src/pondquay_cli/commands/base.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/base.py
@@ -41,6 +41,10 @@
     def add_arguments(self, parser: ArgumentParser) -> None:  # noqa: B027
         """Add the command's own arguments; most have none."""
 
+
+class OperatorCommand(Command):
+    """A command that calls operator endpoints."""
+
     @abstractmethod
     async def run(self, client: OperatorClient, options: Namespace) -> CommandResult:
         """Do it.
@@ -49,4 +53,15 @@
         """
 
 
-COMMANDS: Registry[Command] = Registry("command")
+class LocalCommand(Command):
+    """A command that needs no fleet."""
+
+    @abstractmethod
+    def run(self, options: Namespace) -> CommandResult:
+        """Do it.
+
+        :raises CommandError: if it cannot be done
+        """
+
+
+COMMANDS: Registry[OperatorCommand | LocalCommand] = Registry("command")
--- a/packages/pondquay-cli/src/pondquay_cli/commands/bill.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/bill.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.output import format_table
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 
 @COMMANDS.register("bill")
-class BillCommand(Command):
+class BillCommand(OperatorCommand):
     """Shows the ledger of one workspace."""
 
     help = "show what a workspace was billed, request by request"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/budgets.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/budgets.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.output import format_table
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
 
 
 @COMMANDS.register("budgets")
-class BudgetsCommand(Command):
+class BudgetsCommand(OperatorCommand):
     """Shows the budgets of the operator's partner, in tokens."""
 
     help = "show each budget: its limit, what is granted, billed and held"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/confirm.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/confirm.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.errors import EXIT_CONSENT_MISSING
 
 if TYPE_CHECKING:
@@ -14,7 +14,7 @@
 
 
 @COMMANDS.register("confirm")
-class ConfirmCommand(Command):
+class ConfirmCommand(OperatorCommand):
     """Confirms one plan; confirming twice is confirming once."""
 
     help = "confirm a plan; it takes effect once all partners concerned have"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/drain.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/drain.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
@@ -13,7 +13,7 @@
 
 
 @COMMANDS.register("drain")
-class DrainCommand(Command):
+class DrainCommand(OperatorCommand):
     """Drains one upstream."""
 
     help = "give an upstream no new work; what it runs goes on to its end"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/dump.py
@@ -5,7 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.errors import InvalidUsageError
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
 
 
 @COMMANDS.register("dump")
-class DumpCommand(Command):
+class DumpCommand(OperatorCommand):
     """Dumps the state of one instance."""
 
     help = "dump the state of one instance, whose endpoint must be among those given"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/plan.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/plan.py
@@ -7,7 +7,7 @@
 
 from pondquay.configuration.intents import read_intent
 from pondquay.errors import InvalidInputError
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.errors import InvalidUsageError
 from pondquay_cli.plantext import format_plan
 
@@ -18,7 +18,7 @@
 
 
 @COMMANDS.register("plan")
-class PlanCommand(Command):
+class PlanCommand(OperatorCommand):
     """States an intent; nothing takes effect."""
 
     help = "state an intent and see the plan of what it would change"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/plans.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/plans.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.output import format_table
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 
 @COMMANDS.register("plans")
-class PlansCommand(Command):
+class PlansCommand(OperatorCommand):
     """Lists all plans."""
 
     help = "list plans and what became of them"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/show.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/show.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.plantext import format_plan
 
 if TYPE_CHECKING:
@@ -14,7 +14,7 @@
 
 
 @COMMANDS.register("show")
-class ShowCommand(Command):
+class ShowCommand(OperatorCommand):
     """Shows one plan."""
 
     help = "show a plan with each of its changes"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/status.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/status.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.output import format_table
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 
 @COMMANDS.register("status")
-class StatusCommand(Command):
+class StatusCommand(OperatorCommand):
     """Shows the fleet as one of its instances sees it."""
 
     help = "show the instances, the version in force, and who is behind"
--- a/packages/pondquay-cli/src/pondquay_cli/commands/upstreams.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/upstreams.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_cli.commands.base import COMMANDS, Command, CommandResult
+from pondquay_cli.commands.base import COMMANDS, CommandResult, OperatorCommand
 from pondquay_cli.output import format_table
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
 
 
 @COMMANDS.register("upstreams")
-class UpstreamsCommand(Command):
+class UpstreamsCommand(OperatorCommand):
     """Lists upstreams."""
 
     help = "list upstreams with their state and load"
--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import sys
-from argparse import ArgumentParser, Namespace
+from argparse import Action, ArgumentParser, Namespace
+from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from signal import SIGINT, SIGTERM, signal
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,19 @@
 EXIT_FAILED = 1
 
 
+class ShowVersion(Action):
+    """Writes the version, which is looked up only if it is asked for."""
+
+    def __call__(self, parser: ArgumentParser, *_: object) -> None:
+        """Write the version and exit."""
+        try:
+            text = version("pondquay-daemon")
+        except PackageNotFoundError:
+            text = "not installed as a package"
+        print(f"{parser.prog} {text}")
+        parser.exit()
+
+
 def make_parser() -> ArgumentParser:
     """Return the parser of the command's arguments."""
     parser = ArgumentParser(
@@ -38,6 +52,19 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
+    parser.add_argument(
+        "--reports-port",
+        type=int,
+        metavar="PORT",
+        help="with --border: serve /metrics and /dump at this port",
+    )
+    parser.add_argument(
+        "--log-level",
+        choices=[one.name.lower() for one in Level],
+        default=Level.INFO.name.lower(),
+        help="with --border: the least that is logged",
+    )
+    parser.add_argument("--version", action=ShowVersion, nargs=0)
     return parser
 
 
@@ -48,9 +75,13 @@
     """
     options = make_parser().parse_args(arguments)
     if options.border is not None:
-        from pondquay_daemon.relay.command import run_relay
+        from pondquay_daemon.relay.command import RelayOptions, run_relay
 
-        return run_relay(options.border, check=options.check)
+        return run_relay(
+            RelayOptions(
+                options.border, options.check, options.reports_port, options.log_level
+            )
+        )
     return _run_instance(options)
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/logs.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/logs.py
@@ -5,13 +5,17 @@
 import json
 import sys
 from enum import IntEnum
+from time import monotonic
 from typing import TYPE_CHECKING, Any, TextIO
 
 from eliot import add_destinations, log_message
 
+from pondquay_daemon.logbudget import LineBudget, LineOutput
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
+UNKNOWN = "unknown"
 HIDDEN = ("task_uuid", "task_level", "timestamp", "message_type", "level")
 
 
@@ -35,7 +39,7 @@
     parts = [
         f"time={message.get('timestamp', 0):.3f}",
         f"level={level}",
-        f"event={message.get('message_type', 'unknown')}",
+        f"event={message.get('message_type', UNKNOWN)}",
     ]
     parts += [
         f"{key}={_quote(value)}" for key, value in message.items() if key not in HIDDEN
@@ -50,20 +54,55 @@
 
 
 class LineWriter:
-    """Writes events at or above a level to a stream."""
+    """Writes events at or above a level to a stream, within a budget of lines.
+
+    :param clock: tells steady seconds
+    """
 
-    def __init__(self, level: Level, stream: TextIO) -> None:
+    def __init__(
+        self, level: Level, stream: TextIO, clock: Callable[[], float] = monotonic
+    ) -> None:
         self._level = level
-        self._stream = stream
+        self._output = LineOutput(stream)
+        self._clock = clock
+        self.budget = LineBudget()
 
     def __call__(self, message: dict[str, Any]) -> None:
-        """Write one event."""
-        if message.get("level", Level.INFO) < self._level:
+        """Write one event, after a count of those that were left out."""
+        level = message.get("level", Level.INFO)
+        if level < self._level:
             return
-        self._stream.write(format_event(message) + "\n")
-        self._stream.flush()
-
-
-def start_logs(level: str, stream: TextIO = sys.stderr) -> None:
-    """Send all events from now on to a stream."""
-    add_destinations(LineWriter(Level[level.upper()], stream))
+        now = self._clock()
+        for event, count in self.budget.take_left_out(now).items():
+            self._write(_describe_left_out(message, event, count))
+        event = message.get("message_type", UNKNOWN)
+        if self.budget.take(event, now, failure=level >= Level.WARNING):
+            self._write(message)
+
+    def _write(self, message: Mapping[str, Any]) -> None:
+        if not self._output.write(format_event(message) + "\n"):
+            self.budget.leave_out(message.get("message_type", UNKNOWN))
+
+
+def _describe_left_out(
+    message: Mapping[str, Any], event: str, count: int
+) -> dict[str, Any]:
+    """Return the event that tells how many lines of a kind were left out."""
+    return {
+        "timestamp": message.get("timestamp", 0),
+        "message_type": "lines-left-out",
+        "level": int(Level.WARNING),
+        "kind": event,
+        "count": count,
+    }
+
+
+def start_logs(level: str, stream: TextIO | None = None) -> LineBudget:
+    """Send all events from now on to a stream.
+
+    :param stream: standard output if none is given
+    :returns: the budget of lines, which counts what is left out
+    """
+    writer = LineWriter(Level[level.upper()], stream or sys.stdout)
+    add_destinations(writer)
+    return writer.budget
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -31,6 +31,7 @@
     from pondquay.budgets.allotments import Allotment
     from pondquay.routes.table import RouteTable
     from pondquay.tables import JsonObject, Row
+    from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.store import RowChange, Snapshot, Store
 
 TABLE = "allotments"
@@ -78,8 +79,10 @@
         boot: str,
         reachable: Callable[[], bool],
         lender: Lender,
+        metrics: RelayMetrics,
     ) -> None:
         super().__init__(clock)
+        self._metrics = metrics
         self._lender = lender
         self._store = store
         self._reachable = reachable
@@ -115,22 +118,31 @@
         if change.value is not None:
             self._take_row(change.key, change.value, change.version)
 
-    def find(self, workspace: str) -> Account | None:
-        """Return a workspace's account, ``None`` if it has no bound."""
-        return self._accounts.get(workspace)
+    def unspent(self) -> int:
+        """Return the tokens that may be reserved now, of all workspaces."""
+        return sum(max(0, one.unspent) for one in self._accounts.values())
 
-    def describe(self) -> Mapping[str, tuple[int, int, int]]:
-        """Return ceiling, spent and reserved tokens by workspace."""
+    def describe(self) -> dict[str, dict[str, int]]:
+        """Return the accounts by workspace, for operators."""
         return {
-            name: (one.ceiling, one.spent, one.reserved)
+            name: {
+                "prepaid": one.prepaid,
+                "ceiling": one.ceiling,
+                "spent": one.spent,
+                "reserved": one.reserved,
+                "free": one.free(),
+                "left": one.left(),
+                "row": one.version or ABSENT,
+            }
             for name, one in self._accounts.items()
         }
 
     async def obtain(
-        self, workspace: str, tokens: int, patience: float
+        self, request: str, workspace: str, tokens: int, patience: float
     ) -> Refused | None:
         """Reserve tokens, asking the table for more if need be.
 
+        :param request: who asks, for the logs
         :param patience: the most seconds that this may take
         :returns: why not, ``None`` if they are reserved
         """
@@ -151,19 +163,36 @@
         account.wanted = 0
         if refused is not None:
             refused = await self._borrow(account, workspace, tokens, refused)
-        if refused is not None:
-            log_event(
-                "tokens-refused",
-                workspace=workspace,
-                reason=refused,
-                tokens=tokens,
-                unspent=account.unspent,
-                free=account.free(),
-                left=account.left(),
-            )
+        self._log_obtained(request, workspace, account, tokens, refused)
         self._adjust_soon(workspace)
         return refused
 
+    def _log_obtained(
+        self,
+        request: str,
+        workspace: str,
+        account: Account,
+        tokens: int,
+        refused: Refused | None,
+    ) -> None:
+        """Tell what decided whether a request got its tokens."""
+        if refused is not None:
+            self._metrics.note_refused(refused)
+        log_event(
+            "tokens-reserved" if refused is None else "tokens-refused",
+            Level.INFO if refused is None else Level.WARNING,
+            request=request,
+            workspace=workspace,
+            reason=refused or "none",
+            tokens=tokens,
+            unspent=account.unspent,
+            ceiling=account.ceiling,
+            free=account.free(),
+            left=account.left(),
+            row=account.version or ABSENT,
+            store="up" if self._reachable() else "away",
+        )
+
     async def _borrow(
         self, account: Account, workspace: str, tokens: int, refused: Refused
     ) -> Refused | None:
@@ -186,6 +215,7 @@
             return 0
         lent = account.lend(tokens)
         if lent:
+            self._metrics.loans.labels("lent").inc(lent)
             log_event("tokens-lent", workspace=workspace, tokens=lent)
         self._adjust_soon(workspace)
         return lent
@@ -195,6 +225,7 @@
         account = self._accounts.get(workspace)
         if account is not None:
             account.receive_loan(tokens)
+            self._metrics.loans.labels("borrowed").inc(tokens)
             log_event("tokens-borrowed", workspace=workspace, tokens=tokens)
 
     def settle(self, workspace: str, reserved: int, used: int) -> None:
@@ -308,7 +339,12 @@
             self._read_row(account, reply.rows.rows.get(row_key(name)))
             return False
         else:
-            log_event("allotment-unknown", workspace=name, ceiling=change.ceiling)
+            log_event(
+                "allotment-unknown",
+                Level.WARNING,
+                workspace=name,
+                ceiling=change.ceiling,
+            )
             await sleep(RETRY_SECONDS, self.clock)
         return True
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
@@ -78,6 +78,10 @@
         :raises MalformedValueError: if a header has another form
         """
 
+    @abstractmethod
+    def name_request(self, head: RequestHead) -> str:
+        """Return the caller's name for its request, empty if it gives none."""
+
     @abstractmethod
     def write_request(self, headers: HeaderList, dispatch: Dispatch) -> HeaderList:
         """Return the caller's headers with what the upstream has to be told."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
@@ -4,12 +4,14 @@
 
 import gc
 import sys
+from dataclasses import dataclass, replace
 from importlib import import_module
 from signal import SIGHUP, SIGINT, SIGTERM, signal
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from pondquay.errors import InvalidInputError
+from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event, start_logs
 from pondquay_daemon.relay.border import BORDERS
 from pondquay_daemon.tasks import spawn
@@ -20,33 +22,50 @@
 EXIT_INVALID = 2
 
 
-def run_relay(plugin: str, *, check: bool) -> int:
-    """Run a relay until it is told to stop.
+@dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """What the command line says of a relay.
 
-    :param plugin: module that registers a border under its own name
+    :param border: module that registers a border under its own name
     :param check: only check the settings
+    :param reports_port: for metrics and dumps, ``None`` for none
+    """
+
+    border: str
+    check: bool = False
+    reports_port: int | None = None
+    log_level: str = "info"
+
+
+def run_relay(options: RelayOptions) -> int:
+    """Run a relay until it is told to stop.
+
     :returns: 0 after a planned stop, 2 for invalid settings
     """
-    import_module(plugin)
-    border = BORDERS.create(plugin)
+    import_module(options.border)
+    border = BORDERS.create(options.border)
     try:
         settings = border.read_settings()
     except InvalidInputError as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
-    if check:
+    if options.check:
         print(f"{settings.instance}: ok")
         return 0
-    start_logs("info", sys.stdout)
+    budget = start_logs(options.log_level)
+    if options.reports_port is not None:
+        reports = Address(settings.callers.host, options.reports_port)
+        settings = replace(settings, reports=reports)
 
     from twisted.internet import reactor
 
+    from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.relay import Relay
 
     anyreactor: Any = reactor
     # The reactor's own clock is the time of day, which may jump.
     anyreactor.seconds = monotonic
-    relay = Relay(reactor, border, settings)
+    relay = Relay(reactor, border, settings, RelayMetrics(budget.total_left_out))
     anyreactor.callWhenRunning(lambda: _begin(anyreactor, relay))
     anyreactor.run()
     return 0
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -154,4 +154,5 @@
             return
         self._answered = succeeded
         event = "dependency-regained" if succeeded else "dependency-lost"
-        log_event(event, dependency="store", table=self._table)
+        level = Level.INFO if succeeded else Level.WARNING
+        log_event(event, level, dependency="store", table=self._table)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -44,6 +44,7 @@
     """The answer to one request, and whether its caller is still there.
 
     :param arrived: when the first byte of the request was read, in seconds
+    :ivar began: when the first byte of the answer was written, in seconds
     """
 
     def __init__(self, connection: IngressConnection, arrived: float) -> None:
@@ -51,6 +52,7 @@
         self.arrived = arrived
         self.open = True
         self.started = False
+        self.began: float | None = None
         self.on_gone: Callable[[], None] | None = None
 
     def send_whole(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -69,7 +71,7 @@
         """Send the head of an answer, and perhaps the first bytes of its body."""
         if self.open:
             self.started = True
-            self._connection.write_head(status, headers, first)
+            self.began = self._connection.write_head(status, headers, first)
 
     def send(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -159,8 +161,8 @@
         """Close the connection after what has been written."""
         cast("Server", self.transport).loseConnection()
 
-    def write_head(self, status: int, headers: HeaderList, first: bytes) -> None:
-        """Write the head of an answer."""
+    def write_head(self, status: int, headers: HeaderList, first: bytes) -> float:
+        """Write the head of an answer; return when."""
         if self._server.stopping:
             headers = [*headers, (b"Connection", b"close")]
         head = self._http.send(h11.Response(status_code=status, headers=headers))
@@ -168,6 +170,7 @@
         if first:
             parts.append(self._http.send(h11.Data(data=first)) or b"")
         cast("Server", self.transport).writeSequence(parts)
+        return self._clock.seconds()
 
     def write_data(self, data: bytes) -> None:
         """Write a piece of an answer's body."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -108,6 +108,22 @@
         if record is not None:
             self._log("upstream-changed", self.directory.put(record, change.version))
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return what is known of each upstream, for operators."""
+        return [
+            {
+                "upstream": one.name,
+                "service": one.record.service,
+                "address": one.record.address,
+                "leaving": one.leaving,
+                "vanished": one.vanished is not None,
+                "running": one.running,
+                "reading": one.reading,
+                "failures": one.circuit.failures,
+            }
+            for one in self.directory.all()
+        ]
+
     def _read(self, key: str, value: JsonObject) -> UpstreamRecord | None:
         try:
             return self._border.read_upstream(key, value)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -0,0 +1,82 @@
+"""Counters and histograms of one relay, in Prometheus' text format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+if TYPE_CHECKING:
+    from collections import Counter as Counts
+
+    from pondquay.budgets.accounts import Refused
+
+SECONDS_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.34, 0.6, 0.8, 1.5, 3.0, 6.0, 12.0)
+
+
+class RelayMetrics:
+    """What a relay counts. Label values are few and known beforehand.
+
+    :param left_out: log lines that were not written, by kind
+    """
+
+    def __init__(self, left_out: Counts[str]) -> None:
+        self._left_out = left_out
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests by their end", "status")
+        self.refusals = self._counter(
+            "tokens_refused", "Requests refused for want of tokens", "reason"
+        )
+        self.attempts = self._counter("attempts", "Sends by what came of them", "end")
+        self.retries = self._counter("retries", "Wishes for a further send", "granted")
+        self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
+        self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
+        self.lines = Gauge(
+            "pondquay_log_lines_left_out",
+            "Log lines that were not written since the start",
+            ["event"],
+            registry=self.registry,
+        )
+        self.first = self._histogram("first_byte", "To the first byte of an answer")
+        self.whole = self._histogram("request", "To the end of an answer")
+        self.version = self._gauge("configuration_version", "Version in force here")
+        self.store_up = self._gauge("store_up", "1 if the store answers")
+        self.peers = self._gauge("peers", "Instances to which a link is open")
+        self.upstreams = self._gauge("upstreams", "Upstreams that may get work")
+        self.unspent = self._gauge("unspent_tokens", "Tokens at hand, all workspaces")
+
+    def note_end(self, status: str, seconds: float, first: float | None) -> None:
+        """Count a request that has ended.
+
+        :param status: of the answer, or why there was none
+        :param first: seconds to the first byte, ``None`` if none was sent
+        """
+        self.requests.labels(status).inc()
+        self.whole.observe(seconds)
+        if first is not None:
+            self.first.observe(first)
+
+    def note_refused(self, reason: Refused) -> None:
+        """Count a request for which there are no tokens."""
+        self.refusals.labels(reason.value).inc()
+
+    def render(self) -> bytes:
+        """Return all figures as text."""
+        for event, count in self._left_out.items():
+            self.lines.labels(event).set(count)
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        return Counter(f"pondquay_{name}", text, [label], registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"pondquay_{name}", text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"pondquay_{name}_seconds",
+            f"Seconds: {text}",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from twisted.internet.interfaces import IReactorTime
@@ -15,12 +16,16 @@
     from pondquay_daemon.relay.accounts import AccountBook
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.placement import Placement
 
 
 @dataclass(slots=True)
 class RelayParts:
-    """What requests share."""
+    """What requests share.
+
+    :param list_age: returns the seconds since the list of upstreams was confirmed
+    """
 
     clock: IReactorTime
     border: Border
@@ -30,3 +35,5 @@
     accounts: AccountBook
     retries: RetryShare
     random: Random
+    metrics: RelayMetrics
+    list_age: Callable[[], float | None]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -234,7 +234,7 @@
         self._all.discard(link)
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
-            log_event("peer-lost", peer=link.instance)
+            log_event("peer-lost", Level.WARNING, peer=link.instance)
 
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Act on a message."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
+from twisted.internet.error import CannotListenError
+
 from pondquay.routes.entities import CallerLimits
 from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.retryshares import RetryShare
-from pondquay_daemon.logs import log_event
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.accounts import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.accounts import AccountBook
 from pondquay_daemon.relay.admission import (
@@ -27,6 +29,7 @@
 from pondquay_daemon.relay.parts import RelayParts
 from pondquay_daemon.relay.peers import PeerListener, PeerMesh
 from pondquay_daemon.relay.placement import Placement
+from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.tasks import sleep, spawn
 
@@ -37,6 +40,7 @@
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
+    from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.settings import RelaySettings
 
 OK = 200
@@ -58,10 +62,17 @@
 class Relay(RequestHandler, PeerListener):
     """Serves routed requests at one instance."""
 
-    def __init__(self, reactor: Any, border: Border, settings: RelaySettings) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        border: Border,
+        settings: RelaySettings,
+        metrics: RelayMetrics,
+    ) -> None:
         self._reactor = reactor
         self._border = border
         self._settings = settings
+        self._metrics = metrics
         self._pool = EgressPool(reactor)
         self._store = border.open_store(settings, reactor)
         directory = UpstreamDirectory(reactor.seconds)
@@ -77,6 +88,7 @@
             uuid4().hex[:12],
             lambda: self._feed.reachable,
             self._peers,
+            metrics,
         )
         self._parts = RelayParts(
             reactor,
@@ -87,6 +99,8 @@
             self._accounts,
             RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
             Random(),
+            metrics,
+            lambda: self._upstream_feed.age(),
         )
         self._configuration = ConfigurationView(border, self._take_table)
         self._upstreams = UpstreamView(border, directory, self._peers.announce_leaving)
@@ -94,9 +108,12 @@
         self._feed = TableFeed(
             reactor, self._store, names.configuration[0], self._configuration
         )
+        self._upstream_feed = TableFeed(
+            reactor, self._store, names.upstreams, self._upstreams
+        )
         self._feeds = [
             self._feed,
-            TableFeed(reactor, self._store, names.upstreams, self._upstreams),
+            self._upstream_feed,
             TableFeed(
                 reactor, self._store, ALLOTMENTS, self._accounts, ALLOTMENTS_PAUSE
             ),
@@ -104,6 +121,9 @@
         ]
         self._callers = IngressServer(reactor, self)
         self._probes = IngressServer(reactor, ReadinessHandler(self, border))
+        self._reports = IngressServer(
+            reactor, ReportHandler(self._render_metrics, self.describe)
+        )
         self.stopping = False
         self._refusing = False
 
@@ -121,6 +141,7 @@
             (settings.readiness, self._probes),
         ):
             self._reactor.listenTCP(address.port, server, 512, address.host)
+        self._listen_reports()
         for feed in self._feeds:
             feed.start()
         self._accounts.start()
@@ -128,6 +149,40 @@
         spawn(self._members.join(settings.peers), "MemberList")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
+    def _listen_reports(self) -> None:
+        """Serve reports, where their port is free; a relay runs without them too."""
+        address = self._settings.reports
+        if address is None:
+            return
+        try:
+            self._reactor.listenTCP(address.port, self._reports, 8, address.host)
+        except CannotListenError as error:
+            log_event("reports-unavailable", Level.WARNING, error=error)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of this relay, for operators."""
+        return {
+            "instance": self._settings.instance,
+            "domain": self._settings.domain,
+            "ready": self.ready,
+            "stopping": self.stopping,
+            "configuration": self.configuration_version(),
+            "store": {"reachable": self._feed.reachable, "age": self._feed.age()},
+            "peers": self._peers.peers,
+            "connections": len(self._callers.connections),
+            "upstreams": self._upstreams.describe(),
+            "accounts": self._accounts.describe(),
+        }
+
+    def _render_metrics(self) -> bytes:
+        metrics = self._metrics
+        metrics.version.set(self.configuration_version())
+        metrics.store_up.set(1 if self._feed.reachable else 0)
+        metrics.peers.set(len(self._peers.peers))
+        metrics.upstreams.set(self._parts.directory.count_present())
+        metrics.unspent.set(self._accounts.unspent())
+        return metrics.render()
+
     async def stop(self) -> None:
         """End in order: serve what is open and what still comes, then hand back."""
         self.stopping = True
@@ -165,7 +220,16 @@
             head, table, self._border, self._parts.random, current=self._current()
         )
         if isinstance(admitted, Refusal):
-            log_event("request-refused", status=admitted.status, reason=admitted.reason)
+            log_event(
+                "request-refused",
+                Level.WARNING,
+                request=self._border.name_request(head),
+                status=admitted.status,
+                reason=admitted.reason,
+                version=self.configuration_version(),
+                age=self._feed.age(),
+            )
+            self._metrics.requests.labels(str(admitted.status)).inc()
             send_refusal(self._border, answer, "", admitted)
             return
         service = None if table is None else table.service(admitted.service)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reports.py
@@ -0,0 +1,55 @@
+"""What a relay tells operators of itself: metrics, and a dump of its state."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from pondquay.routes.entities import CallerLimits
+from pondquay_daemon.relay.ingress import RequestHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+    from typing import Any
+
+    from pondquay_daemon.relay.ingress import CallerAnswer
+    from pondquay_daemon.relay.messages import RequestHead
+
+OK = 200
+NOT_FOUND = 404
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+JSON_TYPE = b"application/json"
+
+
+class ReportHandler(RequestHandler):
+    """Answers those who look after the relay.
+
+    :param render_metrics: returns all figures as text
+    :param describe: returns the state as a whole
+    """
+
+    def __init__(
+        self,
+        render_metrics: Callable[[], bytes],
+        describe: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        self._render_metrics = render_metrics
+        self._describe = describe
+
+    def limits(self) -> CallerLimits:
+        """Return what a question may be like."""
+        return CallerLimits(body_bytes=0)
+
+    def handle(self, head: RequestHead, body: bytes, answer: CallerAnswer) -> None:
+        """Answer one question."""
+        if head.path == METRICS_PATH:
+            headers = [(b"Content-Type", METRICS_TYPE)]
+            answer.send_whole(OK, headers, self._render_metrics())
+        elif head.path == DUMP_PATH:
+            text = json.dumps(self._describe(), indent=2)
+            headers = [(b"Content-Type", JSON_TYPE)]
+            answer.send_whole(OK, headers, text.encode())
+        else:
+            answer.send_whole(NOT_FOUND, [], b"try /metrics or /dump\n")
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -60,6 +60,11 @@
 LEAST_REMAINING_SECONDS = 0.01
 # Routes' priorities are below this, and tenants' come ahead of them.
 ROUTE_PRIORITIES = 3
+# How a request ended, where it was not a status.
+NO_ANSWER = "none"
+STREAMED = "stream"
+BROKEN = "broken"
+SERVED = frozenset({STREAMED, "200"})
 MOST_URGENCY = 9
 
 
@@ -91,6 +96,7 @@
         self._used = 0
         self._sent_to: list[str] = []
         self._outcome = ""
+        self._status = NO_ANSWER
         self._reading = False
         self._retry_taken = False
         self._tried: set[str] = set()
@@ -152,7 +158,9 @@
         if self._service is None or not self._service.counts_tokens:
             return None
         patience = OBTAIN_PART * self._route.objective
-        refused = await self._parts.accounts.obtain(workspace.name, tokens, patience)
+        refused = await self._parts.accounts.obtain(
+            self._marks.attempt, workspace.name, tokens, patience
+        )
         if refused is None:
             self._reserved += tokens
             return None
@@ -168,8 +176,13 @@
 
     def _log_end(self) -> None:
         workspace = "" if self._workspace is None else self._workspace.name
+        answer = self._answer
+        seconds = self._parts.clock.seconds() - answer.arrived
+        first = None if answer.began is None else answer.began - answer.arrived
+        self._parts.metrics.note_end(self._status, seconds, first)
         log_event(
             "request-ended",
+            Level.INFO if self._status in SERVED else Level.WARNING,
             request=self._marks.attempt,
             route=self._route.name,
             workspace=workspace,
@@ -177,7 +190,8 @@
             outcome=self._outcome,
             tokens=self._used,
             bound=self._marks.most_tokens,
-            seconds=round(self._parts.clock.seconds() - self._answer.arrived, 3),
+            first=-1 if first is None else round(first, 3),
+            seconds=round(seconds, 3),
         )
 
     async def _try_upstreams(self) -> Refusal | None:
@@ -210,8 +224,23 @@
         return self._give_up(self._stopped)
 
     def _place(self) -> KnownUpstream | None:
-        prefix = self._marks.prefix
-        return self._parts.placement.choose(self._service_name, prefix, self._tried)
+        parts, prefix = self._parts, self._marks.prefix
+        chosen = parts.placement.choose(self._service_name, prefix, self._tried)
+        if chosen is None:
+            return None
+        age = parts.list_age()
+        log_event(
+            "upstream-chosen",
+            request=self._marks.attempt,
+            upstream=chosen.name,
+            service=self._service_name,
+            running=chosen.running,
+            reading=chosen.reading,
+            failures=chosen.circuit.failures,
+            tried=len(self._tried),
+            list_age=-1 if age is None else round(age, 2),
+        )
+        return chosen
 
     def _take_retry(self) -> bool:
         """Take a further attempt from this instance's share, unless one was taken."""
@@ -219,7 +248,15 @@
             self._retry_taken = False
             return True
         now = self._parts.clock.seconds()
-        return self._parts.retries.spend(self._service_name, now)
+        granted = self._parts.retries.spend(self._service_name, now)
+        self._parts.metrics.retries.labels("yes" if granted else "no").inc()
+        log_event(
+            "retry-decided",
+            request=self._marks.attempt,
+            service=self._service_name,
+            granted=granted,
+        )
+        return granted
 
     async def _send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
         parts = self._parts
@@ -311,6 +348,7 @@
     def _observe(self, upstream: KnownUpstream, outcome: Outcome) -> None:
         """Learn about the upstream from what came of an attempt."""
         now = self._parts.clock.seconds()
+        self._parts.metrics.attempts.labels(type(outcome).__name__.lower()).inc()
         if isinstance(outcome, NotRun) and outcome.misdirected:
             self._parts.directory.note_leaving(upstream.name)
         elif isinstance(outcome, Unsent):
@@ -322,6 +360,7 @@
         if not isinstance(outcome, Answered | Streamed | Stopped):
             log_event(
                 "attempt-failed",
+                Level.WARNING,
                 request=self._marks.attempt,
                 upstream=upstream.name,
                 outcome=outcome,
@@ -332,6 +371,7 @@
         if isinstance(outcome, Streamed):
             self._settle_stream(outcome.events)
             self._outcome = "streamed"
+            self._status = STREAMED
             self._answer.finish()
             return True
         if isinstance(outcome, Answered):
@@ -352,6 +392,7 @@
             return False
         headers = drop_connection_headers(outcome.head.headers)
         self._outcome = f"answered-{status}"
+        self._status = str(status)
         self._answer.send_whole(status, headers, outcome.body)
         return True
 
@@ -381,6 +422,7 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         self._outcome = f"refused-{refusal.status}: {refusal.reason}"
+        self._status = BROKEN if self._answer.started else str(refusal.status)
         if self._answer.started:
             self._answer.break_off()
             return
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -35,6 +35,7 @@
     :param readiness: where the balancer asks whether this instance is ready
     :param peers: where other instances connect
     :param seeds: ``peers`` addresses of some other instances
+    :param reports: where metrics and dumps are served, ``None`` for nowhere
     """
 
     instance: str
@@ -45,3 +46,4 @@
     peers: Address
     seeds: tuple[Address, ...] = ()
     bounds: RelayBounds = RelayBounds()
+    reports: Address | None = None
--- a/packages/pondquay-standins/tests/test_routed.py
+++ b/packages/pondquay-standins/tests/test_routed.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import pytest
 
+from pondquay_cli.logfiles import find_story, read_events
 from pondquay_standins.processes import wait_until
 from pondquay_standins.routedfleet import (
     ENGINE_SERVICE,
@@ -18,6 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from pondquay_cli.logfiles import LogEvent
+    from pondquay_standins.routedfleet import Relay
+
 pytestmark = pytest.mark.xdist_group("routed")
 TOKENS = (100, 60)
 EVENTS = 4
@@ -51,6 +56,55 @@
     return [one["replica"] for one in fleet.runs() if one["attempt"] == attempt]
 
 
+def explain(relay: Relay, attempt: str) -> list[LogEvent]:
+    """Return a request's story from the relay's log, once it has ended."""
+
+    def read() -> list[LogEvent]:
+        lines = relay.process.log.read_text().splitlines()
+        return find_story(read_events(lines, relay.name), attempt, 1.0)
+
+    wait_until(
+        lambda: any(one.event == "request-ended" for one in read()),
+        f"the end of {attempt} in the log",
+    )
+    return [one for one in read() if one.fields.get("request") == attempt]
+
+
+def test_a_refusal_is_explained_by_the_log_and_counted(fleet: RoutedFleet) -> None:
+    relay = fleet.relays["r1"]
+    much = (2_000_000, 60)
+    assert fleet.ask(relay, "/audit/x", tokens=much, attempt="large").status == 402
+    refused, ended = explain(relay, "large")
+    assert refused.event == "tokens-refused"
+    assert refused.fields["reason"] == "exhausted"
+    assert refused.fields["workspace"] == "moderators"
+    assert refused.fields["tokens"] == "2000060"
+    assert ended.fields["outcome"].startswith("refused-402")
+    metrics = relay.report("/metrics")
+    assert 'pondquay_requests_total{status="402"} 1.0' in metrics
+    assert 'pondquay_tokens_refused_total{reason="exhausted"} 1.0' in metrics
+
+
+def test_a_failure_at_an_upstream_is_explained_by_the_log(fleet: RoutedFleet) -> None:
+    relay = fleet.relays["r1"]
+    set_faults(fleet, "lose-answer", "p1", "p2")
+    assert fleet.ask(relay, "/write/x", attempt="lost").status == 502
+    chosen, failed, ended = explain(relay, "lost")
+    assert chosen.event == "upstream-chosen"
+    assert failed.event == "attempt-failed"
+    assert failed.fields["upstream"] == chosen.fields["upstream"]
+    assert ended.fields["upstreams"] == chosen.fields["upstream"]
+
+
+def test_a_dump_shows_what_a_relay_knows(fleet: RoutedFleet) -> None:
+    relay = fleet.relays["r1"]
+    assert fleet.ask(relay, "/write/x").status == 200
+    dump = json.loads(relay.report("/dump"))
+    assert (dump["instance"], dump["configuration"]) == ("r1", 1)
+    assert {one["upstream"] for one in dump["upstreams"]} == {"e1", "e2", "p1", "p2"}
+    assert dump["accounts"]["moderators"]["prepaid"] == 1_000_000
+
+
 def test_a_request_of_each_kind_is_served_whole(fleet: RoutedFleet) -> None:
     relay = fleet.relays["r1"]
     plain = fleet.ask(relay, "/write/x?y=1", attempt="a1")
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -80,6 +80,12 @@
         """Return all that are known."""
         return list(self._known.values())
 
+    def count_present(self) -> int:
+        """Return how many are listed and not leaving."""
+        return sum(
+            not one.leaving and one.vanished is None for one in self._known.values()
+        )
+
     def find(self, name: str) -> KnownUpstream | None:
         """Return an upstream by its name."""
         return self._known.get(name)
