--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -121,8 +121,8 @@
         anyreactor.stop()
 
     def begin_stop(*_: object) -> None:
-        if not application.stopping:
-            application.stopping = True
+        if not application.parts.stopping:
+            application.parts.stopping = True
             anyreactor.callFromThread(lambda: spawn(stop(), "Application"))
 
     def install_signals() -> Deferred[None]:
--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -19,6 +19,7 @@
 from pondquay_daemon.grants import GrantTask
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.metrics import Metrics
+from pondquay_daemon.parts import InstanceParts
 from pondquay_daemon.peers import PeerListener, PeerTask
 from pondquay_daemon.platform import Platform
 from pondquay_daemon.recovery import Recovery
@@ -93,7 +94,18 @@
             self.configuration,
             self.metrics,
         )
-        self.stopping = False
+        self.parts = InstanceParts(
+            settings,
+            self.instance,
+            self.domain,
+            self.metrics,
+            self.platform,
+            self.peers,
+            self.configuration,
+            self.upstreams,
+            self.grants,
+            self.runner,
+        )
         self._tasks = ExitStack()
         self._ports: list[IListeningPort] = []
 
@@ -117,10 +129,17 @@
         self.runner.start()
         self.peers.repeat(1.0, self._follow_peers)
         most = self.settings.limits.body_bytes
+        callers = CallerEndpoint(
+            self.reactor,
+            self.settings.limits,
+            self.configuration,
+            self.runner,
+            self.metrics,
+        )
         for address, endpoint in (
-            (listen.callers, CallerEndpoint(self).app),
-            (listen.operators, OperatorEndpoint(self).app),
-            (listen.metrics, MetricsEndpoint(self).app),
+            (listen.callers, callers.app),
+            (listen.operators, OperatorEndpoint(self.parts).app),
+            (listen.metrics, MetricsEndpoint(self.parts).app),
         ):
             port = await listen_http(
                 self.reactor, Address.parse(address), endpoint, most
@@ -141,18 +160,13 @@
         if addresses:
             self.peers.links.want(addresses)
 
-    @property
-    def ready(self) -> bool:
-        """Whether callers should be sent here."""
-        return self.configuration.loaded and not self.stopping
-
     async def stop(self) -> bool:
         """Stop as planned: streams finish, bills are written, grants go back.
 
         :returns: whether all of that was done in time
         """
         log_event("stopping", running=self.runner.running())
-        self.stopping = True
+        self.parts.stopping = True
         self.runner.stopping = True
         self.peers.announce()
         deadline = self.reactor.seconds() + self.settings.limits.stop_seconds
@@ -181,7 +195,7 @@
             self.instance,
             self.domain,
             self.configuration.document.version,
-            self.stopping,
+            self.parts.stopping,
             self.upstreams.leaving(),
         )
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/callers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/callers.py
@@ -50,11 +50,15 @@
 from pondquay_daemon.services import ServiceCall
 
 if TYPE_CHECKING:
+    from twisted.internet.interfaces import IReactorTime
     from twisted.web.server import Request
 
     from pondquay.configuration.documents import Document
     from pondquay.configuration.entities import Workspace
-    from pondquay_daemon.application import Application
+    from pondquay_daemon.configuration import ConfigurationTask
+    from pondquay_daemon.metrics import Metrics
+    from pondquay_daemon.runner import Runner
+    from pondquay_daemon.settings import LimitsSection
 
 GENERATED_KEY_BYTES = 16
 PASSED_ON = ("Content-Type", "Accept", "If-Match", "If-None-Match")
@@ -79,8 +83,19 @@
 class CallerEndpoint:
     """Serves callers."""
 
-    def __init__(self, application: Application) -> None:
-        self._application = application
+    def __init__(
+        self,
+        clock: IReactorTime,
+        limits: LimitsSection,
+        configuration: ConfigurationTask,
+        runner: Runner,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._configuration = configuration
+        self._runner = runner
+        self._metrics = metrics
         self.app = Klein()
         self.app.route("/v1/models", methods=["GET"])(self.list_models)
         self.app.route("/v1/chat/completions", methods=["POST"])(self.complete)
@@ -99,11 +114,11 @@
         return write_error(request, error.status, error.code, str(error), error.param)
 
     def _count(self, kind: str, code: str) -> None:
-        self._application.metrics.requests.labels(kind, code).inc()
+        self._metrics.requests.labels(kind, code).inc()
 
     @property
     def _document(self) -> Document:
-        return self._application.configuration.document
+        return self._configuration.document
 
     def _find_workspace(self, request: Request) -> Workspace:
         key = read_bearer(request)
@@ -112,7 +127,7 @@
             workspace = self._document.find_workspace_by_digest(digest_key(key))
         if workspace is not None:
             return workspace
-        if not self._application.configuration.loaded:
+        if not self._configuration.loaded:
             raise RejectedError(UNAVAILABLE, "not_ready", "no configuration yet")
         raise RejectedError(UNAUTHORIZED, "invalid_api_key", "this key is not known")
 
@@ -137,7 +152,7 @@
         form = self._read_form(request)
         headers = read_headers(request)
         call = self._make_completion(workspace, form, headers)
-        started = self._application.reactor.seconds()
+        started = self._clock.seconds()
         answer: CompletionAnswer
         if form.stream:
             include_usage = bool(
@@ -146,18 +161,21 @@
             answer = StreamedAnswer(request, call, include_usage)
         else:
             answer = WholeAnswer(request, call)
-        answer.watch_first(self._application, started)
+        answer.watch_first(lambda: self._note_first(started))
         return Deferred.fromCoroutine(self._complete(call, answer))
 
+    def _note_first(self, started: float) -> None:
+        self._metrics.first_token.observe(self._clock.seconds() - started)
+
     async def _complete(self, call: CompletionCall, answer: CompletionAnswer) -> Any:
-        result = await self._application.runner.complete(call, answer)
+        result = await self._runner.complete(call, answer)
         code = result.code.value if isinstance(result, Refusal) else "done"
         self._count("completion", code)
         return answer.end(result)
 
     def _check_size(self, request: Request) -> None:
         if getattr(request, "too_large", False):
-            most = self._application.settings.limits.body_bytes
+            most = self._limits.body_bytes
             raise RejectedError(
                 TOO_LARGE, "body_too_large", f"the body is over {most} bytes"
             )
@@ -212,7 +230,7 @@
         )
 
     def _wait(self, headers: CallHeaders) -> float:
-        longest = self._application.settings.limits.queue_seconds
+        longest = self._limits.queue_seconds
         if headers.deadline_ms is None:
             return longest
         return min(longest, headers.deadline_ms / 1000)
@@ -264,7 +282,7 @@
         )
 
     async def _call(self, request: Request, call: PlainCall) -> bytes:
-        result = await self._application.runner.call_service(call)
+        result = await self._runner.call_service(call)
         write_names(request, call.request)
         if isinstance(result, Refusal):
             self._count("service", result.code.value)
--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/completions.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/completions.py
@@ -10,11 +10,13 @@
 from pondquay_daemon.endpoints.answers import write_error, write_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.web.server import Request
 
     from pondquay.names import RequestName
     from pondquay.streams import Frame
-    from pondquay_daemon.application import Application
+
 
 OUTCOME_HEADER = "Pondquay-Outcome"
 REQUEST_HEADER = "Pondquay-Request"
@@ -32,24 +34,21 @@
         self.request = request
         self.call = call
         self.gone = False
-        self._application: Application | None = None
-        self._started = 0.0
+        self._on_first: Callable[[], None] | None = None
         request.notifyFinish().addErrback(self._note_gone)
 
     def _note_gone(self, reason: object) -> None:
         self.gone = True
 
-    def watch_first(self, application: Application, started: float) -> None:
-        """Measure the time to the first piece."""
-        self._application = application
-        self._started = started
+    def watch_first(self, on_first: Callable[[], None]) -> None:
+        """Have something called at the first piece."""
+        self._on_first = on_first
 
     def note_first(self) -> None:
         """Note that the first piece came."""
-        if self._application is not None:
-            seconds = self._application.reactor.seconds() - self._started
-            self._application.metrics.first_token.observe(seconds)
-            self._application = None
+        if self._on_first is not None:
+            self._on_first()
+            self._on_first = None
 
     def end(self, result: Delivered | Refusal) -> bytes:
         """Return what is left to be written once the request has ended."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/dumps.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/dumps.py
@@ -7,24 +7,24 @@
 if TYPE_CHECKING:
     from pondquay.budgets.holder import Holding
     from pondquay.budgets.witness import WitnessedGrant
-    from pondquay_daemon.application import Application
+    from pondquay_daemon.parts import InstanceParts
 
 MOST_ITEMS = 500
 
 
-def dump_state(application: Application) -> dict[str, Any]:
+def dump_state(parts: InstanceParts) -> dict[str, Any]:
     """Return the state of an instance as JSON objects."""
-    holder = application.grants.holder
-    witness = application.grants.witness
+    holder = parts.grants.holder
+    witness = parts.grants.witness
     return {
-        "instance": str(application.instance),
-        "domain": application.domain,
-        "stopping": application.stopping,
-        "version": application.configuration.document.version,
+        "instance": str(parts.instance),
+        "domain": parts.domain,
+        "stopping": parts.stopping,
+        "version": parts.configuration.document.version,
         "platform": {
-            "reachable": application.platform.reachable,
-            "reads": application.platform.reads,
-            "writes": application.platform.writes,
+            "reachable": parts.platform.reachable,
+            "reads": parts.platform.reads,
+            "writes": parts.platform.writes,
         },
         "peers": [
             {
@@ -32,7 +32,7 @@
                 "domain": one.domain,
                 "version": one.version,
             }
-            for one in list(application.peers.table.known.values())[:MOST_ITEMS]
+            for one in list(parts.peers.table.known.values())[:MOST_ITEMS]
         ],
         "upstreams": [
             {
@@ -42,19 +42,17 @@
                 "outstanding": one.outstanding,
                 "circuit_failures": one.circuit.failures,
             }
-            for one in list(application.upstreams.known.values())[:MOST_ITEMS]
+            for one in list(parts.upstreams.known.values())[:MOST_ITEMS]
         ],
-        "running": [
-            str(one) for one in list(application.runner.index.running)[:MOST_ITEMS]
-        ],
-        "waiting": application.upstreams.waiting(),
+        "running": [str(one) for one in list(parts.runner.index.running)[:MOST_ITEMS]],
+        "waiting": parts.upstreams.waiting(),
         "holdings": [
             _dump_holding(one) for one in list(holder.holdings.values())[:MOST_ITEMS]
         ],
         "witnessed": [
             _dump_witnessed(one) for one in list(witness.grants.values())[:MOST_ITEMS]
         ],
-        "bills_in_one_memory": application.grants.unsafe_bills,
+        "bills_in_one_memory": parts.grants.unsafe_bills,
     }
 
 
--- a/packages/pondquay-lab/src/pondquay_lab/slopes.py
+++ b/packages/pondquay-lab/src/pondquay_lab/slopes.py
@@ -14,9 +14,9 @@
 from pondquay.budgets.holder import Holder
 from pondquay.budgets.messages import Intend
 from pondquay.budgets.witness import Witness
+from pondquay.configuration.changes import Change
 from pondquay.configuration.documents import Delta, Document
 from pondquay.configuration.entities import Budget, Workspace
-from pondquay.configuration.plans import Change
 from pondquay.membership.messages import Heartbeat
 from pondquay.membership.peers import Peers
 from pondquay.names import InstanceId, RequestName
--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -170,7 +170,7 @@
             name,
             "pondquay_daemon",
             {"PONDQUAY_SETTINGS": str(settings)},
-            *("--border", "pondquay_platform", "--reports-port", str(reports)),
+            *("--border", "pondquay_platform.border", "--reports-port", str(reports)),
         )
         front, ready, control = listening
         relay = Relay(name, front, ready, control, reports, settings, process)
--- a/packages/pondquay/src/pondquay/configuration/documents.py
+++ b/packages/pondquay/src/pondquay/configuration/documents.py
@@ -13,11 +13,11 @@
 
 from pydantic import BaseModel, ConfigDict
 
+from pondquay.configuration.changes import Change
 from pondquay.configuration.entities import (
     Entity,
     Workspace,
 )
-from pondquay.configuration.plans import Change
 from pondquay.errors import InvariantError
 
 HEAD_KEY = "head"
--- a/packages/pondquay/src/pondquay/errors.py
+++ b/packages/pondquay/src/pondquay/errors.py
@@ -1,13 +1,29 @@
-"""Exceptions of the kernel."""
+"""Exceptions of the kernel, and the findings that one of them reports."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pondquay.findings import Finding
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong.
+
+    :param place: where, as ``file:line`` or as a field's path
+    :param subject: the key or field concerned
+    :param message: what is wrong, in words for a person
+    """
+
+    place: str
+    subject: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.subject}: {self.message}"
 
 
 class PondquayError(Exception):
--- a/packages/pondquay/src/pondquay/findings.py
+++ b/packages/pondquay/src/pondquay/findings.py
@@ -6,29 +6,12 @@
 from difflib import get_close_matches
 from typing import TYPE_CHECKING
 
-from pondquay.errors import InvalidInputError
+from pondquay.errors import Finding, InvalidInputError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """One thing that is wrong.
-
-    :param place: where, as ``file:line`` or as a field's path
-    :param subject: the key or field concerned
-    :param message: what is wrong, in words for a person
-    """
-
-    place: str
-    subject: str
-    message: str
-
-    def __str__(self) -> str:
-        return f"{self.place}: {self.subject}: {self.message}"
-
-
 @dataclass(slots=True)
 class Findings:
     """A collector, so that all findings of one input are reported together."""
