--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -21,46 +20,31 @@
 )
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.feeds import TableListener
+from pondquay_daemon.relay.loans import Loans
 from pondquay_daemon.tasks import Task, sleep, spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from twisted.internet.interfaces import IReactorTime
 
-    from pondquay.budgets.allotments import Allotment
     from pondquay.routes.table import RouteTable
     from pondquay.tables import JsonObject, Row
+    from pondquay_daemon.relay.loans import Lender
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.store import RowChange, Snapshot, Store
 
 TABLE = "allotments"
 ADJUST_SECONDS = 0.5
 RETRY_SECONDS = 0.1
+# On its first start a fleet learns who belongs to it, before anyone holds anything.
+SETTLE_SECONDS = 1.5
 # Waits for tokens to come from the table, in turn, before a request is refused.
 OBTAIN_WAITS = (0.02, 0.04, 0.08)
 HAND_BACK_ATTEMPTS = 4
-MOST_LENDERS = 8
 WRITE_ATTEMPTS = 4
 
 
-class Lender(ABC):
-    """Asks other instances for tokens."""
-
-    @property
-    @abstractmethod
-    def peers(self) -> list[str]:
-        """Names of the instances that can be asked."""
-
-    @abstractmethod
-    async def borrow(self, peer: str, workspace: str, tokens: int) -> int:
-        """Ask for tokens; those that come are taken in before this returns."""
-
-    @abstractmethod
-    def give(self, peer: str, workspace: str, tokens: int) -> None:
-        """Hand over tokens that were counted as spent here."""
-
-
 class AccountBook(Task, TableListener):
     """All accounts of this life of an instance.
 
@@ -83,7 +67,7 @@
     ) -> None:
         super().__init__(clock)
         self._metrics = metrics
-        self._lender = lender
+        self._loans = Loans(clock, holder, lender)
         self._store = store
         self._reachable = reachable
         self._holder = holder
@@ -91,9 +75,11 @@
         self._accounts: dict[str, Account] = {}
         self._writing: set[str] = set()
         self._closed = False
+        self._settled_at = 0.0
 
     def start(self) -> None:
         """Begin to adjust the allotments."""
+        self._settled_at = self.clock.seconds() + SETTLE_SECONDS
         self.repeat(ADJUST_SECONDS, self._adjust_all)
 
     def take_table(self, table: RouteTable) -> None:
@@ -150,9 +136,8 @@
         account.demand.note(tokens, self.clock.seconds())
         refused = account.reserve(tokens)
         until = self.clock.seconds() + patience
-        for wait in OBTAIN_WAITS:
-            out_of_reach = refused is Refused.UNKNOWN or not self._reachable()
-            if refused in (None, Refused.EXHAUSTED) or out_of_reach:
+        for wait in OBTAIN_WAITS if self._loans.lends(workspace) else ():
+            if refused in (None, Refused.EXHAUSTED) or not self._reachable():
                 break
             if self.clock.seconds() + wait > until:
                 break
@@ -162,7 +147,9 @@
             refused = account.reserve(tokens)
         account.wanted = 0
         if refused is not None:
-            refused = await self._borrow(account, workspace, tokens, refused)
+            refused = await self._loans.borrow(account, workspace, tokens)
+        if refused is Refused.ELSEWHERE and not self._reachable():
+            refused = Refused.OUT_OF_REACH
         self._log_obtained(request, workspace, account, tokens, refused)
         self._adjust_soon(workspace)
         return refused
@@ -193,27 +180,20 @@
             store="up" if self._reachable() else "away",
         )
 
-    async def _borrow(
-        self, account: Account, workspace: str, tokens: int, refused: Refused
-    ) -> Refused | None:
-        """Ask the peers that seem to have most for what lacks."""
-        others = account.others()
-        peers = sorted(self._lender.peers, key=lambda one: _unspent(others, one))
-        for peer in reversed(peers[-MOST_LENDERS:]):
-            lacking = tokens - account.unspent
-            if lacking > 0:
-                await self._lender.borrow(peer, workspace, lacking)
-            again = account.reserve(tokens)
-            if again is None:
-                return None
-        return refused
+    def lend(self, workspace: str, tokens: int, ahead: int) -> int:
+        """Hand tokens to a peer that has none; return how many.
 
-    def lend(self, workspace: str, tokens: int) -> int:
-        """Hand tokens to a peer that has none; return how many."""
+        :param ahead: tokens that are wanted besides, 0 from those with an allotment
+        """
         account = self._accounts.get(workspace)
         if account is None or self._closed:
             return 0
-        lent = account.lend(tokens)
+        if ahead and account.unspent < tokens:
+            account.wanted = max(account.wanted, tokens)
+        lent = account.lend_ahead(tokens, ahead)
+        if ahead:
+            # The borrower's demand is met from here and shows nowhere else.
+            account.demand.note_lent(max(tokens, lent), self.clock.seconds())
         if lent:
             self._metrics.loans.labels("lent").inc(lent)
             log_event("tokens-lent", workspace=workspace, tokens=lent)
@@ -251,16 +231,7 @@
             if closed is not None:
                 break
         if closed is False:
-            self._give_away(name, account)
-
-    def _give_away(self, name: str, account: Account) -> None:
-        peers = self._lender.peers
-        if not peers:
-            return
-        tokens = account.lend(account.unspent)
-        if tokens:
-            self._lender.give(peers[0], name, tokens)
-            log_event("tokens-given", workspace=name, tokens=tokens, peer=peers[0])
+            self._loans.give_away(name, account)
 
     def _take_row(self, key: str, value: JsonObject, version: int) -> None:
         account = self._accounts.get(key)
@@ -282,9 +253,13 @@
         if name in self._writing or self._closed:
             return
         account = self._accounts[name]
-        if account.version is not None and (
-            plan_headroom(account, self.clock.seconds()) is None
-        ):
+        now = self.clock.seconds()
+        if now < self._settled_at and _is_untouched(account, now):
+            return
+        if not self._loans.lends(name):
+            self._loans.return_surplus(name, account)
+            return
+        if account.version is not None and (plan_headroom(account, now) is None):
             return
         self._writing.add(name)
         spawn(self._adjust(name), "AccountBook")
@@ -356,7 +331,7 @@
         if account.version is None or account.reserved or name in self._writing:
             return False
         if account.row.find(self._holder, self._boot) is None:
-            return True
+            return account.unspent == 0
         spent = account.spent
         row = account.close()
         reply = await self._store.commit(make_transaction(name, account.version, row))
@@ -376,9 +351,9 @@
             account.read(AllotmentRow.from_value(row.value), row.version)
 
 
-def _unspent(others: Mapping[str, Allotment], instance: str) -> int:
-    entry = others.get(instance)
-    return 0 if entry is None else entry.unspent
+def _is_untouched(account: Account, now: float) -> bool:
+    """Tell whether nobody holds or asked for tokens, as on a fleet's first start."""
+    return not account.row.holders and not account.demand.rate(now)
 
 
 def row_key(workspace: str) -> str:
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -0,0 +1,152 @@
+"""Loans of tokens between instances: whom to ask, how much, and what goes back.
+
+Instances that hold allotments lend to each other in need. In a larger fleet most hold
+none of a workspace; they borrow some seconds of their own demand from lenders of their
+domain, and return what they do not need.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from pondquay.budgets.headroom import plan_ahead, plan_return
+from pondquay.budgets.lenders import choose_lenders
+from pondquay_daemon.logs import log_event
+from pondquay_daemon.tasks import sleep
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.budgets.accounts import Account, Refused
+
+MOST_LENDERS = 8
+# Waits for a lender to get more from the table before it is asked again.
+ASK_AGAIN_WAITS = (0.03, 0.06)
+
+
+class Lender(ABC):
+    """Asks other instances for tokens."""
+
+    @property
+    @abstractmethod
+    def peers(self) -> list[str]:
+        """Names of the instances that can be asked."""
+
+    @property
+    @abstractmethod
+    def domains(self) -> Mapping[str, str]:
+        """The domains of all known instances; never changed, only replaced."""
+
+    @abstractmethod
+    async def borrow(
+        self, peer: str, workspace: str, tokens: int, ahead: int = 0
+    ) -> int:
+        """Ask for tokens; those that come are taken in before this returns.
+
+        :param ahead: what an instance without an allotment would like besides
+        """
+
+    @abstractmethod
+    def give(self, peer: str, workspace: str, tokens: int) -> None:
+        """Hand over tokens that were counted as spent here."""
+
+
+class Loans:
+    """The loans of one instance.
+
+    :param lender: asks other instances
+    """
+
+    def __init__(self, clock: IReactorTime, instance: str, lender: Lender) -> None:
+        self._clock = clock
+        self._instance = instance
+        self._lender = lender
+        self._domains: Mapping[str, str] = {}
+        self._chosen: dict[str, frozenset[str]] = {}
+
+    def lends(self, workspace: str) -> bool:
+        """Tell whether this instance is to hold an allotment of a workspace.
+
+        One that reaches none of the lenders holds its own.
+        """
+        chosen = self._choose(workspace)
+        return self._instance in chosen or chosen.isdisjoint(self._lender.peers)
+
+    async def borrow(
+        self, account: Account, workspace: str, tokens: int
+    ) -> Refused | None:
+        """Borrow what lacks for a request and reserve it.
+
+        :returns: why not, ``None`` if it is reserved
+        """
+        if self.lends(workspace):
+            return await self._ask_all(account, workspace, tokens, 0)
+        ahead = max(1, plan_ahead(account, self._clock.seconds()))
+        refused = await self._ask_all(account, workspace, tokens, ahead)
+        for wait in ASK_AGAIN_WAITS:
+            if refused is None:
+                break
+            await sleep(wait, self._clock)
+            refused = await self._ask_all(account, workspace, tokens, ahead)
+        return refused
+
+    def return_surplus(self, workspace: str, account: Account) -> None:
+        """Hand back what is borrowed and not needed."""
+        surplus = plan_return(account, self._clock.seconds())
+        if surplus:
+            self._give(workspace, account, surplus)
+
+    def give_away(self, workspace: str, account: Account) -> None:
+        """Hand all that is left to others, for a planned stop."""
+        self._give(workspace, account, account.unspent)
+
+    async def _ask_all(
+        self, account: Account, workspace: str, tokens: int, ahead: int
+    ) -> Refused | None:
+        refused = account.reserve(tokens)
+        for peer in self._rank(account, workspace):
+            if refused is None:
+                break
+            lacking = tokens - account.unspent
+            if lacking > 0:
+                await self._lender.borrow(peer, workspace, lacking, ahead)
+            refused = account.reserve(tokens)
+        return refused
+
+    def _give(self, workspace: str, account: Account, tokens: int) -> None:
+        ranked = self._rank(account, workspace) or self._lender.peers
+        if not ranked:
+            return
+        given = account.lend(tokens)
+        if given:
+            self._lender.give(ranked[0], workspace, given)
+            log_event("tokens-given", workspace=workspace, tokens=given, peer=ranked[0])
+
+    def _rank(self, account: Account, workspace: str) -> list[str]:
+        """Return lenders that can be asked: near ones, then those that have most."""
+        chosen = self._choose(workspace)
+        reachable = [one for one in self._lender.peers if one in chosen]
+        others = account.others()
+        domains = self._lender.domains
+        lends = self._instance in chosen
+
+        def order(peer: str) -> tuple[bool, int]:
+            near = lends or domains.get(peer) == domains.get(self._instance)
+            entry = others.get(peer)
+            return near, 0 if entry is None else entry.unspent
+
+        return sorted(reachable, key=order, reverse=True)[:MOST_LENDERS]
+
+    def _choose(self, workspace: str) -> frozenset[str]:
+        domains = self._lender.domains
+        if domains is not self._domains:
+            self._domains = domains
+            self._chosen.clear()
+        chosen = self._chosen.get(workspace)
+        if chosen is None:
+            chosen = choose_lenders(workspace, domains)
+            self._chosen[workspace] = chosen
+        return chosen
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/members.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/members.py
@@ -12,9 +12,9 @@
     Unreachable,
     Write,
 )
-from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.feeds import TableListener
+from pondquay_daemon.relay.peers import Member
 from pondquay_daemon.tasks import sleep
 
 if TYPE_CHECKING:
@@ -38,9 +38,16 @@
         self._store = store
         self._mesh = mesh
         self._instance = instance
+        self._read = False
+
+    @property
+    def count(self) -> int:
+        """How many instances the list names, 0 before it was read."""
+        return len(self._mesh.domains) if self._read else 0
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
         """Take in the list as a whole."""
+        self._read = True
         for row in snapshot.rows:
             self._learn(row.key, row.value)
 
@@ -51,12 +58,12 @@
         else:
             self._learn(change.key, change.value)
 
-    async def join(self, address: Address) -> None:
+    async def join(self, member: Member) -> None:
         """Write this instance's row, until it stands."""
-        value = {"address": str(address)}
+        value = {"address": str(member.address), "domain": member.domain}
         while not await self._write(value):
             await sleep(RETRY_SECONDS, self._clock)
-        log_event("joined", instance=self._instance, address=address)
+        log_event("joined", instance=self._instance, address=member.address)
 
     async def leave(self) -> None:
         """Delete this instance's row, if the store can be reached."""
@@ -77,4 +84,5 @@
 
     def _learn(self, instance: str, value: JsonObject) -> None:
         if instance != self._instance:
-            self._mesh.learn(instance, Address.parse(value["address"]))
+            member = Member.parse(value["address"], value["domain"])
+            self._mesh.learn(instance, member)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -16,12 +16,12 @@
 class Hello:
     """The first message on a link.
 
-    :param members: addresses of the instances that are known, by name
+    :param members: address and domain of the instances that are known, by name
     """
 
     CODE: ClassVar[int] = 1
     instance: str
-    members: dict[str, str]
+    members: dict[str, list[str]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +58,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
-    """Asks for tokens of a workspace."""
+    """Asks for tokens of a workspace.
+
+    :param ahead: tokens that an instance without an allotment would like besides
+    """
 
     CODE: ClassVar[int] = 6
     number: int
     workspace: str
     tokens: int
+    ahead: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from itertools import count
 from random import shuffle
 from typing import TYPE_CHECKING, Any, cast
@@ -16,8 +17,8 @@
 
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.accounts import Lender
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.peermessages import (
     ConfigurationValue,
     FetchConfiguration,
@@ -32,7 +33,7 @@
 from pondquay_daemon.tasks import Task, wait_at_most
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from twisted.internet.interfaces import IAddress, IReactorTime
     from twisted.internet.tcp import Connection
@@ -44,8 +45,29 @@
 SILENT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
 LOAN_SECONDS = 0.04
-# Links that an instance opens by itself; in a larger fleet each has some of the others.
-MOST_LINKS = 16
+# Links that an instance opens by itself: those within its domain first, since it
+# borrows there, and some of the others.
+MOST_LINKS = 64
+MOST_FAR_LINKS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Where an instance is.
+
+    :param address: where it accepts links
+    """
+
+    address: Address
+    domain: str
+
+    @classmethod
+    def parse(cls, address: str, domain: str) -> Member:
+        """Read the form in which it is sent.
+
+        :raises ValueError: if the address has another form
+        """
+        return cls(Address.parse(address), domain)
 
 
 class PeerListener(ABC):
@@ -68,8 +90,11 @@
         """Take in that an upstream leaves."""
 
     @abstractmethod
-    def lend(self, workspace: str, tokens: int) -> int:
-        """Count tokens as spent here and return how many, 0 if none can be spared."""
+    def lend(self, workspace: str, tokens: int, ahead: int) -> int:
+        """Count tokens as spent here and return how many, 0 if none can be spared.
+
+        :param ahead: tokens that are wanted besides, 0 from those with an allotment
+        """
 
     @abstractmethod
     def receive_loan(self, workspace: str, tokens: int) -> None:
@@ -148,7 +173,7 @@
 class PeerMesh(Task, Lender):
     """All links of one instance.
 
-    :param address: where this instance accepts links
+    :param member: where this instance is
     :param seeds: addresses of some others
     """
 
@@ -156,17 +181,19 @@
         self,
         reactor: IReactorTime,
         instance: str,
-        address: Address,
+        member: Member,
         seeds: Iterable[Address],
         listener: PeerListener,
     ) -> None:
         super().__init__(reactor)
         self._reactor: Any = reactor
         self._instance = instance
-        self._address = address
+        self._address = member.address
+        self._domain = member.domain
         self._listener = listener
-        self._members: dict[str, Address] = {instance: address}
-        self._seeds = [one for one in seeds if one != address]
+        self._members: dict[str, Member] = {instance: member}
+        self._domains: dict[str, str] = {instance: member.domain}
+        self._seeds = [one for one in seeds if one != member.address]
         self._links: dict[str, PeerLink] = {}
         self._all: set[PeerLink] = set()
         self.connecting: set[Address] = set()
@@ -180,20 +207,32 @@
         )
         self.repeat(HEARTBEAT_SECONDS, self._beat)
 
-    def learn(self, instance: str, address: Address) -> None:
-        """Take in where an instance accepts links."""
-        self._members[instance] = address
+    def learn(self, instance: str, member: Member) -> None:
+        """Take in where an instance is."""
+        self._members[instance] = member
+        if self._domains.get(instance) != member.domain:
+            self._domains = {**self._domains, instance: member.domain}
 
     def forget(self, instance: str) -> None:
         """Take in that an instance is gone."""
         if instance != self._instance:
             self._members.pop(instance, None)
+            self._domains = {
+                name: domain
+                for name, domain in self._domains.items()
+                if name != instance
+            }
 
     @property
     def peers(self) -> list[str]:
         """Names of the instances to which a link is open."""
         return list(self._links)
 
+    @property
+    def domains(self) -> Mapping[str, str]:
+        """The domains of all known instances; never changed, only replaced."""
+        return self._domains
+
     def announce_version(self) -> None:
         """Tell all peers which configuration is in force here."""
         self._send_all(Heartbeat(self._listener.configuration_version()))
@@ -202,7 +241,9 @@
         """Tell all peers that an upstream leaves."""
         self._send_all(UpstreamLeaves(upstream))
 
-    async def borrow(self, peer: str, workspace: str, tokens: int) -> int:
+    async def borrow(
+        self, peer: str, workspace: str, tokens: int, ahead: int = 0
+    ) -> int:
         """Ask a peer for tokens; return how many came in time."""
         link = self._links.get(peer)
         if link is None:
@@ -210,7 +251,7 @@
         number = next(self._numbers)
         waiting: Deferred[int] = Deferred()
         self._loans[number] = waiting
-        link.send(LoanRequest(number, workspace, tokens))
+        link.send(LoanRequest(number, workspace, tokens, ahead))
         lent = await wait_at_most(waiting, LOAN_SECONDS, self.clock, 0)
         self._loans.pop(number, None)
         return lent
@@ -225,7 +266,9 @@
         """Send the first message on a link."""
         link.heard = self.clock.seconds()
         self._all.add(link)
-        members = {name: str(address) for name, address in self._members.items()}
+        members = {
+            name: [str(one.address), one.domain] for name, one in self._members.items()
+        }
         link.send(Hello(self._instance, members))
         link.send(Heartbeat(self._listener.configuration_version()))
 
@@ -252,15 +295,16 @@
         elif isinstance(message, UpstreamLeaves):
             self._listener.note_leaving(message.upstream)
         elif isinstance(message, LoanRequest):
-            lent = self._listener.lend(message.workspace, message.tokens)
+            lent = self._listener.lend(message.workspace, message.tokens, message.ahead)
             link.send(Loan(message.number, message.workspace, lent))
         else:
             self._receive_loan(message)
 
     def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
         link.instance = hello.instance
-        for name, address in hello.members.items():
-            self._members.setdefault(name, Address.parse(address))
+        for name, fields in hello.members.items():
+            if name not in self._members:
+                self.learn(name, Member.parse(*fields))
         if hello.instance not in self._links:
             self._links[hello.instance] = link
             log_event("peer-linked", peer=hello.instance)
@@ -294,16 +338,20 @@
                 link.drop()
 
     def _open_links(self) -> None:
-        missing = [
-            address
-            for name, address in self._members.items()
-            if name not in self._links and name != self._instance
-        ]
+        near: list[Address] = []
+        far: list[Address] = []
+        for name, member in self._members.items():
+            if name not in self._links and name != self._instance:
+                within = member.domain == self._domain
+                (near if within else far).append(member.address)
         if not self._links:
-            missing += self._seeds
-        shuffle(missing)
+            far += self._seeds
+        shuffle(near)
+        shuffle(far)
+        far_links = sum(self._domains.get(name) != self._domain for name in self._links)
+        wanted = near + far[: max(0, MOST_FAR_LINKS - far_links)]
         room = MOST_LINKS - len(self._links)
-        for address in missing[: max(0, room)]:
+        for address in wanted[: max(0, room)]:
             self._connect(address)
 
     def _connect(self, address: Address) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -27,7 +27,7 @@
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.parts import RelayParts
-from pondquay_daemon.relay.peers import PeerListener, PeerMesh
+from pondquay_daemon.relay.peers import Member, PeerListener, PeerMesh
 from pondquay_daemon.relay.placement import Placement
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
@@ -77,8 +77,9 @@
         self._store = border.open_store(settings, reactor)
         directory = UpstreamDirectory(reactor.seconds)
         bounds = settings.bounds
+        self._member = Member(settings.peers, settings.domain)
         self._peers = PeerMesh(
-            reactor, settings.instance, settings.peers, settings.seeds, self
+            reactor, settings.instance, self._member, settings.seeds, self
         )
         self._members = MemberList(reactor, self._store, self._peers, settings.instance)
         self._accounts = AccountBook(
@@ -97,7 +98,12 @@
             directory,
             Placement(reactor, directory, settings.domain, self._current),
             self._accounts,
-            RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
+            RetryShare(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window,
+                lambda: self._members.count,
+            ),
             Random(),
             metrics,
             lambda: self._upstream_feed.age(),
@@ -146,7 +152,7 @@
             feed.start()
         self._accounts.start()
         self._peers.start()
-        spawn(self._members.join(settings.peers), "MemberList")
+        spawn(self._members.join(self._member), "MemberList")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
     def _listen_reports(self) -> None:
@@ -255,9 +261,9 @@
         if self._parts.directory.note_leaving(upstream):
             log_event("upstream-leaves", upstream=upstream, source="peer")
 
-    def lend(self, workspace: str, tokens: int) -> int:
+    def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         """Hand tokens to a peer."""
-        return self._accounts.lend(workspace, tokens)
+        return self._accounts.lend(workspace, tokens, ahead)
 
     def receive_loan(self, workspace: str, tokens: int) -> None:
         """Take tokens from a peer."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -55,8 +55,13 @@
 LEAST_SILENT_SECONDS = 0.3
 # One that answers other requests meanwhile is given up after this many.
 BUSY_OBJECTIVES = 3.0
-# Another instance, to which a caller's next try may come, may have what lacks here.
-AT_ANOTHER = 0.1
+# Seconds after which a caller that was refused for want of tokens should come back:
+# another instance, to which its next try may come, may have them, but an outage lasts.
+COME_BACK = {
+    Refused.ELSEWHERE: 0.1,
+    Refused.UNKNOWN: 0.1,
+    Refused.OUT_OF_REACH: 2.0,
+}
 LEAST_REMAINING_SECONDS = 0.01
 # Routes' priorities are below this, and tenants' come ahead of them.
 ROUTE_PRIORITIES = 3
@@ -166,7 +171,7 @@
             return None
         if refused is Refused.EXHAUSTED:
             return Refusal(PAYMENT_REQUIRED, "budget exhausted", None)
-        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", AT_ANOTHER)
+        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", COME_BACK[refused])
 
     def _settle(self, used: int) -> None:
         reserved, self._reserved = self._reserved, 0
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -18,17 +18,21 @@
 LAST_PART = 0.03
 SMALL_PART = 0.01
 LEAST_AGE_SECONDS = 2.0
+# Part of what a lender has left that a borrower may get beyond its need.
+AHEAD_PART = 0.25
 
 
 class Refused(StrEnum):
     """Why tokens could not be reserved.
 
-    ``EXHAUSTED`` is said only where the row shows that no instance can have them.
+    ``EXHAUSTED`` is said only where the row shows that no instance can have them;
+    ``OUT_OF_REACH`` where the table that may have them does not answer.
     """
 
     EXHAUSTED = "exhausted"
     ELSEWHERE = "elsewhere"
     UNKNOWN = "unknown"
+    OUT_OF_REACH = "out-of-reach"
 
 
 @dataclass(slots=True)
@@ -45,11 +49,15 @@
 
     def note(self, tokens: int, now: float) -> None:
         """Note a request."""
+        self.note_lent(tokens, now)
+        self.largest = max(self.largest, tokens)
+
+    def note_lent(self, tokens: int, now: float) -> None:
+        """Note tokens that another instance asked for, for several requests."""
         if self._began is None:
             self._began = now
         self._sum = self._sum_at(now) + tokens
         self._at = now
-        self.largest = max(self.largest, tokens)
 
     def rate(self, now: float) -> float:
         """Return tokens a second; a short past is not taken for a low rate."""
@@ -80,6 +88,7 @@
     :param ceiling: the lowest that the row's ceiling for this life can be
     :param spent: tokens used and lent, less those borrowed
     :param used: tokens that requests ran for
+    :param lent: tokens that are with instances without an allotment
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
     """
@@ -90,6 +99,7 @@
     ceiling: int = 0
     spent: int = 0
     used: int = 0
+    lent: int = 0
     reserved: int = 0
     version: int | None = None
     row: AllotmentRow = EMPTY_ROW
@@ -129,12 +139,25 @@
         self.spent += lent
         return lent
 
+    def lend_ahead(self, tokens: int, ahead: int) -> int:
+        """Lend to an instance that holds no allotment; return how many tokens.
+
+        :param tokens: that it needs now
+        :param ahead: that it would like besides; it gets a part of what is left only
+        """
+        spare = max(0, self.unspent - tokens)
+        lent = self.lend(tokens + min(ahead, int(AHEAD_PART * spare)))
+        if ahead:
+            self.lent += lent
+        return lent
+
     def receive_loan(self, tokens: int) -> None:
         """Take tokens that a peer has counted as spent.
 
         What this life has spent, less what it was lent, may fall below zero.
         """
         self.spent -= tokens
+        self.lent -= min(self.lent, tokens)
 
     def read(self, row: AllotmentRow, version: int) -> None:
         """Take in the row as it stood at a version.
@@ -159,7 +182,7 @@
         """
         ceiling = self.spent + self.reserved + headroom
         rate = int(self.demand.rate(now))
-        entry = Allotment(self.boot, ceiling, self.used, rate)
+        entry = Allotment(self.boot, ceiling, self.used, rate, self.lent)
         return Change(self.row.with_entry(self.holder, entry), ceiling)
 
     def begin(self, change: Change) -> None:
@@ -203,8 +226,9 @@
 
     def left(self) -> int:
         """Tokens that the workspace may still spend, by what is known here."""
-        others = sum(one.spent for one in self.others().values())
-        return self.prepaid - self.row.closed - others - self.used - self.reserved
+        others = sum(one.spent + one.lent for one in self.others().values())
+        own = self.used + self.lent + self.reserved
+        return self.prepaid - self.row.closed - others - own
 
     def _kept_from(self, tokens: int) -> int:
         """Return the tokens that a request of this size may not touch."""
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -24,17 +24,19 @@
     :param ceiling: the most tokens that this life may ever spend
     :param spent: what requests had used there when it wrote this, without loans
     :param rate: tokens a second that it was asked for
+    :param lent: what it lent to instances that hold no allotment
     """
 
     boot: str
     ceiling: int
     spent: int = 0
     rate: int = 0
+    lent: int = 0
 
     @property
     def unspent(self) -> int:
         """What was left of it when it was written."""
-        return max(0, self.ceiling - self.spent)
+        return max(0, self.ceiling - self.spent - self.lent)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,7 @@
         return {
             "closed": [self.closed, self.closed_spent],
             "holders": {
-                name: [one.boot, one.ceiling, one.spent, one.rate]
+                name: [one.boot, one.ceiling, one.spent, one.rate, one.lent]
                 for name, one in self.holders.items()
             },
         }
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -28,6 +28,8 @@
 FLOOR_PART = 0.5
 # Below this part of the target more is asked for.
 LOW_PART = 0.7
+# Seconds of its own demand that an instance without an allotment borrows ahead.
+AHEAD_SECONDS = 4.0
 # What is above the target by this part of it, and by this part of the prepaid tokens,
 # is returned.
 HIGH_PART = 0.5
@@ -62,6 +64,18 @@
     return max(0, int(kept * share_of_demand(account, now)))
 
 
+def plan_ahead(account: Account, now: float) -> int:
+    """Return what an instance without an allotment should have from lenders."""
+    return int(AHEAD_SECONDS * account.demand.rate(now))
+
+
+def plan_return(account: Account, now: float) -> int:
+    """Return the tokens that such an instance should hand back to a lender."""
+    keep = plan_ahead(account, now)
+    surplus = account.unspent - keep
+    return surplus if surplus > max(keep, account.demand.largest) else 0
+
+
 def plan_headroom(account: Account, now: float) -> int | None:
     """Return the headroom that should be written, ``None`` if nothing is worth it."""
     target = target_headroom(account, now)
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -9,13 +9,19 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
+from math import ceil
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 # Part of the ratio that is used: a request may be counted in another window than its
 # retry.
 SAFETY = 0.75
-# Instances among which the fixed number is divided; more may exist for a while when
-# some are replaced.
-SHARES = 16
+# The fixed number is divided among this many instances at least, and among more than
+# are known: some may be added or replaced.
+LEAST_SHARES = 16
+SPARE_PART = 1.25
 
 
 @dataclass(slots=True)
@@ -35,11 +41,16 @@
     :param ratio: further attempts that one request allows the fleet
     :param extra: further attempts that the fleet may always make in a window
     :param window: seconds
+    :param instances: returns how many instances are known, 0 if that is not known;
+        then nothing is taken of the fixed number
     """
 
-    def __init__(self, ratio: float, extra: float, window: float) -> None:
+    def __init__(
+        self, ratio: float, extra: float, window: float, instances: Callable[[], int]
+    ) -> None:
         self._ratio = ratio * SAFETY
-        self._extra = extra / SHARES
+        self._extra = extra
+        self._instances = instances
         self._window = window
         self._counts: dict[str, _Counts] = defaultdict(_Counts)
 
@@ -51,8 +62,14 @@
         """Take one further attempt, if there is one."""
         counts = self._counts[service]
         counts.forget(now - self._window)
-        allowed = self._ratio * len(counts.first) + self._extra
+        allowed = self._ratio * len(counts.first) + self._share()
         if len(counts.further) + 1 > allowed:
             return False
         counts.further.append(now)
         return True
+
+    def _share(self) -> float:
+        instances = self._instances()
+        if instances == 0:
+            return 0.0
+        return self._extra / max(LEAST_SHARES, ceil(SPARE_PART * instances))
--- /dev/null
+++ b/packages/pondquay/tests/budgets/test_lenders.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondquay.budgets.accounts import Account
+from pondquay.budgets.headroom import AHEAD_SECONDS, plan_ahead, plan_return
+from pondquay.budgets.lenders import LENDERS_OF_DOMAIN, SMALL_FLEET, choose_lenders
+
+DOMAINS = ("hall-a", "hall-b", "hall-c")
+fleets = st.dictionaries(
+    st.integers(0, 999).map(lambda number: f"entry-{number}"),
+    st.sampled_from(DOMAINS),
+    min_size=1,
+    max_size=120,
+)
+workspaces = st.text("abcdef", min_size=1, max_size=6)
+
+
+@given(fleets, workspaces)
+def test_every_domain_has_lenders_and_the_row_has_few_writers(
+    fleet: dict[str, str], workspace: str
+) -> None:
+    chosen = choose_lenders(workspace, fleet)
+    assert {fleet[one] for one in chosen} == set(fleet.values())
+    if len(fleet) <= SMALL_FLEET:
+        assert chosen == set(fleet)
+    else:
+        assert len(chosen) <= LENDERS_OF_DOMAIN * len(DOMAINS)
+
+
+@given(fleets, workspaces, st.randoms())
+def test_all_agree_whatever_order_they_heard_of_each_other(
+    fleet: dict[str, str], workspace: str, random: object
+) -> None:
+    names = sorted(fleet, reverse=True)
+    again = {name: fleet[name] for name in names}
+    assert choose_lenders(workspace, fleet) == choose_lenders(workspace, again)
+
+
+@given(fleets, workspaces)
+def test_an_instance_that_goes_changes_only_its_own_place(
+    fleet: dict[str, str], workspace: str
+) -> None:
+    if len(fleet) <= SMALL_FLEET + 1:
+        return
+    chosen = choose_lenders(workspace, fleet)
+    gone = next(iter(fleet))
+    rest = {name: domain for name, domain in fleet.items() if name != gone}
+    assert chosen - {gone} <= choose_lenders(workspace, rest)
+
+
+def test_lenders_of_many_workspaces_are_spread_over_the_fleet() -> None:
+    fleet = {f"entry-{number}": DOMAINS[number % 3] for number in range(90)}
+    lending = [one for n in range(300) for one in choose_lenders(f"w{n}", fleet)]
+    counts = {one: lending.count(one) for one in fleet}
+    assert max(counts.values()) < 3 * len(lending) / len(fleet)
+
+
+def test_a_borrower_keeps_some_seconds_of_its_demand_and_returns_the_rest() -> None:
+    account = Account("me", "1", 1_000_000)
+    account.receive_loan(100_000)
+    account.demand.note(8_000, 0.0)
+    ahead = plan_ahead(account, 2.0)
+    assert 0 < ahead < 100_000 // 2
+    assert plan_return(account, 2.0) == 100_000 - ahead
+    assert ahead == int(AHEAD_SECONDS * account.demand.rate(2.0))
+    assert plan_return(account, 500.0) == 100_000
+
+
+def test_a_lender_gives_what_is_needed_and_a_part_of_the_rest_ahead() -> None:
+    lender = Account("a", "1", 1_000)
+    lender.receive_loan(500)
+    assert lender.lend_ahead(100, 300) == 200
+    assert (lender.lent, lender.unspent) == (200, 300)
+    assert lender.lend_ahead(400, 0) == 300
+    assert lender.lent == 200, "what lenders owe each other is in their entries"
+    lender.receive_loan(150)
+    assert lender.lent == 50
