--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -67,7 +67,7 @@
     ) -> None:
         super().__init__(clock)
         self._metrics = metrics
-        self._loans = Loans(clock, holder, lender)
+        self._loans = Loans(clock, holder, lender, reachable)
         self._store = store
         self._reachable = reachable
         self._holder = holder
@@ -188,7 +188,7 @@
         account = self._accounts.get(workspace)
         if account is None or self._closed:
             return 0
-        if ahead and account.unspent < tokens:
+        if account.unspent < tokens:
             account.wanted = max(account.wanted, tokens)
         lent = account.lend_ahead(tokens, ahead)
         if ahead:
@@ -250,7 +250,7 @@
         self._adjust_soon(key)
 
     def _adjust_soon(self, name: str) -> None:
-        if name in self._writing or self._closed:
+        if name in self._writing or self._closed or not self._reachable():
             return
         account = self._accounts[name]
         now = self.clock.seconds()
@@ -301,6 +301,7 @@
         reply = await self._store.commit(transaction)
         if isinstance(reply, Committed):
             account.confirm(change, reply.version)
+            account.wanted = 0
             log_event(
                 "allotment-written",
                 workspace=name,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -16,7 +16,7 @@
 from pondquay_daemon.tasks import sleep
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -58,10 +58,18 @@
     """The loans of one instance.
 
     :param lender: asks other instances
+    :param reachable: tells whether the table answered lately
     """
 
-    def __init__(self, clock: IReactorTime, instance: str, lender: Lender) -> None:
+    def __init__(
+        self,
+        clock: IReactorTime,
+        instance: str,
+        lender: Lender,
+        reachable: Callable[[], bool],
+    ) -> None:
         self._clock = clock
+        self._reachable = reachable
         self._instance = instance
         self._lender = lender
         self._domains: Mapping[str, str] = {}
@@ -82,10 +90,11 @@
 
         :returns: why not, ``None`` if it is reserved
         """
-        if self.lends(workspace):
-            return await self._ask_all(account, workspace, tokens, 0)
-        ahead = max(1, plan_ahead(account, self._clock.seconds()))
+        lends = self.lends(workspace)
+        ahead = 0 if lends else max(1, plan_ahead(account, self._clock.seconds()))
         refused = await self._ask_all(account, workspace, tokens, ahead)
+        if lends and self._reachable():
+            return refused
         for wait in ASK_AGAIN_WAITS:
             if refused is None:
                 break
--- a/packages/pondquay-daemon/tests/relay/test_loans.py
+++ b/packages/pondquay-daemon/tests/relay/test_loans.py
@@ -65,7 +65,8 @@
         self.clock: Any = MemoryReactorClock()
         self.account = Account(name, "1", 1_000_000)
         self.others = OtherInstances(fleet, self.account)
-        self.loans = Loans(self.clock, name, self.others)
+        self.store_is_up = True
+        self.loans = Loans(self.clock, name, self.others, lambda: self.store_is_up)
 
     def near(self) -> str:
         """Return a lender of the own domain."""
@@ -101,6 +102,17 @@
     assert results == [None]
 
 
+def test_who_has_lost_the_store_asks_those_again_that_may_have_it() -> None:
+    desk = Desk(SMALL_FLEET, lends=True)
+    assert desk.borrow(80) == [Refused.UNKNOWN]
+    desk.store_is_up = False
+    results = desk.borrow(80)
+    assert results == []
+    desk.others.tokens[desk.others.peers[0]] = 80
+    desk.clock.advance(ASK_AGAIN_WAITS[0])
+    assert results == [None]
+
+
 def test_where_no_lender_has_any_the_request_is_refused_after_the_waits() -> None:
     desk = Desk(40, lends=False)
     results = desk.borrow(80)
