--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -23,6 +23,7 @@
 from pondquay_daemon.peers import PeerListener, PeerTask
 from pondquay_daemon.platform import Platform
 from pondquay_daemon.recovery import Recovery
+from pondquay_daemon.requestclaims import ClaimTask
 from pondquay_daemon.runner import Runner
 from pondquay_daemon.services import Services
 from pondquay_daemon.tasks import sleep
@@ -82,10 +83,12 @@
             self.upstreams,
             self.engines,
         )
+        self.claims = ClaimTask(
+            reactor, str(self.instance), self.platform, self.metrics.next_number
+        )
         self.runner = Runner(
             reactor,
-            str(self.instance),
-            self.platform,
+            self.claims,
             self.grants,
             self.upstreams,
             self.engines,
@@ -118,6 +121,7 @@
             self.upstreams,
             self.grants,
             self.recovery,
+            self.claims,
             self.runner,
         ):
             self._tasks.enter_context(task)
@@ -126,7 +130,7 @@
         self.upstreams.start()
         self.grants.start(self._list_budgets)
         self.recovery.start()
-        self.runner.start()
+        self.claims.start()
         self.peers.repeat(1.0, self._follow_peers)
         most = self.settings.limits.body_bytes
         callers = CallerEndpoint(
--- a/packages/pondquay-daemon/src/pondquay_daemon/runner.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/runner.py
@@ -2,21 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure
-from twisted.internet.defer import Deferred
-
-from pondquay.claims.programs import (
-    AlreadyClaimed,
-    Claimed,
-    ClaimUnknown,
-    Released,
-    claim_request,
-    finish_claim,
-    release_claim,
-)
+
 from pondquay.names import name_stream
 from pondquay.requests.lifecycle import Outcome, begin_request
 from pondquay.routing.admission import ORDER
@@ -38,7 +27,6 @@
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.progress import (
-    PLATFORM_RETRY_SECONDS,
     RETRY_SECONDS,
     Progress,
     Started,
@@ -46,45 +34,31 @@
     refuse_unfinished,
 )
 from pondquay_daemon.requestindex import RequestIndex
-from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
+from pondquay_daemon.tasks import Task, sleep
 from pondquay_daemon.upstreams import Wish
 
 if TYPE_CHECKING:
-    from pondquay.claims.programs import ClaimOutcome
-    from pondquay.names import RequestName
     from pondquay_daemon.configuration import ConfigurationTask
     from pondquay_daemon.engines import Engines
     from pondquay_daemon.grants import GrantTask
     from pondquay_daemon.metrics import Metrics
-    from pondquay_daemon.platform import Platform
     from pondquay_daemon.recovery import Recovery
+    from pondquay_daemon.requestclaims import ClaimTask
     from pondquay_daemon.services import ServiceAnswer, Services
     from pondquay_daemon.upstreams import Upstreams
 
 MOST_ATTEMPTS = 3
 MOST_RESUMES = 3
 RESUME_PAUSE_SECONDS = 0.2
-UNCLAIM_SECONDS = 1.0
-# A request waits no longer than this for the table to take its claim.
-CLAIM_SECONDS = 0.2
-
-
-@dataclass(frozen=True, slots=True)
-class DoubtfulClaim:
-    """A claim that may stand though its request did not run."""
-
-    request: RequestName
-    nonce: str
 
 
 class Runner(Task):
-    """Runs requests: claims, places, reserves, dispatches, settles."""
+    """Runs requests: has them claimed, places, reserves, dispatches, settles."""
 
     def __init__(
         self,
         reactor: Any,
-        instance: str,
-        platform: Platform,
+        claims: ClaimTask,
         grants: GrantTask,
         upstreams: Upstreams,
         engines: Engines,
@@ -94,8 +68,7 @@
         metrics: Metrics,
     ) -> None:
         super().__init__(reactor)
-        self._instance = instance
-        self._platform = platform
+        self._claims = claims
         self._grants = grants
         self._upstreams = upstreams
         self._engines = engines
@@ -104,14 +77,9 @@
         self._configuration = configuration
         self._metrics = metrics
         self._retries = RetryBudget()
-        self._unclaim: list[DoubtfulClaim] = []
         self.index = RequestIndex()
         self.stopping = False
 
-    def start(self) -> None:
-        """Release doubtful claims from now on."""
-        self.repeat(UNCLAIM_SECONDS, self._release_doubtful)
-
     def running(self) -> int:
         """Return how many requests are in progress."""
         return len(self.index.running)
@@ -142,9 +110,9 @@
         self.index.found_none(call)
         try:
             progress = Progress(call, begin_request(repeatable=call.repeatable))
-            refusal = await self._claim(progress)
+            refusal = await self._claims.claim(progress)
             answer = refusal or await self._call_until_done(progress, call)
-            await self._end_claim(progress)
+            await self._claims.end(progress)
             return answer
         finally:
             self.index.end(call)
@@ -158,79 +126,6 @@
             )
         return self.index.find(call)
 
-    # Claims
-
-    async def _claim(self, progress: Progress) -> Refusal | None:
-        """Claim a request that may not be repeated before anything else is done."""
-        call = progress.call
-        if call.repeatable:
-            return None
-        progress.nonce = f"{self._instance}/{self._metrics.next_number()}"
-        match await self._make_claim(progress):
-            case Claimed():
-                return None
-            case AlreadyClaimed(row):
-                progress.nonce = ""
-                code = RefusalCode.REQUEST_RUNNING
-                if row.finished:
-                    code = RefusalCode.REQUEST_RAN
-                return Refusal(code, "this key was used before", Outcome.UNKNOWN)
-            case ClaimUnknown():
-                self._doubt_claim(progress)
-        progress.nonce = ""
-        return progress.refusal(
-            RefusalCode.PLATFORM_UNREACHABLE,
-            "the request cannot be claimed now",
-            PLATFORM_RETRY_SECONDS,
-        )
-
-    async def _make_claim(self, progress: Progress) -> ClaimOutcome | None:
-        """Write a claim; ``None`` if the table takes too long for the caller.
-
-        The request is refused then, and the claim is released once it is known.
-        """
-        request, nonce = progress.call.request, progress.nonce
-        program = claim_request(request, self._instance, nonce)
-        claiming: Deferred[ClaimOutcome | None] = Deferred.fromCoroutine(
-            self._platform.run(program)
-        )
-        outcome = await wait_at_most(claiming, CLAIM_SECONDS, self.clock, None)
-        if outcome is None:
-            claim = DoubtfulClaim(request, nonce)
-            claiming.addCallback(self._note_late_claim, claim)
-        return outcome
-
-    def _note_late_claim(
-        self, outcome: ClaimOutcome | None, claim: DoubtfulClaim
-    ) -> None:
-        if isinstance(outcome, Claimed | ClaimUnknown):
-            self._unclaim.append(claim)
-
-    def _doubt_claim(self, progress: Progress) -> None:
-        self._unclaim.append(DoubtfulClaim(progress.call.request, progress.nonce))
-
-    async def _end_claim(self, progress: Progress) -> None:
-        if not progress.nonce:
-            return
-        outcome = progress.life.outcome()
-        if outcome is Outcome.DONE:
-            await self._platform.run(
-                finish_claim(progress.call.request, progress.nonce)
-            )
-        elif outcome is Outcome.NOT_RUN:
-            self._doubt_claim(progress)
-            # The caller is told at once, also where the table does not answer.
-            spawn(self._release_doubtful(), "Runner")
-
-    async def _release_doubtful(self) -> None:
-        """Release claims on requests that certainly did not run."""
-        for claim in list(self._unclaim):
-            released = await self._platform.run(
-                release_claim(claim.request, claim.nonce)
-            )
-            if isinstance(released, Released) and claim in self._unclaim:
-                self._unclaim.remove(claim)
-
     # Getting started
 
     async def _start(self, progress: Progress, wish: Wish) -> Started | Refusal:
@@ -278,12 +173,12 @@
             if taken_over is not None:
                 return self._keep_taken_over(call, taken_over)
         self.index.found_none(call)
-        refusal = await self._claim(progress)
+        refusal = await self._claims.claim(progress)
         if refusal is not None:
             return refusal
         self._retries.earn()
         result = await self._complete_until_done(progress, call, sink)
-        await self._end_claim(progress)
+        await self._claims.end(progress)
         return result
 
     def _keep_taken_over(
