Let instances know what waits to be read at an upstream

Cause: each instance saw only its own prompts at a replica. Whole prompts counted, though most of them had been read there before.

Change: instances tell each other, 4 ms after it changes and in absolute numbers, what they have waiting at an upstream and which shared parts it has read; placement passes over one where 24,000 tokens of all instances wait that it has not read. A peer that cannot be heard counts no more. Large fleets tell it every 0.1 s at most.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -118,7 +118,8 @@
                 "leaving": one.leaving,
                 "vanished": one.vanished is not None,
                 "running": one.running,
-                "reading": one.reading,
+                "reading": one.prompts.own,
+                "waiting": one.prompts.waiting,
                 "failures": one.circuit.failures,
             }
             for one in self.directory.all()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -3,20 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
-HeaderList: TypeAlias = list[tuple[bytes, bytes]]
-
-
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt.
+if TYPE_CHECKING:
+    from pondquay.routing.prompts import PromptPart
 
-    :param name: the same for all prompts that share the part up to its end
-    """
-
-    name: str
-    tokens: int
+HeaderList: TypeAlias = list[tuple[bytes, bytes]]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
     from random import Random
 
     from twisted.internet.interfaces import IReactorTime
 
-    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
     from pondquay.routing.retryshares import RetryShare
     from pondquay_daemon.relay.accounts import AccountBook
     from pondquay_daemon.relay.border import Border
@@ -25,6 +25,8 @@
     """What requests share.
 
     :param list_age: returns the seconds since the list of upstreams was confirmed
+    :param announce_load: tells peers what waits at an upstream, and which shared parts
+        it has read
     """
 
     clock: IReactorTime
@@ -37,3 +39,4 @@
     random: Random
     metrics: RelayMetrics
     list_age: Callable[[], float | None]
+    announce_load: Callable[[KnownUpstream, Iterable[str]], None]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -83,6 +83,18 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLoads:
+    """Says what the sender has waiting at upstreams.
+
+    :param loads: upstream, prompt tokens that it has not read yet, and shared parts
+        that it has read since the last message
+    """
+
+    CODE: ClassVar[int] = 8
+    loads: list[tuple[str, int, list[str]]]
+
+
 PeerMessage: TypeAlias = (
     Hello
     | Heartbeat
@@ -91,6 +103,7 @@
     | UpstreamLeaves
     | LoanRequest
     | Loan
+    | UpstreamLoads
 )
 MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
     one.CODE: one
@@ -102,6 +115,7 @@
         UpstreamLeaves,
         LoanRequest,
         Loan,
+        UpstreamLoads,
     )
 }
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -28,12 +28,13 @@
     LoanRequest,
     MessageReader,
     UpstreamLeaves,
+    UpstreamLoads,
     encode_message,
 )
 from pondquay_daemon.tasks import Task, wait_at_most
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from twisted.internet.interfaces import IAddress, IReactorTime
     from twisted.internet.tcp import Connection
@@ -45,6 +46,9 @@
 SILENT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
 LOAN_SECONDS = 0.04
+# What waits at upstreams is told this long after it changes, in large fleets later.
+LOADS_SECONDS = 0.004
+SELDOM_LOADS_SECONDS = 0.1
 # Links that an instance opens by itself: those within its domain first, since it
 # borrows there, and some of the others.
 MOST_LINKS = 64
@@ -85,6 +89,19 @@
     def offer_configuration(self, value: dict[str, Any]) -> None:
         """Take in a configuration that may be newer."""
 
+    @abstractmethod
+    def hear_load(
+        self, instance: str, upstream: str, tokens: int, parts: list[str]
+    ) -> None:
+        """Take in what a peer has waiting at an upstream.
+
+        :param parts: shared parts that the upstream has read
+        """
+
+    @abstractmethod
+    def forget_loads(self, instance: str) -> None:
+        """Take in that a peer cannot be heard."""
+
     @abstractmethod
     def note_leaving(self, upstream: str) -> None:
         """Take in that an upstream leaves."""
@@ -132,7 +149,11 @@
 
     def send(self, message: PeerMessage) -> None:
         """Send a message."""
-        cast("Connection", self.transport).write(encode_message(message))
+        self.send_bytes(encode_message(message))
+
+    def send_bytes(self, data: bytes) -> None:
+        """Send messages that are encoded already."""
+        cast("Connection", self.transport).write(data)
 
     def drop(self) -> None:
         """Close the link at once."""
@@ -199,6 +220,8 @@
         self.connecting: set[Address] = set()
         self._numbers = count(1)
         self._loans: dict[int, Deferred[int]] = {}
+        self._loads: dict[str, list[str]] = {}
+        self._counts: dict[str, Callable[[], int]] = {}
 
     def start(self) -> None:
         """Accept and open links."""
@@ -241,6 +264,29 @@
         """Tell all peers that an upstream leaves."""
         self._send_all(UpstreamLeaves(upstream))
 
+    def announce_load(
+        self, upstream: str, count: Callable[[], int], parts: Iterable[str]
+    ) -> None:
+        """Tell all peers soon what waits at an upstream.
+
+        :param count: returns the prompt tokens that wait there then
+        """
+        if not self._loads:
+            many = len(self._links) > MOST_FAR_LINKS
+            wait = SELDOM_LOADS_SECONDS if many else LOADS_SECONDS
+            self.clock.callLater(wait, self._send_loads)
+        self._counts[upstream] = count
+        self._loads.setdefault(upstream, []).extend(parts)
+
+    def _send_loads(self) -> None:
+        loads = [
+            (upstream, self._counts[upstream](), parts)
+            for upstream, parts in self._loads.items()
+        ]
+        self._loads.clear()
+        self._counts.clear()
+        self._send_all(UpstreamLoads(loads))
+
     async def borrow(
         self, peer: str, workspace: str, tokens: int, ahead: int = 0
     ) -> int:
@@ -277,6 +323,7 @@
         self._all.discard(link)
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
+            self._listener.forget_loads(link.instance)
             log_event("peer-lost", Level.WARNING, peer=link.instance)
 
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
@@ -294,11 +341,18 @@
                 self._listener.offer_configuration(message.value)
         elif isinstance(message, UpstreamLeaves):
             self._listener.note_leaving(message.upstream)
-        elif isinstance(message, LoanRequest):
-            lent = self._listener.lend(message.workspace, message.tokens, message.ahead)
-            link.send(Loan(message.number, message.workspace, lent))
+        elif isinstance(message, UpstreamLoads):
+            for upstream, tokens, parts in message.loads:
+                self._listener.hear_load(link.instance, upstream, tokens, parts)
         else:
+            self._receive_tokens(link, message)
+
+    def _receive_tokens(self, link: PeerLink, message: LoanRequest | Loan) -> None:
+        if isinstance(message, Loan):
             self._receive_loan(message)
+            return
+        lent = self._listener.lend(message.workspace, message.tokens, message.ahead)
+        link.send(Loan(message.number, message.workspace, lent))
 
     def _receive_hello(self, link: PeerLink, hello: Hello) -> None:
         link.instance = hello.instance
@@ -327,8 +381,9 @@
         self._drop_silent()
         # Both ends of a pair may have opened a link and use different ones, so each
         # link is kept alive by itself.
+        data = encode_message(Heartbeat(self._listener.configuration_version()))
         for link in self._all:
-            link.send(Heartbeat(self._listener.configuration_version()))
+            link.send_bytes(data)
         self._open_links()
 
     def _drop_silent(self) -> None:
@@ -366,5 +421,6 @@
         )
 
     def _send_all(self, message: PeerMessage) -> None:
+        data = encode_message(message)
         for link in self._links.values():
-            link.send(message)
+            link.send_bytes(data)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from pondquay.routing.prompts import list_shared
 from pondquay.routing.rendezvous import choose_by_prefix, choose_nearest
 
 if TYPE_CHECKING:
@@ -12,7 +13,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
-    from pondquay_daemon.relay.messages import PromptPart
+    from pondquay.routing.prompts import PromptPart
 
 # Part of an upstream's places that one instance may take in its own domain before it
 # looks further.
@@ -48,7 +49,7 @@
         now = self._clock.seconds()
         sound = [one for one in candidates if one.circuit.allows(now)] or candidates
         if prefix:
-            return choose_by_prefix(sound, shared_part(prefix))
+            return choose_by_prefix(sound, list_shared(prefix)[-1])
         crowded = max(1, int(CROWDED_PART * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
@@ -59,11 +60,3 @@
             one.name not in tried and one.circuit.allows(now)
             for one in self._directory.candidates(service)
         )
-
-
-def shared_part(prefix: tuple[PromptPart, ...]) -> str:
-    """Return the name of the last part that other prompts share.
-
-    The last part of all belongs to the request itself, unless it is the only one.
-    """
-    return prefix[-2].name if len(prefix) > 1 else prefix[-1].name
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -34,9 +34,11 @@
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from typing import Any
 
     from pondquay.routes.table import RouteTable
+    from pondquay.routing.directory import KnownUpstream
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -107,6 +109,7 @@
             Random(),
             metrics,
             lambda: self._upstream_feed.age(),
+            self._announce_load,
         )
         self._configuration = ConfigurationView(border, self._take_table)
         self._upstreams = UpstreamView(border, directory, self._peers.announce_leaving)
@@ -256,6 +259,23 @@
         """Take in a configuration that a peer has."""
         self._configuration.offer(value)
 
+    def _announce_load(self, upstream: KnownUpstream, parts: Iterable[str]) -> None:
+        prompts = upstream.prompts
+        self._peers.announce_load(upstream.name, lambda: prompts.own, parts)
+
+    def hear_load(
+        self, instance: str, upstream: str, tokens: int, parts: list[str]
+    ) -> None:
+        """Take in what a peer has waiting at an upstream."""
+        known = self._parts.directory.find(upstream)
+        if known is not None:
+            known.prompts.hear(instance, tokens)
+            known.prompts.note_read(parts)
+
+    def forget_loads(self, instance: str) -> None:
+        """Take in that a peer cannot be heard."""
+        self._parts.directory.forget_instance(instance)
+
     def note_leaving(self, upstream: str) -> None:
         """Take in that a peer heard of an upstream's leaving."""
         if self._parts.directory.note_leaving(upstream):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.accounts import Refused
+from pondquay.routing.prompts import list_shared
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
@@ -102,7 +103,7 @@
         self._sent_to: list[str] = []
         self._outcome = ""
         self._status = NO_ANSWER
-        self._reading = False
+        self._unread = 0
         self._retry_taken = False
         self._tried: set[str] = set()
         self._progress: StreamProgress | None = None
@@ -240,7 +241,8 @@
             upstream=chosen.name,
             service=self._service_name,
             running=chosen.running,
-            reading=chosen.reading,
+            reading=chosen.prompts.own,
+            waiting=chosen.prompts.waiting,
             failures=chosen.circuit.failures,
             tried=len(self._tried),
             list_age=-1 if age is None else round(age, 2),
@@ -294,8 +296,9 @@
                 patience, lambda: self._may_leave_silent(upstream, began)
             )
         upstream.running += 1
-        upstream.reading += self._marks.prompt_tokens
-        self._reading = True
+        self._unread = upstream.prompts.count_unread(self._marks.prefix)
+        upstream.prompts.own += self._unread
+        parts.announce_load(upstream, ())
         self._tried.add(upstream.name)
         self._sent_to.append(upstream.name)
         try:
@@ -322,11 +325,17 @@
 
     def _note_read(self, upstream: KnownUpstream) -> None:
         """Note that the prompt no longer waits to be read there."""
-        if self._reading:
-            self._reading = False
-            upstream.reading -= self._marks.prompt_tokens
+        if not self._unread:
+            return
+        upstream.prompts.own -= self._unread
+        self._unread = 0
+        self._parts.announce_load(upstream, ())
 
     def _note_heard(self, upstream: KnownUpstream) -> None:
+        if self._unread:
+            shared = list_shared(self._marks.prefix)
+            upstream.prompts.note_read(shared)
+            self._parts.announce_load(upstream, shared)
         self._note_read(upstream)
         upstream.heard = self._parts.clock.seconds()
 
--- a/packages/pondquay-daemon/tests/border/test_headers.py
+++ b/packages/pondquay-daemon/tests/border/test_headers.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from pondquay.routing.prompts import PromptPart
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.messages import (
     AnswerHead,
     Dispatch,
-    PromptPart,
     RequestHead,
 )
 from pondquay_platform.headers import (
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -9,7 +9,13 @@
 from twisted.test.iosim import FakeTransport, IOPump
 
 from pondquay_daemon.addresses import Address
-from pondquay_daemon.relay.peers import Member, PeerLink, PeerListener, PeerMesh
+from pondquay_daemon.relay.peers import (
+    LOADS_SECONDS,
+    Member,
+    PeerLink,
+    PeerListener,
+    PeerMesh,
+)
 
 
 @dataclass
@@ -20,6 +26,8 @@
     value: dict[str, Any] | None = None
     left: list[str] = field(default_factory=list)
     tokens: int = 0
+    loads: dict[tuple[str, str], int] = field(default_factory=dict)
+    read: list[str] = field(default_factory=list)
 
     def configuration_version(self) -> int:
         return self.version
@@ -30,6 +38,15 @@
     def offer_configuration(self, value: dict[str, Any]) -> None:
         self.value, self.version = value, value["version"]
 
+    def hear_load(
+        self, instance: str, upstream: str, tokens: int, parts: list[str]
+    ) -> None:
+        self.loads[instance, upstream] = tokens
+        self.read += parts
+
+    def forget_loads(self, instance: str) -> None:
+        self.loads = {key: one for key, one in self.loads.items() if key[0] != instance}
+
     def note_leaving(self, upstream: str) -> None:
         self.left.append(upstream)
 
@@ -111,6 +128,31 @@
     assert pair.nodes[0].left == ["u1"]
 
 
+def test_peers_hear_what_waits_at_an_upstream_as_it_is_when_it_is_told() -> None:
+    pair = Pair(1)
+    waiting = [100]
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], ["aa"])
+    waiting[0] = 300
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], ["bb"])
+    pair.pump()
+    assert pair.nodes[1].loads == {}
+    pair.clock.advance(LOADS_SECONDS)
+    pair.pump()
+    assert pair.nodes[1].loads == {("a", "u1"): 300}
+    assert pair.nodes[1].read == ["aa", "bb"]
+
+
+def test_what_a_peer_has_waiting_is_forgotten_with_its_link() -> None:
+    pair = Pair(1)
+    pair.meshes[0].announce_load("u1", lambda: 100, [])
+    pair.clock.advance(LOADS_SECONDS)
+    pair.pump()
+    for _ in range(6):
+        pair.clock.advance(0.5)
+    pair.pump()
+    assert pair.nodes[1].loads == {}
+
+
 def test_tokens_go_over_once_and_none_are_made() -> None:
     pair = Pair(1)
     pair.nodes[1].tokens = 100
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.promptload import PromptLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -39,7 +40,7 @@
     :param version: of the list's row that the record is from
     :param vanished: when its row was gone, in seconds
     :param running: requests of this instance that are there now
-    :param reading: prompt tokens of those of them to which nothing has come yet
+    :param prompts: what waits to be read there and what has been
     :param heard: when anything last came from it, in seconds
     """
 
@@ -48,7 +49,7 @@
     leaving: bool = False
     vanished: float | None = None
     running: int = 0
-    reading: int = 0
+    prompts: PromptLoad = field(default_factory=PromptLoad)
     heard: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
 
@@ -131,6 +132,11 @@
             if name not in records and known.version <= at:
                 self.remove(name, at)
 
+    def forget_instance(self, instance: str) -> None:
+        """Forget what another instance has waiting, since it cannot be heard."""
+        for known in self._known.values():
+            known.prompts.hear(instance, 0)
+
     def note_leaving(self, name: str) -> bool:
         """Note an upstream's own sign that it leaves; tell whether that is new."""
         known = self._known.get(name)
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -16,7 +16,7 @@
 
 # Requests of one instance at an upstream from which the next one in rank is taken.
 MOST_RUNNING_BY_PREFIX = 8
-# Prompt tokens that wait there to be read, from which the next one is taken.
+# Prompt tokens of all instances that wait there, from which the next one is taken.
 MOST_READING_TOKENS = 24_000
 
 
@@ -26,15 +26,15 @@
 
 
 def choose_by_prefix(candidates: Sequence[KnownUpstream], prefix: str) -> KnownUpstream:
-    """Return the first upstream in rank that is not crowded by this instance."""
+    """Return the first upstream in rank that is not crowded."""
     ranked = sorted(
         candidates, key=lambda one: score_pair(prefix, one.name), reverse=True
     )
     for one in ranked:
         crowded = one.running >= MOST_RUNNING_BY_PREFIX
-        if not crowded and one.reading < MOST_READING_TOKENS:
+        if not crowded and one.prompts.waiting < MOST_READING_TOKENS:
             return one
-    return min(ranked, key=lambda one: one.running)
+    return min(ranked, key=lambda one: (one.prompts.waiting, one.running))
 
 
 def choose_nearest(
--- a/packages/pondquay/tests/routing/test_rendezvous.py
+++ b/packages/pondquay/tests/routing/test_rendezvous.py
@@ -48,7 +48,7 @@
 def test_long_prompts_do_not_queue_behind_each_other() -> None:
     upstreams = [known("u1"), known("u2")]
     first = choose_by_prefix(upstreams, "long")
-    first.reading = MOST_READING_TOKENS
+    first.prompts.own = MOST_READING_TOKENS
     assert choose_by_prefix(upstreams, "long") is not first
-    first.reading = 0
+    first.prompts.own = 0
     assert choose_by_prefix(upstreams, "long") is first
