--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.routing.prompts import list_shared
-from pondquay.routing.rendezvous import choose_by_prefix, choose_nearest
+from pondquay.routing.rendezvous import choose_by_prompt, choose_nearest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -49,7 +48,7 @@
         now = self._clock.seconds()
         sound = [one for one in candidates if one.circuit.allows(now)] or candidates
         if prefix:
-            return choose_by_prefix(sound, list_shared(prefix)[-1])
+            return choose_by_prompt(sound, prefix)
         crowded = max(1, int(CROWDED_PART * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
--- a/packages/pondquay/src/pondquay/routing/promptload.py
+++ b/packages/pondquay/src/pondquay/routing/promptload.py
@@ -47,6 +47,10 @@
                 unread += part.tokens
         return unread
 
+    def count_until_read(self, prefix: Iterable[PromptPart]) -> int:
+        """Return the tokens to be read there before a prompt that comes now is."""
+        return self.waiting + self.count_unread(prefix)
+
     def note_read(self, parts: Iterable[str]) -> None:
         """Note shared parts that have been read there, in the order of the prompt."""
         for part in parts:
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -9,10 +9,13 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from pondquay.routing.prompts import list_shared
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.prompts import PromptPart
 
 # Requests of one instance at an upstream from which the next one in rank is taken.
 MOST_RUNNING_BY_PREFIX = 8
@@ -25,16 +28,25 @@
     return blake2b(f"{prefix}\0{upstream}".encode(), digest_size=8).digest()
 
 
-def choose_by_prefix(candidates: Sequence[KnownUpstream], prefix: str) -> KnownUpstream:
-    """Return the first upstream in rank that is not crowded."""
+def choose_by_prompt(
+    candidates: Sequence[KnownUpstream], prefix: tuple[PromptPart, ...]
+) -> KnownUpstream:
+    """Return the first upstream in rank, unless too much waits to be read there.
+
+    Then it is the one that has least to read before the prompt's end: what waits there
+    and what of the prompt it has not read. So a prompt moves only where that saves
+    reading, and a crowd everywhere does not scatter what is cached.
+    """
+    shared = list_shared(prefix)[-1]
     ranked = sorted(
-        candidates, key=lambda one: score_pair(prefix, one.name), reverse=True
+        candidates, key=lambda one: score_pair(shared, one.name), reverse=True
     )
-    for one in ranked:
-        crowded = one.running >= MOST_RUNNING_BY_PREFIX
-        if not crowded and one.prompts.waiting < MOST_READING_TOKENS:
-            return one
-    return min(ranked, key=lambda one: (one.prompts.waiting, one.running))
+    open_ones = [one for one in ranked if one.running < MOST_RUNNING_BY_PREFIX]
+    if not open_ones:
+        return min(ranked, key=lambda one: one.running)
+    if open_ones[0].prompts.waiting < MOST_READING_TOKENS:
+        return open_ones[0]
+    return min(open_ones, key=lambda one: one.prompts.count_until_read(prefix))
 
 
 def choose_nearest(
