Give links and reservations modules of their own

Change: peerlinks has the connections and what their owner offers, reservations what a request reserves, settles, and is told when tokens lack.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -10,15 +10,14 @@
 from dataclasses import dataclass
 from itertools import count
 from random import shuffle
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
 
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.loans import Lender
+from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
 from pondquay_daemon.relay.peermessages import (
     ConfigurationValue,
     FetchConfiguration,
@@ -26,7 +25,6 @@
     Hello,
     Loan,
     LoanRequest,
-    MessageReader,
     UpstreamLeaves,
     UpstreamLoads,
     encode_message,
@@ -36,10 +34,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from twisted.internet.interfaces import IAddress, IReactorTime
-    from twisted.internet.tcp import Connection
-    from twisted.python.failure import Failure
+    from twisted.internet.interfaces import IReactorTime
 
+    from pondquay_daemon.relay.peerlinks import PeerLink
     from pondquay_daemon.relay.peermessages import PeerMessage
 
 HEARTBEAT_SECONDS = 0.5
@@ -118,80 +115,7 @@
         """Take tokens that a peer has counted as spent."""
 
 
-class PeerLink(Protocol):
-    """A connection to another instance; both ends are alike."""
-
-    def __init__(self, mesh: PeerMesh) -> None:
-        self._mesh = mesh
-        self._reader = MessageReader()
-        self.instance = ""
-        self.heard = 0.0
-
-    def connectionMade(self) -> None:
-        """Greet the peer."""
-        cast("Connection", self.transport).setTcpNoDelay(True)
-        self._mesh.greet(self)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Take bytes of messages."""
-        try:
-            messages = self._reader.feed(data)
-        except MalformedValueError as error:
-            log_event("peer-malformed", Level.WARNING, peer=self.instance, error=error)
-            self.drop()
-            return
-        for message in messages:
-            self._mesh.receive(self, message)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Learn that the link is gone."""
-        self._mesh.lose(self)
-
-    def send(self, message: PeerMessage) -> None:
-        """Send a message."""
-        self.send_bytes(encode_message(message))
-
-    def send_bytes(self, data: bytes) -> None:
-        """Send messages that are encoded already."""
-        cast("Connection", self.transport).write(data)
-
-    def drop(self) -> None:
-        """Close the link at once."""
-        cast("Connection", self.transport).abortConnection()
-
-
-class _Listening(Factory):
-    """Accepts links."""
-
-    noisy = False
-
-    def __init__(self, mesh: PeerMesh) -> None:
-        self._mesh = mesh
-
-    def buildProtocol(self, addr: IAddress | None) -> PeerLink:
-        return PeerLink(self._mesh)
-
-
-class _Connecting(ClientFactory):
-    """Opens one link."""
-
-    noisy = False
-
-    def __init__(self, mesh: PeerMesh, address: Address) -> None:
-        self._mesh = mesh
-        self._address = address
-
-    def buildProtocol(self, addr: IAddress | None) -> PeerLink:
-        return PeerLink(self._mesh)
-
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        self._mesh.connecting.discard(self._address)
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._mesh.connecting.discard(self._address)
-
-
-class PeerMesh(Task, Lender):
+class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
     :param member: where this instance is
@@ -217,7 +141,7 @@
         self._seeds = [one for one in seeds if one != member.address]
         self._links: dict[str, PeerLink] = {}
         self._all: set[PeerLink] = set()
-        self.connecting: set[Address] = set()
+        self._connecting: set[Address] = set()
         self._numbers = count(1)
         self._loans: dict[int, Deferred[int]] = {}
         self._loads: dict[str, list[str]] = {}
@@ -226,7 +150,7 @@
     def start(self) -> None:
         """Accept and open links."""
         self._reactor.listenTCP(
-            self._address.port, _Listening(self), 64, self._address.host
+            self._address.port, LinkListener(self), 64, self._address.host
         )
         self.repeat(HEARTBEAT_SECONDS, self._beat)
 
@@ -326,6 +250,10 @@
             self._listener.forget_loads(link.instance)
             log_event("peer-lost", Level.WARNING, peer=link.instance)
 
+    def end_connecting(self, address: Address) -> None:
+        """Learn that a link to an address failed or is gone."""
+        self._connecting.discard(address)
+
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Act on a message."""
         link.heard = self.clock.seconds()
@@ -410,13 +338,13 @@
             self._connect(address)
 
     def _connect(self, address: Address) -> None:
-        if address in self.connecting:
+        if address in self._connecting:
             return
-        self.connecting.add(address)
+        self._connecting.add(address)
         self._reactor.connectTCP(
             address.host,
             address.port,
-            _Connecting(self, address),
+            LinkConnector(self, address),
             timeout=CONNECT_SECONDS,
         )
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.budgets.accounts import Refused
 from pondquay.routing.prompts import list_shared
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
@@ -29,6 +28,7 @@
 )
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
+from pondquay_daemon.relay.reservations import Reservation
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IDelayedCall
@@ -41,28 +41,17 @@
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.parts import RelayParts
 
-PAYMENT_REQUIRED = 402
-TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
 # Connections that may fail before a request is refused; nothing was sent on them.
 MOST_CONNECT_FAILURES = 3
-# Part of the objective after which a request without tokens is refused.
-OBTAIN_PART = 0.2
 # An upstream that says nothing for this many objectives is given up, where the request
 # may run again.
 SILENT_OBJECTIVES = 2.0
 LEAST_SILENT_SECONDS = 0.3
 # One that answers other requests meanwhile is given up after this many.
 BUSY_OBJECTIVES = 3.0
-# Seconds after which a caller that was refused for want of tokens should come back:
-# another instance, to which its next try may come, may have them, but an outage lasts.
-COME_BACK = {
-    Refused.ELSEWHERE: 0.1,
-    Refused.UNKNOWN: 0.1,
-    Refused.OUT_OF_REACH: 2.0,
-}
 LEAST_REMAINING_SECONDS = 0.01
 # Routes' priorities are below this, and tenants' come ahead of them.
 ROUTE_PRIORITIES = 3
@@ -91,15 +80,19 @@
         self._route = admission.route
         self._workspace = admission.workspace
         self._service_name = admission.service
-        self._service = service
         self._head = head
         self._body = body
         self._answer = answer
         self._attempt: Attempt | None = None
         self._stopped = ""
         self._may_have_run = False
-        self._reserved = 0
-        self._used = 0
+        self._reservation = Reservation(
+            parts.accounts,
+            admission.marks,
+            admission.route,
+            admission.workspace,
+            service,
+        )
         self._sent_to: list[str] = []
         self._outcome = ""
         self._status = NO_ANSWER
@@ -120,7 +113,7 @@
         self._answer.on_gone = self._note_gone
         timer = self._start_timer()
         try:
-            refusal = await self._reserve(self._marks.most_tokens)
+            refusal = await self._reservation.reserve(self._marks.most_tokens)
             if refusal is None:
                 refusal = await self._try_upstreams()
             if refusal is not None:
@@ -137,7 +130,7 @@
         finally:
             if timer.active():
                 timer.cancel()
-            self._settle(self._reserved)
+            self._reservation.settle_all()
             self._log_end()
 
     def _start_timer(self) -> IDelayedCall:
@@ -156,30 +149,6 @@
         if self._attempt is not None:
             self._attempt.stop()
 
-    async def _reserve(self, tokens: int) -> Refusal | None:
-        """Reserve tokens for a run, or say why it cannot be."""
-        workspace = self._workspace
-        if workspace is None or workspace.prepaid is None:
-            return None
-        if self._service is None or not self._service.counts_tokens:
-            return None
-        patience = OBTAIN_PART * self._route.objective
-        refused = await self._parts.accounts.obtain(
-            self._marks.attempt, workspace.name, tokens, patience
-        )
-        if refused is None:
-            self._reserved += tokens
-            return None
-        if refused is Refused.EXHAUSTED:
-            return Refusal(PAYMENT_REQUIRED, "budget exhausted", None)
-        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", COME_BACK[refused])
-
-    def _settle(self, used: int) -> None:
-        reserved, self._reserved = self._reserved, 0
-        if reserved and self._workspace is not None:
-            self._used = min(reserved, used)
-            self._parts.accounts.settle(self._workspace.name, reserved, used)
-
     def _log_end(self) -> None:
         workspace = "" if self._workspace is None else self._workspace.name
         answer = self._answer
@@ -194,7 +163,7 @@
             workspace=workspace,
             upstreams=",".join(self._sent_to),
             outcome=self._outcome,
-            tokens=self._used,
+            tokens=self._reservation.used,
             bound=self._marks.most_tokens,
             first=-1 if first is None else round(first, 3),
             seconds=round(seconds, 3),
@@ -383,7 +352,7 @@
     def _finish(self, outcome: Outcome, *, last: bool) -> bool:
         """Give the caller its final answer, if this outcome is one."""
         if isinstance(outcome, Streamed):
-            self._settle_stream(outcome.events)
+            self._reservation.settle_stream(outcome.events)
             self._outcome = "streamed"
             self._status = STREAMED
             self._answer.finish()
@@ -410,11 +379,6 @@
         self._answer.send_whole(status, headers, outcome.body)
         return True
 
-    def _settle_stream(self, events: int) -> None:
-        event_tokens = 0 if self._service is None else self._service.event_tokens
-        output = min(self._marks.output_tokens, events * event_tokens)
-        self._settle(self._reserved - self._marks.output_tokens + output)
-
     async def _prepare_again(self, outcome: Outcome) -> Refusal | None:
         """Make ready for a further attempt, or say why there is none."""
         if not self._may_have_run:
@@ -423,13 +387,13 @@
             return self._give_up("may have run")
         if not isinstance(outcome, Lost | Answered):
             return None
-        refusal = await self._reserve(self._marks.output_tokens)
+        refusal = await self._reservation.reserve(self._marks.output_tokens)
         # A refusal for want of tokens says that nothing ran, which is no longer true.
         return None if refusal is None else self._give_up(refusal.reason)
 
     def _give_up(self, why: str) -> Refusal:
         if not self._may_have_run:
-            self._settle(0)
+            self._reservation.settle(0)
             return Refusal(UNAVAILABLE, why, SOON)
         status = GATEWAY_TIMEOUT if self._stopped == "timeout" else BAD_GATEWAY
         return Refusal(status, why)
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -9,10 +9,10 @@
 from twisted.test.iosim import FakeTransport, IOPump
 
 from pondquay_daemon.addresses import Address
+from pondquay_daemon.relay.peerlinks import PeerLink
 from pondquay_daemon.relay.peers import (
     LOADS_SECONDS,
     Member,
-    PeerLink,
     PeerListener,
     PeerMesh,
 )
