Return a surplus above a fifth of the target

Instances kept up to half more than their target.

Change: what is above the target by a fifth is returned, not by a half.

Test: a surplus of a fourth goes back (it stayed before).

--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -32,7 +32,7 @@
 AHEAD_SECONDS = 4.0
 # What is above the target by this part of it, and by this part of the prepaid tokens,
 # is returned.
-HIGH_PART = 0.5
+HIGH_PART = 0.2
 WORTH_RETURNING = 0.005
 
 
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -82,3 +82,10 @@
     account.wanted = 200_000
     planned = plan_headroom(account, NOW)
     assert planned is None or planned <= account.most_headroom()
+
+
+def test_a_surplus_of_a_fourth_goes_back_soon() -> None:
+    # What is above the need is lost with a power loss and missing elsewhere.
+    target = target_headroom(make_account(5_000, [5_000] * 6), NOW)
+    account = make_account(5_000, [5_000] * 6, ceiling=target * 5 // 4)
+    assert plan_headroom(account, NOW) == target
