Keep the last part of a budget in the row, where no death strands it

Change: instances leave that part free in the row; only a small request that waits for tokens draws on it.

Test: headroom stays below it, a small request gets it, a larger one does not.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -8,7 +8,7 @@
 
 from pondquay.budgets.accounts import Account, Refused
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
-from pondquay.budgets.headroom import plan_headroom, target_headroom
+from pondquay.budgets.headroom import first_headroom, plan_headroom
 from pondquay.tables import (
     ABSENT,
     Committed,
@@ -294,7 +294,7 @@
         if headroom is None:
             if account.row.find(self._holder, self._boot) is not None:
                 return True
-            headroom = max(0, min(target_headroom(account, now), account.free()))
+            headroom = first_headroom(account, now)
         change = account.propose(headroom, now)
         account.begin(change)
         transaction = make_transaction(name, account.version or ABSENT, change.row)
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -236,11 +236,18 @@
         own = self.used + self.lent + self.reserved
         return self.prepaid - self.row.closed - others - own
 
+    @property
+    def last_part(self) -> int:
+        """Tokens that are kept for small requests."""
+        return int(LAST_PART * self.prepaid)
+
+    def is_small(self, tokens: int) -> bool:
+        """Tell whether a request may have of the last part."""
+        return tokens <= SMALL_PART * self.prepaid
+
     def _kept_from(self, tokens: int) -> int:
         """Return the tokens that a request of this size may not touch."""
-        if tokens <= SMALL_PART * self.prepaid:
-            return 0
-        return int(LAST_PART * self.prepaid)
+        return 0 if self.is_small(tokens) else self.last_part
 
     def _surely_spent(self) -> int:
         others = sum(one.spent for one in self.others().values())
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -76,24 +76,40 @@
     return surplus if surplus > max(keep, account.demand.largest) else 0
 
 
+def ordinary_headroom(account: Account) -> int:
+    """Return the most headroom for other than small requests.
+
+    The part for small ones stays in the row, where no death strands it.
+    """
+    most = account.most_headroom()
+    return max(0, min(account.unspent, most), most - account.last_part)
+
+
 def plan_headroom(account: Account, now: float) -> int | None:
     """Return the headroom that should be written, ``None`` if nothing is worth it."""
     target = target_headroom(account, now)
     unspent = account.unspent
     most = account.most_headroom()
+    ordinary = ordinary_headroom(account)
     if account.has_earlier_life:
         # Closed at once, also where nothing is to be had: until then what it held
         # counts as left, and large requests take the part that is kept for small ones.
-        return min(most, target)
+        return min(ordinary, target)
     if account.lowering:
         return min(most, max(unspent, target))
     if account.free() < 0:
         return min(unspent, most) if unspent > most else None
-    if unspent < account.wanted <= most:
-        return min(most, max(target, account.wanted))
-    if unspent < LOW_PART * target and most > unspent:
-        return min(most, target)
+    room = most if account.is_small(account.wanted) else ordinary
+    if unspent < account.wanted <= room:
+        return max(min(ordinary, target), account.wanted)
+    if unspent < LOW_PART * target and ordinary > unspent:
+        return min(ordinary, target)
     surplus = unspent - target
     if surplus > max(HIGH_PART * target, WORTH_RETURNING * account.prepaid):
         return target
     return None
+
+
+def first_headroom(account: Account, now: float) -> int:
+    """Return the headroom of a first entry, where nothing is planned."""
+    return max(0, min(target_headroom(account, now), ordinary_headroom(account)))
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -101,3 +101,18 @@
     account.read(account.propose(headroom, NOW).row, 2)
     assert account.left() == 0
     assert account.reserve(PREPAID // 10) is not None
+
+
+def test_the_last_part_stays_in_the_row_for_small_requests() -> None:
+    spent = int(PREPAID * 0.96)
+    account = make_account(50_000, [50_000] * 3, used=spent)
+    assert account.free() == PREPAID - spent
+    headroom = plan_headroom(account, NOW)
+    assert headroom is not None
+    assert headroom <= account.free() - account.last_part
+    account = make_account(50_000, [50_000] * 3, used=PREPAID - account.last_part)
+    assert plan_headroom(account, NOW) is None
+    account.wanted = 2 * account.last_part // 3
+    assert plan_headroom(account, NOW) is None, "too large for the last part"
+    account.wanted = account.last_part // 4
+    assert plan_headroom(account, NOW) == account.wanted
