Never take an upstream's memory orders from a caller

Cause: only headers that the relay sets itself were dropped, so a caller's own hold, keep, backup and copy headers went on. Tests: 18 cases that failed before.

--- a/packages/pondquay-daemon/tests/border/test_headers.py
+++ b/packages/pondquay-daemon/tests/border/test_headers.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from pondquay.routing.prompts import PromptPart
@@ -16,6 +18,9 @@
     write_request,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HEADERS = [
     (b"Host", b"ficu95.example"),
     (b"X-Pondquay-Attempt-Id", b"9c41d07be2a35f68"),
@@ -75,6 +80,38 @@
     assert HEADERS[3] in sent
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"X-Pondquay-Kv-Hold",
+        b"X-Pondquay-Pin-Ms",
+        b"X-Pondquay-Kv-Backup",
+        b"X-Pondquay-Expect-Version",
+        b"Kv-From",
+        b"Kv-Fetch",
+    ],
+)
+@pytest.mark.parametrize("write", [bytes, bytes.lower, bytes.upper])
+def test_a_caller_cannot_steer_an_upstreams_memory(
+    name: bytes, write: Callable[[bytes], bytes]
+) -> None:
+    forged = [*HEADERS, (write(name), b"forged")]
+    sent = write_request(forged, Dispatch("i-1", 1.0, "hule930", 3))
+    assert name.lower() not in [one.lower() for one, _ in sent]
+    assert b"forged" not in [value for _, value in sent]
+
+
+def test_what_a_caller_says_of_its_prompt_goes_on_unchanged() -> None:
+    said = [
+        (b"X-Pondquay-Model", b"m"),
+        (b"X-Pondquay-Token-Usage", b"1460,80"),
+        (b"X-Pondquay-Prefix-Hash", b"5c1e07a2:800"),
+        (b"X-Pondquay-Length-Hint", b"40"),
+    ]
+    sent = write_request(said, Dispatch("i-1", 1.0, "hule930", 3))
+    assert [one for one in sent if one in said] == said
+
+
 def test_without_a_workspace_a_caller_cannot_name_one() -> None:
     sent = write_request(HEADERS, Dispatch("i-1", 1.0, None, 3))
     assert b"x-pondquay-tenant" not in [name.lower() for name, _ in sent]
