Count only runs against a route's attempts

Cause: an upstream that turned a request away used up one of the route's attempts, so a route of one attempt ended in 503 while others had room. The platform counts runs. Change: sends that were certainly not run go elsewhere while the retry share and the time last; the share counts them as before, and a route's last run is still its last.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -172,6 +172,9 @@
     async def _try_upstreams(self) -> Refusal | None:
         """Send the request until it is answered, or no further attempt is allowed."""
         sends = 0
+        # Only these count against the route's attempts: an upstream that turned the
+        # request away did not run it. Every send counts against the retry share.
+        runs = 0
         connect_failures = 0
         now = self._parts.clock.seconds()
         self._parts.retries.note_first(self._service_name, now)
@@ -181,7 +184,8 @@
                 return self._give_up("no upstream")
             if sends and not self._take_retry():
                 return self._give_up("no retries left")
-            outcome = await self._send(upstream, last=sends + 1 >= self._route.attempts)
+            last = runs + 1 >= self._route.attempts
+            outcome = await self._send(upstream, last=last)
             self._observe(upstream, outcome)
             if isinstance(outcome, Unsent):
                 connect_failures += 1
@@ -189,9 +193,11 @@
                     return self._give_up("no connection")
                 continue
             sends += 1
-            if self._finish(outcome, last=sends >= self._route.attempts):
+            if self._finish(outcome, last=last):
                 return None
-            if sends >= self._route.attempts:
+            if not isinstance(outcome, NotRun):
+                runs += 1
+            if runs >= self._route.attempts:
                 return self._give_up("attempts used up")
             refusal = await self._prepare_again(outcome)
             if refusal is not None:
--- a/packages/pondquay-standins/tests/test_routed.py
+++ b/packages/pondquay-standins/tests/test_routed.py
@@ -21,7 +21,7 @@
     from collections.abc import Iterator
 
     from pondquay_cli.logfiles import LogEvent
-    from pondquay_standins.routedfleet import Relay
+    from pondquay_standins.routedfleet import Answered, Relay
 
 pytestmark = pytest.mark.xdist_group("routed")
 TOKENS = (100, 60)
@@ -190,6 +190,34 @@
     assert runs_of(fleet, "none") == []
 
 
+def ask_review(fleet: RoutedFleet, attempt: str) -> Answered:
+    """Ask for a stream on the route that allows a single attempt."""
+    relay = fleet.relays["r1"]
+    return fleet.ask(relay, "/review/", tokens=TOKENS, events=EVENTS, attempt=attempt)
+
+
+@pytest.mark.parametrize(("full", "sound"), [("e1", "e2"), ("e2", "e1")])
+def test_a_turned_away_attempt_does_not_use_up_the_only_one(
+    fleet: RoutedFleet, full: str, sound: str
+) -> None:
+    set_faults(fleet, "full", full)
+    answer = ask_review(fleet, "elsewhere")
+    assert (answer.status, answer.complete) == (200, True)
+    assert runs_of(fleet, "elsewhere") == [sound]
+    set_faults(fleet, "full", sound)
+    refused = ask_review(fleet, "nowhere")
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) > 0
+    assert runs_of(fleet, "nowhere") == []
+
+
+def test_an_attempt_that_may_have_run_uses_up_the_only_one(fleet: RoutedFleet) -> None:
+    set_faults(fleet, "lose-answer", "e1", "e2")
+    answer = ask_review(fleet, "once")
+    assert answer.status == 502
+    assert len(runs_of(fleet, "once")) == 1
+
+
 @pytest.mark.parametrize("fault", ["unsigned", "foreign"])
 def test_an_answer_that_no_replica_vouches_for_goes_no_further(
     fleet: RoutedFleet, fault: str
