Keep long prompts from upstreams whose streams they break

Hypothesis: a long prompt read there costs the streams beside it more than reading it elsewhere does. Change: each instance counts its own streams' pauses by upstream (PauseRecord); where too many of those in which a prompt was read are too long, prompts with 4,000 tokens to read go to the next in rank. What is cached there is used on.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -85,10 +85,27 @@
 
 @dataclass(slots=True)
 class StreamProgress:
-    """What a caller has got of a stream, over all attempts."""
+    """What a caller has got of a stream, over all attempts.
+
+    :ivar longest_pause: seconds between two events, the most so far
+    """
 
     reader: EventReader
     started: bool = False
+    longest_pause: float = 0.0
+    _last_event: float | None = None
+
+    def note_events(self, now: float) -> float | None:
+        """Note that events came.
+
+        :returns: seconds since those before, ``None`` if these are the first
+        """
+        before, self._last_event = self._last_event, now
+        if before is None:
+            return None
+        pause = now - before
+        self.longest_pause = max(self.longest_pause, pause)
+        return pause
 
 
 class Attempt(ExchangeListener):
@@ -97,6 +114,7 @@
     :param attempt: the caller's name for its try, which the answer must echo
     :param progress: set for routes whose answers are streams
     :param on_heard: called whenever something comes from the upstream
+    :param on_pause: called with the seconds between two events
     """
 
     def __init__(
@@ -107,8 +125,10 @@
         answer: CallerAnswer,
         progress: StreamProgress | None,
         on_heard: Callable[[], None],
+        on_pause: Callable[[float], None],
     ) -> None:
         self._on_heard = on_heard
+        self._on_pause = on_pause
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -184,6 +204,9 @@
             self._lose(f"events out of order: {error}")
             return
         if whole:
+            pause = progress.note_events(self._clock.seconds())
+            if pause is not None:
+                self._on_pause(pause)
             self._pass_on(whole, progress)
 
     def ended(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -48,7 +48,7 @@
         now = self._clock.seconds()
         sound = [one for one in candidates if one.circuit.allows(now)] or candidates
         if prefix:
-            return choose_by_prompt(sound, prefix)
+            return choose_by_prompt(sound, prefix, now)
         crowded = max(1, int(CROWDED_PART * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -151,7 +151,7 @@
 
     def _log_end(self) -> None:
         workspace = "" if self._workspace is None else self._workspace.name
-        answer = self._answer
+        answer, progress = self._answer, self._progress
         seconds = self._parts.clock.seconds() - answer.arrived
         first = None if answer.began is None else answer.began - answer.arrived
         self._parts.metrics.note_end(self._status, seconds, first)
@@ -166,6 +166,7 @@
             tokens=self._reservation.used,
             bound=self._marks.most_tokens,
             first=-1 if first is None else round(first, 3),
+            pause=0 if progress is None else round(progress.longest_pause, 3),
             seconds=round(seconds, 3),
         )
 
@@ -262,6 +263,7 @@
             self._answer,
             self._progress,
             lambda: self._note_heard(upstream),
+            lambda pause: self._note_pause(upstream, pause),
         )
         if self._route.repeatable and not last:
             patience = SILENT_OBJECTIVES * self._route.objective
@@ -314,6 +316,11 @@
         self._note_read(upstream)
         upstream.heard = self._parts.clock.seconds()
 
+    def _note_pause(self, upstream: KnownUpstream, pause: float) -> None:
+        if self._route.pause is not None:
+            now = self._parts.clock.seconds()
+            upstream.pauses.note(pause, self._route.pause, now)
+
     def _may_leave_silent(self, upstream: KnownUpstream, began: float) -> bool:
         """Decide whether to leave an upstream that says nothing to this request.
 
--- a/packages/pondquay/src/pondquay/routes/entities.py
+++ b/packages/pondquay/src/pondquay/routes/entities.py
@@ -32,6 +32,8 @@
     :param attempts: the most upstreams that one request may be sent to
     :param public: whether requests need no key
     :param resumable: whether a broken stream may go on at another upstream
+    :param pause: the longest pause between two events, in seconds, at which a stream
+        is still worth most; ``None`` for no bound
     """
 
     name: str
@@ -45,6 +47,7 @@
     attempts: int = 1
     public: bool = False
     resumable: bool = False
+    pause: float | None = None
 
     @property
     def streaming(self) -> bool:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.pauses import PauseRecord
 from pondquay.routing.promptload import PromptLoad
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
     :param vanished: when its row was gone, in seconds
     :param running: requests of this instance that are there now
     :param prompts: what waits to be read there and what has been
+    :param pauses: how long its streams pause while it reads prompts
     :param heard: when anything last came from it, in seconds
     """
 
@@ -50,6 +52,7 @@
     vanished: float | None = None
     running: int = 0
     prompts: PromptLoad = field(default_factory=PromptLoad)
+    pauses: PauseRecord = field(default_factory=PauseRecord)
     heard: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
 
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -21,6 +21,10 @@
 MOST_RUNNING_BY_PREFIX = 8
 # Prompt tokens of all instances that wait there, from which the next one is taken.
 MOST_READING_TOKENS = 24_000
+# Prompt tokens to be read from which a prompt counts as long. Engines read some
+# thousand between two tokens, and an event holds several tokens: a shorter prompt
+# cannot stretch a pause by much.
+LONG_PROMPT_TOKENS = 4_000
 
 
 def score_pair(prefix: str, upstream: str) -> bytes:
@@ -29,17 +33,21 @@
 
 
 def choose_by_prompt(
-    candidates: Sequence[KnownUpstream], prefix: tuple[PromptPart, ...]
+    candidates: Sequence[KnownUpstream], prefix: tuple[PromptPart, ...], now: float
 ) -> KnownUpstream:
     """Return the first upstream in rank, unless too much waits to be read there.
 
-    Then it is the one that has least to read before the prompt's end: what waits there
-    and what of the prompt it has not read. So a prompt moves only where that saves
-    reading, and a crowd everywhere does not scatter what is cached.
+    Upstreams whose streams suffer from long prompts get none while there are others.
+    If too much waits, it is the one that has least to read before the prompt's end:
+    what waits there and what of the prompt it has not read. So a prompt moves only
+    where that saves reading, and a crowd everywhere does not scatter what is cached.
     """
     shared = list_shared(prefix)[-1]
+    undisturbed = [one for one in candidates if not _is_disturbed(one, prefix, now)]
     ranked = sorted(
-        candidates, key=lambda one: score_pair(shared, one.name), reverse=True
+        undisturbed or candidates,
+        key=lambda one: score_pair(shared, one.name),
+        reverse=True,
     )
     open_ones = [one for one in ranked if one.running < MOST_RUNNING_BY_PREFIX]
     if not open_ones:
@@ -49,6 +57,15 @@
     return min(open_ones, key=lambda one: one.prompts.count_until_read(prefix))
 
 
+def _is_disturbed(
+    upstream: KnownUpstream, prefix: tuple[PromptPart, ...], now: float
+) -> bool:
+    """Tell whether reading a prompt there would break the streams that run there."""
+    if not upstream.pauses.breaks_streams(now):
+        return False
+    return upstream.prompts.count_unread(prefix) >= LONG_PROMPT_TOKENS
+
+
 def choose_nearest(
     candidates: Sequence[KnownUpstream], domain: str, crowded: int
 ) -> KnownUpstream:
--- a/packages/pondquay/tests/routing/test_promptload.py
+++ b/packages/pondquay/tests/routing/test_promptload.py
@@ -8,6 +8,7 @@
 from pondquay.routing.prompts import PromptPart, list_shared
 from pondquay.routing.rendezvous import MOST_READING_TOKENS, choose_by_prompt
 
+NOW = 50.0
 PROMPT = (PromptPart("aa", 800), PromptPart("bb", 400), PromptPart("own", 250))
 
 
@@ -43,8 +44,8 @@
     directory = UpstreamDirectory(lambda: 0.0)
     for name in ("u1", "u2"):
         directory.put(UpstreamRecord(name, "judge", "10.0.0.1:80", "a", 6), 1)
-    first = choose_by_prompt(directory.all(), PROMPT)
+    first = choose_by_prompt(directory.all(), PROMPT, NOW)
     first.prompts.hear("peer", MOST_READING_TOKENS)
-    assert choose_by_prompt(directory.all(), PROMPT) is not first
+    assert choose_by_prompt(directory.all(), PROMPT, NOW) is not first
     directory.forget_instance("peer")
-    assert choose_by_prompt(directory.all(), PROMPT) is first
+    assert choose_by_prompt(directory.all(), PROMPT, NOW) is first
