--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.routing.prompts import list_shared
 from pondquay.streamevents import EventReader
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
@@ -28,6 +27,7 @@
 )
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
+from pondquay_daemon.relay.readings import PromptReading
 from pondquay_daemon.relay.reservations import Reservation
 
 if TYPE_CHECKING:
@@ -97,7 +97,6 @@
         self._sent_to: list[str] = []
         self._outcome = ""
         self._status = NO_ANSWER
-        self._unread = 0
         self._retry_taken = False
         self._tried: set[str] = set()
         self._progress: StreamProgress | None = None
@@ -259,39 +258,40 @@
         )
         headers = drop_connection_headers(self._head.headers)
         headers = parts.border.write_request(headers, dispatch)
-        self._attempt = Attempt(
-            parts.clock,
-            parts.border,
-            self._marks.attempt,
-            self._answer,
-            self._progress,
-            lambda: self._note_heard(upstream),
-            lambda pause: self._note_pause(upstream, pause),
-        )
-        if self._route.repeatable and not last:
-            patience = SILENT_OBJECTIVES * self._route.objective
-            patience = max(LEAST_SILENT_SECONDS, patience)
-            began = parts.clock.seconds()
-            self._attempt.give_up_after(
-                patience, lambda: self._may_leave_silent(upstream, began)
-            )
-        upstream.running += 1
-        self._unread = self._count_unread(upstream, source)
-        upstream.prompts.own += self._unread
-        parts.announce_load(upstream, ())
         self._tried.add(upstream.name)
         self._sent_to.append(upstream.name)
+        reading = PromptReading(parts, upstream, self._marks.prefix, source)
+        attempt = self._make_attempt(upstream, reading)
+        if self._route.repeatable and not last:
+            self._watch_silence(attempt, upstream)
+        self._attempt = attempt
         try:
-            return await self._attempt.run(
-                parts.pool,
-                Address.parse(upstream.record.address),
-                (self._head.method, self._head.target, headers, self._body),
-            )
+            with reading:
+                return await attempt.run(
+                    parts.pool,
+                    Address.parse(upstream.record.address),
+                    (self._head.method, self._head.target, headers, self._body),
+                )
         finally:
-            upstream.running -= 1
-            self._note_read(upstream)
             self._attempt = None
 
+    def _make_attempt(self, upstream: KnownUpstream, reading: PromptReading) -> Attempt:
+        return Attempt(
+            self._parts.clock,
+            self._parts.border,
+            self._marks.attempt,
+            self._answer,
+            self._progress,
+            reading.note_heard,
+            lambda pause: self._note_pause(upstream, pause),
+        )
+
+    def _watch_silence(self, attempt: Attempt, upstream: KnownUpstream) -> None:
+        patience = SILENT_OBJECTIVES * self._route.objective
+        patience = max(LEAST_SILENT_SECONDS, patience)
+        began = self._parts.clock.seconds()
+        attempt.give_up_after(patience, lambda: self._may_leave_silent(upstream, began))
+
     def _find_source(self, upstream: KnownUpstream) -> KnownUpstream | None:
         if not self._shares_prompts:
             return None
@@ -305,15 +305,6 @@
             )
         return source
 
-    def _count_unread(
-        self, upstream: KnownUpstream, source: KnownUpstream | None
-    ) -> int:
-        """Return the tokens that an upstream has to read after it has copied."""
-        unread = upstream.prompts.count_unread(self._marks.prefix)
-        if source is None:
-            return unread
-        return min(unread, source.prompts.count_unread(self._marks.prefix))
-
     def _urgency(self) -> int:
         route = min(self._route.priority, ROUTE_PRIORITIES - 1)
         if self._workspace is None or self._workspace.priority is None:
@@ -325,22 +316,6 @@
             return None
         return self._progress.reader.last
 
-    def _note_read(self, upstream: KnownUpstream) -> None:
-        """Note that the prompt no longer waits to be read there."""
-        if not self._unread:
-            return
-        upstream.prompts.own -= self._unread
-        self._unread = 0
-        self._parts.announce_load(upstream, ())
-
-    def _note_heard(self, upstream: KnownUpstream) -> None:
-        if self._unread:
-            shared = list_shared(self._marks.prefix)
-            upstream.prompts.note_read(shared)
-            self._parts.announce_load(upstream, shared)
-        self._note_read(upstream)
-        upstream.heard = self._parts.clock.seconds()
-
     def _note_pause(self, upstream: KnownUpstream, pause: float) -> None:
         if self._route.pause is not None:
             now = self._parts.clock.seconds()
