--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -114,7 +114,7 @@
     :param attempt: the caller's name for its try, which the answer must echo
     :param progress: set for routes whose answers are streams
     :param on_heard: called whenever something comes from the upstream
-    :param on_pause: called with the seconds between two events
+    :param on_pause: called with the seconds between two events of this attempt
     """
 
     def __init__(
@@ -140,6 +140,7 @@
         self._not_run: NotRun | None = None
         self._body: list[bytes] = []
         self._streaming = False
+        self._has_events = False
         self._events_before = 0
         self._watch: IDelayedCall | None = None
         self._patience = 0.0
@@ -205,8 +206,10 @@
             return
         if whole:
             pause = progress.note_events(self._clock.seconds())
-            if pause is not None:
+            # A pause that began at another upstream says nothing of this one.
+            if pause is not None and self._has_events:
                 self._on_pause(pause)
+            self._has_events = True
             self._pass_on(whole, progress)
 
     def ended(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.routing.copies import choose_source
+from pondquay.routing.copies import (
+    LEAST_COPIED_TOKENS,
+    choose_source,
+    count_lacking,
+)
 from pondquay.routing.rendezvous import choose_by_prompt, choose_nearest
 
 if TYPE_CHECKING:
@@ -57,6 +61,8 @@
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
     ) -> KnownUpstream | None:
         """Return an upstream from which another may copy what it has not read."""
+        if count_lacking(target, prefix) < LEAST_COPIED_TOKENS:
+            return None
         now = self._clock.seconds()
         sound = [
             one
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.task import Clock
+
+from pondquay.streamevents import EventReader
+from pondquay_daemon.relay.attempts import Attempt, StreamProgress
+from pondquay_daemon.relay.messages import AnswerHead, AnswerMarks
+
+if TYPE_CHECKING:
+    from pondquay_daemon.relay.messages import HeaderList
+
+
+class Border:
+    """Reads every answer as a sound one."""
+
+    def read_answer(self, head: AnswerHead) -> AnswerMarks:
+        return AnswerMarks("a1", signed=True, not_run=False, misdirected=False)
+
+
+class Answer:
+    """Takes what is passed on."""
+
+    def begin(self, status: int, headers: HeaderList, body: bytes) -> None:
+        pass
+
+    def send(self, body: bytes) -> None:
+        pass
+
+
+class Stream:
+    """A stream over some attempts."""
+
+    def __init__(self) -> None:
+        self.clock: Any = Clock()
+        self.progress = StreamProgress(EventReader())
+        self.number = 0
+
+    def attempt(self, pauses: list[float]) -> Attempt:
+        border: Any = Border()
+        answer: Any = Answer()
+        attempt = Attempt(
+            self.clock,
+            border,
+            "a1",
+            answer,
+            self.progress,
+            lambda: None,
+            pauses.append,
+        )
+        attempt.answered(AnswerHead(200, b"OK", []))
+        return attempt
+
+    def send_event(self, attempt: Attempt, after: float) -> None:
+        self.clock.advance(after)
+        self.number += 1
+        attempt.received(b"id: %d\ndata: x\n\n" % self.number)
+
+
+def test_pauses_are_told_from_the_second_event() -> None:
+    stream = Stream()
+    pauses: list[float] = []
+    attempt = stream.attempt(pauses)
+    for after in (0.5, 0.25, 0.125):
+        stream.send_event(attempt, after)
+    assert pauses == [0.25, 0.125]
+    assert stream.progress.longest_pause == 0.25
+
+
+def test_a_pause_that_began_elsewhere_is_not_the_next_upstreams() -> None:
+    stream = Stream()
+    first: list[float] = []
+    second: list[float] = []
+    stream.send_event(stream.attempt(first), 0.5)
+    attempt = stream.attempt(second)
+    stream.send_event(attempt, 2.0)
+    stream.send_event(attempt, 0.25)
+    assert (first, second) == ([], [0.25])
+    assert stream.progress.longest_pause == 2.0
+
+
+def test_a_part_of_an_event_ends_no_pause() -> None:
+    stream = Stream()
+    pauses: list[float] = []
+    attempt = stream.attempt(pauses)
+    stream.send_event(attempt, 0.5)
+    stream.clock.advance(0.25)
+    attempt.received(b"id: 2\n")
+    stream.clock.advance(0.25)
+    attempt.received(b"data: x\n\n")
+    assert pauses == [0.5]
--- a/packages/pondquay/src/pondquay/routing/copies.py
+++ b/packages/pondquay/src/pondquay/routing/copies.py
@@ -19,6 +19,11 @@
 LEAST_COPIED_TOKENS = 512
 
 
+def count_lacking(target: KnownUpstream, prefix: tuple[PromptPart, ...]) -> int:
+    """Return the shared tokens of a prompt that an upstream has not read."""
+    return target.prompts.count_unread(prefix[:-1])
+
+
 def choose_source(
     target: KnownUpstream,
     others: Iterable[KnownUpstream],
@@ -32,14 +37,11 @@
     :param others: sound upstreams of the same service
     :returns: ``None`` if a copy would not spare enough
     """
-    shared = prefix[:-1]
-    lacking = target.prompts.count_unread(shared)
-    if lacking < LEAST_COPIED_TOKENS:
-        return None
+    lacking = count_lacking(target, prefix)
     domain = target.record.domain
 
     def order(upstream: KnownUpstream) -> tuple[int, bool, str]:
-        spared = lacking - upstream.prompts.count_unread(shared)
+        spared = lacking - count_lacking(upstream, prefix)
         return spared, upstream.record.domain == domain, upstream.name
 
     candidates = [one for one in others if one is not target]
