--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -34,11 +34,21 @@
     SURPLUS = "surplus"
 
 
+MEMORY_ORDERS = (
+    "X-Pondquay-Kv-Hold",
+    "X-Pondquay-Pin-Ms",
+    "X-Pondquay-Kv-Backup",
+    "Kv-From",
+)
+
+
 @dataclass(slots=True)
 class Run:
     """A request that a replica began to work on.
 
     :param first: number of its first event
+    :param copied_from: address of the replica that it was to copy the prompt from
+    :param orders: other headers of the platform by which a replica's memory is steered
     :param events: how many it sent
     """
 
@@ -48,6 +58,8 @@
     target: str
     body: str
     first: int
+    copied_from: str
+    orders: list[str]
     events: int = 0
     ended: str = "running"
 
@@ -128,6 +140,8 @@
             self._request.target.decode(),
             self._body.decode("latin-1"),
             int(self._header("Last-Event-Id") or 0) + 1,
+            self._header("Kv-Fetch"),
+            [name for name in MEMORY_ORDERS if self._header(name)],
         )
         replica.runs.append(self._run)
         slow = replica.fault is ReplicaFault.SLOW
--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -104,7 +104,7 @@
                 "name": ENGINE_SERVICE,
                 "health_path": "/healthz",
                 "max_conns": 100,
-                "engine": {"slots": 8, "stride": 3},
+                "engine": {"slots": 8, "stride": 3, "moves": True},
             },
             {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_conns": 100},
         ],
@@ -205,27 +205,31 @@
         key: str = "key-1",
         attempt: str = "",
         deadline: float | None = None,
+        headers: Mapping[str, str] | None = None,
     ) -> Answered:
         """Send one request as a caller does.
 
+        :param headers: that the caller sends besides
+
         :raises OSError: if there is no answer
         """
         self._attempts += 1
-        headers = {
+        sent = {
             "Host": HOST_NAME,
             "X-Pondquay-Attempt-Id": attempt or f"attempt-{self._attempts}",
             "Authorization": f"Bearer {key}",
+            **(headers or {}),
         }
         if tokens is not None:
-            headers["X-Pondquay-Token-Usage"] = f"{tokens[0]},{tokens[1]}"
-            headers["X-Pondquay-Prefix-Hash"] = f"aa:{tokens[0] - 1},bb:1"
+            sent["X-Pondquay-Token-Usage"] = f"{tokens[0]},{tokens[1]}"
+            sent["X-Pondquay-Prefix-Hash"] = f"aa:{tokens[0] - 1},bb:1"
         if events:
-            headers["X-Test-Events"] = str(events)
+            sent["X-Test-Events"] = str(events)
         if deadline is not None:
-            headers["X-Pondquay-Deadline-Ms"] = str(int(deadline * 1000))
+            sent["X-Pondquay-Deadline-Ms"] = str(int(deadline * 1000))
         connection = HTTPConnection(HOST, relay.port, timeout=CALL_SECONDS)
         try:
-            connection.request(method, path, body=b"body", headers=headers)
+            connection.request(method, path, body=b"body", headers=sent)
             return _read_answer(connection)
         finally:
             connection.close()
--- a/packages/pondquay-standins/tests/test_routed.py
+++ b/packages/pondquay-standins/tests/test_routed.py
@@ -211,6 +211,36 @@
     assert runs_of(fleet, "nowhere") == []
 
 
+def test_a_replica_copies_what_another_has_read(fleet: RoutedFleet) -> None:
+    relay = fleet.relays["r1"]
+    much = (2_000, 60)
+    first = fleet.ask(relay, "/audit/", tokens=much, events=EVENTS, attempt="first")
+    assert first.complete
+    (reader,) = runs_of(fleet, "first")
+    set_faults(fleet, "full", reader)
+    second = fleet.ask(relay, "/audit/", tokens=much, events=EVENTS, attempt="second")
+    assert second.complete
+    sources = {one["attempt"]: one["copied_from"] for one in fleet.runs()}
+    address = f"127.0.0.1:{fleet.replica_ports[reader]}"
+    assert sources == {"first": "", "second": address}
+
+
+def test_a_callers_own_orders_to_a_replicas_memory_go_no_further(
+    fleet: RoutedFleet,
+) -> None:
+    forged = {
+        "X-Pondquay-Kv-Hold": "1",
+        "X-Pondquay-Pin-Ms": "4000",
+        "x-pondquay-kv-backup": "10.0.0.1:80",
+        "KV-FROM": "10.0.0.1:80/1",
+        "Kv-Fetch": "10.0.0.1:80",
+    }
+    relay = fleet.relays["r1"]
+    assert fleet.ask(relay, "/write/", headers=forged).status == 200
+    (run,) = fleet.runs()
+    assert (run["orders"], run["copied_from"]) == ([], "")
+
+
 def test_an_attempt_that_may_have_run_uses_up_the_only_one(fleet: RoutedFleet) -> None:
     set_faults(fleet, "lose-answer", "e1", "e2")
     answer = ask_review(fleet, "once")
