--- a/packages/pondquay-lab/src/pondquay_lab/slopes.py
+++ b/packages/pondquay-lab/src/pondquay_lab/slopes.py
@@ -8,6 +8,7 @@
 import gc
 import tracemalloc
 from dataclasses import dataclass
+from functools import cache
 from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +21,10 @@
 from pondquay.membership.messages import Heartbeat
 from pondquay.membership.peers import Peers
 from pondquay.names import InstanceId, RequestName
+from pondquay.routing.copies import choose_source
+from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.prompts import PromptPart
+from pondquay.routing.rendezvous import choose_by_prompt
 from pondquay.routing.upstreams import ENGINE, LoadReport, Upstream
 from pondquay_daemon.wire import decode_message, encode_message
 
@@ -30,6 +35,11 @@
 REPEATS = 5
 ME = InstanceId("entry-1", "0123456789ab")
 PEER = InstanceId("entry-2", "ba9876543210")
+PROMPT = (
+    PromptPart("guide", 2_500),
+    PromptPart("subject", 3_800),
+    PromptPart("own", 2_900),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +134,30 @@
     return upstreams
 
 
+@cache
+def know_upstreams(count: int) -> list[KnownUpstream]:
+    """Know as many upstreams as a relay does, half of which have read the prompt."""
+    known = []
+    for number in range(count):
+        record = UpstreamRecord(f"u{number}", "judge", "10.0.0.1:80", "hall-a", 64)
+        upstream = KnownUpstream(record, 1)
+        if number % 2:
+            upstream.prompts.note_read(["guide", "subject"])
+        known.append(upstream)
+    return known
+
+
+def choose_among(count: int) -> KnownUpstream:
+    """Choose one of as many upstreams for one prompt."""
+    return choose_by_prompt(know_upstreams(count), PROMPT, 0.0)
+
+
+def find_source_among(count: int) -> KnownUpstream | None:
+    """Look among as many upstreams for one to copy a prompt's shared parts from."""
+    known = know_upstreams(count)
+    return choose_source(known[0], known, PROMPT)
+
+
 def measure_all() -> list[Slope]:
     """Measure every slope."""
     holder, _ = build_attempts(1)
@@ -137,6 +171,8 @@
         measure("workspace with budget in the configuration", build_document),
         measure("peer, one heartbeat", build_peers, beat),
         measure("upstream with a report", build_upstreams),
+        measure("upstream that a prompt may go to", choose_among),
+        measure("upstream that a prompt may be copied from", find_source_among),
     ]
 
 
