Count a grant as held once it may be drawn on; claim the ports of a test run

The metric also counted grants that were still being asked for, so the last instance waited for could be frozen while its base was under way: 503 "no tokens". Ruled out: a grant of the 40-token workspace (all instances stay at four for 3 s).

Change: pondquay_grants_held counts grants that may be drawn on. Besides, processes that start fleets claimed their part of the ports by the process id modulo 20, so two checks on one machine could pick the same ports; now a part is claimed by a socket that stays bound. The stand-in platform is started anew when its port was taken, as the other processes are, and a start that fails shows its log instead of 30 s of silence.

Conclusion: the 503 was a fault of the metric, not of the budgets.

--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/metrics.py
@@ -46,7 +46,7 @@
         metrics.peer_messages.set(parts.peers.links.sent_messages)
         metrics.links_cut.set(parts.peers.links.cut_off)
         metrics.unsafe_bills.set(parts.grants.unsafe_bills)
-        metrics.grants_held.set(len(holdings))
+        metrics.grants_held.set(parts.grants.holder.count_open())
         metrics.held_tokens.set(sum(one.amount - one.spent for one in holdings))
 
     def show_health(self, request: Request) -> bytes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/metrics.py
@@ -56,7 +56,9 @@
             "bills_in_one_memory", "Answers that left before their bill was safe"
         )
         self.held_tokens = self._gauge("held_tokens", "Tokens in grants held here")
-        self.grants_held = self._gauge("grants_held", "Grants held here")
+        self.grants_held = self._gauge(
+            "grants_held", "Grants held here that may be drawn on"
+        )
         self._number = 0
 
     def _gauge(self, name: str, text: str) -> Gauge:
--- a/packages/pondquay-standins/src/pondquay_standins/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/fleet.py
@@ -80,8 +80,12 @@
     process: Process
 
 
-def _has_settled(started: Daemon | UpstreamProcess, url: str) -> bool:
-    return started.process.ended or is_up(url)
+def _process_of(started: Daemon | UpstreamProcess | Process) -> Process:
+    return started if isinstance(started, Process) else started.process
+
+
+def _has_settled(process: Process, url: str) -> bool:
+    return process.ended or is_up(url)
 
 
 def is_up(url: str) -> bool:
@@ -89,7 +93,7 @@
     return call_http("GET", url).status == 200
 
 
-P = TypeVar("P", Daemon, UpstreamProcess)
+P = TypeVar("P", Daemon, UpstreamProcess, Process)
 
 
 @dataclass(slots=True)
@@ -147,14 +151,8 @@
     def _start(self) -> None:
         self.operator_keys = {one: f"op-{one}-{token_hex(8)}" for one in PARTNERS}
         (self.folder / "fleet.key").write_text(token_hex(32))
-        port = pick_port()
-        self.platform_url = f"http://{HOST}:{port}"
-        self.platform = self._spawn(
-            "platform", "pondquay_standins.platform", "--port", str(port)
-        )
-        wait_until(
-            lambda: call_http("GET", f"{self.platform_url}/instances").status == 200,
-            "the platform",
+        self.platform = self._start_until_up(
+            self._start_platform, lambda _: f"{self.platform_url}/instances"
         )
         for domain in self.domains:
             for number in range(self.engines):
@@ -175,6 +173,12 @@
                 f"{daemon.name} with all its peers",
             )
 
+    def _start_platform(self) -> Process:
+        port = pick_port()
+        self.platform_url = f"http://{HOST}:{port}"
+        module = "pondquay_standins.platform"
+        return self._spawn("platform", module, "--port", str(port))
+
     def _spawn(self, name: str, module: str, *arguments: str) -> Process:
         log = self.folder / f"{name}-{token_hex(2)}.log"
         with log.open("wb") as out:
@@ -257,10 +261,11 @@
         """
         for _ in range(MOST_STARTS):
             started = start()
-            wait_until(partial(_has_settled, started, url(started)), started.name)
-            if not started.process.ended:
+            process = _process_of(started)
+            wait_until(partial(_has_settled, process, url(started)), started.name)
+            if not process.ended:
                 return started
-        raise RuntimeError(started.process.log.read_text(errors="replace"))
+        raise RuntimeError(process.log.read_text(errors="replace"))
 
     def _start_daemon(self, name: str, domain: str) -> Daemon:
         endpoints = ("callers", "operators", "peers", "metrics")
--- a/packages/pondquay-standins/src/pondquay_standins/processes.py
+++ b/packages/pondquay-standins/src/pondquay_standins/processes.py
@@ -11,6 +11,7 @@
 import urllib.error
 import urllib.request
 from dataclasses import dataclass
+from functools import cache
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
@@ -122,22 +123,52 @@
         time.sleep(STEP_SECONDS)
 
 
-_next_port = count()
-
-
-def pick_port() -> int:
-    """Return a port that is free and that this process has not picked lately.
+class PortPicker:
+    """Picks ports from a part of them that no other process picks from.
 
     Ports lie below the range from which the system takes those of outgoing
-    connections, so none of these takes one before it is listened on; and each process
-    that builds fleets picks from a part of its own.
+    connections, so none of these takes one before it is listened on. The first port of
+    a part stays bound for as long as the process lives, which claims the part.
     """
-    start = PORTS.start + os.getpid() % PORT_PARTS * PORTS_A_PART
-    while True:
-        port = start + next(_next_port) % PORTS_A_PART
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
+
+    def __init__(self) -> None:
+        self._claim = self._claim_part()
+        self._picked = count()
+
+    def _claim_part(self) -> socket.socket:
+        for part in range(PORT_PARTS):
+            claim = _bind(PORTS.start + part * PORTS_A_PART)
+            if claim is not None:
+                return claim
+        raise RuntimeError(f"all {PORT_PARTS} parts of the ports are claimed")
+
+    def pick(self) -> int:
+        """Return a port that is free and that was not picked lately."""
+        first = self._claim.getsockname()[1] + 1
+        while True:
+            port: int = first + next(self._picked) % (PORTS_A_PART - 1)
+            probe = _bind(port)
+            if probe is not None:
+                probe.close()
+                return port
+
+
+def _bind(port: int) -> socket.socket | None:
+    """Return a socket that has a port, ``None`` if the port is taken."""
+    bound = socket.socket()
+    try:
+        bound.bind((HOST, port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
+@cache
+def _make_picker() -> PortPicker:
+    return PortPicker()
+
+
+def pick_port() -> int:
+    """Return a port for a process that this one is about to start."""
+    return _make_picker().pick()
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -28,6 +28,8 @@
 PACE = 0.02
 # What cannot be served is refused this soon, with room for a busy machine.
 MOST_REFUSAL_SECONDS = 0.5
+# The table takes this long for each answer, so what is asked for is seen as such.
+SLOW_MS = 300
 
 
 @pytest.fixture
@@ -245,6 +247,17 @@
     check_spend(fleet)
 
 
+def test_a_grant_counts_as_held_once_the_table_has_granted_it(fleet: Fleet) -> None:
+    based = len(WORKSPACES)
+    first = fleet.instances[0]
+    wait_until(lambda: first.metric("pondquay_grants_held") >= based, "bases")
+    fleet.set_platform_faults(slow_ms=SLOW_MS)
+    fleet.configure("lima", *make_workspace("late", "sk-late", 100_000))
+    wait_until(lambda: first.metric("pondquay_grants_held") > based, "one more base")
+    fleet.set_platform_faults(frozen=True)
+    assert fleet.complete("sk-late", "caption").status == 200
+
+
 def test_lost_answers_of_the_table_double_nothing(fleet: Fleet) -> None:
     for number in range(6):
         fleet.set_platform_faults(lose=3)
--- a/packages/pondquay/src/pondquay/budgets/holder.py
+++ b/packages/pondquay/src/pondquay/budgets/holder.py
@@ -172,6 +172,10 @@
         """Return the grants of one workspace, in the order they were begun."""
         return [one for one in self.holdings.values() if one.workspace == workspace]
 
+    def count_open(self) -> int:
+        """Return how many grants may be drawn on."""
+        return sum(one.state is HoldingState.OPEN for one in self.holdings.values())
+
     def list_holdings(self) -> list[Holding]:
         """Return all grants as they are now, so that some may go meanwhile."""
         return list(self.holdings.values())
