Fetch a newer configuration from one peer at a time

Cause: when the configuration changed, each instance asked every peer that named the newer version, at each heartbeat, and each sent it whole. At 86 machines that fills links of 5 Mbit/s (thin 0.5 of 10) for seconds: leases lapse and requests time out.

Change: wait 0.25 s, since the store tells nearly all instances by itself, then ask one of the peers that have it, any of them, and another after 0.7 s if it is still missing.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
@@ -48,6 +48,8 @@
         self._reader = MessageReader()
         self.instance = ""
         self.heard = 0.0
+        # The configuration in force at the peer, as it last said.
+        self.version = 0
 
     def connectionMade(self) -> None:
         """Greet the peer."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from itertools import count
-from random import shuffle
+from random import choice, shuffle
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -29,7 +29,7 @@
     UpstreamLoads,
     encode_message,
 )
-from pondquay_daemon.tasks import Task, wait_at_most
+from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -43,6 +43,11 @@
 SILENT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
 LOAN_SECONDS = 0.04
+# The store tells those that it serves of a change within about this time.
+FETCH_WAIT_SECONDS = 0.25
+# Time for a peer to send its configuration: 400 KB over the slowest links of the
+# deployments, of 5 Mbit/s.
+FETCH_SECONDS = 0.7
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
 SELDOM_LOADS_SECONDS = 0.25
@@ -146,6 +151,7 @@
         self._loans: dict[int, Deferred[int]] = {}
         self._loads: dict[str, list[str]] = {}
         self._counts: dict[str, Callable[[], int]] = {}
+        self._fetching = False
 
     def start(self) -> None:
         """Accept and open links."""
@@ -260,8 +266,7 @@
         if isinstance(message, Hello):
             self._receive_hello(link, message)
         elif isinstance(message, Heartbeat):
-            if message.version > self._listener.configuration_version():
-                link.send(FetchConfiguration())
+            self._receive_version(link, message.version)
         elif isinstance(message, FetchConfiguration):
             self._send_configuration(link)
         elif isinstance(message, ConfigurationValue):
@@ -291,6 +296,35 @@
             self._links[hello.instance] = link
             log_event("peer-linked", peer=hello.instance)
 
+    def _receive_version(self, link: PeerLink, version: int) -> None:
+        link.version = version
+        if version > self._listener.configuration_version() and not self._fetching:
+            self._fetching = True
+            spawn(self._fetch_configuration(), "PeerMesh")
+
+    async def _fetch_configuration(self) -> None:
+        """Ask one peer after the other until none has a newer configuration.
+
+        The store tells most instances of a change at about the same time, and what it
+        tells need not come from peers. One peer is asked at a time, any of those that
+        have it, so that no link carries the whole configuration more than once.
+        """
+        try:
+            await sleep(FETCH_WAIT_SECONDS, self.clock)
+            asked: PeerLink | None = None
+            while ahead := self._list_ahead():
+                others = [one for one in ahead if one is not asked]
+                asked = choice(others or ahead)
+                asked.send(FetchConfiguration())
+                await sleep(FETCH_SECONDS, self.clock)
+        finally:
+            self._fetching = False
+
+    def _list_ahead(self) -> list[PeerLink]:
+        """Return the links to peers with a newer configuration."""
+        version = self._listener.configuration_version()
+        return [one for one in self._all if one.version > version]
+
     def _send_configuration(self, link: PeerLink) -> None:
         value = self._listener.configuration_value()
         if value is not None:
