Let each mechanism of the relay be switched off or set by itself

Cause: what a mechanism is worth could be told only with patches on a checkout. The figures moved there from the modules that used them; defaults are as before, so nothing decides otherwise. Conclusion: ablation can be played with settings alone.

--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -64,6 +64,12 @@
         default=Level.INFO.name.lower(),
         help="with --border: the least that is logged",
     )
+    parser.add_argument(
+        "--policy",
+        type=Path,
+        metavar="FILE",
+        help="with --border: mechanisms to switch off or set, in a [policy] section",
+    )
     parser.add_argument("--version", action=ShowVersion, nargs=0)
     return parser
 
@@ -79,7 +85,11 @@
 
         return run_relay(
             RelayOptions(
-                options.border, options.check, options.reports_port, options.log_level
+                options.border,
+                options.check,
+                options.reports_port,
+                options.log_level,
+                options.policy,
             )
         )
     return _run_instance(options)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -28,6 +28,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.policy import RelayPolicy
     from pondquay.routes.table import RouteTable
     from pondquay.tables import JsonObject, Row
     from pondquay_daemon.relay.loans import Lender
@@ -64,10 +65,12 @@
         reachable: Callable[[], bool],
         lender: Lender,
         metrics: RelayMetrics,
+        policy: RelayPolicy,
     ) -> None:
         super().__init__(clock)
         self._metrics = metrics
-        self._loans = Loans(clock, holder, lender, reachable)
+        self._policy = policy
+        self._loans = Loans(clock, holder, lender, reachable, policy)
         self._store = store
         self._reachable = reachable
         self._holder = holder
@@ -89,7 +92,9 @@
                 continue
             account = self._accounts.get(workspace.name)
             if account is None:
-                account = Account(self._holder, self._boot, workspace.prepaid)
+                account = Account(
+                    self._holder, self._boot, workspace.prepaid, policy=self._policy
+                )
                 self._accounts[workspace.name] = account
             account.prepaid = workspace.prepaid
             self._adjust_soon(workspace.name)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
@@ -14,9 +14,12 @@
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event, start_logs
 from pondquay_daemon.relay.border import BORDERS
+from pondquay_daemon.relay.policyfile import load_policy
 from pondquay_daemon.tasks import spawn
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from pondquay_daemon.relay.relay import Relay
 
 EXIT_INVALID = 2
@@ -29,12 +32,14 @@
     :param border: module that registers a border under its own name
     :param check: only check the settings
     :param reports_port: for metrics and dumps, ``None`` for none
+    :param policy: file that sets other than the usual mechanisms
     """
 
     border: str
     check: bool = False
     reports_port: int | None = None
     log_level: str = "info"
+    policy: Path | None = None
 
 
 def run_relay(options: RelayOptions) -> int:
@@ -46,6 +51,8 @@
     border = BORDERS.create(options.border)
     try:
         settings = border.read_settings()
+        if options.policy is not None:
+            settings = replace(settings, policy=load_policy(options.policy))
     except InvalidInputError as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -21,6 +21,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.budgets.accounts import Account, Refused
+    from pondquay.policy import RelayPolicy
 
 MOST_LENDERS = 8
 # Waits for a lender to get more from the table before it is asked again.
@@ -67,8 +68,10 @@
         instance: str,
         lender: Lender,
         reachable: Callable[[], bool],
+        policy: RelayPolicy,
     ) -> None:
         self._clock = clock
+        self._policy = policy
         self._reachable = reachable
         self._instance = instance
         self._lender = lender
@@ -90,6 +93,8 @@
 
         :returns: why not, ``None`` if it is reserved
         """
+        if not self._policy.borrow:
+            return account.reserve(tokens)
         lends = self.lends(workspace)
         ahead = 0 if lends else max(1, plan_ahead(account, self._clock.seconds()))
         refused = await self._ask_all(account, workspace, tokens, ahead)
@@ -156,6 +161,6 @@
             self._chosen.clear()
         chosen = self._chosen.get(workspace)
         if chosen is None:
-            chosen = choose_lenders(workspace, domains)
+            chosen = choose_lenders(workspace, domains, self._policy.most_holders)
             self._chosen[workspace] = chosen
         return chosen
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -11,6 +11,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.policy import RelayPolicy
     from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
     from pondquay.routing.retryshares import RetryShare
     from pondquay_daemon.relay.accounts import AccountBook
@@ -38,5 +39,6 @@
     retries: RetryShare
     random: Random
     metrics: RelayMetrics
+    policy: RelayPolicy
     list_age: Callable[[], float | None]
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -16,13 +16,10 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.policy import RelayPolicy
     from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
     from pondquay.routing.prompts import PromptPart
 
-# Part of an upstream's places that one instance may take in its own domain before it
-# looks further.
-CROWDED_PART = 0.5
-
 
 class Placement:
     """Chooses upstreams by what their caches hold and by how they behave.
@@ -36,7 +33,9 @@
         directory: UpstreamDirectory,
         domain: str,
         current: Callable[[], bool],
+        policy: RelayPolicy,
     ) -> None:
+        self._policy = policy
         self._clock = clock
         self._directory = directory
         self._domain = domain
@@ -51,23 +50,26 @@
         if not candidates:
             return None
         now = self._clock.seconds()
-        sound = [one for one in candidates if one.circuit.allows(now)] or candidates
+        sound = [one for one in candidates if self._allows(one, now)] or candidates
         if prefix:
-            return choose_by_prompt(sound, prefix, now)
-        crowded = max(1, int(CROWDED_PART * sound[0].record.slots))
+            spare = self._policy.spare_streams
+            return choose_by_prompt(sound, prefix, now, spare_streams=spare)
+        crowded = max(1, int(self._policy.crowded_part * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
     def find_source(
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
     ) -> KnownUpstream | None:
         """Return an upstream from which another may copy what it has not read."""
+        if not self._policy.copy_parts:
+            return None
         if count_lacking(target, prefix) < LEAST_COPIED_TOKENS:
             return None
         now = self._clock.seconds()
         sound = [
             one
             for one in self._directory.candidates(target.record.service)
-            if one.circuit.allows(now) and one.vanished is None
+            if self._allows(one, now) and one.vanished is None
         ]
         return choose_source(target, sound, prefix)
 
@@ -75,6 +77,9 @@
         """Tell whether a sound upstream is left that was not tried."""
         now = self._clock.seconds()
         return any(
-            one.name not in tried and one.circuit.allows(now)
+            one.name not in tried and self._allows(one, now)
             for one in self._directory.candidates(service)
         )
+
+    def _allows(self, upstream: KnownUpstream, now: float) -> bool:
+        return not self._policy.circuits or upstream.circuit.allows(now)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -92,13 +92,16 @@
             lambda: self._feed.reachable,
             self._peers,
             metrics,
+            settings.policy,
         )
         self._parts = RelayParts(
             reactor,
             border,
             self._pool,
             directory,
-            Placement(reactor, directory, settings.domain, self._current),
+            Placement(
+                reactor, directory, settings.domain, self._current, settings.policy
+            ),
             self._accounts,
             RetryShare(
                 bounds.retry_ratio,
@@ -108,6 +111,7 @@
             ),
             Random(),
             metrics,
+            settings.policy,
             lambda: self._upstream_feed.age(),
             self._announce_load,
         )
@@ -260,6 +264,8 @@
         self._configuration.offer(value)
 
     def _announce_load(self, upstream: KnownUpstream, parts: Iterable[str]) -> None:
+        if not self._settings.policy.share_loads:
+            return
         prompts = upstream.prompts
         self._peers.announce_load(upstream.name, lambda: prompts.own, parts)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -262,7 +262,8 @@
         self._sent_to.append(upstream.name)
         reading = PromptReading(parts, upstream, self._marks.prefix, source)
         attempt = self._make_attempt(upstream, reading)
-        if self._route.repeatable and not last:
+        leaves_silent = parts.policy.leave_silent
+        if leaves_silent and self._route.repeatable and not last:
             self._watch_silence(attempt, upstream)
         self._attempt = attempt
         try:
@@ -306,6 +307,8 @@
         return source
 
     def _urgency(self) -> int:
+        if not self._parts.policy.urgency:
+            return 0
         route = min(self._route.priority, ROUTE_PRIORITIES - 1)
         if self._workspace is None or self._workspace.priority is None:
             return min(MOST_URGENCY, route)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pondquay.policy import DEFAULT_POLICY
+
 if TYPE_CHECKING:
+    from pondquay.policy import RelayPolicy
     from pondquay_daemon.addresses import Address
 
 
@@ -47,3 +50,4 @@
     seeds: tuple[Address, ...] = ()
     bounds: RelayBounds = RelayBounds()
     reports: Address | None = None
+    policy: RelayPolicy = DEFAULT_POLICY
--- a/packages/pondquay-daemon/tests/relay/test_loans.py
+++ b/packages/pondquay-daemon/tests/relay/test_loans.py
@@ -8,7 +8,8 @@
 
 from pondquay.budgets.accounts import Account, Refused
 from pondquay.budgets.allotments import Allotment, AllotmentRow
-from pondquay.budgets.lenders import SMALL_FLEET, choose_lenders
+from pondquay.budgets.lenders import choose_lenders
+from pondquay.policy import DEFAULT_POLICY
 from pondquay_daemon.relay.loans import ASK_AGAIN_WAITS, Lender, Loans
 
 if TYPE_CHECKING:
@@ -66,7 +67,9 @@
         self.account = Account(name, "1", 1_000_000)
         self.others = OtherInstances(fleet, self.account)
         self.store_is_up = True
-        self.loans = Loans(self.clock, name, self.others, lambda: self.store_is_up)
+        self.loans = Loans(
+            self.clock, name, self.others, lambda: self.store_is_up, DEFAULT_POLICY
+        )
 
     def near(self) -> str:
         """Return a lender of the own domain."""
@@ -103,7 +106,7 @@
 
 
 def test_who_has_lost_the_store_asks_those_again_that_may_have_it() -> None:
-    desk = Desk(SMALL_FLEET, lends=True)
+    desk = Desk(DEFAULT_POLICY.most_holders, lends=True)
     assert desk.borrow(80) == [Refused.UNKNOWN]
     desk.store_is_up = False
     results = desk.borrow(80)
@@ -128,7 +131,7 @@
 
 
 def test_in_a_small_fleet_all_lend_and_the_one_that_has_most_is_asked_first() -> None:
-    desk = Desk(SMALL_FLEET, lends=True)
+    desk = Desk(DEFAULT_POLICY.most_holders, lends=True)
     assert all(name in desk.chosen for name in desk.others.domains_of)
     most = desk.others.peers[-1]
     holders = {
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -8,14 +8,16 @@
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.allotments import EMPTY_ROW, Allotment, AllotmentRow
+from pondquay.policy import DEFAULT_POLICY
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from pondquay.policy import RelayPolicy
+
 RATE_SECONDS = 8.0
-# Part of the prepaid tokens that is kept for small requests, so that a workspace which
-# is nearly out of tokens is still answered; a small one needs this part at most.
-LAST_PART = 0.03
+# A request is small that needs this part of the prepaid tokens at most. Some tokens are
+# kept for small ones, so that a workspace which is nearly out is still answered.
 SMALL_PART = 0.01
 LEAST_AGE_SECONDS = 2.0
 # Part of what a lender has left that a borrower may get beyond its need.
@@ -91,6 +93,7 @@
     :param lent: tokens that are with instances without an allotment
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
+    :param policy: the figures that plans go by
     """
 
     holder: str
@@ -105,6 +108,7 @@
     row: AllotmentRow = EMPTY_ROW
     demand: Demand = field(default_factory=Demand)
     wanted: int = 0
+    policy: RelayPolicy = DEFAULT_POLICY
     _lowered: int | None = None
 
     @property
@@ -239,7 +243,7 @@
     @property
     def last_part(self) -> int:
         """Tokens that are kept for small requests."""
-        return int(LAST_PART * self.prepaid)
+        return int(self.policy.last_part * self.prepaid)
 
     def is_small(self, tokens: int) -> bool:
         """Tell whether a request may have of the last part."""
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -12,10 +12,7 @@
 if TYPE_CHECKING:
     from pondquay.budgets.accounts import Account
 
-# Seconds of all instances' demand that they together keep ahead: what one of them has
-# too little of in an outage it borrows from another.
-COVER_SECONDS = 8.0
-# Largest requests that they together keep ahead besides.
+# Largest requests that all instances together keep ahead besides their demand.
 COVER_REQUESTS = 1
 # Part of the prepaid tokens that they keep while no demand is known, and at most.
 FIRST_OF_PREPAID = 0.15
@@ -49,7 +46,7 @@
     """Return the tokens that all instances together should have unspent."""
     rate = account.demand.rate(now)
     rate += sum(one.rate for one in account.others().values())
-    need = COVER_SECONDS * rate + COVER_REQUESTS * account.demand.largest
+    need = account.policy.cover_seconds * rate + COVER_REQUESTS * account.demand.largest
     if rate == 0.0:
         need = FIRST_OF_PREPAID * account.prepaid
     most = min(MOST_OF_PREPAID * account.prepaid, MOST_OF_LEFT * account.left())
@@ -72,7 +69,7 @@
 def plan_return(account: Account, now: float) -> int:
     """Return the tokens that such an instance should hand back to a lender."""
     keep = plan_ahead(account, now)
-    surplus = account.unspent - keep
+    surplus = account.unspent - keep if account.policy.return_surplus else 0
     return surplus if surplus > max(keep, account.demand.largest) else 0
 
 
@@ -104,7 +101,7 @@
         return max(min(ordinary, target), account.wanted)
     if unspent < LOW_PART * target and ordinary > unspent:
         return min(ordinary, target)
-    surplus = unspent - target
+    surplus = unspent - target if account.policy.return_surplus else 0
     if surplus > max(HIGH_PART * target, WORTH_RETURNING * account.prepaid):
         return target
     return None
--- a/packages/pondquay/src/pondquay/budgets/lenders.py
+++ b/packages/pondquay/src/pondquay/budgets/lenders.py
@@ -10,22 +10,26 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from pondquay.policy import DEFAULT_POLICY
 from pondquay.routing.rendezvous import score_pair
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Up to this many instances all hold allotments of every workspace.
-SMALL_FLEET = 16
 LENDERS_OF_DOMAIN = 2
 
 
-def choose_lenders(workspace: str, domains: Mapping[str, str]) -> frozenset[str]:
+def choose_lenders(
+    workspace: str,
+    domains: Mapping[str, str],
+    most_holders: int = DEFAULT_POLICY.most_holders,
+) -> frozenset[str]:
     """Return the instances that hold allotments of a workspace.
 
     :param domains: the domain of each instance of the fleet
+    :param most_holders: instances up to which all hold some
     """
-    if len(domains) <= SMALL_FLEET:
+    if len(domains) <= most_holders:
         return frozenset(domains)
     by_domain: dict[str, list[str]] = defaultdict(list)
     for instance, domain in domains.items():
--- /dev/null
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -0,0 +1,49 @@
+"""Which mechanisms a relay decides with, and the figures that they go by.
+
+Each can be switched off or set by itself, so that an experiment can tell what it is
+worth. Deployments run with the defaults.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPolicy:
+    """The mechanisms of one relay.
+
+    :param share_loads: tell peers what waits at an upstream, so that the prompts of
+        all instances do not queue up at the same one
+    :param borrow: ask peers for tokens that the table does not give in time
+    :param return_surplus: give back what is held far above the target
+    :param last_part: part of the prepaid tokens that is kept for small requests; from
+        the larger of two parts that were tried on the first deployments
+    :param most_holders: instances up to which all hold tokens of every workspace;
+        beyond it a row would have more writers than the store takes
+    :param cover_seconds: seconds of the demand of all that they keep ahead; what a
+        short outage of the table takes
+    :param circuits: leave out upstreams that failed several times in a row
+    :param leave_silent: try elsewhere what an upstream says nothing to
+    :param urgency: tell upstreams which requests are urgent
+    :param crowded_part: part of an upstream's places that one instance takes in its
+        own domain before it looks further
+    :param spare_streams: keep long prompts from upstreams whose streams they break
+    :param copy_parts: let an upstream copy shared parts that another has read
+    """
+
+    share_loads: bool = True
+    borrow: bool = True
+    return_surplus: bool = True
+    last_part: float = 0.03
+    most_holders: int = 16
+    cover_seconds: float = 8.0
+    circuits: bool = True
+    leave_silent: bool = True
+    urgency: bool = True
+    crowded_part: float = 0.5
+    spare_streams: bool = True
+    copy_parts: bool = True
+
+
+DEFAULT_POLICY = RelayPolicy()
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -33,7 +33,11 @@
 
 
 def choose_by_prompt(
-    candidates: Sequence[KnownUpstream], prefix: tuple[PromptPart, ...], now: float
+    candidates: Sequence[KnownUpstream],
+    prefix: tuple[PromptPart, ...],
+    now: float,
+    *,
+    spare_streams: bool = True,
 ) -> KnownUpstream:
     """Return the first upstream in rank, unless too much waits to be read there.
 
@@ -41,9 +45,15 @@
     If too much waits, it is the one that has least to read before the prompt's end:
     what waits there and what of the prompt it has not read. So a prompt moves only
     where that saves reading, and a crowd everywhere does not scatter what is cached.
+
+    :param spare_streams: whether to heed how streams suffer
     """
     shared = list_shared(prefix)[-1]
-    undisturbed = [one for one in candidates if not _is_disturbed(one, prefix, now)]
+    undisturbed = [
+        one
+        for one in candidates
+        if not (spare_streams and _is_disturbed(one, prefix, now))
+    ]
     ranked = sorted(
         undisturbed or candidates,
         key=lambda one: score_pair(shared, one.name),
--- a/packages/pondquay/tests/budgets/test_allotments.py
+++ b/packages/pondquay/tests/budgets/test_allotments.py
@@ -16,9 +16,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from pondquay.budgets.accounts import LAST_PART, SMALL_PART, Account, Change, Refused
+from pondquay.budgets.accounts import SMALL_PART, Account, Change, Refused
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
 from pondquay.budgets.headroom import plan_headroom
+from pondquay.policy import DEFAULT_POLICY
 
 PREPAID = 300
 NAMES = ("a", "b", "c")
@@ -134,7 +135,11 @@
             self.running[name].append(tokens)
             self.ran += tokens
         elif refused is Refused.EXHAUSTED:
-            kept = LAST_PART * self.prepaid if tokens > SMALL_PART * self.prepaid else 0
+            kept = (
+                DEFAULT_POLICY.last_part * self.prepaid
+                if tokens > SMALL_PART * self.prepaid
+                else 0
+            )
             assert self.ran + tokens + kept > self.prepaid - 1
 
     @rule(name=names, part=st.integers(0, 100))
--- a/packages/pondquay/tests/budgets/test_lenders.py
+++ b/packages/pondquay/tests/budgets/test_lenders.py
@@ -5,7 +5,8 @@
 
 from pondquay.budgets.accounts import Account
 from pondquay.budgets.headroom import AHEAD_SECONDS, plan_ahead, plan_return
-from pondquay.budgets.lenders import LENDERS_OF_DOMAIN, SMALL_FLEET, choose_lenders
+from pondquay.budgets.lenders import LENDERS_OF_DOMAIN, choose_lenders
+from pondquay.policy import DEFAULT_POLICY
 
 DOMAINS = ("hall-a", "hall-b", "hall-c")
 fleets = st.dictionaries(
@@ -23,7 +24,7 @@
 ) -> None:
     chosen = choose_lenders(workspace, fleet)
     assert {fleet[one] for one in chosen} == set(fleet.values())
-    if len(fleet) <= SMALL_FLEET:
+    if len(fleet) <= DEFAULT_POLICY.most_holders:
         assert chosen == set(fleet)
     else:
         assert len(chosen) <= LENDERS_OF_DOMAIN * len(DOMAINS)
@@ -42,7 +43,7 @@
 def test_an_instance_that_goes_changes_only_its_own_place(
     fleet: dict[str, str], workspace: str
 ) -> None:
-    if len(fleet) <= SMALL_FLEET + 1:
+    if len(fleet) <= DEFAULT_POLICY.most_holders + 1:
         return
     chosen = choose_lenders(workspace, fleet)
     gone = next(iter(fleet))
