Poll the list of upstreams four times a second at most

Change: a pause of 0.25 s between two polls. Upstreams serve on for two seconds after they said that they leave, and tell each caller besides.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -56,6 +56,9 @@
 STOP_STEP_SECONDS = 0.05
 # Seconds between two polls. A write that meets a newer row learns of it anyway.
 ALLOTMENTS_PAUSE = 0.3
+# Rows of upstreams change with each heartbeat, several a second in all, and a poll ends
+# with the first. An upstream serves on for two seconds after it said that it leaves.
+UPSTREAMS_PAUSE = 0.25
 MEMBERS_PAUSE = 2.0
 # Seconds after which a caller that is refused for the stop should ask another instance.
 ELSEWHERE = 0.1
@@ -122,7 +125,7 @@
             reactor, self._store, names.configuration[0], self._configuration
         )
         self._upstream_feed = TableFeed(
-            reactor, self._store, names.upstreams, self._upstreams
+            reactor, self._store, names.upstreams, self._upstreams, UPSTREAMS_PAUSE
         )
         self._feeds = [
             self._feed,
