--- a/packages/pondquay-lab/src/pondquay_lab/experiment/checkouts.py
+++ b/packages/pondquay-lab/src/pondquay_lab/experiment/checkouts.py
@@ -38,7 +38,7 @@
         ["git", *arguments], capture_output=True, text=True, check=False
     )
     if done.returncode:
-        raise CheckoutError(f"git {arguments[0]}: {done.stderr.strip()}")
+        raise CheckoutError(f"git: {done.stderr.strip()}")
     return done.stdout
 
 
