--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -93,6 +93,7 @@
             admission.route,
             admission.workspace,
             service,
+            parts.policy,
         )
         self._sent_to: list[str] = []
         self._outcome = ""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
@@ -8,6 +8,7 @@
 from pondquay_daemon.relay.admission import Refusal
 
 if TYPE_CHECKING:
+    from pondquay.policy import RelayPolicy
     from pondquay.routes.entities import Route, RoutedWorkspace, Service
     from pondquay_daemon.relay.accounts import AccountBook
     from pondquay_daemon.relay.messages import RequestMarks
@@ -16,13 +17,9 @@
 TOO_MANY_REQUESTS = 429
 # Part of the objective after which a request without tokens is refused.
 OBTAIN_PART = 0.2
-# Seconds after which a caller that was refused for want of tokens should come back:
-# another instance, to which its next try may come, may have them, but an outage lasts.
-COME_BACK = {
-    Refused.ELSEWHERE: 0.1,
-    Refused.UNKNOWN: 0.1,
-    Refused.OUT_OF_REACH: 2.0,
-}
+# Seconds after which a caller that was refused should come back while the table is out
+# of reach: an outage lasts.
+AFTER_OUTAGE = 2.0
 
 
 class Reservation:
@@ -39,7 +36,9 @@
         route: Route,
         workspace: RoutedWorkspace | None,
         service: Service | None,
+        policy: RelayPolicy,
     ) -> None:
+        self._policy = policy
         self._accounts = accounts
         self._marks = marks
         self._route = route
@@ -64,7 +63,9 @@
             return None
         if refused is Refused.EXHAUSTED:
             return Refusal(PAYMENT_REQUIRED, "budget exhausted", None)
-        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", COME_BACK[refused])
+        outage = refused is Refused.OUT_OF_REACH
+        wait = AFTER_OUTAGE if outage else self._policy.come_back_seconds
+        return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", wait)
 
     def settle(self, used: int) -> None:
         """Replace what is reserved by what was used of it."""
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -23,6 +23,8 @@
         beyond it a row would have more writers than the store takes
     :param cover_seconds: seconds of the demand of all that they keep ahead; what a
         short outage of the table takes
+    :param come_back_seconds: after which a caller that was refused for want of tokens
+        should try again; another instance may have some
     :param circuits: leave out upstreams that failed several times in a row
     :param leave_silent: try elsewhere what an upstream says nothing to
     :param urgency: tell upstreams which requests are urgent
@@ -38,6 +40,7 @@
     last_part: float = 0.03
     most_holders: int = 16
     cover_seconds: float = 8.0
+    come_back_seconds: float = 0.1
     circuits: bool = True
     leave_silent: bool = True
     urgency: bool = True
