--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -95,6 +95,8 @@
     :param spent: tokens used and lent, less those borrowed
     :param used: tokens that requests ran for
     :param lent: tokens that are with instances without an allotment
+    :param borrowed: tokens that came from lenders, which count them as lent; what is
+        used here as an instance without an allotment is among them
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
     :param policy: the figures that plans go by
@@ -107,6 +109,7 @@
     spent: int = 0
     used: int = 0
     lent: int = 0
+    borrowed: int = 0
     reserved: int = 0
     version: int | None = None
     row: AllotmentRow = EMPTY_ROW
@@ -159,13 +162,25 @@
             self.lent += lent
         return lent
 
-    def receive_loan(self, tokens: int) -> None:
+    def receive_loan(self, tokens: int, *, lends: bool = True) -> None:
         """Take tokens that a peer has counted as spent.
 
         What this life has spent, less what it was lent, may fall below zero.
+
+        :param lends: whether this instance is a lender itself: what it gets then is
+            handed back to it, or comes from another lender
         """
         self.spent -= tokens
-        self.lent -= min(self.lent, tokens)
+        if lends:
+            self.lent -= min(self.lent, tokens)
+        else:
+            self.borrowed += tokens
+
+    def return_loan(self, tokens: int) -> int:
+        """Count tokens as spent here that go back to a lender; return how many."""
+        given = self.lend(tokens)
+        self.borrowed -= min(self.borrowed, given)
+        return given
 
     def read(self, row: AllotmentRow, version: int) -> None:
         """Take in the row as it stood at a version.
@@ -241,7 +256,8 @@
     def left(self) -> int:
         """Tokens that the workspace may still spend, by what is known here."""
         others = sum(one.spent + one.lent for one in self.others().values())
-        own = self.used + self.lent + self.reserved
+        # What lenders count as lent is not counted again when it is used here.
+        own = self.used + self.lent + self.reserved - self.borrowed
         return self.prepaid - self.row.closed - others - own
 
     @property
--- a/packages/pondquay/tests/budgets/test_lenders.py
+++ b/packages/pondquay/tests/budgets/test_lenders.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from pondquay.budgets.accounts import Account
+from pondquay.budgets.allotments import Allotment, AllotmentRow
 from pondquay.budgets.headroom import plan_ahead, plan_return
 from pondquay.budgets.lenders import LENDERS_OF_DOMAIN, choose_lenders
 from pondquay.policy import DEFAULT_POLICY
@@ -70,6 +71,22 @@
     assert plan_return(account, 500.0) == 100_000
 
 
+def test_what_a_borrower_uses_is_not_counted_twice() -> None:
+    prepaid = 100_000
+    entry = Allotment("1", ceiling=50_000, spent=2_000, lent=40_000)
+    account = Account("me", "1", prepaid, row=AllotmentRow(holders={"a": entry}))
+    account.version = 1
+    account.receive_loan(40_000, lends=False)
+    for _ in range(6):
+        assert account.reserve(6_000) is None
+        account.settle(6_000, 6_000)
+    assert account.left() == prepaid - 2_000 - 36_000
+    assert account.reserve(4_000) is None
+    account.settle(4_000, 1_000)
+    assert account.return_loan(account.unspent) == 3_000
+    assert account.left() == prepaid - 2_000 - 40_000
+
+
 def test_many_borrowers_of_few_requests_hold_little() -> None:
     held = 0
     for _ in range(80):
