Split the relay's requests: sending and further attempts apart

Change: RequestSender places and sends, RetryPermit takes further attempts, RequestRun keeps the order of attempts and what is answered. Nothing decides otherwise; the tests are unchanged.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -1,11 +1,10 @@
-"""One request's way: who asks, where it goes, what it may cost, what it is told."""
+"""One request's way: what it may cost, how often it is tried, what is answered."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from pondquay.streamevents import EventReader
-from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import (
     SOON,
@@ -17,7 +16,6 @@
     PROMISES,
     SUCCESS,
     Answered,
-    Attempt,
     Lost,
     NotRun,
     Stopped,
@@ -26,9 +24,9 @@
     Unsent,
 )
 from pondquay_daemon.relay.heads import drop_connection_headers
-from pondquay_daemon.relay.messages import Dispatch
-from pondquay_daemon.relay.readings import PromptReading
 from pondquay_daemon.relay.reservations import Reservation
+from pondquay_daemon.relay.retrying import RetryPermit
+from pondquay_daemon.relay.sending import RequestJob, RequestSender
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IDelayedCall
@@ -43,24 +41,13 @@
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
-
 # Connections that may fail before a request is refused; nothing was sent on them.
 MOST_CONNECT_FAILURES = 3
-# An upstream that says nothing for this many objectives is given up, where the request
-# may run again.
-SILENT_OBJECTIVES = 2.0
-LEAST_SILENT_SECONDS = 0.3
-# One that answers other requests meanwhile is given up after this many.
-BUSY_OBJECTIVES = 3.0
-LEAST_REMAINING_SECONDS = 0.01
-# Routes' priorities are below this, and tenants' come ahead of them.
-ROUTE_PRIORITIES = 3
 # How a request ended, where it was not a status.
 NO_ANSWER = "none"
 STREAMED = "stream"
 BROKEN = "broken"
 SERVED = frozenset({STREAMED, "200"})
-MOST_URGENCY = 9
 
 
 class RequestRun:
@@ -79,14 +66,11 @@
         self._marks = admission.marks
         self._route = admission.route
         self._workspace = admission.workspace
-        self._service_name = admission.service
-        self._shares_prompts = service is not None and service.shares_prompts
-        self._head = head
-        self._body = body
         self._answer = answer
-        self._attempt: Attempt | None = None
         self._stopped = ""
         self._may_have_run = False
+        self._outcome = ""
+        self._status = NO_ANSWER
         self._reservation = Reservation(
             parts.accounts,
             admission.marks,
@@ -95,11 +79,6 @@
             service,
             parts.policy,
         )
-        self._sent_to: list[str] = []
-        self._outcome = ""
-        self._status = NO_ANSWER
-        self._retry_taken = False
-        self._tried: set[str] = set()
         self._progress: StreamProgress | None = None
         if self._route.streaming:
             reader = EventReader(last=self._marks.last_event)
@@ -108,6 +87,10 @@
         if self._marks.deadline is not None:
             seconds = min(seconds, self._marks.deadline)
         self._until = answer.arrived + seconds
+        shares_prompts = service is not None and service.shares_prompts
+        job = RequestJob(admission, head, body, answer, shares_prompts, self._until)
+        self._retries = RetryPermit(parts, admission.service, admission.marks.attempt)
+        self._sender = RequestSender(parts, job, self._progress, self._may_leave)
 
     async def run(self) -> None:
         """Serve the request or refuse it."""
@@ -126,7 +109,7 @@
                 request=self._marks.attempt,
                 error=repr(error),
             )
-            self._may_have_run = self._may_have_run or bool(self._sent_to)
+            self._may_have_run = self._may_have_run or bool(self._sender.sent_to)
             self._refuse(self._give_up("internal error"))
         finally:
             if timer.active():
@@ -142,13 +125,13 @@
         self._stop("timeout")
 
     def _note_gone(self) -> None:
-        if self._attempt is None or self._route.streaming or self._route.repeatable:
+        streaming, repeatable = self._route.streaming, self._route.repeatable
+        if not self._sender.running or streaming or repeatable:
             self._stop("caller gone")
 
     def _stop(self, why: str) -> None:
         self._stopped = self._stopped or why
-        if self._attempt is not None:
-            self._attempt.stop()
+        self._sender.stop()
 
     def _log_end(self) -> None:
         workspace = "" if self._workspace is None else self._workspace.name
@@ -162,7 +145,7 @@
             request=self._marks.attempt,
             route=self._route.name,
             workspace=workspace,
-            upstreams=",".join(self._sent_to),
+            upstreams=",".join(self._sender.sent_to),
             outcome=self._outcome,
             tokens=self._reservation.used,
             bound=self._marks.most_tokens,
@@ -178,16 +161,15 @@
         # request away did not run it. Every send counts against the retry share.
         runs = 0
         connect_failures = 0
-        now = self._parts.clock.seconds()
-        self._parts.retries.note_first(self._service_name, now)
+        self._retries.note_first()
         while not self._stopped:
-            upstream = self._place()
+            upstream = self._sender.place()
             if upstream is None:
                 return self._give_up("no upstream")
-            if sends and not self._take_retry():
+            if sends and not self._retries.take():
                 return self._give_up("no retries left")
             last = runs + 1 >= self._route.attempts
-            outcome = await self._send(upstream, last=last)
+            outcome = await self._sender.send(upstream, last=last)
             self._observe(upstream, outcome)
             if isinstance(outcome, Unsent):
                 connect_failures += 1
@@ -206,150 +188,18 @@
                 return refusal
         return self._give_up(self._stopped)
 
-    def _place(self) -> KnownUpstream | None:
-        parts, prefix = self._parts, self._marks.prefix
-        chosen = parts.placement.choose(self._service_name, prefix, self._tried)
-        if chosen is None:
-            return None
-        age = parts.list_age()
-        log_event(
-            "upstream-chosen",
-            request=self._marks.attempt,
-            upstream=chosen.name,
-            service=self._service_name,
-            running=chosen.running,
-            reading=chosen.prompts.own,
-            waiting=chosen.prompts.waiting,
-            failures=chosen.circuit.failures,
-            tried=len(self._tried),
-            list_age=-1 if age is None else round(age, 2),
-        )
-        return chosen
-
-    def _take_retry(self) -> bool:
-        """Take a further attempt from this instance's share, unless one was taken."""
-        if self._retry_taken:
-            self._retry_taken = False
-            return True
-        now = self._parts.clock.seconds()
-        granted = self._parts.retries.spend(self._service_name, now)
-        self._parts.metrics.retries.labels("yes" if granted else "no").inc()
-        log_event(
-            "retry-decided",
-            request=self._marks.attempt,
-            service=self._service_name,
-            granted=granted,
-        )
-        return granted
-
-    async def _send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
-        parts = self._parts
-        remaining = self._until - parts.clock.seconds()
-        if remaining < LEAST_REMAINING_SECONDS:
-            self._stopped = self._stopped or "timeout"
-            return Stopped(sent=False)
-        source = self._find_source(upstream)
-        dispatch = Dispatch(
-            upstream.name,
-            remaining,
-            None if self._workspace is None else self._workspace.name,
-            self._urgency(),
-            self._resume_after(),
-            None if source is None else source.record.address,
-        )
-        headers = drop_connection_headers(self._head.headers)
-        headers = parts.border.write_request(headers, dispatch)
-        self._tried.add(upstream.name)
-        self._sent_to.append(upstream.name)
-        reading = PromptReading(parts, upstream, self._marks.prefix, source)
-        attempt = self._make_attempt(upstream, reading)
-        leaves_silent = parts.policy.leave_silent
-        if leaves_silent and self._route.repeatable and not last:
-            self._watch_silence(attempt, upstream)
-        self._attempt = attempt
-        try:
-            with reading:
-                return await attempt.run(
-                    parts.pool,
-                    Address.parse(upstream.record.address),
-                    (self._head.method, self._head.target, headers, self._body),
-                )
-        finally:
-            self._attempt = None
-
-    def _make_attempt(self, upstream: KnownUpstream, reading: PromptReading) -> Attempt:
-        return Attempt(
-            self._parts.clock,
-            self._parts.border,
-            self._marks.attempt,
-            self._answer,
-            self._progress,
-            reading.note_heard,
-            lambda pause: self._note_pause(upstream, pause),
-        )
-
-    def _watch_silence(self, attempt: Attempt, upstream: KnownUpstream) -> None:
-        patience = SILENT_OBJECTIVES * self._route.objective
-        patience = max(LEAST_SILENT_SECONDS, patience)
-        began = self._parts.clock.seconds()
-        attempt.give_up_after(patience, lambda: self._may_leave_silent(upstream, began))
-
-    def _find_source(self, upstream: KnownUpstream) -> KnownUpstream | None:
-        if not self._shares_prompts:
-            return None
-        source = self._parts.placement.find_source(upstream, self._marks.prefix)
-        if source is not None:
-            log_event(
-                "prompt-copied",
-                request=self._marks.attempt,
-                upstream=upstream.name,
-                source=source.name,
-            )
-        return source
-
-    def _urgency(self) -> int:
-        if not self._parts.policy.urgency:
-            return 0
-        route = min(self._route.priority, ROUTE_PRIORITIES - 1)
-        if self._workspace is None or self._workspace.priority is None:
-            return min(MOST_URGENCY, route)
-        return min(MOST_URGENCY, self._workspace.priority * ROUTE_PRIORITIES + route)
-
-    def _resume_after(self) -> int | None:
-        if self._progress is None or not self._progress.started:
-            return None
-        return self._progress.reader.last
-
-    def _note_pause(self, upstream: KnownUpstream, pause: float) -> None:
-        if self._route.pause is not None:
-            now = self._parts.clock.seconds()
-            upstream.pauses.note(pause, self._route.pause, now)
-
-    def _may_leave_silent(self, upstream: KnownUpstream, began: float) -> bool:
-        """Decide whether to leave an upstream that says nothing to this request.
-
-        One that answers others is busy, not dead: to leave it would have the prompt
-        read once more elsewhere and add to the load. It is left only much later.
-        """
-        now = self._parts.clock.seconds()
-        objective = self._route.objective
-        dead = now - upstream.heard >= max(LEAST_SILENT_SECONDS, objective)
-        if not dead and now - began < BUSY_OBJECTIVES * objective:
-            return False
-        return self._may_leave()
-
     def _may_leave(self) -> bool:
         """Take a retry, if another upstream may serve the request."""
-        if not self._parts.placement.has_other(self._service_name, self._tried):
-            return False
-        self._retry_taken = self._retry_taken or self._take_retry()
-        return self._retry_taken
+        return self._retries.hold_for_other(self._sender.tried)
 
     def _observe(self, upstream: KnownUpstream, outcome: Outcome) -> None:
-        """Learn about the upstream from what came of an attempt."""
+        """Learn from what came of an attempt."""
         now = self._parts.clock.seconds()
         self._parts.metrics.attempts.labels(type(outcome).__name__.lower()).inc()
-        if isinstance(outcome, NotRun) and outcome.misdirected:
+        if isinstance(outcome, Stopped):
+            # Where nobody stopped it, too little time was left to send it.
+            self._stopped = self._stopped or "timeout"
+        elif isinstance(outcome, NotRun) and outcome.misdirected:
             self._parts.directory.note_leaving(upstream.name)
         elif isinstance(outcome, Unsent):
             upstream.circuit.trip(now)
