Have no instance write for itself while a whole fleet starts

Change: for the first 1.5 s an instance does not take itself for cut off, and before it has read the list of instances it is no lender; failed calls for a workspace are repeated after a pause that is drawn up to 0.1 s, then twice as long each time, at most 1.6 s.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from random import uniform
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -37,7 +39,10 @@
 
 TABLE = "allotments"
 ADJUST_SECONDS = 0.5
+# Pause after a failed call, and the longest after several in a row: the table turns
+# writes away that it cannot take, and those that come again at once keep it full.
 RETRY_SECONDS = 0.1
+MOST_RETRY_SECONDS = 1.6
 # On its first start a fleet learns who belongs to it, before anyone holds anything.
 SETTLE_SECONDS = 1.5
 # Waits for tokens to come from the table, in turn, before a request is refused.
@@ -54,6 +59,7 @@
 
     :param reachable: tells whether the table answered lately
     :param lender: asks other instances for tokens
+    :param knows_fleet: tells whether the list of instances was read
     """
 
     def __init__(
@@ -64,13 +70,15 @@
         boot: str,
         reachable: Callable[[], bool],
         lender: Lender,
+        knows_fleet: Callable[[], bool],
         metrics: RelayMetrics,
         policy: RelayPolicy,
     ) -> None:
         super().__init__(clock)
         self._metrics = metrics
         self._policy = policy
-        self._loans = Loans(clock, holder, lender, reachable, policy)
+        self._loans = Loans(clock, holder, lender, reachable, knows_fleet, policy)
+        self._failures: Counter[str] = Counter()
         self._store = store
         self._reachable = reachable
         self._holder = holder
@@ -83,6 +91,7 @@
     def start(self) -> None:
         """Begin to adjust the allotments."""
         self._settled_at = self.clock.seconds() + SETTLE_SECONDS
+        self._loans.settle_until(self._settled_at)
         self.repeat(ADJUST_SECONDS, self._adjust_all)
 
     def take_table(self, table: RouteTable) -> None:
@@ -287,7 +296,7 @@
     async def _open(self, name: str, account: Account) -> bool:
         reply = await self._store.read_row(row_key(name))
         if isinstance(reply, Unreachable):
-            await sleep(RETRY_SECONDS, self.clock)
+            await self._pause(name)
             return False
         self._read_row(account, reply)
         return True
@@ -305,6 +314,7 @@
         transaction = make_transaction(name, account.version or ABSENT, change.row)
         reply = await self._store.commit(transaction)
         if isinstance(reply, Committed):
+            del self._failures[name]
             account.confirm(change, reply.version)
             account.wanted = 0
             log_event(
@@ -326,9 +336,15 @@
                 workspace=name,
                 ceiling=change.ceiling,
             )
-            await sleep(RETRY_SECONDS, self.clock)
+            await self._pause(name)
         return True
 
+    async def _pause(self, name: str) -> None:
+        """Wait after a failed call, longer after each further one."""
+        longest = min(MOST_RETRY_SECONDS, RETRY_SECONDS * 2 ** self._failures[name])
+        self._failures[name] += 1
+        await sleep(uniform(RETRY_SECONDS, longest), self.clock)
+
     async def _close_account(self, name: str, account: Account) -> bool | None:
         """Write one account's end.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -60,6 +60,7 @@
 
     :param lender: asks other instances
     :param reachable: tells whether the table answered lately
+    :param knows_fleet: tells whether the list of instances was read
     """
 
     def __init__(
@@ -68,8 +69,11 @@
         instance: str,
         lender: Lender,
         reachable: Callable[[], bool],
+        knows_fleet: Callable[[], bool],
         policy: RelayPolicy,
     ) -> None:
+        self._knows_fleet = knows_fleet
+        self._settled_at = 0.0
         self._clock = clock
         self._policy = policy
         self._reachable = reachable
@@ -78,13 +82,24 @@
         self._domains: Mapping[str, str] = {}
         self._chosen: dict[str, frozenset[str]] = {}
 
+    def settle_until(self, time: float) -> None:
+        """Wait for links, and for the list of instances, until a time in seconds."""
+        self._settled_at = time
+
     def lends(self, workspace: str) -> bool:
         """Tell whether this instance is to hold an allotment of a workspace.
 
-        One that reaches none of the lenders holds its own.
+        One that reaches none of the lenders holds its own, though not while it starts:
+        when a whole fleet starts anew, nobody has links yet, and the table does not
+        take a write of each instance for each workspace.
         """
+        settled = self._clock.seconds() >= self._settled_at
+        if not settled and not self._knows_fleet():
+            return False
         chosen = self._choose(workspace)
-        return self._instance in chosen or chosen.isdisjoint(self._lender.peers)
+        if self._instance in chosen:
+            return True
+        return settled and chosen.isdisjoint(self._lender.peers)
 
     async def borrow(
         self, account: Account, workspace: str, tokens: int
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -94,6 +94,7 @@
             uuid4().hex[:12],
             lambda: self._feed.reachable,
             self._peers,
+            lambda: self._members.count > 0,
             metrics,
             settings.policy,
         )
--- a/packages/pondquay-daemon/tests/relay/test_loans.py
+++ b/packages/pondquay-daemon/tests/relay/test_loans.py
@@ -67,8 +67,14 @@
         self.account = Account(name, "1", 1_000_000)
         self.others = OtherInstances(fleet, self.account)
         self.store_is_up = True
+        self.list_is_read = True
         self.loans = Loans(
-            self.clock, name, self.others, lambda: self.store_is_up, DEFAULT_POLICY
+            self.clock,
+            name,
+            self.others,
+            lambda: self.store_is_up,
+            lambda: self.list_is_read,
+            DEFAULT_POLICY,
         )
 
     def near(self) -> str:
@@ -96,6 +102,27 @@
     assert all(ahead > 0 for _, ahead in desk.others.asked)
 
 
+def test_who_starts_without_links_waits_for_them_before_it_holds_its_own() -> None:
+    desk = Desk(40, lends=False)
+    desk.others.cut_off = set(desk.others.domains_of)
+    desk.loans.settle_until(1.5)
+    assert not desk.loans.lends(WORKSPACE)
+    desk.clock.advance(1.5)
+    assert desk.loans.lends(WORKSPACE)
+
+
+def test_who_starts_before_it_knows_the_others_does_not_lend_yet() -> None:
+    desk = Desk(1, lends=True)
+    desk.list_is_read = False
+    desk.loans.settle_until(1.5)
+    assert not desk.loans.lends(WORKSPACE)
+    desk.list_is_read = True
+    assert desk.loans.lends(WORKSPACE)
+    desk.list_is_read = False
+    desk.clock.advance(1.5)
+    assert desk.loans.lends(WORKSPACE), "the list cannot be read, so it stands alone"
+
+
 def test_a_lender_that_has_none_is_asked_again_once_it_may_have_some() -> None:
     desk = Desk(40, lends=False)
     results = desk.borrow(80)
