--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -14,6 +14,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pondquay.routing.pauses import PauseNews
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.errors import MalformedValueError
@@ -28,6 +29,7 @@
     LoanRequest,
     UpstreamLeaves,
     UpstreamLoads,
+    UpstreamPauses,
     encode_message,
 )
 from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
@@ -107,6 +109,10 @@
         :param parts: shared parts that the upstream has read
         """
 
+    @abstractmethod
+    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
+        """Take in how long a peer's streams paused at an upstream."""
+
     @abstractmethod
     def forget_loads(self, instance: str) -> None:
         """Take in that a peer cannot be heard."""
@@ -201,6 +207,11 @@
         """Tell all peers that an upstream leaves."""
         self._send_all(UpstreamLeaves(upstream))
 
+    def announce_pauses(self, pauses: list[tuple[str, PauseNews]]) -> None:
+        """Tell all peers how long streams paused at upstreams."""
+        told = [(name, news.reading, news.broken) for name, news in pauses]
+        self._send_all(UpstreamPauses(told))
+
     def announce_load(
         self, upstream: str, count: Callable[[], int], parts: Iterable[str]
     ) -> None:
@@ -283,6 +294,9 @@
         elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
+        elif isinstance(message, UpstreamPauses):
+            for upstream, reading, broken in message.pauses:
+                self._listener.hear_pauses(upstream, PauseNews(reading, broken))
         else:
             self._receive_tokens(link, message)
 
