Split the grants' modules by job

Change: what a workspace uses is in demands, the table programs that close grants in closings, the holder's side of them in closer, and a grant with its attempts in holdings. Code moved; names of callers changed with it. Nothing decides otherwise.

--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/dumps.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/dumps.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from pondquay.budgets.holder import Holding
+    from pondquay.budgets.holdings import Holding
     from pondquay.budgets.witness import WitnessedGrant
     from pondquay_daemon.parts import InstanceParts
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -9,8 +9,9 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred, DeferredLock
 
-from pondquay.budgets.holder import Attempt, AttemptState, Holder
-from pondquay.budgets.manager import MOST_ADJUSTMENTS, GrantManager, Progress, Refill
+from pondquay.budgets.holder import Holder
+from pondquay.budgets.holdings import Attempt, AttemptState
+from pondquay.budgets.manager import MOST_ADJUSTMENTS, GrantManager, Refill
 from pondquay.budgets.messages import (
     Acknowledge,
     Recall,
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from pondquay.budgets.closer import Progress
     from pondquay.budgets.messages import HolderMessage, WitnessMessage
     from pondquay.names import AttemptId, InstanceId, RequestName
     from pondquay_daemon.peers import PeerTask
@@ -112,7 +114,7 @@
         :param tokens: the most that the attempt can cost
         :param boot: the life of the upstream
         """
-        self.manager.note_demand(request.workspace, tokens)
+        self.manager.demands.note(request.workspace, tokens)
         recalled = False
         for _ in range(MOST_TRIES):
             attempt = self.holder.reserve(
@@ -298,8 +300,8 @@
     # Maintenance and stopping
 
     async def _maintain(self) -> None:
-        self.manager.watch(self._list_workspaces())
-        self.manager.update_rates(MAINTAIN_SECONDS)
+        self.manager.demands.watch(self._list_workspaces())
+        self.manager.demands.update_rates(MAINTAIN_SECONDS)
         async with self._lock:
             maintain = self.manager.maintain(rebalance=not self._stopping)
             self._take_progress(await self._platform.run(maintain))
--- a/packages/pondquay-daemon/src/pondquay_daemon/progress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/progress.py
@@ -10,7 +10,7 @@
 from pondquay_daemon.grants import BudgetRefusal
 
 if TYPE_CHECKING:
-    from pondquay.budgets.holder import Attempt
+    from pondquay.budgets.holdings import Attempt
     from pondquay.requests.lifecycle import RequestLife
     from pondquay_daemon.upstreams import Placement
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
@@ -9,8 +9,9 @@
 
 from pondquay.billing.bills import make_bill, segment_key
 from pondquay.billing.fold import fold_segments
+from pondquay.budgets.closings import Resolution, resolve_held
 from pondquay.budgets.messages import Settle, Settlement
-from pondquay.budgets.programs import Resolution, list_grants, resolve_held
+from pondquay.budgets.programs import list_grants
 from pondquay.budgets.rows import GrantState
 from pondquay.budgets.succession import Succession
 from pondquay.membership.leases import Lease
@@ -32,7 +33,7 @@
 from pondquay_daemon.tasks import Task, wait_at_most
 
 if TYPE_CHECKING:
-    from pondquay.budgets.holder import Attempt
+    from pondquay.budgets.holdings import Attempt
     from pondquay.budgets.programs import StandingGrant
     from pondquay.budgets.witness import Witness, WitnessedGrant
     from pondquay.membership.messages import FindRequest, FoundRequest
--- a/packages/pondquay-lab/src/pondquay_lab/budgetruns.py
+++ b/packages/pondquay-lab/src/pondquay_lab/budgetruns.py
@@ -14,7 +14,8 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay.budgets.directory import WitnessDirectory
-from pondquay.budgets.holder import Attempt, AttemptState, Holder
+from pondquay.budgets.holder import Holder
+from pondquay.budgets.holdings import Attempt, AttemptState
 from pondquay.budgets.manager import GrantManager, Refill
 from pondquay.budgets.messages import Recall
 from pondquay.budgets.policies import GRANT_POLICIES
@@ -164,7 +165,7 @@
 
     def serve(self, name: str, tokens: int) -> Attempt | None:
         """Reserve for a request, refilling if need be."""
-        self.manager.note_demand(WORKSPACE, tokens)
+        self.manager.demands.note(WORKSPACE, tokens)
         request = RequestName(WORKSPACE, name)
         for _ in range(3):
             attempt = self.holder.reserve(
@@ -218,7 +219,7 @@
 
     def maintain(self) -> None:
         """Do what the daemon does every second."""
-        self.manager.update_rates(MAINTAIN_SECONDS)
+        self.manager.demands.update_rates(MAINTAIN_SECONDS)
         self.world.run(self, self.manager.flush())
         progress = self.world.run(self, self.manager.maintain())
         for witness, forget in progress.notices:
--- a/packages/pondquay/src/pondquay/budgets/manager.py
+++ b/packages/pondquay/src/pondquay/budgets/manager.py
@@ -8,26 +8,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
-from math import exp
 from typing import TYPE_CHECKING
 
 from pondquay.billing.bills import segment_key
 from pondquay.billing.programs import Written, write_segment
-from pondquay.budgets.holder import Attempt, Holder, Holding, HoldingState
-from pondquay.budgets.policies import GrantView
+from pondquay.budgets.closer import GrantCloser, Progress
+from pondquay.budgets.demands import SECONDS_AN_HOUR, DemandBook
+from pondquay.budgets.holdings import Attempt, Holding, HoldingState
 from pondquay.budgets.programs import (
     Adjusted,
     Adjustment,
     AdjustmentsUnknown,
-    Closed,
-    Resolution,
-    Resolved,
     adjust_grants,
-    close_grant,
     learn_adjustments,
-    resolve_held,
 )
 from pondquay.budgets.rows import budget_key, load_budget
 from pondquay.tables import Unreachable, read_rows
@@ -36,21 +30,16 @@
     from collections.abc import Iterable, Mapping, Sequence
 
     from pondquay.budgets.directory import WitnessDirectory
-    from pondquay.budgets.messages import Forget, Recall
+    from pondquay.budgets.holder import Holder
+    from pondquay.budgets.messages import Recall
     from pondquay.budgets.policies import GrantPolicy
     from pondquay.budgets.programs import AdjustOutcome
-    from pondquay.budgets.rows import BudgetRow
     from pondquay.names import InstanceId
     from pondquay.tables import Program
 
 MOST_BILLS = 200
 MOST_ADJUSTMENTS = 50
-# Workspaces for which an instance keeps tokens without having seen a request.
-MOST_WATCHED = 200
-MEMORY_SECONDS = 900.0
-PRIOR_SECONDS = 60.0
 REPORT_DRIFT = 0.05
-SECONDS_AN_HOUR = 3600
 
 
 class Refill(StrEnum):
@@ -62,40 +51,6 @@
     UNREACHABLE = "unreachable"
 
 
-@dataclass(slots=True)
-class Demand:
-    """What a workspace uses here.
-
-    :param budget: the budget's row as last read
-    :param rate: tokens a second, over the last few minutes
-    :param total: tokens that the rate was made from, the older the less they count
-    :param seconds: the time that they were reserved in, counted alike
-    :param reserved: tokens reserved since the rate was last brought up to date
-    :param largest: the most that a recent request reserved
-    """
-
-    budget: BudgetRow | None = None
-    rate: float = 0.0
-    total: float = 0.0
-    seconds: float = PRIOR_SECONDS
-    reserved: int = 0
-    largest: int = 0
-
-
-@dataclass(slots=True)
-class Progress:
-    """What a program has brought about that others wait for.
-
-    :param safe: attempts whose bills are in the table now
-    :param refused: attempts that will not run
-    :param notices: word for witnesses
-    """
-
-    safe: list[Attempt] = field(default_factory=list)
-    refused: list[Attempt] = field(default_factory=list)
-    notices: list[tuple[InstanceId, Forget]] = field(default_factory=list)
-
-
 class GrantManager:
     """Everything an instance does with its grants.
 
@@ -108,75 +63,20 @@
         self, holder: Holder, policy: GrantPolicy, directory: WitnessDirectory
     ) -> None:
         self.holder = holder
-        self.demands: dict[str, Demand] = {}
+        self.demands = DemandBook()
         self.unknown: list[Adjustment] = []
         self._policy = policy
         self._directory = directory
         self._number = 0
+        self._closer = GrantCloser(holder, self._is_pending, self._next_segment)
         self._probing = False
 
-    # Demand
-
-    def note_demand(self, workspace: str, tokens: int) -> None:
-        """Count tokens that a request wants to reserve."""
-        demand = self._demand(workspace)
-        demand.reserved += tokens
-        demand.largest = max(demand.largest, tokens)
-
-    def watch(self, workspaces: Iterable[str]) -> None:
-        """Keep a base of tokens for some workspaces before any request asks for them.
-
-        :param workspaces: names; beyond a bound they wait for their first request
-        """
-        for workspace in workspaces:
-            if len(self.demands) >= MOST_WATCHED:
-                return
-            self._demand(workspace)
-
-    def update_rates(self, seconds: float) -> None:
-        """Bring the rates up to date.
-
-        :param seconds: since the last time
-        """
-        fading = exp(-seconds / MEMORY_SECONDS)
-        for demand in self.demands.values():
-            demand.total = fading * demand.total + demand.reserved
-            demand.seconds = fading * demand.seconds + seconds
-            demand.rate = demand.total / demand.seconds
-            demand.reserved = 0
-
-    def _demand(self, workspace: str) -> Demand:
-        return self.demands.setdefault(workspace, Demand())
-
-    def _view(self, workspace: str, wanted: int) -> GrantView:
-        demand = self._demand(workspace)
+    def _decide(self, workspace: str, wanted: int) -> int:
+        """Return the tokens that the policy would add, negative to give back."""
         holdings = self.holder.of_workspace(workspace)
         instances = self._directory.count() + 1
-        return GrantView(
-            limit=0 if demand.budget is None else demand.budget.limit,
-            free=0 if demand.budget is None else demand.budget.free,
-            left=0 if demand.budget is None else demand.budget.left,
-            holding=sum(one.free for one in holdings),
-            running=sum(one.reserved for one in holdings),
-            rate=demand.rate,
-            fleet_rate=self._fleet_rate(demand, holdings, instances),
-            instances=instances,
-            wanted=wanted,
-            largest=demand.largest,
-        )
-
-    def _fleet_rate(
-        self, demand: Demand, holdings: Sequence[Holding], instances: int
-    ) -> float:
-        """Return what all instances spend, as the budget's row tells it.
-
-        What the row counts of this instance is replaced by what it knows itself.
-        """
-        if demand.budget is None or demand.budget.demand == 0:
-            return demand.rate * instances
-        own = sum(one.demand for one in holdings)
-        others = max(0, demand.budget.demand - own)
-        return demand.rate + others / SECONDS_AN_HOUR
+        view = self.demands.view(workspace, wanted, holdings, instances)
+        return self._policy.decide(view)
 
     # Refilling and giving back
 
@@ -199,7 +99,7 @@
 
     def _read_budgets(self, workspaces: Iterable[str]) -> Program[None]:
         """Read budgets that are not known yet, so that a first grant is well sized."""
-        missing = [one for one in workspaces if self._demand(one).budget is None]
+        missing = [one for one in workspaces if self.demands.find(one).budget is None]
         if not missing:
             return
         rows = yield from read_rows(*(budget_key(one) for one in missing))
@@ -207,7 +107,7 @@
             return
         for workspace in missing:
             row = rows.rows.get(budget_key(workspace))
-            self._demand(workspace).budget = load_budget(row)
+            self.demands.find(workspace).budget = load_budget(row)
 
     def give_back(self, workspace: str, tokens: int) -> Program[None]:
         """Return tokens of a workspace to its budget."""
@@ -229,7 +129,7 @@
     def _plan_refill(self, workspace: str, tokens: Sequence[int]) -> list[Adjustment]:
         wanted = sum(tokens)
         holding = self._choose_holding(workspace)
-        decided = self._policy.decide(self._view(workspace, wanted))
+        decided = self._decide(workspace, wanted)
         merged = self._merge(workspace, holding)
         delta = max(wanted, decided) + sum(-one.delta for one in merged)
         least = min(tokens) - holding.free
@@ -275,7 +175,7 @@
 
     def _demand_of(self, holding: Holding) -> int:
         """Return the tokens an hour to report for a grant."""
-        rate = self._demand(holding.workspace).rate
+        rate = self.demands.find(holding.workspace).rate
         shares = len(self.holder.of_workspace(holding.workspace))
         return int(rate * SECONDS_AN_HOUR / max(1, shares))
 
@@ -357,7 +257,7 @@
     def _take_adjusted(self, adjusted: Adjusted) -> bool:
         """Take over one outcome; ``True`` if the grant gained tokens."""
         one = adjusted.adjustment
-        self._demand(one.workspace).budget = adjusted.budget
+        self.demands.find(one.workspace).budget = adjusted.budget
         holding = self.holder.holdings.get(one.grant)
         if holding is None:
             return False
@@ -383,8 +283,8 @@
             gone = witness is not None and self._directory.is_gone(witness)
             if holding.state is HoldingState.OPEN and gone:
                 progress.refused += self.holder.begin_close(holding)
-        yield from self._close_closing(progress)
-        yield from self._settle_closed(progress)
+        yield from self._closer.close_closing(progress)
+        yield from self._closer.settle_closed(progress)
         if rebalance:
             yield from self._rebalance()
         return progress
@@ -395,8 +295,8 @@
         yield from self._learn()
         for holding in self.holder.list_holdings():
             progress.refused += self.holder.begin_close(holding)
-        yield from self._close_closing(progress)
-        yield from self._settle_closed(progress)
+        yield from self._closer.close_closing(progress)
+        yield from self._closer.settle_closed(progress)
         return progress
 
     @property
@@ -404,54 +304,11 @@
         """Whether nothing is held and nothing is left to be learnt or written."""
         return not self.holder.holdings and not self.unknown
 
-    def _close_closing(self, progress: Progress) -> Program[None]:
-        for holding in self.holder.list_holdings():
-            closing = holding.state is HoldingState.CLOSING
-            if closing and not self._is_pending(holding):
-                yield from self._close(holding, progress)
-
-    def _close(self, holding: Holding, progress: Progress) -> Program[None]:
-        closing = self.holder.describe_close(holding, self._next_segment())
-        settled = list(holding.settled())
-        outcome = yield from close_grant(closing)
-        if not isinstance(outcome, Closed):
-            return
-        if not outcome.by_us:
-            resolved = yield from self._resolve(holding, settled)
-            if not resolved:
-                return
-        progress.safe += settled
-        forget = self.holder.note_closed(holding, settled)
-        if forget is not None and holding.witness is not None and outcome.by_us:
-            progress.notices.append((holding.witness, forget))
-
-    def _settle_closed(self, progress: Progress) -> Program[None]:
-        """Write ends of attempts that came after their grant was closed."""
-        for holding in self.holder.list_holdings():
-            settled = list(holding.settled())
-            if holding.state is not HoldingState.CLOSED or not settled:
-                continue
-            resolved = yield from self._resolve(holding, settled)
-            if resolved:
-                progress.safe += settled
-                self.holder.note_closed(holding, settled)
-
-    def _resolve(self, holding: Holding, settled: Sequence[Attempt]) -> Program[bool]:
-        """Settle attempts of a closed grant in the table."""
-        outcome = yield from resolve_held(
-            holding.workspace,
-            holding.id,
-            [Resolution(one.id.seq, one.billed) for one in settled],
-            [one.bill for one in settled if one.bill is not None],
-            self._next_segment(),
-        )
-        return isinstance(outcome, Resolved)
-
     def _rebalance(self) -> Program[None]:
         yield from self._read_budgets(self.demands)
         planned: list[Adjustment] = []
-        for workspace, demand in list(self.demands.items()):
-            if demand.budget is not None:
+        for workspace in self.demands:
+            if self.demands.find(workspace).budget is not None:
                 planned += self._plan_rebalance(workspace)
             if len(planned) >= MOST_ADJUSTMENTS:
                 break
@@ -460,7 +317,7 @@
 
     def _plan_rebalance(self, workspace: str) -> list[Adjustment]:
         """Refill ahead of need, give back, or only report what others size by."""
-        delta = self._policy.decide(self._view(workspace, 0))
+        delta = self._decide(workspace, 0)
         own = self.holder.of_workspace(workspace)
         if delta > 0:
             return [self._adjustment(self._choose_holding(workspace), delta)]
--- a/packages/pondquay/src/pondquay/budgets/succession.py
+++ b/packages/pondquay/src/pondquay/budgets/succession.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.billing.bills import segment_key
-from pondquay.budgets.programs import (
+from pondquay.budgets.closings import (
     Closed,
     Resolution,
     Resolved,
--- a/packages/pondquay/src/pondquay/budgets/witness.py
+++ b/packages/pondquay/src/pondquay/budgets/witness.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.billing.bills import make_bill
+from pondquay.budgets.closings import Closing
 from pondquay.budgets.messages import (
     Acknowledge,
     OpenAttempt,
@@ -18,7 +19,6 @@
     Settled,
     SettleRefused,
 )
-from pondquay.budgets.programs import Closing
 from pondquay.budgets.rows import HeldIntent
 from pondquay.names import AttemptId, GrantId, InstanceId, RequestName
 
--- a/packages/pondquay/tests/budgets/test_machine.py
+++ b/packages/pondquay/tests/budgets/test_machine.py
@@ -17,7 +17,8 @@
 
 from pondquay.billing.fold import fold_segments
 from pondquay.budgets.directory import WitnessDirectory
-from pondquay.budgets.holder import Attempt, AttemptState, Holder
+from pondquay.budgets.holder import Holder
+from pondquay.budgets.holdings import Attempt, AttemptState
 from pondquay.budgets.manager import GrantManager
 from pondquay.budgets.rows import BudgetRow, budget_key, dump_row
 from pondquay.budgets.sizing import Proportional
@@ -165,14 +166,14 @@
     def refill(self, index: int, tokens: int) -> None:
         node = self.pick_node(index)
         if node.exclusive is None:
-            node.manager.note_demand(WORKSPACE, tokens)
+            node.manager.demands.note(WORKSPACE, tokens)
             node.exclusive = Run(node.manager.refill({WORKSPACE: [tokens]}))
 
     @rule(index=indexes, rebalance=st.booleans())
     def maintain(self, index: int, rebalance: bool) -> None:
         node = self.pick_node(index)
         if node.exclusive is None:
-            node.manager.update_rates(1.0)
+            node.manager.demands.update_rates(1.0)
             node.exclusive = Run(node.manager.maintain(rebalance=rebalance))
 
     @rule(index=indexes)
--- a/packages/pondquay/tests/budgets/test_succession.py
+++ b/packages/pondquay/tests/budgets/test_succession.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.billing.fold import fold_segments
-from pondquay.budgets.holder import AttemptState
+from pondquay.budgets.holdings import AttemptState
 from pondquay.budgets.messages import Flushed
 from pondquay_lab.programs import Fault, run_program
 
--- a/packages/pondquay/tests/conftest.py
+++ b/packages/pondquay/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pondquay.budgets.directory import WitnessDirectory
-from pondquay.budgets.holder import Attempt, Holder
+from pondquay.budgets.holder import Holder
 from pondquay.budgets.manager import GrantManager
 from pondquay.budgets.rows import BudgetRow, budget_key, dump_row
 from pondquay.budgets.sizing import Proportional
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pondquay.budgets.holdings import Attempt
+
 WORKSPACE = "captions"
 
 
