--- a/packages/pondquay-cli/tests/test_commands.py
+++ b/packages/pondquay-cli/tests/test_commands.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from pondquay_standins.fleet import digest
+from pondquay_standins.names import digest
 
 if TYPE_CHECKING:
     from pondquay_standins.fleet import Fleet
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -0,0 +1,61 @@
+"""What instances offer to each other."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from pondquay.routing.pauses import PauseNews
+
+
+class PeerListener(ABC):
+    """What the rest of the relay offers to its peers."""
+
+    @abstractmethod
+    def configuration_version(self) -> int:
+        """Return the version in force here, 0 if there is none."""
+
+    @abstractmethod
+    def store_reachable(self) -> bool:
+        """Tell whether the store serves this instance."""
+
+    @abstractmethod
+    def configuration_value(self) -> dict[str, Any] | None:
+        """Return the configuration as the operators wrote it."""
+
+    @abstractmethod
+    def offer_configuration(self, value: dict[str, Any]) -> None:
+        """Take in a configuration that may be newer."""
+
+    @abstractmethod
+    def hear_load(
+        self, instance: str, upstream: str, tokens: int, parts: list[str]
+    ) -> None:
+        """Take in what a peer has waiting at an upstream.
+
+        :param parts: shared parts that the upstream has read
+        """
+
+    @abstractmethod
+    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
+        """Take in how long a peer's streams paused at an upstream."""
+
+    @abstractmethod
+    def forget_loads(self, instance: str) -> None:
+        """Take in that a peer cannot be heard."""
+
+    @abstractmethod
+    def note_leaving(self, upstream: str) -> None:
+        """Take in that an upstream leaves."""
+
+    @abstractmethod
+    def lend(self, workspace: str, tokens: int, ahead: int) -> int:
+        """Count tokens as spent here and return how many, 0 if none can be spared.
+
+        :param ahead: tokens that are wanted besides, 0 from those with an allotment
+        """
+
+    @abstractmethod
+    def receive_loan(self, workspace: str, tokens: int) -> None:
+        """Take tokens that a peer has counted as spent."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from itertools import count
-from random import choice, shuffle
+from random import shuffle
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -17,6 +16,7 @@
 from pondquay.routing.pauses import PauseNews
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
@@ -32,7 +32,7 @@
     UpstreamPauses,
     encode_message,
 )
-from pondquay_daemon.tasks import Task, sleep, spawn, wait_at_most
+from pondquay_daemon.tasks import Task, wait_at_most
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -40,19 +40,13 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay_daemon.relay.peerlinks import PeerLink
+    from pondquay_daemon.relay.peerlistener import PeerListener
     from pondquay_daemon.relay.peermessages import PeerMessage
 
 HEARTBEAT_SECONDS = 0.5
 SILENT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
 LOAN_SECONDS = 0.04
-# The store tells those that it serves of a change within about the first time, and a
-# large configuration comes from it within the second, over the slowest links.
-FETCH_WAIT_SECONDS = 0.25
-STORE_WAIT_SECONDS = 1.0
-# Time for a peer to send its configuration: 400 KB over the slowest links of the
-# deployments, of 5 Mbit/s.
-FETCH_SECONDS = 0.7
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
 SELDOM_LOADS_SECONDS = 0.25
@@ -81,58 +75,6 @@
         return cls(Address.parse(address), domain)
 
 
-class PeerListener(ABC):
-    """What the rest of the relay offers to its peers."""
-
-    @abstractmethod
-    def configuration_version(self) -> int:
-        """Return the version in force here, 0 if there is none."""
-
-    @abstractmethod
-    def store_reachable(self) -> bool:
-        """Tell whether the store serves this instance."""
-
-    @abstractmethod
-    def configuration_value(self) -> dict[str, Any] | None:
-        """Return the configuration as the operators wrote it."""
-
-    @abstractmethod
-    def offer_configuration(self, value: dict[str, Any]) -> None:
-        """Take in a configuration that may be newer."""
-
-    @abstractmethod
-    def hear_load(
-        self, instance: str, upstream: str, tokens: int, parts: list[str]
-    ) -> None:
-        """Take in what a peer has waiting at an upstream.
-
-        :param parts: shared parts that the upstream has read
-        """
-
-    @abstractmethod
-    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
-        """Take in how long a peer's streams paused at an upstream."""
-
-    @abstractmethod
-    def forget_loads(self, instance: str) -> None:
-        """Take in that a peer cannot be heard."""
-
-    @abstractmethod
-    def note_leaving(self, upstream: str) -> None:
-        """Take in that an upstream leaves."""
-
-    @abstractmethod
-    def lend(self, workspace: str, tokens: int, ahead: int) -> int:
-        """Count tokens as spent here and return how many, 0 if none can be spared.
-
-        :param ahead: tokens that are wanted besides, 0 from those with an allotment
-        """
-
-    @abstractmethod
-    def receive_loan(self, workspace: str, tokens: int) -> None:
-        """Take tokens that a peer has counted as spent."""
-
-
 class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
@@ -164,7 +106,7 @@
         self._loans: dict[int, Deferred[int]] = {}
         self._loads: dict[str, list[str]] = {}
         self._counts: dict[str, Callable[[], int]] = {}
-        self._fetching = False
+        self._fetch = ConfigurationFetch(self.clock, listener, self._all)
 
     def start(self) -> None:
         """Accept and open links."""
@@ -318,34 +260,8 @@
 
     def _receive_version(self, link: PeerLink, version: int) -> None:
         link.version = version
-        if version > self._listener.configuration_version() and not self._fetching:
-            self._fetching = True
-            spawn(self._fetch_configuration(), "PeerMesh")
-
-    async def _fetch_configuration(self) -> None:
-        """Ask one peer after the other until none has a newer configuration.
-
-        The store tells most instances of a change at about the same time, and what it
-        tells need not come from peers. One peer is asked at a time, any of those that
-        have it, so that no link carries the whole configuration more than once.
-        """
-        try:
-            await sleep(FETCH_WAIT_SECONDS, self.clock)
-            if self._listener.store_reachable():
-                await sleep(STORE_WAIT_SECONDS, self.clock)
-            asked: PeerLink | None = None
-            while ahead := self._list_ahead():
-                others = [one for one in ahead if one is not asked]
-                asked = choice(others or ahead)
-                asked.send(FetchConfiguration())
-                await sleep(FETCH_SECONDS, self.clock)
-        finally:
-            self._fetching = False
-
-    def _list_ahead(self) -> list[PeerLink]:
-        """Return the links to peers with a newer configuration."""
-        version = self._listener.configuration_version()
-        return [one for one in self._all if one.version > version]
+        if version > self._listener.configuration_version():
+            self._fetch.begin()
 
     def _send_configuration(self, link: PeerLink) -> None:
         value = self._listener.configuration_value()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -27,7 +27,8 @@
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.parts import RelayParts
-from pondquay_daemon.relay.peers import Member, PeerListener, PeerMesh
+from pondquay_daemon.relay.peerlistener import PeerListener
+from pondquay_daemon.relay.peers import Member, PeerMesh
 from pondquay_daemon.relay.placement import Placement
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
--- a/packages/pondquay-lab/src/pondquay_lab/load.py
+++ b/packages/pondquay-lab/src/pondquay_lab/load.py
@@ -13,9 +13,15 @@
 from http.client import HTTPConnection
 from threading import Thread
 from time import monotonic, sleep
+from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from pondquay_standins.fleet import MODEL, Daemon, Fleet, configure_workspaces
+from pondquay_standins.fleet import Fleet
+from pondquay_standins.names import MODEL
+from pondquay_standins.workspaces import configure_workspaces
+
+if TYPE_CHECKING:
+    from pondquay_standins.fleetparts import Daemon
 
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
--- a/packages/pondquay-standins/tests/conftest.py
+++ b/packages/pondquay-standins/tests/conftest.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from pondquay_standins.fleet import Fleet, configure_workspaces
+from pondquay_standins.fleet import Fleet
+from pondquay_standins.workspaces import configure_workspaces
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/pondquay-standins/tests/test_callers.py
+++ b/packages/pondquay-standins/tests/test_callers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pondquay.budgets.sizing import BASE_PART
-from pondquay_standins.fleet import MODEL, SERVICE
+from pondquay_standins.names import MODEL, SERVICE
 from pondquay_standins.processes import call_http, wait_until
 
 if TYPE_CHECKING:
--- a/packages/pondquay-standins/tests/test_sharing.py
+++ b/packages/pondquay-standins/tests/test_sharing.py
@@ -4,8 +4,10 @@
 
 from typing import Any
 
-from pondquay_standins.fleet import MODEL, Fleet, make_shared, make_workspace
+from pondquay_standins.fleet import Fleet
+from pondquay_standins.names import MODEL
 from pondquay_standins.processes import wait_until
+from pondquay_standins.workspaces import make_shared, make_workspace
 
 
 def make_loan(replicas: int) -> dict[str, Any]:
