--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from pondquay.routing.pauses import PauseNews
+from typing import Any
 
 
 class PeerListener(ABC):
@@ -37,10 +34,6 @@
         :param parts: shared parts that the upstream has read
         """
 
-    @abstractmethod
-    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
-        """Take in how long a peer's streams paused at an upstream."""
-
     @abstractmethod
     def forget_loads(self, instance: str) -> None:
         """Take in that a peer cannot be heard."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -119,18 +119,6 @@
     loads: list[tuple[str, int, list[str]]]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamPauses:
-    """Says how long the sender's streams paused at upstreams.
-
-    :param pauses: upstream, pauses in which a prompt was read, and those of them that
-        were too long, since the last message
-    """
-
-    CODE: ClassVar[int] = 9
-    pauses: list[tuple[str, int, int]]
-
-
 PeerMessage: TypeAlias = (
     Hello
     | Heartbeat
@@ -140,7 +128,6 @@
     | LoanRequest
     | Loan
     | UpstreamLoads
-    | UpstreamPauses
 )
 MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
     one.CODE: one
@@ -153,7 +140,6 @@
         LoanRequest,
         Loan,
         UpstreamLoads,
-        UpstreamPauses,
     )
 }
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -13,7 +13,6 @@
 
 from twisted.internet.defer import Deferred
 
-from pondquay.routing.pauses import PauseNews
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
@@ -29,7 +28,6 @@
     LoanRequest,
     UpstreamLeaves,
     UpstreamLoads,
-    UpstreamPauses,
     encode_message,
 )
 from pondquay_daemon.tasks import Task, wait_at_most
@@ -149,11 +147,6 @@
         """Tell all peers that an upstream leaves."""
         self._send_all(UpstreamLeaves(upstream))
 
-    def announce_pauses(self, pauses: list[tuple[str, PauseNews]]) -> None:
-        """Tell all peers how long streams paused at upstreams."""
-        told = [(name, news.reading, news.broken) for name, news in pauses]
-        self._send_all(UpstreamPauses(told))
-
     def announce_load(
         self, upstream: str, count: Callable[[], int], parts: Iterable[str]
     ) -> None:
@@ -236,9 +229,6 @@
         elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
-        elif isinstance(message, UpstreamPauses):
-            for upstream, reading, broken in message.pauses:
-                self._listener.hear_pauses(upstream, PauseNews(reading, broken))
         else:
             self._receive_tokens(link, message)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -40,7 +40,6 @@
 
     from pondquay.routes.table import RouteTable
     from pondquay.routing.directory import KnownUpstream
-    from pondquay.routing.pauses import PauseNews
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -62,8 +61,6 @@
 # with the first. An upstream serves on for two seconds after it said that it leaves.
 UPSTREAMS_PAUSE = 0.25
 MEMBERS_PAUSE = 2.0
-# Seconds between two messages on how streams paused, which are as long as some events.
-PAUSES_SECONDS = 1.0
 # Seconds after which a caller that is refused for the stop should ask another instance.
 ELSEWHERE = 0.1
 
@@ -167,7 +164,6 @@
             feed.start()
         self._accounts.start()
         self._peers.start()
-        self._peers.repeat(PAUSES_SECONDS, self._tell_pauses)
         spawn(self._members.join(self._member), "MemberList")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
@@ -291,20 +287,6 @@
             known.prompts.hear(instance, tokens)
             known.prompts.note_read(parts)
 
-    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
-        """Take in how long a peer's streams paused at an upstream."""
-        known = self._parts.directory.find(upstream)
-        if known is not None:
-            known.pauses.hear(news, self._reactor.seconds())
-
-    async def _tell_pauses(self) -> None:
-        untold = [
-            (one.name, one.pauses.take_untold()) for one in self._parts.directory.all()
-        ]
-        told = [(name, news) for name, news in untold if news.reading]
-        if told and self._settings.policy.share_pauses:
-            self._peers.announce_pauses(told)
-
     def forget_loads(self, instance: str) -> None:
         """Take in that a peer cannot be heard."""
         self._parts.directory.forget_instance(instance)
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -10,7 +10,6 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.test.iosim import FakeTransport, IOPump
 
-from pondquay.routing.pauses import PauseNews
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.relay.configurationfetch import (
     FETCH_SECONDS,
@@ -39,7 +38,6 @@
     tokens: int = 0
     loads: dict[tuple[str, str], int] = field(default_factory=dict)
     read: list[str] = field(default_factory=list)
-    pauses: list[tuple[str, PauseNews]] = field(default_factory=list)
 
     def configuration_version(self) -> int:
         return self.version
@@ -60,9 +58,6 @@
         self.loads[instance, upstream] = tokens
         self.read += parts
 
-    def hear_pauses(self, upstream: str, news: PauseNews) -> None:
-        self.pauses.append((upstream, news))
-
     def forget_loads(self, instance: str) -> None:
         self.loads = {key: one for key, one in self.loads.items() if key[0] != instance}
 
@@ -252,13 +247,6 @@
     assert pair.nodes[1].read == ["aa", "bb"]
 
 
-def test_peers_hear_how_streams_paused_at_an_upstream() -> None:
-    pair = Pair(1)
-    pair.meshes[0].announce_pauses([("u1", PauseNews(5, 2)), ("u2", PauseNews(1, 0))])
-    pair.pump()
-    assert pair.nodes[1].pauses == [("u1", PauseNews(5, 2)), ("u2", PauseNews(1, 0))]
-
-
 def test_what_a_peer_has_waiting_is_forgotten_with_its_link() -> None:
     pair = Pair(1)
     pair.meshes[0].announce_load("u1", lambda: 100, [])
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -35,7 +35,6 @@
     :param crowded_part: part of an upstream's places that one instance takes in its
         own domain before it looks further
     :param spare_streams: keep long prompts from upstreams whose streams they break
-    :param share_pauses: tell peers how long streams paused at upstreams
     :param copy_parts: let an upstream copy shared parts that another has read
     """
 
@@ -53,7 +52,6 @@
     urgency: bool = True
     crowded_part: float = 0.5
     spare_streams: bool = True
-    share_pauses: bool = True
     copy_parts: bool = True
 
 
--- a/packages/pondquay/src/pondquay/routing/pauses.py
+++ b/packages/pondquay/src/pondquay/routing/pauses.py
@@ -3,8 +3,7 @@
 An engine reads a prompt piece by piece between the tokens of all that run beside it.
 Where it reads slowly, one long prompt stretches the pauses of every stream there beyond
 what their route allows. That shows in the pauses of this instance's own streams, so it
-needs no report and no knowledge of the engine. Instances tell each other of them, since
-in a large fleet each one has few streams at an upstream.
+needs no report and no knowledge of the engine.
 """
 
 from __future__ import annotations
@@ -25,22 +24,6 @@
 LEAST_BROKEN = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class PauseNews:
-    """Pauses at one upstream that one instance has seen in some time.
-
-    :param reading: pauses in which a prompt was read
-    :param broken: those of them that were longer than the route allows
-    """
-
-    reading: int = 0
-    broken: int = 0
-
-    def join(self, other: PauseNews) -> PauseNews:
-        """Return both together."""
-        return PauseNews(self.reading + other.reading, self.broken + other.broken)
-
-
 @dataclass(slots=True)
 class PauseRecord:
     """Counts pauses of streams at one upstream, later ones more than earlier ones.
@@ -52,7 +35,6 @@
     reading: float = 0.0
     broken: float = 0.0
     _at: float = 0.0
-    _untold: PauseNews = PauseNews()
 
     def note(self, pause: float, allowed: float, now: float) -> None:
         """Take in a pause between two events.
@@ -62,20 +44,10 @@
         """
         if pause < READING_PART * allowed:
             return
-        news = PauseNews(1, int(pause > allowed))
-        self.hear(news, now)
-        self._untold = self._untold.join(news)
-
-    def hear(self, news: PauseNews, now: float) -> None:
-        """Take in pauses that another instance has seen."""
         self._fade(now)
-        self.reading += news.reading
-        self.broken += news.broken
-
-    def take_untold(self) -> PauseNews:
-        """Return what others have not been told, which is then taken as told."""
-        untold, self._untold = self._untold, PauseNews()
-        return untold
+        self.reading += 1.0
+        if pause > allowed:
+            self.broken += 1.0
 
     def breaks_streams(self, now: float) -> bool:
         """Tell whether long prompts here make the pauses of other streams too long."""
--- a/packages/pondquay/tests/routing/test_pauses.py
+++ b/packages/pondquay/tests/routing/test_pauses.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from pondquay.routing.pauses import HALF_LIFE_SECONDS, PauseNews, PauseRecord
+from pondquay.routing.pauses import HALF_LIFE_SECONDS, PauseRecord
 
 ALLOWED = 0.3
 SLOW = 0.35
@@ -50,19 +50,3 @@
         record.note(SLOW, ALLOWED, 10.0)
     assert record.breaks_streams(10.0)
     assert not record.breaks_streams(10.0 + 2 * HALF_LIFE_SECONDS)
-
-
-def test_what_others_have_seen_counts_and_is_told_by_nobody_else() -> None:
-    record = PauseRecord()
-    for _ in range(3):
-        record.hear(PauseNews(4, 1), 10.0)
-    assert record.breaks_streams(10.0)
-    assert record.take_untold() == PauseNews()
-
-
-def test_what_is_seen_here_is_told_once() -> None:
-    record = PauseRecord()
-    record.note(0.9, 0.5, 10.0)
-    record.note(0.3, 0.5, 10.0)
-    assert record.take_untold() == PauseNews(2, 1)
-    assert record.take_untold() == PauseNews()
