--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -131,8 +131,8 @@
 
     def __enter__(self) -> RoutedFleet:
         """Start the platform."""
-        self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
-        self._spawn(
+        self.folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        self.spawn(
             "platform",
             "pondquay_standins.routedplatform",
             {},
@@ -177,11 +177,11 @@
                 known.peer_port,
                 known.reports_port,
             ]
-        settings = self._folder / f"{name}.toml"
+        settings = self.folder / f"{name}.toml"
         seeds = [f"{HOST}:{one.peer_port}" for one in self.relays.values()]
         *listening, reports = ports
         settings.write_text(self._settings(name, listening, seeds))
-        process = self._spawn(
+        process = self.spawn(
             name,
             "pondquay_daemon",
             {"PONDQUAY_SETTINGS": str(settings)},
@@ -234,6 +234,10 @@
         finally:
             connection.close()
 
+    def find_store_port(self, relay: str) -> int:
+        """Return where a relay reaches the store."""
+        return self.store_port
+
     def runs(self) -> list[dict[str, Any]]:
         """Return all that ran at replicas."""
         url = f"http://{HOST}:{self.control_port}/runs"
@@ -270,14 +274,15 @@
                 "retry_ratio = 0.2",
                 "retry_extra = 400",
                 "[platform]",
-                f'address = "{HOST}:{self.store_port}"',
+                f'address = "{HOST}:{self.find_store_port(name)}"',
             ]
         )
 
-    def _spawn(
+    def spawn(
         self, name: str, module: str, environment: dict[str, str], *arguments: str
     ) -> Process:
-        log = self._folder / f"{name}.log"
+        """Start a Python module as a process that ends with the fleet."""
+        log = self.folder / f"{name}.log"
         with log.open("ab") as out:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real relays under overlapping faults, with their promises checked."""
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/__main__.py
@@ -0,0 +1,59 @@
+"""The command ``python -m pondquay_standins.soak``."""
+
+from __future__ import annotations
+
+import sys
+from argparse import ArgumentParser, ArgumentTypeError
+from concurrent.futures import ThreadPoolExecutor
+
+from pondquay_standins.soak.runs import SoakResult, SoakRun
+
+SECONDS = 10.0
+EXIT_BREACH = 1
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Read seeds as ``3`` or ``1-50``."""
+    first, _, last = text.partition("-")
+    try:
+        return list(range(int(first), int(last or first) + 1))
+    except ValueError:
+        raise ArgumentTypeError("must be a number, or two as 1-50") from None
+
+
+def make_parser() -> ArgumentParser:
+    """Return the parser of the command's arguments."""
+    parser = ArgumentParser(
+        prog="python -m pondquay_standins.soak",
+        description="Play faults by seeds on real relays and check their promises.",
+        epilog="logs of a seed that breaks a promise are kept under var/soak",
+    )
+    parser.add_argument("--seeds", type=parse_seeds, default=[1], metavar="N or N-M")
+    parser.add_argument(
+        "--seconds", type=float, default=SECONDS, help="in which faults begin"
+    )
+    parser.add_argument("--jobs", type=int, default=1, help="seeds at the same time")
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play all seeds.
+
+    :returns: 0 if all promises were kept, 1 if not
+    """
+    options = make_parser().parse_args(arguments)
+
+    def play(seed: int) -> SoakResult:
+        result = SoakRun(seed, options.seconds).run()
+        print(result, flush=True)
+        return result
+
+    with ThreadPoolExecutor(options.jobs) as executor:
+        results = list(executor.map(play, options.seeds))
+    broken = [one.seed for one in results if one.breaches]
+    print(f"{len(results)} seeds, {len(broken)} broke a promise: {broken}")
+    return EXIT_BREACH if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -0,0 +1,140 @@
+"""A fleet whose ways to the store and to replicas go through the proxy."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from functools import partial
+from typing import TYPE_CHECKING
+
+from pondquay_standins.processes import HOST, call_http, pick_port, wait_until
+from pondquay_standins.routedfleet import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    RoutedFleet,
+    make_configuration,
+)
+from pondquay_standins.soak.proxies import ProxyFault
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pondquay_standins.routedfleet import Relay
+
+RELAYS = ("r1", "r2", "r3")
+REPLICAS = {
+    "e1": ENGINE_SERVICE,
+    "e2": ENGINE_SERVICE,
+    "e3": ENGINE_SERVICE,
+    "p1": PLAIN_SERVICE,
+    "p2": PLAIN_SERVICE,
+}
+FIRST_PREPAID = 30_000
+TOP_UP_TOKENS = 4_000
+# Below what callers wait for an answer.
+REVIEW_SECONDS = 4
+
+
+def _is_ready(relay: Relay) -> bool:
+    return relay.ready
+
+
+class RelayState(StrEnum):
+    """What was done to a relay."""
+
+    UP = "up"
+    PAUSED = "paused"
+    STOPPING = "stopping"
+    GONE = "gone"
+
+
+class SoakFleet(RoutedFleet):
+    """Three relays before five replicas, with a proxy between all and the store.
+
+    :ivar states: what was done to each relay
+    :ivar drained: replicas that leave; their names never come back
+    :ivar prepaid: tokens of the workspace now; they are only raised
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._control = pick_port()
+        self._store_lines = {name: pick_port() for name in RELAYS}
+        self._replica_lines = {name: pick_port() for name in REPLICAS}
+        self.drained: set[str] = set()
+        self.states = dict.fromkeys(RELAYS, RelayState.UP)
+        self.prepaid = FIRST_PREPAID
+        self.version = 0
+
+    def find_store_port(self, relay: str) -> int:
+        """Return the proxy's port for a relay's calls of the store."""
+        return self._store_lines[relay]
+
+    def start(self) -> None:
+        """Start the replicas, the proxy and the relays."""
+        for name, service in REPLICAS.items():
+            self.start_replicas(service, name)
+        targets = {self._store_lines[name]: self.store_port for name in RELAYS}
+        for name, port in self._replica_lines.items():
+            targets[port] = self.replica_ports[name]
+        maps = [f"{listen}:{target}" for listen, target in targets.items()]
+        arguments = [part for one in maps for part in ("--map", one)]
+        arguments += ["--control", str(self._control)]
+        self.spawn("proxy", "pondquay_standins.soak.proxies", {}, *arguments)
+        url = f"http://{HOST}:{self._control}/ready"
+        wait_until(lambda: call_http("GET", url).status == 200, "the proxy")
+        for name in REPLICAS:
+            self.list_replica(name, "ready")
+        self.configure_next(FIRST_PREPAID)
+        for name in RELAYS:
+            self.start_relay(name, wait=False)
+        for relay in self.relays.values():
+            wait_until(partial(_is_ready, relay), f"relay {relay.name}")
+
+    def list_replica(self, name: str, state: str) -> None:
+        """Write a replica's row, with the proxy's address."""
+        self.control("list", name=name, port=self._replica_lines[name], state=state)
+
+    def drain(self, name: str) -> None:
+        """Let a replica say that it leaves, if it is not the last of its service."""
+        service = REPLICAS[name]
+        left = {
+            one
+            for one, other in REPLICAS.items()
+            if other == service and one not in self.drained
+        }
+        if left - {name}:
+            self.drained.add(name)
+            self.list_replica(name, "draining")
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a relay says that it is ready."""
+        try:
+            return self.relays[name].ready
+        except OSError:
+            return False
+
+    def configure_next(self, prepaid: int) -> None:
+        """Write a newer configuration."""
+        self.prepaid = prepaid
+        self.version += 1
+        self.configure(make_configuration(self.version, prepaid, REVIEW_SECONDS))
+
+    def set_line_fault(self, name: str, fault: str) -> None:
+        """Begin or end a fault on a relay's way to the store, or one to a replica."""
+        ports = {**self._store_lines, **self._replica_lines}
+        body = {"port": ports[name], "fault": fault}
+        call_http("POST", f"http://{HOST}:{self._control}/fault", body)
+
+    def end_line_faults(self) -> None:
+        """End the faults of all lines."""
+        for name in (*RELAYS, *REPLICAS):
+            self.set_line_fault(name, ProxyFault.NONE.value)
+
+    def open_ports(self) -> Sequence[tuple[str, int]]:
+        """Return the relays to which a balancer sends connections, with their ports."""
+        chosen = [
+            (name, self.relays[name].port)
+            for name, state in self.states.items()
+            if state in (RelayState.UP, RelayState.PAUSED)
+        ]
+        return chosen or [(name, one.port) for name, one in self.relays.items()]
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -0,0 +1,85 @@
+"""Which faults come when: drawn from a seed, overlapping and in series."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+from typing import TYPE_CHECKING
+
+from pondquay_standins.replicas import ReplicaFault
+from pondquay_standins.rowstore import StoreFault
+from pondquay_standins.soak.proxies import ProxyFault
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# A fault begins each so many seconds, as a mean.
+BETWEEN_SECONDS = 0.5
+LEAST_SECONDS = 0.3
+MOST_SECONDS = 3.0
+
+
+class FaultKind(StrEnum):
+    """What a fault strikes."""
+
+    STORE = "store"
+    STORE_LINE = "store-line"
+    REPLICA = "replica"
+    REPLICA_LINE = "replica-line"
+    KILL = "kill"
+    STOP = "stop"
+    PAUSE = "pause"
+    DRAIN = "drain"
+    CONFIGURE = "configure"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault of the schedule.
+
+    :param at: when it begins, in seconds
+    :param seconds: how long it lasts, where it does
+    :param target: the relay or replica that it strikes, empty for the store
+    :param fault: which of the target's faults it is, empty for signals
+    """
+
+    at: float
+    kind: FaultKind
+    seconds: float
+    target: str = ""
+    fault: str = ""
+
+
+def plan_faults(
+    seed: int, seconds: float, relays: Sequence[str], replicas: Sequence[str]
+) -> list[PlannedFault]:
+    """Return the faults of a run, in the order of their beginnings."""
+    random = Random(seed)
+    planned = []
+    at = random.uniform(0.2, 1.0)
+    while at < seconds:
+        planned.append(_plan_one(random, at, relays, replicas))
+        at += random.expovariate(1.0 / BETWEEN_SECONDS)
+    return planned
+
+
+def _plan_one(
+    random: Random, at: float, relays: Sequence[str], replicas: Sequence[str]
+) -> PlannedFault:
+    kind = random.choice(list(FaultKind))
+    lasts = random.uniform(LEAST_SECONDS, MOST_SECONDS)
+    faults: dict[FaultKind, tuple[Sequence[str], Sequence[str]]] = {
+        FaultKind.STORE: ([""], _names(StoreFault)),
+        FaultKind.STORE_LINE: (relays, _names(ProxyFault)),
+        FaultKind.REPLICA: (replicas, _names(ReplicaFault)),
+        FaultKind.REPLICA_LINE: (replicas, _names(ProxyFault)),
+        FaultKind.DRAIN: (replicas, [""]),
+        FaultKind.CONFIGURE: ([""], [""]),
+    }
+    targets, names = faults.get(kind, (relays, [""]))
+    return PlannedFault(at, kind, lasts, random.choice(targets), random.choice(names))
+
+
+def _names(faults: type[StrEnum]) -> list[str]:
+    return [one.value for one in faults if one.value != "none"]
