Bound the doubling of pauses after failed writes

Cause, from reading the change again: the pause after failed calls was the least of 1.6 s and 0.1 s x 2^n, and 2^n no longer fits a float after 1,024 failures in a row, some 15 minutes of a table that answers reads and turns writes away. The task that writes would then fail at once, again and again. Change: at most four doublings. A test fails first (OverflowError).

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -39,10 +39,10 @@
 
 TABLE = "allotments"
 ADJUST_SECONDS = 0.5
-# Pause after a failed call, and the longest after several in a row: the table turns
-# writes away that it cannot take, and those that come again at once keep it full.
+# Pause after a failed call, and how often it doubles after several in a row: the table
+# turns writes away that it cannot take, and those that come again at once keep it full.
 RETRY_SECONDS = 0.1
-MOST_RETRY_SECONDS = 1.6
+MOST_DOUBLINGS = 4
 # On its first start a fleet learns who belongs to it, before anyone holds anything.
 SETTLE_SECONDS = 1.5
 # Waits for tokens to come from the table, in turn, before a request is refused.
@@ -341,8 +341,9 @@
 
     async def _pause(self, name: str) -> None:
         """Wait after a failed call, longer after each further one."""
-        longest = min(MOST_RETRY_SECONDS, RETRY_SECONDS * 2 ** self._failures[name])
+        doublings = min(MOST_DOUBLINGS, self._failures[name])
         self._failures[name] += 1
+        longest = RETRY_SECONDS * 2**doublings
         await sleep(uniform(RETRY_SECONDS, longest), self.clock)
 
     async def _close_account(self, name: str, account: Account) -> bool | None:
--- a/packages/pondquay-daemon/tests/relay/test_accounts.py
+++ b/packages/pondquay-daemon/tests/relay/test_accounts.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
@@ -11,7 +12,11 @@
 from pondquay.routes.entities import RoutedWorkspace, RoutingConfiguration
 from pondquay.routes.table import RouteTable
 from pondquay.tables import Committed, Unreachable
-from pondquay_daemon.relay.accounts import MOST_RETRY_SECONDS, AccountBook
+from pondquay_daemon.relay.accounts import (
+    MOST_DOUBLINGS,
+    RETRY_SECONDS,
+    AccountBook,
+)
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.metrics import RelayMetrics
 
@@ -96,20 +101,35 @@
             self.clock.advance(STEP_SECONDS)
 
 
-def test_a_table_that_turns_writes_away_is_written_to_less_and_less() -> None:
-    book = Book()
-    book.advance(10.0)
+def count_writes(book: Book, seconds: float) -> int:
+    """Return how often the table is written to while requests keep coming."""
     before = len(book.store.commits)
-    while book.clock.seconds() < 20.0:
+    until = book.clock.seconds() + seconds
+    while book.clock.seconds() < until:
         book.obtain(1_000)
         book.advance(STEP_SECONDS)
-    # Pauses are drawn up to the longest; a pause of the shortest would make 200.
-    assert len(book.store.commits) - before < 70
+    return len(book.store.commits) - before
+
+
+# Pauses are drawn up to the longest; a pause of the shortest makes 100 writes in 10 s.
+@pytest.mark.parametrize("failures", [8, 5_000])
+def test_a_table_that_turns_writes_away_is_written_to_seldom(failures: int) -> None:
+    book = Book()
+    book.advance(2.0)
+    book.accounts._failures.update(dict.fromkeys(WORKSPACES, failures))
+    book.advance(2 * RETRY_SECONDS * 2**MOST_DOUBLINGS)
+    assert 0 < count_writes(book, 10.0) < 70
     book.store.full = False
-    book.advance(2 * MOST_RETRY_SECONDS)
+    book.advance(2 * RETRY_SECONDS * 2**MOST_DOUBLINGS)
     assert book.accounts.unspent() > 0
 
 
+def test_pauses_grow_with_each_failure() -> None:
+    book = Book()
+    book.advance(10.0)
+    assert count_writes(book, 10.0) < 70
+
+
 def test_nothing_is_held_before_the_list_of_instances_was_read() -> None:
     book = Book()
     book.store.full = False
