Log whether the list counted as current, and how long an upstream had been gone

Cause: of an incident in which an upstream got requests long after its row had gone, the logs could not tell whether the list counted as out of date or whether a list that lagged had brought the row back: neither the decision nor what a whole list changes was logged. Change: the line of each placing gives both; what a list that is read whole changes is logged, but for the first one. No decision changes. Conclusion: the next such request is told from its own line.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -94,7 +94,12 @@
             record = self._read(row.key, row.value)
             if record is not None:
                 records[row.key] = (record, row.version)
-        self.directory.replace(records, snapshot.version)
+        changed = self.directory.replace(records, snapshot.version)
+        if self.known:
+            # A first list is all new, and is told by its count alone.
+            for one in changed:
+                vanished = one.vanished is not None
+                self._log("upstream-vanished" if vanished else "upstream-changed", one)
         self.known = True
         log_event("upstreams-read", count=len(records), version=snapshot.version)
 
@@ -102,11 +107,11 @@
         """Take in one row of the list."""
         if change.value is None:
             removed = self.directory.remove(change.key, change.version)
-            self._log("upstream-vanished", removed)
+            self._note("upstream-vanished", removed)
             return
         record = self._read(change.key, change.value)
         if record is not None:
-            self._log("upstream-changed", self.directory.put(record, change.version))
+            self._note("upstream-changed", self.directory.put(record, change.version))
 
     def describe(self) -> list[dict[str, object]]:
         """Return what is known of each upstream, for operators."""
@@ -132,11 +137,14 @@
             log_event("upstream-malformed", Level.ERROR, upstream=key, error=error)
             return None
 
-    def _log(self, event: str, upstream: KnownUpstream | None) -> None:
+    def _note(self, event: str, upstream: KnownUpstream | None) -> None:
         if upstream is None:
             return
         if upstream.leaving:
             self._on_leaving(upstream.name)
+        self._log(event, upstream)
+
+    def _log(self, event: str, upstream: KnownUpstream) -> None:
         log_event(
             event,
             upstream=upstream.name,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -57,6 +57,10 @@
         crowded = max(1, int(self._policy.crowded_part * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
+    def list_is_current(self) -> bool:
+        """Tell whether the list counts as confirmed lately, for the logs."""
+        return self._current()
+
     def find_source(
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
     ) -> KnownUpstream | None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -94,6 +94,7 @@
         if chosen is None:
             return None
         age = parts.list_age()
+        gone = chosen.vanished
         log_event(
             "upstream-chosen",
             request=self._marks.attempt,
@@ -105,6 +106,8 @@
             failures=chosen.circuit.failures,
             tried=len(self.tried),
             list_age=-1 if age is None else round(age, 2),
+            list_current=parts.placement.list_is_current(),
+            gone=-1 if gone is None else round(parts.clock.seconds() - gone, 2),
         )
         return chosen
 
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -124,16 +124,18 @@
 
     def replace(
         self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int
-    ) -> None:
+    ) -> list[KnownUpstream]:
         """Take in the whole list as it was at some version.
 
         A list that is older than what is known removes nothing newer.
+
+        :returns: those of which it says something new
         """
-        for record, version in records.values():
-            self.put(record, version)
+        changed = [self.put(record, version) for record, version in records.values()]
         for name, known in list(self._known.items()):
             if name not in records and known.version <= at:
-                self.remove(name, at)
+                changed.append(self.remove(name, at))
+        return [one for one in changed if one is not None]
 
     def forget_instance(self, instance: str) -> None:
         """Forget what another instance has waiting, since it cannot be heard."""
