--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -1,16 +1,62 @@
+"""Callers, a table and a whole relay in memory, on clocks that tests advance."""
+
 from __future__ import annotations
 
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
-from pondquay.routes.entities import CallerLimits
+from pondquay.routes.entities import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    Service,
+    WeightedService,
+)
+from pondquay.routing.directory import UpstreamRecord
+from pondquay.tables import Committed, Row, Unreachable
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.relay.border import Border, StoreNames
 from pondquay_daemon.relay.ingress import CallerAnswer, IngressServer, RequestHandler
+from pondquay_daemon.relay.messages import AnswerMarks, RequestMarks
+from pondquay_daemon.relay.metrics import RelayMetrics
+from pondquay_daemon.relay.relay import Relay
+from pondquay_daemon.relay.settings import RelaySettings
+from pondquay_daemon.relay.store import Changes, RowChange, Snapshot, Store
 
 if TYPE_CHECKING:
-    from pondquay_daemon.relay.messages import RequestHead
+    from collections.abc import Mapping
+
+    from pondquay.tables import JsonObject, Transaction
+    from pondquay_daemon.relay.messages import (
+        AnswerHead,
+        Dispatch,
+        HeaderList,
+        RequestHead,
+    )
+
+SERVICE = "board"
+CALLERS_PORT = 8000
+CONNECT_SECONDS = 0.5
+REQUEST = b"GET /read/x HTTP/1.1\r\nHost: board.example\r\n\r\n"
+ROUTE = Route(
+    "read",
+    "board.example",
+    "/read/",
+    RequestKind.REPEATABLE,
+    timeout=2.0,
+    objective=0.2,
+    priority=0,
+    services=(WeightedService(SERVICE, 1),),
+    attempts=2,
+)
 
 
 class CallerTransport(StringTransport):
@@ -69,3 +115,181 @@
     transport = CallerTransport()
     protocol.makeConnection(transport)
     return CallerSide(clock, handler, server, transport, protocol)
+
+
+class MemoryStore(Store):
+    """A table service in memory.
+
+    :ivar away: whether it answers nothing
+    """
+
+    def __init__(self, clock: Any) -> None:
+        self._clock = clock
+        self._tables: dict[str, dict[str, Row]] = defaultdict(dict)
+        self._changes: list[tuple[str, RowChange]] = []
+        self._version = 0
+        self._waiting: list[Deferred[None]] = []
+        self.away = False
+
+    def put(self, table: str, key: str, value: JsonObject) -> None:
+        self._version += 1
+        self._tables[table][key] = Row(key, self._version, value)
+        self._tell(table, RowChange(key, self._version, value))
+
+    def delete(self, table: str, key: str) -> None:
+        self._version += 1
+        self._tables[table].pop(key, None)
+        self._tell(table, RowChange(key, self._version, None))
+
+    def put_upstream(self, name: str, address: str, *, leaving: bool = False) -> None:
+        self.put("servers", name, {"address": address, "leaving": leaving})
+
+    def delete_upstream(self, name: str) -> None:
+        self.delete("servers", name)
+
+    async def read_table(self, table: str) -> Snapshot | Unreachable:
+        if self.away:
+            return Unreachable()
+        return Snapshot(tuple(self._tables[table].values()), self._version)
+
+    async def read_row(self, key: str) -> Row | None | Unreachable:
+        table, _, name = key.partition("/")
+        return Unreachable() if self.away else self._tables[table].get(name)
+
+    async def follow(
+        self, table: str, since: int, wait: float
+    ) -> Changes | Unreachable:
+        until = self._clock.seconds() + wait
+        while not self.away and self._clock.seconds() < until:
+            if found := self._since(table, since):
+                return Changes(tuple(found), self._version)
+            await self._wait(until)
+        return Unreachable() if self.away else Changes((), self._version)
+
+    async def commit(self, transaction: Transaction) -> Committed | Unreachable:
+        if self.away:
+            return Unreachable()
+        for write in transaction.writes:
+            table, _, key = write.key.partition("/")
+            self.put(table, key, write.value or {})
+        return Committed(self._version)
+
+    def _since(self, table: str, since: int) -> list[RowChange]:
+        return [
+            change
+            for name, change in self._changes
+            if name == table and change.version > since
+        ]
+
+    async def _wait(self, until: float) -> None:
+        waiting: Deferred[None] = Deferred()
+        self._waiting.append(waiting)
+        timer = self._clock.callLater(until - self._clock.seconds(), self._wake)
+        await waiting
+        if timer.active():
+            timer.cancel()
+
+    def _tell(self, table: str, change: RowChange) -> None:
+        self._changes.append((table, change))
+        self._wake()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for one in waiting:
+            one.callback(None)
+
+
+class MemoryBorder(Border):
+    """Reads everything as it stands in memory."""
+
+    store_names = StoreNames(("op", "config"), "servers")
+    ready_path = b"/ready"
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def read_settings(self) -> RelaySettings:
+        raise NotImplementedError
+
+    def open_store(self, settings: RelaySettings, clock: Any) -> Store:
+        return self._store
+
+    def read_configuration(self, value: Mapping[str, Any]) -> RoutingConfiguration:
+        service = Service(SERVICE, "/healthz", 100)
+        return RoutingConfiguration(value["version"], (ROUTE,), (service,))
+
+    def read_upstream(self, name: str, value: Mapping[str, Any]) -> UpstreamRecord:
+        return UpstreamRecord(
+            name, SERVICE, value["address"], "hall", 4, value["leaving"]
+        )
+
+    def read_request(self, head: RequestHead) -> RequestMarks:
+        return RequestMarks("attempt", "board.example", None, None)
+
+    def name_request(self, head: RequestHead) -> str:
+        return "attempt"
+
+    def write_request(self, headers: HeaderList, dispatch: Dispatch) -> HeaderList:
+        return headers
+
+    def read_answer(self, head: AnswerHead) -> AnswerMarks:
+        return AnswerMarks("attempt", signed=True, not_run=False, misdirected=False)
+
+    def write_refusal(self, attempt: str, retry_after: float | None) -> HeaderList:
+        return []
+
+
+@dataclass
+class RelaySide:
+    """A relay, its table, and what it does towards callers and upstreams."""
+
+    clock: Any = field(default_factory=MemoryReactorClock)
+
+    def __post_init__(self) -> None:
+        self.store = MemoryStore(self.clock)
+        self.store.put("op", "config", {"version": 1})
+        self._answers: list[CallerTransport] = []
+        self._taken = 0
+        ports = [Address("10.0.1.1", CALLERS_PORT + number) for number in range(4)]
+        self.relay = Relay(
+            self.clock,
+            MemoryBorder(self.store),
+            RelaySettings("r1", "hall", *ports),
+            RelayMetrics(Counter()),
+        )
+
+    def start(self) -> None:
+        """Start it; nobody else is there."""
+        self.relay.start()
+        self.clock.advance(0)
+
+    def ask(self) -> set[str]:
+        """Send a request; return the hosts that are called for it or earlier ones."""
+        factory = next(
+            one[1] for one in self.clock.tcpServers if one[0] == CALLERS_PORT
+        )
+        protocol = factory.buildProtocol(None)
+        transport = CallerTransport()
+        protocol.makeConnection(transport)
+        self._answers.append(transport)
+        protocol.dataReceived(REQUEST)
+        return self._fail_calls()
+
+    def last_answer(self) -> bytes:
+        """Return what the last caller has got."""
+        return self._answers[-1].value()
+
+    def _fail_calls(self) -> set[str]:
+        """Have all calls to upstreams time out, and return to which hosts."""
+        calls = self.clock.tcpClients[self._taken :]
+        self._taken += len(calls)
+        for _, _, factory, timeout, _ in calls:
+            failure = Failure(ConnectTimeoutError())
+            self.clock.callLater(timeout, factory.clientConnectionFailed, None, failure)
+        return {host for host, *_ in calls}
+
+
+@pytest.fixture
+def relay() -> RelaySide:
+    """A relay that has not been started."""
+    return RelaySide()
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_departures.py
@@ -0,0 +1,50 @@
+"""An upstream got requests 17.7 s after its row had gone from the list.
+
+Seen: it left without a word, and its row was deleted while the table was in order. Much
+later the only other upstream of the service could no longer renew its row, so that one
+went too; then two instances sent requests to the one that had left.
+
+How it came about: whether the list was current was asked of the configuration's feed.
+Its age was counted from the start of the last answered poll, so while nothing changed
+it ran from 0.9 to 1.8 s and passed the bound of 1.6 s for a moment in every poll. In
+these moments upstreams whose rows had gone were candidates, however long ago that was.
+
+The cause: what an instance knew for sure, that a row had gone while the list was being
+followed, was weighed anew at each request by a sign of something else, and could be
+unlearnt. Proved here: a whole relay on a clock of the test's own, asked without pause.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .conftest import RelaySide
+
+STEP = 0.02
+# Longer than any span of the story, and than a poll of any table.
+LONG = 6.0
+
+
+def steps(seconds: float) -> Iterator[None]:
+    return iter([None] * round(seconds / STEP))
+
+
+def test_one_that_left_without_a_word_gets_nothing_once_the_others_vanish(
+    relay: RelaySide,
+) -> None:
+    relay.store.put_upstream("left", "10.0.0.1:80")
+    relay.store.put_upstream("last", "10.0.0.2:80")
+    relay.start()
+    relay.store.delete_upstream("left")
+    for _ in steps(LONG):
+        relay.clock.advance(STEP)
+    relay.store.delete_upstream("last")
+    called: set[str] = set()
+    for _ in steps(LONG):
+        relay.clock.advance(STEP)
+        called |= relay.ask()
+    assert called == {"10.0.0.2"}
+    assert relay.last_answer().startswith(b"HTTP/1.1 503")
