Keep it known that an upstream's row went, whatever becomes of the list later

Cause: an upstream whose row had gone while the list was followed was a candidate again whenever the list counted as out of date, however long ago it went. Class: a fact that was certain is judged again by a proxy, and unlearnt. Change: each vanished upstream has a time at which it is taken to have left, set when the row goes: 1.5 s later in a followed list, whatever comes after; after an interruption of a second or more, once the list has been followed for two seconds, in which lapsed rows come back. Only a newer row of its own brings it back. The configuration's age has no part in placing. Looked for elsewhere: the same dating had unknown routes and keys refused with 503 in place of 404 and 401 while the table was idle; a poll that says nothing changed is dated by its end. Replaced: a test that held that vanished upstreams are candidates whenever the list is not current was the fault written down; six stand in its place.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -40,6 +40,14 @@
     def take_change(self, change: RowChange) -> None:
         """Take in one row."""
 
+    def note_followed(self) -> None:
+        """Learn that the table answers; called before what it says is taken in."""
+        return
+
+    def note_lost(self) -> None:
+        """Learn that the table does not answer."""
+        return
+
 
 class TableFeed:
     """Keeps a listener up to date with a table.
@@ -94,6 +102,7 @@
             succeeded = await self._step()
             self._note(succeeded)
             if not succeeded:
+                self._listener.note_lost()
                 await sleep(uniform(*PAUSE_SECONDS), self._clock)
             elif self._pause:
                 await sleep(self._pause, self._clock)
@@ -116,6 +125,7 @@
             return False
         took = self._clock.seconds() - asked
         self._read_again_at = asked + max(REREAD_SECONDS, took / REREAD_PART)
+        self._listener.note_followed()
         self._listener.take_snapshot(reply)
         self._since = max(self._since or 0, reply.version)
         self._confirmed = asked
@@ -135,10 +145,20 @@
         if isinstance(reply, Unreachable):
             self._begin_doubt()
             return False
+        self._listener.note_followed()
         self._take(reply)
-        self._confirmed = asked
+        self._confirmed = self._date(reply, asked)
         return True
 
+    def _date(self, reply: Changes, asked: float) -> float:
+        """Return the time, in seconds, as of which an answer surely holds.
+
+        That nothing has changed is said at the end of the poll. Dated by its start,
+        what an idle table confirms all the time would seem up to two polls old.
+        """
+        waited = self._clock.seconds() - asked >= POLL_SECONDS
+        return asked + POLL_SECONDS if waited and not reply.changes else asked
+
     def _take(self, reply: Changes) -> None:
         self._since = max(self._since or 0, reply.version)
         for change in reply.changes:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -113,6 +113,14 @@
         if record is not None:
             self._note("upstream-changed", self.directory.put(record, change.version))
 
+    def note_followed(self) -> None:
+        """Pass on that the list is being followed."""
+        self.directory.note_followed()
+
+    def note_lost(self) -> None:
+        """Pass on that the list cannot be followed."""
+        self.directory.note_lost()
+
     def describe(self) -> list[dict[str, object]]:
         """Return what is known of each upstream, for operators."""
         return [
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -12,7 +12,7 @@
 from pondquay.routing.rendezvous import choose_by_prompt, choose_nearest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Collection
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -22,30 +22,25 @@
 
 
 class Placement:
-    """Chooses upstreams by what their caches hold and by how they behave.
-
-    :param current: tells whether the list of upstreams was confirmed lately
-    """
+    """Chooses upstreams by what their caches hold and by how they behave."""
 
     def __init__(
         self,
         clock: IReactorTime,
         directory: UpstreamDirectory,
         domain: str,
-        current: Callable[[], bool],
         policy: RelayPolicy,
     ) -> None:
         self._policy = policy
         self._clock = clock
         self._directory = directory
         self._domain = domain
-        self._current = current
 
     def choose(
         self, service: str, prefix: tuple[PromptPart, ...], tried: Collection[str]
     ) -> KnownUpstream | None:
         """Return an upstream that was not tried yet, ``None`` if there is none."""
-        known = self._directory.candidates(service, current=self._current())
+        known = self._directory.candidates(service)
         candidates = [one for one in known if one.name not in tried]
         if not candidates:
             return None
@@ -57,10 +52,6 @@
         crowded = max(1, int(self._policy.crowded_part * sound[0].record.slots))
         return choose_nearest(sound, self._domain, crowded)
 
-    def list_is_current(self) -> bool:
-        """Tell whether the list counts as confirmed lately, for the logs."""
-        return self._current()
-
     def find_source(
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
     ) -> KnownUpstream | None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -104,9 +104,7 @@
             border,
             self._pool,
             directory,
-            Placement(
-                reactor, directory, settings.domain, self._current, settings.policy
-            ),
+            Placement(reactor, directory, settings.domain, settings.policy),
             self._accounts,
             RetryShare(
                 bounds.retry_ratio,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -106,7 +106,6 @@
             failures=chosen.circuit.failures,
             tried=len(self.tried),
             list_age=-1 if age is None else round(age, 2),
-            list_current=parts.placement.list_is_current(),
             gone=-1 if gone is None else round(parts.clock.seconds() - gone, 2),
         )
         return chosen
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -44,8 +44,7 @@
 
 SERVICE = "board"
 CALLERS_PORT = 8000
-CONNECT_SECONDS = 0.5
-REQUEST = b"GET /read/x HTTP/1.1\r\nHost: board.example\r\n\r\n"
+STEP_SECONDS = 0.02
 ROUTE = Route(
     "read",
     "board.example",
@@ -263,7 +262,20 @@
         self.relay.start()
         self.clock.advance(0)
 
-    def ask(self) -> set[str]:
+    def run_for(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+
+    def ask_for(self, seconds: float, path: str = "/read/x") -> set[str]:
+        """Send a request after each step; return the hosts that are called."""
+        called: set[str] = set()
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            called |= self.ask(path)
+        return called
+
+    def ask(self, path: str = "/read/x") -> set[str]:
         """Send a request; return the hosts that are called for it or earlier ones."""
         factory = next(
             one[1] for one in self.clock.tcpServers if one[0] == CALLERS_PORT
@@ -272,12 +284,12 @@
         transport = CallerTransport()
         protocol.makeConnection(transport)
         self._answers.append(transport)
-        protocol.dataReceived(REQUEST)
+        protocol.dataReceived(b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % path.encode())
         return self._fail_calls()
 
-    def last_answer(self) -> bytes:
-        """Return what the last caller has got."""
-        return self._answers[-1].value()
+    def answers(self) -> list[bytes]:
+        """Return what each caller has got."""
+        return [one.value() for one in self._answers]
 
     def _fail_calls(self) -> set[str]:
         """Have all calls to upstreams time out, and return to which hosts."""
--- a/packages/pondquay-daemon/tests/relay/test_departures.py
+++ b/packages/pondquay-daemon/tests/relay/test_departures.py
@@ -19,19 +19,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from .conftest import RelaySide
 
-STEP = 0.02
-# Longer than any span of the story, and than a poll of any table.
+# Seconds, more than any span of the story and than a poll of any table.
 LONG = 6.0
 
 
-def steps(seconds: float) -> Iterator[None]:
-    return iter([None] * round(seconds / STEP))
-
-
 def test_one_that_left_without_a_word_gets_nothing_once_the_others_vanish(
     relay: RelaySide,
 ) -> None:
@@ -39,12 +32,31 @@
     relay.store.put_upstream("last", "10.0.0.2:80")
     relay.start()
     relay.store.delete_upstream("left")
-    for _ in steps(LONG):
-        relay.clock.advance(STEP)
+    relay.run_for(LONG)
     relay.store.delete_upstream("last")
-    called: set[str] = set()
-    for _ in steps(LONG):
-        relay.clock.advance(STEP)
-        called |= relay.ask()
-    assert called == {"10.0.0.2"}
-    assert relay.last_answer().startswith(b"HTTP/1.1 503")
+    assert relay.ask_for(LONG) == {"10.0.0.2"}
+    assert relay.answers()[-1].startswith(b"HTTP/1.1 503")
+
+
+def test_those_that_lapsed_in_an_outage_are_tried_until_they_are_back(
+    relay: RelaySide,
+) -> None:
+    relay.store.put_upstream("alive", "10.0.0.1:80")
+    relay.start()
+    relay.clock.advance(LONG)
+    relay.store.away = True
+    relay.run_for(LONG)
+    relay.store.delete_upstream("alive")
+    relay.store.away = False
+    called = relay.ask_for(LONG / 6)
+    assert called == {"10.0.0.1"}
+    relay.store.put_upstream("alive", "10.0.0.1:80")
+    assert relay.ask_for(LONG) == {"10.0.0.1"}
+
+
+def test_an_unknown_route_does_not_seem_old_while_the_table_is_idle(
+    relay: RelaySide,
+) -> None:
+    relay.start()
+    relay.ask_for(LONG, path="/unknown/")
+    assert {answer[9:12] for answer in relay.answers()} == {b"404"}
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -13,8 +13,15 @@
     from collections.abc import Callable, Mapping
 
 # Seconds for which an upstream whose row has vanished is still tried where no other is
-# left: rows also vanish when the list's store is in trouble.
+# left. It bridges a renewal that came late. One that left must get nothing new 2 s
+# after its row went, and up to 0.3 s of these pass until that is heard.
 VANISHED_SECONDS = 1.5
+# Seconds after the list can be followed again in which rows that lapsed for the store's
+# sake come back: the platform says about two.
+RETURN_SECONDS = 2.0
+# An interruption shorter than this, in seconds, makes no row lapse: a row lives for
+# several renewals, which come about once a second.
+LAPSE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +47,8 @@
 
     :param version: of the list's row that the record is from
     :param vanished: when its row was gone, in seconds
+    :param expires: when it is taken to have left since its row is gone, in seconds;
+        ``None`` while its row may have lapsed for the store's sake
     :param running: requests of this instance that are there now
     :param prompts: what waits to be read there and what has been
     :param pauses: how long its streams pause while it reads prompts
@@ -50,6 +59,7 @@
     version: int
     leaving: bool = False
     vanished: float | None = None
+    expires: float | None = None
     running: int = 0
     prompts: PromptLoad = field(default_factory=PromptLoad)
     pauses: PauseRecord = field(default_factory=PauseRecord)
@@ -66,7 +76,8 @@
     """Upstreams by service; the first sign that one leaves is final.
 
     Each start of an upstream has a name of its own, so a name that has left never
-    comes back.
+    comes back. A row that goes while the list is followed is such a sign as well, and
+    no later trouble of the store takes it back; only a newer row does.
 
     :param clock: tells the time in seconds
     """
@@ -75,7 +86,9 @@
         self._clock = clock
         self._known: dict[str, KnownUpstream] = {}
         self._gone: dict[str, int] = {}
-        self.version = 0
+        self._followed = False
+        self._followed_since = 0.0
+        self._lost_at: float | None = None
 
     def __len__(self) -> int:
         return len(self._known)
@@ -108,6 +121,7 @@
         known.record = record
         known.version = version
         known.vanished = None
+        known.expires = None
         known.leaving = known.leaving or record.leaving
         return known
 
@@ -120,8 +134,44 @@
         if known.vanished is not None:
             return None
         known.vanished = self._clock()
+        known.expires = self._plan_expiry(known.vanished)
         return known
 
+    def note_followed(self) -> None:
+        """Learn that the list is being followed, also after an interruption."""
+        if self._followed:
+            return
+        now = self._clock()
+        if self._lost_at is None or now - self._lost_at >= LAPSE_SECONDS:
+            self._followed_since = now
+        self._followed = True
+        for known in self._known.values():
+            if known.vanished is not None and known.expires is None:
+                known.expires = self._plan_expiry(now)
+
+    def note_lost(self) -> None:
+        """Learn that the list cannot be followed.
+
+        What lapsed shortly before may still be there: it had no time to come back.
+        """
+        if not self._followed:
+            return
+        self._followed = False
+        self._lost_at = self._clock()
+        returned_by = self._followed_since + RETURN_SECONDS
+        for known in self._known.values():
+            if known.vanished is None or known.expires is None:
+                continue
+            if known.vanished < returned_by and known.expires > self._lost_at:
+                known.expires = None
+
+    def _plan_expiry(self, vanished: float) -> float | None:
+        """Return when an upstream whose row is gone since some time has surely left."""
+        if not self._followed:
+            return None
+        returned_by = self._followed_since + RETURN_SECONDS
+        return max(vanished + VANISHED_SECONDS, returned_by)
+
     def replace(
         self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int
     ) -> list[KnownUpstream]:
@@ -150,12 +200,12 @@
         known.leaving = True
         return True
 
-    def candidates(self, service: str, *, current: bool = True) -> list[KnownUpstream]:
+    def candidates(self, service: str) -> list[KnownUpstream]:
         """Return those that may get new work.
 
         Rows vanish when an upstream leaves without a word, but also when the list's
         store is in trouble. Vanished ones are tried only where nothing else is left,
-        and no longer than for a moment if the list is current.
+        and until they are taken to have left.
         """
         of_service = [
             one
@@ -163,7 +213,7 @@
             if one.record.service == service and not one.leaving
         ]
         present = [one for one in of_service if one.vanished is None]
-        if present or not current:
-            return present or of_service
-        since = self._clock() - VANISHED_SECONDS
-        return [one for one in of_service if (one.vanished or 0.0) > since]
+        if present:
+            return present
+        now = self._clock()
+        return [one for one in of_service if one.expires is None or now < one.expires]
--- a/packages/pondquay/tests/routing/test_directory.py
+++ b/packages/pondquay/tests/routing/test_directory.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 from pondquay.routing.directory import (
+    LAPSE_SECONDS,
+    RETURN_SECONDS,
     VANISHED_SECONDS,
     UpstreamDirectory,
     UpstreamRecord,
@@ -42,15 +44,89 @@
     assert names(directory) == ["u2"]
 
 
+def follow(time: list[float], *upstreams: str) -> UpstreamDirectory:
+    """Return what is known of a list that has been followed for long."""
+    directory = UpstreamDirectory(lambda: time[0])
+    directory.note_followed()
+    for number, name in enumerate(upstreams, 1):
+        directory.put(record(name), number)
+    time[0] += RETURN_SECONDS
+    return directory
+
+
+def interrupt(directory: UpstreamDirectory, time: list[float], seconds: float) -> None:
+    directory.note_lost()
+    time[0] += seconds
+    directory.note_followed()
+
+
 def test_where_all_have_vanished_they_are_still_tried_for_a_moment() -> None:
     time = [100.0]
-    directory = UpstreamDirectory(lambda: time[0])
-    directory.put(record("u1"), 1)
+    directory = follow(time, "u1")
+    directory.remove("u1", 2)
+    assert names(directory) == ["u1"]
+    time[0] += VANISHED_SECONDS
+    assert names(directory) == []
+
+
+def test_one_that_vanished_from_a_followed_list_stays_gone_in_later_trouble() -> None:
+    time = [100.0]
+    directory = follow(time, "u1")
     directory.remove("u1", 2)
+    directory.note_lost()
     assert names(directory) == ["u1"]
     time[0] += VANISHED_SECONDS
     assert names(directory) == []
-    assert directory.candidates("judge", current=False)
+    directory.note_followed()
+    assert names(directory) == []
+
+
+def test_rows_that_lapsed_in_an_outage_have_time_to_come_back() -> None:
+    time = [100.0]
+    directory = follow(time, "u1", "u2")
+    interrupt(directory, time, 5.0)
+    directory.replace({}, at=9)
+    time[0] += RETURN_SECONDS - 0.1
+    assert names(directory) == ["u1", "u2"]
+    directory.put(record("u2"), 10)
+    assert names(directory) == ["u2"]
+    time[0] += 0.1
+    directory.put(record("u2", leaving=True), 11)
+    assert names(directory) == []
+
+
+def test_an_outage_that_comes_again_too_soon_leaves_them_more_time() -> None:
+    time = [100.0]
+    directory = follow(time, "u1")
+    interrupt(directory, time, 5.0)
+    directory.replace({}, at=9)
+    time[0] += RETURN_SECONDS / 2
+    directory.note_lost()
+    time[0] += 5.0
+    assert names(directory) == ["u1"]
+    directory.note_followed()
+    time[0] += RETURN_SECONDS
+    assert names(directory) == []
+    directory.note_lost()
+    assert names(directory) == []
+
+
+def test_a_short_interruption_makes_no_row_lapse() -> None:
+    time = [100.0]
+    directory = follow(time, "u1")
+    interrupt(directory, time, LAPSE_SECONDS / 2)
+    directory.remove("u1", 2)
+    time[0] += VANISHED_SECONDS
+    assert names(directory) == []
+
+
+def test_a_newer_row_brings_one_back_that_had_only_lapsed() -> None:
+    time = [100.0]
+    directory = follow(time, "u1")
+    directory.remove("u1", 2)
+    time[0] += VANISHED_SECONDS
+    directory.put(record("u1"), 3)
+    assert names(directory) == ["u1"]
 
 
 def test_a_list_that_lags_removes_nothing_newer() -> None:
