--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -282,6 +282,30 @@
     assert pair.nodes[0].tokens == 80
 
 
+def test_a_lender_that_answers_late_is_asked_once_at_a_time() -> None:
+    """After a loss of all instances hardly any request got tokens.
+
+    Seen: nearly all that a busy workspace had left was at one instance that had no use
+    for it, and was lost with it; for seconds before, all others were refused.
+
+    How it came about: that instance's network was slow. Each of its requests asked
+    lenders, gave up after 40 ms and asked again. Lenders answered each of these
+    messages a second and more later, as if it were still waited for.
+
+    The cause: nothing bounds the demands that are under way to one lender, so what is
+    lent grows with the delay. Proved by the lenders' and the borrower's logs: 6.4
+    million tokens were lent to it in 1.5 s and reached it 2 s later.
+    """
+    pair = Pair(1)
+    pair.nodes[1].tokens = 1_000_000
+    for _ in range(50):
+        Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 10_000))
+        pair.clock.advance(0.02)
+    pair.pump()
+    assert pair.nodes[0].tokens == 10_000
+    assert pair.nodes[1].tokens == 990_000
+
+
 def test_a_silent_link_is_dropped() -> None:
     pair = Pair(1)
     for _ in range(6):
