Have one demand for a workspace under way to a lender at most

Cause: a borrower gave a demand up after 40 ms and sent the next; the lender, which cannot know that, lent for each when it read them. Change: whoever asks while a demand is under way waits for its answer; once it is overdue nobody waits. It ends with its answer or its link.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -44,6 +44,8 @@
 HEARTBEAT_SECONDS = 0.5
 SILENT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
+# Seconds in which a loan comes over links in order: a few milliseconds, and as many
+# again at a busy lender. After it, a demand is overdue; judged.
 LOAN_SECONDS = 0.04
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
@@ -73,6 +75,19 @@
         return cls(Address.parse(address), domain)
 
 
+@dataclass(slots=True)
+class LoanDemand:
+    """Tokens of one workspace that a peer was asked for.
+
+    :param overdue_at: when waiting for the answer no longer helps, in seconds
+    :param answer: fires with the tokens that came
+    """
+
+    number: int
+    overdue_at: float
+    answer: Deferred[int]
+
+
 class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
@@ -101,7 +116,7 @@
         self._all: set[PeerLink] = set()
         self._connecting: set[Address] = set()
         self._numbers = count(1)
-        self._loans: dict[int, Deferred[int]] = {}
+        self._demands: dict[tuple[PeerLink, str], LoanDemand] = {}
         self._loads: dict[str, list[str]] = {}
         self._counts: dict[str, Callable[[], int]] = {}
         self._fetch = ConfigurationFetch(self.clock, listener, self._all)
@@ -173,17 +188,27 @@
     async def borrow(
         self, peer: str, workspace: str, tokens: int, ahead: int = 0
     ) -> int:
-        """Ask a peer for tokens; return how many came in time."""
+        """Ask a peer for tokens; return how many came in time.
+
+        One demand for a workspace is under way to a peer at most; who asks meanwhile
+        waits for the same answer, or not at all if that is overdue. A lender cannot
+        tell that nobody waits any more, so over a network that is a second late it
+        would lend for all demands of that second: all of a workspace's tokens, to one
+        instance.
+        """
         link = self._links.get(peer)
         if link is None:
             return 0
-        number = next(self._numbers)
-        waiting: Deferred[int] = Deferred()
-        self._loans[number] = waiting
-        link.send(LoanRequest(number, workspace, tokens, ahead))
-        lent = await wait_at_most(waiting, LOAN_SECONDS, self.clock, 0)
-        self._loans.pop(number, None)
-        return lent
+        now = self.clock.seconds()
+        demand = self._demands.get((link, workspace))
+        if demand is None:
+            demand = LoanDemand(next(self._numbers), now + LOAN_SECONDS, Deferred())
+            self._demands[link, workspace] = demand
+            link.send(LoanRequest(demand.number, workspace, tokens, ahead))
+        seconds = demand.overdue_at - now
+        if seconds <= 0:
+            return 0
+        return await wait_at_most(demand.answer, seconds, self.clock, 0)
 
     def give(self, peer: str, workspace: str, tokens: int) -> None:
         """Hand over tokens that were counted as spent here."""
@@ -204,6 +229,8 @@
     def lose(self, link: PeerLink) -> None:
         """Forget a link."""
         self._all.discard(link)
+        for key in [one for one in self._demands if one[0] is link]:
+            self._demands.pop(key).answer.callback(0)
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
             self._listener.forget_loads(link.instance)
@@ -234,7 +261,7 @@
 
     def _receive_tokens(self, link: PeerLink, message: LoanRequest | Loan) -> None:
         if isinstance(message, Loan):
-            self._receive_loan(message)
+            self._receive_loan(link, message)
             return
         lent = self._listener.lend(message.workspace, message.tokens, message.ahead)
         link.send(Loan(message.number, message.workspace, lent))
@@ -270,13 +297,14 @@
             log_event("peer-malformed", Level.WARNING, peer=link.instance, error=error)
             link.drop()
 
-    def _receive_loan(self, loan: Loan) -> None:
+    def _receive_loan(self, link: PeerLink, loan: Loan) -> None:
         """Take a loan, also one that comes after it was waited for."""
         if loan.tokens > 0:
             self._listener.receive_loan(loan.workspace, loan.tokens)
-        waiting = self._loans.get(loan.number)
-        if waiting is not None and not waiting.called:
-            waiting.callback(loan.tokens)
+        demand = self._demands.get((link, loan.workspace))
+        if demand is not None and demand.number == loan.number:
+            del self._demands[link, loan.workspace]
+            demand.answer.callback(loan.tokens)
 
     async def _beat(self) -> None:
         self._drop_silent()
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -19,7 +19,7 @@
 from pondquay_daemon.relay.peerlinks import PeerLink
 from pondquay_daemon.relay.peerlistener import PeerListener
 from pondquay_daemon.relay.peermessages import ConfigurationValue
-from pondquay_daemon.relay.peers import LOADS_SECONDS, Member, PeerMesh
+from pondquay_daemon.relay.peers import LOADS_SECONDS, LOAN_SECONDS, Member, PeerMesh
 
 
 @dataclass
@@ -306,6 +306,35 @@
     assert pair.nodes[1].tokens == 990_000
 
 
+def test_nobody_waits_for_a_lender_whose_answer_is_overdue() -> None:
+    pair = Pair(1)
+    pair.nodes[1].tokens = 100
+    results: list[int] = []
+    first = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+    first.addCallback(results.append)
+    pair.clock.advance(LOAN_SECONDS)
+    assert results == [0]
+    again = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+    again.addCallback(results.append)
+    assert results == [0, 0]
+    pair.pump()
+    assert pair.nodes[0].tokens == 80
+    later = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 10))
+    later.addCallback(results.append)
+    pair.pump()
+    assert results == [0, 0, 10]
+
+
+def test_a_demand_ends_with_its_link() -> None:
+    pair = Pair(1)
+    results: list[int] = []
+    asked = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+    asked.addCallback(results.append)
+    pair.ends[0][0].drop()
+    pair.pump()
+    assert results == [0]
+
+
 def test_a_silent_link_is_dropped() -> None:
     pair = Pair(1)
     for _ in range(6):
