--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -17,8 +17,6 @@
 # Part of the prepaid tokens that they keep while no demand is known, and at most.
 FIRST_OF_PREPAID = 0.15
 MOST_OF_PREPAID = 0.25
-# Part of what is left that they keep at most.
-MOST_OF_LEFT = 0.4
 # Part of the prepaid tokens that an instance keeps before it knows the others.
 FIRST_PART = 0.03
 # Rate that is added to each instance's, as a part of the mean, so that all get some.
@@ -47,7 +45,9 @@
     need = account.policy.cover_seconds * rate + COVER_REQUESTS * account.demand.largest
     if rate == 0.0:
         need = FIRST_OF_PREPAID * account.prepaid
-    most = min(MOST_OF_PREPAID * account.prepaid, MOST_OF_LEFT * account.left())
+    most = min(
+        MOST_OF_PREPAID * account.prepaid, account.policy.most_of_left * account.left()
+    )
     return min(need, most)
 
 
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -23,6 +23,8 @@
         beyond it a row would have more writers than the store takes
     :param cover_seconds: seconds of the demand of all that they keep ahead; outages of
         the table last about 5 s on the users' bench, and 4 s measured worse
+    :param most_of_left: part of what a workspace has left that they keep ahead at most;
+        a loss of all instances loses it
     :param ahead_seconds: seconds of its own demand that an instance without tokens of
         its own borrows ahead; judged, since such instances see few requests
     :param return_part: part of its largest request from which such an instance hands
@@ -44,6 +46,7 @@
     last_part: float = 0.03
     most_holders: int = 16
     cover_seconds: float = 8.0
+    most_of_left: float = 0.4
     ahead_seconds: float = 1.0
     return_part: float = 0.25
     come_back_seconds: float = 0.1
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -8,11 +8,11 @@
 from pondquay.budgets.accounts import RATE_SECONDS, Account
 from pondquay.budgets.allotments import Allotment, AllotmentRow
 from pondquay.budgets.headroom import (
-    MOST_OF_LEFT,
     MOST_OF_PREPAID,
     plan_headroom,
     target_headroom,
 )
+from pondquay.policy import DEFAULT_POLICY
 
 PREPAID = 1_000_000
 NOW = 100.0
@@ -46,7 +46,7 @@
         others = asked[:at] + asked[at + 1 :]
         total += target_headroom(make_account(rate, others, used=used), NOW)
     left = PREPAID - used
-    bound = min(MOST_OF_PREPAID * PREPAID, MOST_OF_LEFT * left)
+    bound = min(MOST_OF_PREPAID * PREPAID, DEFAULT_POLICY.most_of_left * left)
     # Rates are whole numbers in the row, so parts may overlap by a little.
     assert total <= 1.01 * bound + len(asked)
 
