Lose no news that an upstream leaves: late links, unknown names, whole lists, old rows

Change: an instance keeps departures, with the version at which the row went or for good, tells them as they come and on each new link, and takes in a peer's. A row that may have lapsed for the store's sake is no departure. What has left and runs nothing is forgotten, where all lives of upstreams were kept for ever.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from pondquay.routing.directory import (
+        Departure,
         KnownUpstream,
         UpstreamDirectory,
         UpstreamRecord,
@@ -73,17 +74,17 @@
 class UpstreamView(TableListener):
     """Keeps the directory of upstreams up to date with the store's list.
 
-    :param on_leaving: called with the name of an upstream that is heard to leave
+    :param on_departure: called with the news that an upstream leaves
     """
 
     def __init__(
         self,
         border: Border,
         directory: UpstreamDirectory,
-        on_leaving: Callable[[str], None],
+        on_departure: Callable[[Departure], None],
     ) -> None:
         self._border = border
-        self._on_leaving = on_leaving
+        self._on_departure = on_departure
         self.directory = directory
         self.known = False
 
@@ -99,7 +100,7 @@
             # A first list is all new, and is told by its count alone.
             for one in changed:
                 vanished = one.vanished is not None
-                self._log("upstream-vanished" if vanished else "upstream-changed", one)
+                self._note("upstream-vanished" if vanished else "upstream-changed", one)
         self.known = True
         log_event("upstreams-read", count=len(records), version=snapshot.version)
 
@@ -148,11 +149,9 @@
     def _note(self, event: str, upstream: KnownUpstream | None) -> None:
         if upstream is None:
             return
-        if upstream.leaving:
-            self._on_leaving(upstream.name)
-        self._log(event, upstream)
-
-    def _log(self, event: str, upstream: KnownUpstream) -> None:
+        departure = self.directory.find_departure(upstream.name)
+        if departure is not None:
+            self._on_departure(departure)
         log_event(
             event,
             upstream=upstream.name,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from pondquay.routing.directory import Departure
 
 
 class PeerListener(ABC):
@@ -39,7 +42,11 @@
         """Take in that a peer cannot be heard."""
 
     @abstractmethod
-    def note_leaving(self, upstream: str) -> None:
+    def departures(self) -> list[Departure]:
+        """Return what is known of upstreams that leave, the newest last."""
+
+    @abstractmethod
+    def hear_departure(self, departure: Departure) -> None:
         """Take in that an upstream leaves."""
 
     @abstractmethod
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -73,11 +73,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamLeaves:
-    """Says that an upstream leaves, or that its row is gone."""
+class UpstreamDepartures:
+    """Names upstreams that leave or have left.
 
-    CODE: ClassVar[int] = 5
-    upstream: str
+    :param departures: for each its name, and the version at which its row was gone,
+        ``None`` if it said so itself
+    """
+
+    CODE: ClassVar[int] = 9
+    departures: list[tuple[str, int | None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +128,7 @@
     | Heartbeat
     | FetchConfiguration
     | ConfigurationValue
-    | UpstreamLeaves
+    | UpstreamDepartures
     | LoanRequest
     | Loan
     | UpstreamLoads
@@ -136,7 +140,7 @@
         Heartbeat,
         FetchConfiguration,
         ConfigurationValue,
-        UpstreamLeaves,
+        UpstreamDepartures,
         LoanRequest,
         Loan,
         UpstreamLoads,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -13,6 +13,7 @@
 
 from twisted.internet.defer import Deferred
 
+from pondquay.routing.directory import Departure
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
@@ -26,7 +27,7 @@
     Hello,
     Loan,
     LoanRequest,
-    UpstreamLeaves,
+    UpstreamDepartures,
     UpstreamLoads,
     encode_message,
 )
@@ -54,6 +55,9 @@
 # borrows there, and some of the others.
 MOST_LINKS = 64
 MOST_FAR_LINKS = 16
+# Departures that are told on a new link, the newest: about 5 KB. Those before are long
+# gone, and the platform's list has lost them for everyone.
+MOST_TOLD = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +79,11 @@
         return cls(Address.parse(address), domain)
 
 
+def pack_departures(departures: Iterable[Departure]) -> UpstreamDepartures:
+    """Return the message that tells of departures."""
+    return UpstreamDepartures([(one.name, one.version) for one in departures])
+
+
 @dataclass(slots=True)
 class LoanDemand:
     """Tokens of one workspace that a peer was asked for.
@@ -158,9 +167,9 @@
         """Tell all peers which configuration is in force here."""
         self._send_all(Heartbeat(self._listener.configuration_version()))
 
-    def announce_leaving(self, upstream: str) -> None:
+    def announce_departure(self, departure: Departure) -> None:
         """Tell all peers that an upstream leaves."""
-        self._send_all(UpstreamLeaves(upstream))
+        self._send_all(pack_departures([departure]))
 
     def announce_load(
         self, upstream: str, count: Callable[[], int], parts: Iterable[str]
@@ -225,6 +234,7 @@
         }
         link.send(Hello(self._instance, members))
         link.send(Heartbeat(self._listener.configuration_version()))
+        link.send(pack_departures(self._listener.departures()[-MOST_TOLD:]))
 
     def lose(self, link: PeerLink) -> None:
         """Forget a link."""
@@ -251,8 +261,9 @@
             self._send_configuration(link)
         elif isinstance(message, ConfigurationValue):
             self._receive_configuration(link, message)
-        elif isinstance(message, UpstreamLeaves):
-            self._listener.note_leaving(message.upstream)
+        elif isinstance(message, UpstreamDepartures):
+            for name, version in message.departures:
+                self._listener.hear_departure(Departure(name, version))
         elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -39,7 +39,7 @@
     from typing import Any
 
     from pondquay.routes.table import RouteTable
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.directory import Departure, KnownUpstream
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -119,7 +119,9 @@
             self._announce_load,
         )
         self._configuration = ConfigurationView(border, self._take_table)
-        self._upstreams = UpstreamView(border, directory, self._peers.announce_leaving)
+        self._upstreams = UpstreamView(
+            border, directory, self._peers.announce_departure
+        )
         names = border.store_names
         self._feed = TableFeed(
             reactor, self._store, names.configuration[0], self._configuration
@@ -289,10 +291,19 @@
         """Take in that a peer cannot be heard."""
         self._parts.directory.forget_instance(instance)
 
-    def note_leaving(self, upstream: str) -> None:
-        """Take in that a peer heard of an upstream's leaving."""
-        if self._parts.directory.note_leaving(upstream):
-            log_event("upstream-leaves", upstream=upstream, source="peer")
+    def departures(self) -> list[Departure]:
+        """Return what is known here of upstreams that leave."""
+        return self._parts.directory.departures()
+
+    def hear_departure(self, departure: Departure) -> None:
+        """Take in that a peer knows of an upstream's leaving."""
+        if self._parts.directory.hear(departure):
+            log_event(
+                "upstream-leaves",
+                upstream=departure.name,
+                version=departure.version or "for good",
+                source="peer",
+            )
 
     def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         """Hand tokens to a peer."""
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -10,6 +10,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.test.iosim import FakeTransport, IOPump
 
+from pondquay.routing.directory import Departure
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.relay.configurationfetch import (
     FETCH_SECONDS,
@@ -34,7 +35,8 @@
     sent: int = 0
     served: bool = False
     value: dict[str, Any] | None = None
-    left: list[str] = field(default_factory=list)
+    left: list[Departure] = field(default_factory=list)
+    heard: list[Departure] = field(default_factory=list)
     tokens: int = 0
     loads: dict[tuple[str, str], int] = field(default_factory=dict)
     read: list[str] = field(default_factory=list)
@@ -61,8 +63,11 @@
     def forget_loads(self, instance: str) -> None:
         self.loads = {key: one for key, one in self.loads.items() if key[0] != instance}
 
-    def note_leaving(self, upstream: str) -> None:
-        self.left.append(upstream)
+    def departures(self) -> list[Departure]:
+        return self.left
+
+    def hear_departure(self, departure: Departure) -> None:
+        self.heard.append(departure)
 
     def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         lent = min(self.tokens, tokens)
@@ -226,11 +231,20 @@
     assert star.nodes[0].value == {"version": 3}
 
 
-def test_a_peer_hears_that_an_upstream_leaves() -> None:
+@pytest.mark.parametrize("version", [None, 7])
+def test_a_peer_hears_that_an_upstream_leaves(version: int | None) -> None:
+    pair = Pair(1)
+    pair.meshes[1].announce_departure(Departure("u1", version))
+    pair.pump()
+    assert pair.nodes[0].heard == [Departure("u1", version)]
+
+
+def test_a_link_that_opens_later_tells_who_has_left_before() -> None:
     pair = Pair(1)
-    pair.meshes[1].announce_leaving("u1")
+    pair.nodes[1].left = [Departure("u1"), Departure("u2", 7)]
+    pair.pumps.append(pair.link(pair.meshes[1]))
     pair.pump()
-    assert pair.nodes[0].left == ["u1"]
+    assert pair.nodes[0].heard == pair.nodes[1].left
 
 
 def test_peers_hear_what_waits_at_an_upstream_as_it_is_when_it_is_told() -> None:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -2,26 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.listwatch import VANISHED_SECONDS, ListWatch
 from pondquay.routing.pauses import PauseRecord
 from pondquay.routing.promptload import PromptLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-# Seconds for which an upstream whose row has vanished is still tried where no other is
-# left. It bridges a renewal that came late. One that left must get nothing new 2 s
-# after its row went, and up to 0.3 s of these pass until that is heard.
-VANISHED_SECONDS = 1.5
-# Seconds after the list can be followed again in which rows that lapsed for the store's
-# sake come back: the platform says about two.
-RETURN_SECONDS = 2.0
-# An interruption shorter than this, in seconds, makes no row lapse: a row lives for
-# several renewals, which come about once a second.
-LAPSE_SECONDS = 1.0
+# Departures that an instance remembers: more than a day of releases in a large fleet.
+# Each is for news that comes late: by a list that lags, or by a link after a cut.
+MOST_DEPARTURES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +36,18 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """News that an upstream leaves or has left.
+
+    :param version: at which its row was gone, ``None`` if it said so itself; then no
+        newer row takes it back
+    """
+
+    name: str
+    version: int | None = None
+
+
 @dataclass(slots=True)
 class KnownUpstream:
     """An upstream and what this instance has seen of it.
@@ -84,11 +91,11 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self._watch = ListWatch()
         self._known: dict[str, KnownUpstream] = {}
-        self._gone: dict[str, int] = {}
-        self._followed = False
-        self._followed_since = 0.0
-        self._lost_at: float | None = None
+        # The newest version at which each row is known to have been gone.
+        self._removed: dict[str, int] = {}
+        self._departures: dict[str, Departure] = {}
 
     def __len__(self) -> int:
         return len(self._known)
@@ -107,70 +114,50 @@
         """Return an upstream by its name."""
         return self._known.get(name)
 
+    def departures(self) -> list[Departure]:
+        """Return what is known of those that leave, the newest last."""
+        return list(self._departures.values())
+
+    def find_departure(self, name: str) -> Departure | None:
+        """Return the news that an upstream leaves, if it does."""
+        return self._departures.get(name)
+
     def put(self, record: UpstreamRecord, version: int) -> KnownUpstream | None:
         """Take in a row of the list, ``None`` if it says nothing new."""
-        if self._gone.get(record.name, 0) >= version:
+        name = record.name
+        if record.leaving:
+            self.note_leaving(name)
+        if self._removed.get(name, 0) >= version:
             return None
-        known = self._known.get(record.name)
-        if known is None:
-            known = KnownUpstream(record, version, leaving=record.leaving)
-            self._known[record.name] = known
-            return known
-        if known.version >= version and known.vanished is None:
+        known = self._known.get(name)
+        if known is not None and known.version >= version and known.vanished is None:
             return None
+        departure = self._departures.get(name)
+        if departure is not None and departure.version is not None:
+            # It had only lapsed.
+            del self._departures[name]
+            departure = None
+        if known is None:
+            known = self._known[name] = KnownUpstream(record, version)
         known.record = record
         known.version = version
         known.vanished = None
         known.expires = None
-        known.leaving = known.leaving or record.leaving
+        known.leaving = known.leaving or departure is not None
         return known
 
     def remove(self, name: str, version: int) -> KnownUpstream | None:
         """Take in that a row is gone, ``None`` if that is not new."""
-        self._gone[name] = max(version, self._gone.get(name, 0))
+        self._note_removed(name, version)
         known = self._known.get(name)
-        if known is None or known.version > version:
+        if known is None or known.version > version or known.vanished is not None:
             return None
-        if known.vanished is not None:
-            return None
-        known.vanished = self._clock()
-        known.expires = self._plan_expiry(known.vanished)
-        return known
-
-    def note_followed(self) -> None:
-        """Learn that the list is being followed, also after an interruption."""
-        if self._followed:
-            return
         now = self._clock()
-        if self._lost_at is None or now - self._lost_at >= LAPSE_SECONDS:
-            self._followed_since = now
-        self._followed = True
-        for known in self._known.values():
-            if known.vanished is not None and known.expires is None:
-                known.expires = self._plan_expiry(now)
-
-    def note_lost(self) -> None:
-        """Learn that the list cannot be followed.
-
-        What lapsed shortly before may still be there: it had no time to come back.
-        """
-        if not self._followed:
-            return
-        self._followed = False
-        self._lost_at = self._clock()
-        returned_by = self._followed_since + RETURN_SECONDS
-        for known in self._known.values():
-            if known.vanished is None or known.expires is None:
-                continue
-            if known.vanished < returned_by and known.expires > self._lost_at:
-                known.expires = None
-
-    def _plan_expiry(self, vanished: float) -> float | None:
-        """Return when an upstream whose row is gone since some time has surely left."""
-        if not self._followed:
-            return None
-        returned_by = self._followed_since + RETURN_SECONDS
-        return max(vanished + VANISHED_SECONDS, returned_by)
+        known.vanished = now
+        known.expires = self._watch.plan_expiry(now)
+        if self._watch.is_departure(now):
+            self._remember(Departure(name, version))
+        return known
 
     def replace(
         self, records: Mapping[str, tuple[UpstreamRecord, int]], at: int
@@ -187,19 +174,62 @@
                 changed.append(self.remove(name, at))
         return [one for one in changed if one is not None]
 
-    def forget_instance(self, instance: str) -> None:
-        """Forget what another instance has waiting, since it cannot be heard."""
+    def note_followed(self) -> None:
+        """Learn that the list is being followed, also after an interruption."""
+        now = self._clock()
+        self._watch.begin(now)
         for known in self._known.values():
-            known.prompts.hear(instance, 0)
+            if known.vanished is not None and known.expires is None:
+                known.expires = self._watch.plan_expiry(now)
+
+    def note_lost(self) -> None:
+        """Learn that the list cannot be followed.
+
+        What lapsed shortly before may still be there: it had no time to come back.
+        """
+        now = self._clock()
+        self._watch.interrupt(now)
+        for name, known in self._known.items():
+            pending = known.expires is not None and known.expires > now
+            if pending and name not in self._departures:
+                known.expires = None
 
     def note_leaving(self, name: str) -> bool:
-        """Note an upstream's own sign that it leaves; tell whether that is new."""
+        """Note an upstream's own sign that it leaves; tell whether that is new.
+
+        It is kept for names that are not known yet: a list that lags may bring them.
+        """
+        departure = self._departures.get(name)
+        if departure is not None and departure.version is None:
+            return False
+        self._remember(Departure(name))
         known = self._known.get(name)
-        if known is None or known.leaving:
+        if known is not None:
+            known.leaving = True
+        return True
+
+    def hear(self, departure: Departure) -> bool:
+        """Take in what another instance knows; tell whether that is new."""
+        if departure.version is None:
+            return self.note_leaving(departure.name)
+        known = self._known.get(departure.name)
+        if known is not None and known.version > departure.version:
             return False
-        known.leaving = True
+        self._note_removed(departure.name, departure.version)
+        if departure.name in self._departures:
+            return False
+        self._remember(departure)
+        if known is not None:
+            now = self._clock()
+            known.vanished = known.vanished or now
+            known.expires = min(now + VANISHED_SECONDS, known.expires or math.inf)
         return True
 
+    def forget_instance(self, instance: str) -> None:
+        """Forget what another instance has waiting, since it cannot be heard."""
+        for known in self._known.values():
+            known.prompts.hear(instance, 0)
+
     def candidates(self, service: str) -> list[KnownUpstream]:
         """Return those that may get new work.
 
@@ -217,3 +247,29 @@
             return present
         now = self._clock()
         return [one for one in of_service if one.expires is None or now < one.expires]
+
+    def _note_removed(self, name: str, version: int) -> None:
+        before = self._removed.pop(name, 0)
+        self._removed[name] = max(version, before)
+        _drop_oldest(self._removed)
+        self._forget_departed()
+
+    def _remember(self, departure: Departure) -> None:
+        before = self._departures.pop(departure.name, departure)
+        final = before.version is None
+        self._departures[departure.name] = before if final else departure
+        _drop_oldest(self._departures)
+
+    def _forget_departed(self) -> None:
+        """Drop those that have left and run nothing of this instance any more."""
+        now = self._clock()
+        for name, known in list(self._known.items()):
+            expired = known.expires is not None and known.expires <= now
+            if expired and known.running == 0:
+                del self._known[name]
+
+
+def _drop_oldest(entries: dict[str, Any]) -> None:
+    """Keep no more than are ever asked for again."""
+    if len(entries) > MOST_DEPARTURES:
+        del entries[next(iter(entries))]
--- a/packages/pondquay/tests/routing/test_directory.py
+++ b/packages/pondquay/tests/routing/test_directory.py
@@ -1,12 +1,7 @@
 from __future__ import annotations
 
-from pondquay.routing.directory import (
-    LAPSE_SECONDS,
-    RETURN_SECONDS,
-    VANISHED_SECONDS,
-    UpstreamDirectory,
-    UpstreamRecord,
-)
+from pondquay.routing.directory import Departure, UpstreamDirectory, UpstreamRecord
+from pondquay.routing.listwatch import LAPSE_SECONDS, RETURN_SECONDS, VANISHED_SECONDS
 
 now = [100.0]
 
@@ -129,6 +124,62 @@
     assert names(directory) == ["u1"]
 
 
+def test_one_that_is_heard_to_leave_before_it_is_known_gets_no_work() -> None:
+    directory = UpstreamDirectory(lambda: now[0])
+    directory.note_leaving("u1")
+    directory.put(record("u1"), 1)
+    assert names(directory) == []
+
+
+def test_a_peer_tells_that_a_row_is_gone_while_the_list_is_away() -> None:
+    time = [100.0]
+    directory = follow(time, "u1", "u2")
+    directory.note_lost()
+    assert directory.hear(Departure("u1", 3))
+    assert not directory.hear(Departure("u1", 3))
+    assert names(directory) == ["u2"]
+    directory.hear(Departure("u2"))
+    time[0] += VANISHED_SECONDS
+    assert names(directory) == []
+
+
+def test_news_that_a_row_is_gone_is_older_than_a_newer_row() -> None:
+    time = [100.0]
+    directory = follow(time, "u1")
+    directory.put(record("u1"), 9)
+    assert not directory.hear(Departure("u1", 8))
+    assert names(directory) == ["u1"]
+    directory.hear(Departure("u1", 10))
+    directory.put(record("u1"), 11)
+    time[0] += VANISHED_SECONDS
+    assert names(directory) == ["u1"]
+    assert directory.departures() == []
+
+
+def test_only_a_row_that_cannot_have_lapsed_is_news_for_others() -> None:
+    time = [100.0]
+    directory = follow(time, "u1", "u2")
+    interrupt(directory, time, 5.0)
+    directory.remove("u1", 8)
+    assert directory.departures() == []
+    time[0] += RETURN_SECONDS
+    directory.remove("u2", 9)
+    assert directory.departures() == [Departure("u2", 9)]
+
+
+def test_what_has_left_and_runs_nothing_is_forgotten() -> None:
+    time = [100.0]
+    directory = follow(time, "u1", "u2", "u3")
+    busy = directory.find("u2")
+    assert busy is not None
+    busy.running = 1
+    directory.remove("u1", 7)
+    directory.remove("u2", 8)
+    time[0] += VANISHED_SECONDS
+    directory.remove("u3", 9)
+    assert sorted(one.name for one in directory.all()) == ["u2", "u3"]
+
+
 def test_a_list_that_lags_removes_nothing_newer() -> None:
     directory = UpstreamDirectory(lambda: now[0])
     directory.put(record("u1"), 1)
