--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/completionruns.py
@@ -0,0 +1,190 @@
+"""Chat completions: attempts at engines until an answer is whole or given up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from pondquay.routing.admission import ORDER
+from pondquay.routing.policies import Work
+from pondquay.routing.upstreams import ENGINE
+from pondquay.streams import Answer, Frame, Verdict
+from pondquay_daemon.calls import Delivered, KeptAnswer, Refusal
+from pondquay_daemon.engines import Completion, StreamState
+from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.progress import refuse_unfinished
+from pondquay_daemon.tasks import sleep
+from pondquay_daemon.upstreams import Wish
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay_daemon.calls import CompletionCall, FrameSink
+    from pondquay_daemon.engines import Engines
+    from pondquay_daemon.grants import GrantTask
+    from pondquay_daemon.metrics import Metrics
+    from pondquay_daemon.progress import Progress, Started
+    from pondquay_daemon.recovery import Recovery
+    from pondquay_daemon.requestattempts import Attempts
+    from pondquay_daemon.requestindex import RequestIndex
+
+MOST_RESUMES = 3
+RESUME_PAUSE_SECONDS = 0.2
+
+
+class CompletionRuns:
+    """Runs chat completions that have been claimed."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        attempts: Attempts,
+        grants: GrantTask,
+        engines: Engines,
+        recovery: Recovery,
+        index: RequestIndex,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._attempts = attempts
+        self._grants = grants
+        self._engines = engines
+        self._recovery = recovery
+        self._index = index
+        self._metrics = metrics
+
+    async def run(
+        self, progress: Progress, call: CompletionCall, sink: FrameSink
+    ) -> Delivered | Refusal:
+        """Run a completion to its end."""
+        while True:
+            rank = ORDER.index(call.priority)
+            work = Work(call.reserve, call.prefix, rank)
+            wish = Wish(
+                call.request,
+                ENGINE,
+                call.model,
+                call.workspace.partner,
+                work,
+                frozenset(progress.failed),
+            )
+            started = await self._attempts.start(progress, wish)
+            if isinstance(started, Refusal):
+                return started
+            answer = Answer(started.attempt.stream)
+            try:
+                await self._run_stream(progress, call, started, answer, sink)
+            finally:
+                self._attempts.release(started)
+            if answer.whole:
+                return await self._finish(progress, call, started, answer, sink)
+            if answer.frames or not self._attempts.may_try_again(progress):
+                return refuse_unfinished(progress)
+            self._metrics.retries.inc()
+
+    async def _run_stream(
+        self,
+        progress: Progress,
+        call: CompletionCall,
+        started: Started,
+        answer: Answer,
+        sink: FrameSink,
+    ) -> None:
+        """Run one attempt until its answer is whole or it is given up."""
+        upstream = started.placement.upstream
+        pieces: list[float] = []
+        completion = Completion(
+            call.model,
+            started.placement.version,
+            call.messages,
+            call.max_tokens,
+            call.priority.value,
+            started.attempt.boot,
+        )
+
+        def take(frame: Frame) -> None:
+            verdict = answer.take(frame)
+            pieces.append(self._clock.seconds())
+            if verdict is not Verdict.PASS_ON:
+                self._metrics.dropped_frames.labels(verdict.value).inc()
+            elif not frame.finish:
+                sink.pass_on(frame)
+
+        progress.life.dispatch()
+        stream = started.attempt.stream
+        try:
+            await self._engines.start(upstream.url, stream, completion, take)
+        except (NotSentError, RefusedError) as error:
+            await self._attempts.give_up_unstarted(progress, started, error)
+            return
+        except MayHaveRunError as error:
+            self._attempts.log_failure(call, started, error)
+        if not answer.whole:
+            await self._resume(started, answer, take)
+        if answer.whole:
+            upstream.circuit.succeed()
+            if len(pieces) > 1:
+                upstream.observe_pace((pieces[-1] - pieces[0]) / (len(pieces) - 1))
+            progress.life.finish()
+            return
+        await self._give_up_started(progress, started)
+
+    async def _resume(self, started: Started, answer: Answer, take: Any) -> None:
+        """Fetch what is missing of an answer from the engine that has it."""
+        url = started.placement.upstream.url
+        failures = 0
+        while failures < MOST_RESUMES and not answer.whole:
+            await sleep(RESUME_PAUSE_SECONDS * failures, self._clock)
+            before = answer.next_offset
+            try:
+                await self._engines.resume(url, answer.stream, before, take)
+                self._metrics.resumes.inc()
+            except RefusedError:
+                return
+            except MayHaveRunError:
+                failures += 1
+                continue
+            failures = 0 if answer.next_offset > before else failures + 1
+
+    async def _give_up_started(self, progress: Progress, started: Started) -> None:
+        """End an attempt that may have run, for good if the engine answers."""
+        upstream = started.placement.upstream
+        self._attempts.avoid(progress, started)
+        answer = await self._engines.cancel(upstream.url, started.attempt.stream)
+        status = answer.seen_from(started.attempt.boot)
+        if status.state is StreamState.CANCELLED and not status.started:
+            progress.life.refuse()
+        else:
+            progress.life.lose()
+        if status.state is StreamState.CANCELLED:
+            await self._grants.settle(started.attempt, None)
+        elif status.state is StreamState.FINISHED:
+            await self._grants.settle(started.attempt, status.tokens)
+        else:
+            self._recovery.watch(started.attempt, upstream.name)
+
+    async def _finish(
+        self,
+        progress: Progress,
+        call: CompletionCall,
+        started: Started,
+        answer: Answer,
+        sink: FrameSink,
+    ) -> Delivered:
+        """Settle, then let the last piece go: its bill is safe before it leaves."""
+        last = answer.frames[-1]
+        used = last.prompt_tokens + last.output_tokens
+        charged = await self._grants.settle(started.attempt, used)
+        tokens = used if charged is None else charged
+        sink.pass_on(last)
+        self._index.keep(call, KeptAnswer(call.content, tokens, tuple(answer.frames)))
+        self._metrics.billed_tokens.labels(call.request.workspace).inc(tokens)
+        log_event(
+            "request-done",
+            Level.DEBUG,
+            request=call.request,
+            workspace=call.request.workspace,
+            upstream=started.placement.upstream.name,
+            tokens=tokens,
+        )
+        return Delivered(tokens)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/serviceruns.py
@@ -0,0 +1,104 @@
+"""Calls to plain services: attempts until one is answered or given up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.names import name_stream
+from pondquay.routing.admission import ORDER
+from pondquay.routing.policies import Work
+from pondquay.routing.upstreams import SERVICE
+from pondquay_daemon.calls import KeptAnswer, Refusal
+from pondquay_daemon.errors import MayHaveRunError, NotSentError
+from pondquay_daemon.progress import refuse_unfinished
+from pondquay_daemon.upstreams import Wish
+
+if TYPE_CHECKING:
+    from pondquay_daemon.calls import PlainCall
+    from pondquay_daemon.grants import GrantTask
+    from pondquay_daemon.metrics import Metrics
+    from pondquay_daemon.progress import Progress, Started
+    from pondquay_daemon.requestattempts import Attempts
+    from pondquay_daemon.requestindex import RequestIndex
+    from pondquay_daemon.services import ServiceAnswer, Services
+
+
+class ServiceRuns:
+    """Makes calls to plain services that have been claimed."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        grants: GrantTask,
+        services: Services,
+        index: RequestIndex,
+        metrics: Metrics,
+    ) -> None:
+        self._attempts = attempts
+        self._grants = grants
+        self._services = services
+        self._index = index
+        self._metrics = metrics
+
+    async def run(self, progress: Progress, call: PlainCall) -> KeptAnswer | Refusal:
+        """Make a call to its end."""
+        while True:
+            wish = Wish(
+                call.request,
+                SERVICE,
+                call.service,
+                call.workspace.partner,
+                Work(call.price, rank=ORDER.index(call.priority)),
+                frozenset(progress.failed),
+            )
+            started = await self._attempts.start(progress, wish)
+            if isinstance(started, Refusal):
+                return started
+            try:
+                answer = await self._call_once(progress, call, started)
+            finally:
+                self._attempts.release(started)
+            if answer is not None:
+                return await self._finish_call(progress, call, started, answer)
+            if not self._attempts.may_try_again(progress):
+                return refuse_unfinished(progress)
+            self._metrics.retries.inc()
+
+    async def _call_once(
+        self, progress: Progress, call: PlainCall, started: Started
+    ) -> ServiceAnswer | None:
+        upstream = started.placement.upstream
+        progress.life.dispatch()
+        name = name_stream(call.request, started.attempt.id)
+        try:
+            answer = await self._services.call(upstream.url, name, call.call)
+        except NotSentError as error:
+            await self._attempts.give_up_unstarted(progress, started, error)
+            return None
+        except MayHaveRunError as error:
+            self._attempts.log_failure(call, started, error)
+            self._attempts.avoid(progress, started)
+            progress.life.lose()
+            return None
+        upstream.circuit.succeed()
+        progress.life.finish()
+        return answer
+
+    async def _finish_call(
+        self,
+        progress: Progress,
+        call: PlainCall,
+        started: Started,
+        answer: ServiceAnswer,
+    ) -> KeptAnswer:
+        await self._grants.settle(started.attempt, call.price)
+        kept = KeptAnswer(
+            call.content,
+            call.price,
+            status=answer.status,
+            body=answer.body,
+            headers=dict(answer.headers),
+        )
+        self._index.keep(call, kept)
+        self._metrics.billed_tokens.labels(call.request.workspace).inc(call.price)
+        return kept
