Soak leaving without a word, rows that lapse, and all relays killed at once

Cause: the soak drained replicas by their own word only, and checked that while others remain. Change: three faults more, and a second check at the end: after all relays know who has left, no row is there for 3 s, and still nothing runs at those that left. A relay's dump tells which upstreams have left.

--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -124,6 +124,7 @@
 
     def describe(self) -> list[dict[str, object]]:
         """Return what is known of each upstream, for operators."""
+        left = set(self.directory.list_left())
         return [
             {
                 "upstream": one.name,
@@ -131,6 +132,7 @@
                 "address": one.record.address,
                 "leaving": one.leaving,
                 "vanished": one.vanished is not None,
+                "left": one.name in left,
                 "running": one.running,
                 "reading": one.prompts.own,
                 "waiting": one.prompts.waiting,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -96,16 +96,35 @@
 
     def drain(self, name: str) -> None:
         """Let a replica say that it leaves, if it is not the last of its service."""
-        service = REPLICAS[name]
-        left = {
-            one
-            for one, other in REPLICAS.items()
-            if other == service and one not in self.drained
-        }
-        if left - {name}:
+        if self._may_leave(name):
             self.drained.add(name)
             self.list_replica(name, "draining")
 
+    def leave(self, name: str) -> None:
+        """Let a replica leave without a word; it serves on."""
+        if self._may_leave(name):
+            self.drained.add(name)
+            self.unlist_replica(name)
+
+    def unlist_replica(self, name: str) -> None:
+        """Delete a replica's row."""
+        self.control("delete", table="servers", key=name)
+
+    def end_lapse(self, name: str) -> None:
+        """Have a replica whose row lapsed write it again."""
+        if name not in self.drained:
+            self.list_replica(name, "ready")
+
+    def list_remaining(self) -> list[str]:
+        """Return the replicas that do not leave."""
+        return [one for one in REPLICAS if one not in self.drained]
+
+    def _may_leave(self, name: str) -> bool:
+        """Tell whether another replica of its service remains."""
+        service = REPLICAS[name]
+        others = [one for one in self.list_remaining() if one != name]
+        return any(REPLICAS[one] == service for one in others)
+
     def is_ready(self, name: str) -> bool:
         """Tell whether a relay says that it is ready."""
         try:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import shutil
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from pathlib import Path
 from threading import Thread
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pondquay_cli.logfiles import read_events
 from pondquay_standins.processes import wait_until
@@ -44,6 +45,9 @@
 # A request that began this long before a planned stop is not one that meets a
 # connection which is just being closed.
 STOP_MARGIN_SECONDS = 0.1
+LEAVING_PROMISE = "a leaving upstream gets no new work"
+# At the end no replica is listed for this long: several polls of each table.
+UNLISTED_SECONDS = 3.0
 STOP_PROMISE = "a planned stop cuts nothing off"
 FOLDER = Path("var") / "soak"
 
@@ -168,6 +172,14 @@
                 self._later(fault.seconds, lambda: fleet.set_line_fault(target, "none"))
             case FaultKind.DRAIN:
                 fleet.drain(target)
+            case FaultKind.LEAVE:
+                fleet.leave(target)
+            case FaultKind.LAPSE:
+                fleet.unlist_replica(target)
+                self._later(fault.seconds, lambda: fleet.end_lapse(target))
+            case FaultKind.KILL_ALL:
+                for name in RELAYS:
+                    self._signal(replace(fault, kind=FaultKind.KILL, target=name))
             case FaultKind.CONFIGURE:
                 fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
             case _:
@@ -227,21 +239,45 @@
         return found or self._check_leaving()
 
     def _check_leaving(self) -> list[Breach]:
-        """Check that relays that are in touch send nothing to leaving replicas."""
+        """Check that relays that are in touch send nothing to leaving replicas.
+
+        First while others remain, then after these have gone from the list as well.
+        """
         fleet = self._fleet
-        before = len([one for one in fleet.runs() if one["replica"] in fleet.drained])
-        for relay in fleet.relays.values():
-            for _ in range(ASKED_AT_THE_END):
-                fleet.ask(relay, "/audit/", tokens=(PROMPT_TOKENS, 3), events=1)
-                fleet.ask(relay, "/fetch/")
-        runs = [one for one in fleet.runs() if one["replica"] in fleet.drained]
+        before = len(self._list_runs_of_drained())
+        for _ in range(ASKED_AT_THE_END):
+            self._ask_each_relay()
+        for name in RELAYS:
+            try:
+                wait_until(partial(self._knows_drained, name), name, RECOVER_SECONDS)
+            except TimeoutError as error:
+                return [Breach(LEAVING_PROMISE, name, f"not known: {error}")]
+        for name in fleet.list_remaining():
+            fleet.unlist_replica(name)
+        until = time.monotonic() + UNLISTED_SECONDS
+        while time.monotonic() < until:
+            self._ask_each_relay()
         return [
-            Breach(
-                "a leaving upstream gets no new work", run["attempt"], "it ran there"
-            )
-            for run in runs[before:]
+            Breach(LEAVING_PROMISE, run["attempt"], "it ran there")
+            for run in self._list_runs_of_drained()[before:]
         ]
 
+    def _ask_each_relay(self) -> None:
+        fleet = self._fleet
+        for relay in fleet.relays.values():
+            fleet.ask(relay, "/audit/", tokens=(PROMPT_TOKENS, 3), events=1)
+            fleet.ask(relay, "/fetch/")
+
+    def _list_runs_of_drained(self) -> list[dict[str, Any]]:
+        drained = self._fleet.drained
+        return [one for one in self._fleet.runs() if one["replica"] in drained]
+
+    def _knows_drained(self, name: str) -> bool:
+        """Tell whether a relay knows that the replicas that leave have left."""
+        upstreams = json.loads(self._fleet.relays[name].report("/dump"))["upstreams"]
+        used = {one["upstream"] for one in upstreams if not one["left"]}
+        return not used & self._fleet.drained
+
     def _is_sound(self, name: str) -> bool:
         relay = self._fleet.relays[name]
         in_force = f"pondquay_configuration_version {self._fleet.version}.0"
--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -30,7 +30,10 @@
     KILL = "kill"
     STOP = "stop"
     PAUSE = "pause"
+    KILL_ALL = "kill-all"
     DRAIN = "drain"
+    LEAVE = "leave"
+    LAPSE = "lapse"
     CONFIGURE = "configure"
 
 
@@ -75,6 +78,9 @@
         FaultKind.REPLICA: (replicas, _names(ReplicaFault)),
         FaultKind.REPLICA_LINE: (replicas, _names(ProxyFault)),
         FaultKind.DRAIN: (replicas, [""]),
+        FaultKind.LEAVE: (replicas, [""]),
+        FaultKind.LAPSE: (replicas, [""]),
+        FaultKind.KILL_ALL: ([""], [""]),
         FaultKind.CONFIGURE: ([""], [""]),
     }
     targets, names = faults.get(kind, (relays, [""]))
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -78,6 +78,10 @@
         """The name of this life of the upstream."""
         return self.record.name
 
+    def has_left(self, now: float) -> bool:
+        """Tell whether it gets no new work for good, or until a newer row comes."""
+        return self.leaving or (self.expires is not None and self.expires <= now)
+
 
 class UpstreamDirectory:
     """Upstreams by service; the first sign that one leaves is final.
@@ -104,6 +108,11 @@
         """Return all that are known."""
         return list(self._known.values())
 
+    def list_left(self) -> list[str]:
+        """Return the names of those that get no new work any more."""
+        now = self._clock()
+        return [one.name for one in self._known.values() if one.has_left(now)]
+
     def count_present(self) -> int:
         """Return how many are listed and not leaving."""
         return sum(
@@ -237,16 +246,14 @@
         store is in trouble. Vanished ones are tried only where nothing else is left,
         and until they are taken to have left.
         """
+        now = self._clock()
         of_service = [
             one
             for one in self._known.values()
-            if one.record.service == service and not one.leaving
+            if one.record.service == service and not one.has_left(now)
         ]
         present = [one for one in of_service if one.vanished is None]
-        if present:
-            return present
-        now = self._clock()
-        return [one for one in of_service if one.expires is None or now < one.expires]
+        return present or of_service
 
     def _note_removed(self, name: str, version: int) -> None:
         before = self._removed.pop(name, 0)
@@ -264,8 +271,8 @@
         """Drop those that have left and run nothing of this instance any more."""
         now = self._clock()
         for name, known in list(self._known.items()):
-            expired = known.expires is not None and known.expires <= now
-            if expired and known.running == 0:
+            is_gone = known.vanished is not None and known.has_left(now)
+            if is_gone and known.running == 0:
                 del self._known[name]
 
 
