Keep a fifth of what is left ahead at most, not two fifths

Cause: what instances hold ahead is lost when all are lost, and counts as spent. What is held bridges outages of the table; where little is left, requests refused in an outage are served after it, those refused after a loss are not. Change: the bound is a fifth.

--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -24,8 +24,10 @@
     :param cover_seconds: seconds of the demand of all that they keep ahead; it covers
         outages of the table of 5 s and the time in which demand is noticed, and 4 s
         cost 0.025 of worth at one of three deployments, over 15 paired days
-    :param most_of_left: part of what a workspace has left that they keep ahead at most;
-        a loss of all instances loses it
+    :param most_of_left: part of what a workspace has left that they keep ahead at most:
+        a loss of all instances loses it, and what is missing in an outage for its sake
+        is served after it; against two fifths it brought 0.019, 0.004 and 0.022 of
+        worth at three deployments, over 10 paired days each
     :param ahead_seconds: seconds of its own demand that an instance without tokens of
         its own borrows ahead; judged, since such instances see few requests
     :param return_part: part of its largest request from which such an instance hands
@@ -47,7 +49,7 @@
     last_part: float = 0.03
     most_holders: int = 16
     cover_seconds: float = 8.0
-    most_of_left: float = 0.4
+    most_of_left: float = 0.2
     ahead_seconds: float = 1.0
     return_part: float = 0.25
     come_back_seconds: float = 0.1
