Test that a caller's leaving ends its request's work at each stage

Cause: the stages had no tests of their own. Change: connecting, sent, within a stream, between two attempts, and as an upstream fails, with a relay in memory. Waiting for tokens has none yet.

--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -8,6 +8,7 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
 from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -45,16 +46,27 @@
 SERVICE = "board"
 CALLERS_PORT = 8000
 STEP_SECONDS = 0.02
-ROUTE = Route(
-    "read",
-    "board.example",
-    "/read/",
-    RequestKind.REPEATABLE,
-    timeout=2.0,
-    objective=0.2,
-    priority=0,
-    services=(WeightedService(SERVICE, 1),),
-    attempts=2,
+
+
+def make_route(name: str, kind: RequestKind) -> Route:
+    """Return a route below ``/name/`` whose requests may run again."""
+    return Route(
+        name,
+        "board.example",
+        f"/{name}/",
+        kind,
+        timeout=2.0,
+        objective=0.2,
+        priority=0,
+        services=(WeightedService(SERVICE, 1),),
+        attempts=2,
+        resumable=True,
+    )
+
+
+ROUTES = (
+    make_route("read", RequestKind.REPEATABLE),
+    make_route("stream", RequestKind.STREAMING),
 )
 
 
@@ -215,7 +227,7 @@
 
     def read_configuration(self, value: Mapping[str, Any]) -> RoutingConfiguration:
         service = Service(SERVICE, "/healthz", 100)
-        return RoutingConfiguration(value["version"], (ROUTE,), (service,))
+        return RoutingConfiguration(value["version"], ROUTES, (service,))
 
     def read_upstream(self, name: str, value: Mapping[str, Any]) -> UpstreamRecord:
         return UpstreamRecord(
@@ -238,6 +250,20 @@
         return []
 
 
+@dataclass
+class UpstreamEnd:
+    """An upstream's end of a connection that a relay has opened."""
+
+    protocol: Any
+    transport: CallerTransport
+
+    def send(self, data: bytes) -> None:
+        self.protocol.dataReceived(data)
+
+    def end(self) -> None:
+        self.protocol.connectionLost(Failure(ConnectionLost()))
+
+
 @dataclass
 class RelaySide:
     """A relay, its table, and what it does towards callers and upstreams."""
@@ -277,6 +303,11 @@
 
     def ask(self, path: str = "/read/x") -> set[str]:
         """Send a request; return the hosts that are called for it or earlier ones."""
+        self.connect_caller(path)
+        return self._fail_calls()
+
+    def connect_caller(self, path: str) -> Any:
+        """Send a request and return its connection."""
         factory = next(
             one[1] for one in self.clock.tcpServers if one[0] == CALLERS_PORT
         )
@@ -285,7 +316,19 @@
         protocol.makeConnection(transport)
         self._answers.append(transport)
         protocol.dataReceived(b"GET %b HTTP/1.1\r\nHost: h\r\n\r\n" % path.encode())
-        return self._fail_calls()
+        return protocol
+
+    def accept_call(self) -> UpstreamEnd:
+        """Have the next call to an upstream reach it."""
+        _, _, factory, _, _ = self.clock.tcpClients[self._taken]
+        self._taken += 1
+        end = UpstreamEnd(factory.buildProtocol(None), CallerTransport())
+        end.protocol.makeConnection(end.transport)
+        return end
+
+    def count_calls(self) -> int:
+        """Return how many calls to upstreams wait for their connection."""
+        return len(self.clock.tcpClients) - self._taken
 
     def answers(self) -> list[bytes]:
         """Return what each caller has got."""
