Split the lab's budget runs by job

Cause: one module of 407 lines held scenarios, instances, runs and a baseline. Change: a module each. Conclusion: no behaviour changes.

--- a/packages/pondquay-lab/src/pondquay_lab/bench.py
+++ b/packages/pondquay-lab/src/pondquay_lab/bench.py
@@ -14,9 +14,11 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from pondquay_lab.budgetruns import DOMAINS, BudgetRun, Scenario, run_shared
+from pondquay_lab.budgetruns import BudgetRun
+from pondquay_lab.budgetscenarios import DOMAINS, Scenario
 from pondquay_lab.plots import plot_bars
 from pondquay_lab.routingruns import KINDS, RoutingRun
+from pondquay_lab.sharedcounters import run_shared
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
