--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_fetch.py
@@ -0,0 +1,86 @@
+"""Calls of the table on connections that go silent for good."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from pondquay.tables import Lost, Unreachable
+from pondquay_daemon.addresses import Address
+from pondquay_daemon.relay.egress import EgressPool
+from pondquay_daemon.relay.fetch import Call, Fetched, Fetcher
+
+SECONDS = 0.7
+CALL = Call(b"GET", b"/rows", [(b"Host", b"table")])
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class TableTransport(StringTransport):
+    """The table's end of a connection."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        pass
+
+    def abortConnection(self) -> None:
+        self.loseConnection()
+
+
+class Table:
+    """A table's address, reached over connections that the test answers."""
+
+    def __init__(self) -> None:
+        self.clock: Any = MemoryReactorClock()
+        pool = EgressPool(self.clock)
+        self.fetcher = Fetcher(self.clock, pool, Address("10.0.0.9", 80))
+
+    def call(self) -> list[Any]:
+        """Begin a call; its result is in the list once it is there."""
+        results: list[Any] = []
+        fetched = Deferred.fromCoroutine(self.fetcher.fetch(CALL, SECONDS))
+        fetched.addCallback(results.append)
+        return results
+
+    def connect(self) -> Any:
+        """Accept the newest connection and return its protocol."""
+        protocol = self.clock.tcpClients[-1][2].buildProtocol(None)
+        protocol.makeConnection(TableTransport())
+        return protocol
+
+
+@pytest.fixture
+def table() -> Table:
+    """A table to which nobody is connected."""
+    return Table()
+
+
+def test_a_call_that_gets_no_answer_is_lost_and_its_connection_with_it(
+    table: Table,
+) -> None:
+    results = table.call()
+    protocol = table.connect()
+    table.clock.advance(SECONDS)
+    assert results == [Lost()]
+    assert protocol.transport.disconnecting
+
+
+def test_a_kept_connection_that_went_silent_costs_one_call(table: Table) -> None:
+    first = table.call()
+    table.connect().dataReceived(ANSWER)
+    assert first == [Fetched(200, b"ok")]
+    second = table.call()
+    assert len(table.clock.tcpClients) == 1, "the kept connection is used"
+    table.clock.advance(SECONDS)
+    assert second == [Lost()]
+    third = table.call()
+    assert len(table.clock.tcpClients) == 2
+    table.connect().dataReceived(ANSWER)
+    assert third == [Fetched(200, b"ok")]
+
+
+def test_a_connection_that_does_not_come_up_was_sent_nothing(table: Table) -> None:
+    results = table.call()
+    table.clock.advance(SECONDS)
+    assert results == [Unreachable()]
