Test that a caller's leaving while its request waits for tokens ends the request

Cause: this stage had no test. Change: a paid route in the relay in memory; the same request is sent if its caller stays.

--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -17,6 +17,7 @@
     CallerLimits,
     RequestKind,
     Route,
+    RoutedWorkspace,
     RoutingConfiguration,
     Service,
     WeightedService,
@@ -44,11 +45,12 @@
     )
 
 SERVICE = "board"
+ENGINE = "judge"
 CALLERS_PORT = 8000
 STEP_SECONDS = 0.02
 
 
-def make_route(name: str, kind: RequestKind) -> Route:
+def make_route(name: str, kind: RequestKind, service: str = SERVICE) -> Route:
     """Return a route below ``/name/`` whose requests may run again."""
     return Route(
         name,
@@ -58,8 +60,9 @@
         timeout=2.0,
         objective=0.2,
         priority=0,
-        services=(WeightedService(SERVICE, 1),),
+        services=(WeightedService(service, 1),),
         attempts=2,
+        public=service == SERVICE,
         resumable=True,
     )
 
@@ -67,7 +70,11 @@
 ROUTES = (
     make_route("read", RequestKind.REPEATABLE),
     make_route("stream", RequestKind.STREAMING),
+    make_route("paid", RequestKind.STREAMING, ENGINE),
 )
+WORKSPACE = RoutedWorkspace("moderators", ("key",), prepaid=1_000_000)
+# More than an instance holds before anybody asks.
+PROMPT_TOKENS = 100_000
 
 
 class CallerTransport(StringTransport):
@@ -152,8 +159,9 @@
         self._tables[table].pop(key, None)
         self._tell(table, RowChange(key, self._version, None))
 
-    def put_upstream(self, name: str, address: str, *, leaving: bool = False) -> None:
-        self.put("servers", name, {"address": address, "leaving": leaving})
+    def put_upstream(self, name: str, address: str, service: str = SERVICE) -> None:
+        row = {"service": service, "address": address, "leaving": False}
+        self.put("servers", name, row)
 
     def delete_upstream(self, name: str) -> None:
         self.delete("servers", name)
@@ -226,16 +234,19 @@
         return self._store
 
     def read_configuration(self, value: Mapping[str, Any]) -> RoutingConfiguration:
-        service = Service(SERVICE, "/healthz", 100)
-        return RoutingConfiguration(value["version"], ROUTES, (service,))
+        services = (
+            Service(SERVICE, "/healthz", 100),
+            Service(ENGINE, "/healthz", 100, event_tokens=3),
+        )
+        return RoutingConfiguration(value["version"], ROUTES, services, (WORKSPACE,))
 
     def read_upstream(self, name: str, value: Mapping[str, Any]) -> UpstreamRecord:
         return UpstreamRecord(
-            name, SERVICE, value["address"], "hall", 4, value["leaving"]
+            name, value["service"], value["address"], "hall", 4, value["leaving"]
         )
 
     def read_request(self, head: RequestHead) -> RequestMarks:
-        return RequestMarks("attempt", "board.example", None, None)
+        return RequestMarks("attempt", "board.example", "key", None, PROMPT_TOKENS)
 
     def name_request(self, head: RequestHead) -> str:
         return "attempt"
--- a/packages/pondquay-daemon/tests/relay/test_callers_leave.py
+++ b/packages/pondquay-daemon/tests/relay/test_callers_leave.py
@@ -42,6 +42,21 @@
     caller.connectionLost(Failure(ConnectionDone()))
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_one_that_leaves_while_it_waits_for_tokens_is_never_sent(
+    relay: RelaySide, leaves: bool
+) -> None:
+    relay.store.put_upstream("e1", "10.0.0.3:80", "judge")
+    relay.start()
+    relay.run_for(LONG)
+    caller = relay.connect_caller("/paid/x")
+    assert relay.count_calls() == 0, "it has to wait for tokens"
+    if leaves:
+        leave(caller)
+    relay.run_for(LONG)
+    assert relay.count_calls() == (0 if leaves else 1)
+
+
 def test_one_that_leaves_while_an_upstream_is_connected_is_never_sent(
     served: RelaySide, path: str
 ) -> None:
