Take all that is free for a request where others can lend the rest

Change: what the row has is taken where the entries of others show the rest unspent; the rest is borrowed. A unit test fails first.

--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -88,6 +88,11 @@
     return max(0, min(account.unspent, most), most - account.last_part)
 
 
+def lent_at_most(account: Account) -> int:
+    """Return the tokens that other instances could lend, by the row."""
+    return sum(one.unspent for one in account.others().values())
+
+
 def plan_headroom(account: Account, now: float) -> int | None:
     """Return the headroom that should be written, ``None`` if nothing is worth it."""
     target = target_headroom(account, now)
@@ -105,6 +110,10 @@
     room = most if account.is_small(account.wanted) else ordinary
     if unspent < account.wanted <= room:
         return max(min(ordinary, target), account.wanted)
+    if unspent < room < account.wanted <= room + lent_at_most(account):
+        # The rest is borrowed. Otherwise a request that fits into what is left could be
+        # refused for ever, with some of it in the row and some with each instance.
+        return room
     if unspent < LOW_PART * target and ordinary > unspent:
         return min(ordinary, target)
     surplus = unspent - target if account.policy.return_surplus else 0
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -107,6 +107,25 @@
     assert planned is None or planned <= account.most_headroom()
 
 
+def test_all_that_is_free_is_taken_where_others_have_the_rest() -> None:
+    """A request that fits into what is left was refused again and again.
+
+    Seen: with tokens for one request left in all, each of two instances held a little,
+    and neither ever had enough: the row alone could not bear the request, so nothing
+    was taken from it, and a loan alone did not suffice either.
+    """
+    holders = {"other": Allotment("1", 100_000, 0, 100), "me": Allotment("1", 0)}
+    account = Account("me", "1", PREPAID, spent=0)
+    account.read(AllotmentRow(PREPAID - 400_000, 0, holders), 1)
+    assert account.free() == 300_000
+    account.wanted = 350_000
+    free_for_all = 300_000 - account.last_part
+    assert plan_headroom(account, NOW) == free_for_all
+    account.wanted = free_for_all + 100_001
+    planned = plan_headroom(account, NOW)
+    assert planned is None or planned < free_for_all, "others have too little"
+
+
 def test_a_surplus_of_a_fourth_goes_back_soon() -> None:
     # What is above the need is lost with a power loss and missing elsewhere.
     target = target_headroom(make_account(5_000, [5_000] * 6), NOW)
