Walk through the upstreams once where many rows go at once

Cause, from reading the change again: what has left was looked for among all upstreams at each row that goes and at each departure that a peer tells. 2,500 rows that lapsed in one outage held an instance up for 0.886 s, and each new link tells up to 256 departures. Change: it is looked for after a single row's going and once after a whole list, not at a peer's news. No decision changes: what is dropped has left and runs nothing.

--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -157,6 +157,11 @@
 
     def remove(self, name: str, version: int) -> KnownUpstream | None:
         """Take in that a row is gone, ``None`` if that is not new."""
+        removed = self._remove(name, version)
+        self._forget_departed()
+        return removed
+
+    def _remove(self, name: str, version: int) -> KnownUpstream | None:
         self._note_removed(name, version)
         known = self._known.get(name)
         if known is None or known.version > version or known.vanished is not None:
@@ -180,7 +185,8 @@
         changed = [self.put(record, version) for record, version in records.values()]
         for name, known in list(self._known.items()):
             if name not in records and known.version <= at:
-                changed.append(self.remove(name, at))
+                changed.append(self._remove(name, at))
+        self._forget_departed()
         return [one for one in changed if one is not None]
 
     def note_followed(self) -> None:
@@ -259,7 +265,6 @@
         before = self._removed.pop(name, 0)
         self._removed[name] = max(version, before)
         _drop_oldest(self._removed)
-        self._forget_departed()
 
     def _remember(self, departure: Departure) -> None:
         before = self._departures.pop(departure.name, departure)
--- a/packages/pondquay/tests/routing/test_directory.py
+++ b/packages/pondquay/tests/routing/test_directory.py
@@ -1,8 +1,18 @@
 from __future__ import annotations
 
-from pondquay.routing.directory import Departure, UpstreamDirectory, UpstreamRecord
+from typing import TYPE_CHECKING
+
+from pondquay.routing.directory import (
+    Departure,
+    KnownUpstream,
+    UpstreamDirectory,
+    UpstreamRecord,
+)
 from pondquay.routing.listwatch import LAPSE_SECONDS, RETURN_SECONDS, VANISHED_SECONDS
 
+if TYPE_CHECKING:
+    import pytest
+
 now = [100.0]
 
 
@@ -180,6 +190,26 @@
     assert sorted(one.name for one in directory.all()) == ["u2", "u3"]
 
 
+def test_many_rows_that_go_at_once_are_not_walked_through_for_each(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """2,500 rows that lapsed in one outage held an instance up for 0.9 s."""
+    asked = []
+    has_left = KnownUpstream.has_left
+    monkeypatch.setattr(
+        KnownUpstream,
+        "has_left",
+        lambda one, now: asked.append(one) or has_left(one, now),
+    )
+    time = [100.0]
+    upstreams = [f"u{number}" for number in range(50)]
+    directory = follow(time, *upstreams)
+    directory.replace({}, at=90)
+    for name in upstreams:
+        directory.hear(Departure(name, 91))
+    assert len(asked) <= 2 * len(upstreams)
+
+
 def test_a_list_that_lags_removes_nothing_newer() -> None:
     directory = UpstreamDirectory(lambda: now[0])
     directory.put(record("u1"), 1)
