--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -218,7 +218,7 @@
         """Take tokens that a peer has handed over."""
         account = self._accounts.get(workspace)
         if account is not None:
-            account.receive_loan(tokens, lends=self._loans.lends(workspace))
+            account.receive_loan(tokens)
             self._metrics.loans.labels("borrowed").inc(tokens)
             log_event("tokens-borrowed", workspace=workspace, tokens=tokens)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -149,7 +149,7 @@
         ranked = self._rank(account, workspace) or self._lender.peers
         if not ranked:
             return
-        given = account.return_loan(tokens)
+        given = account.lend(tokens)
         if given:
             self._lender.give(ranked[0], workspace, given)
             log_event("tokens-given", workspace=workspace, tokens=given, peer=ranked[0])
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -92,11 +92,11 @@
     """What one life of an instance may spend, has spent and has reserved.
 
     :param ceiling: the lowest that the row's ceiling for this life can be
-    :param spent: tokens used and lent, less those borrowed
+    :param spent: tokens used and lent, less those that came from others; below zero
+        where more came than went. ``spent - used`` is what loans took from here in all,
+        and over all instances what is with them or was lost on its way
     :param used: tokens that requests ran for
-    :param lent: tokens that are with instances without an allotment
-    :param borrowed: tokens that came from lenders, which count them as lent; what is
-        used here as an instance without an allotment is among them
+    :param reserved: tokens that requests which run now may use
     :param version: of the row as last known, ``None`` if it never was read
     :param wanted: tokens that a request waits for, 0 if none does
     :param policy: the figures that plans go by
@@ -108,8 +108,6 @@
     ceiling: int = 0
     spent: int = 0
     used: int = 0
-    lent: int = 0
-    borrowed: int = 0
     reserved: int = 0
     version: int | None = None
     row: AllotmentRow = EMPTY_ROW
@@ -157,30 +155,14 @@
         :param ahead: that it would like besides; it gets a part of what is left only
         """
         spare = max(0, self.unspent - tokens)
-        lent = self.lend(tokens + min(ahead, int(AHEAD_PART * spare)))
-        if ahead:
-            self.lent += lent
-        return lent
+        return self.lend(tokens + min(ahead, int(AHEAD_PART * spare)))
 
-    def receive_loan(self, tokens: int, *, lends: bool = True) -> None:
+    def receive_loan(self, tokens: int) -> None:
         """Take tokens that a peer has counted as spent.
 
         What this life has spent, less what it was lent, may fall below zero.
-
-        :param lends: whether this instance is a lender itself: what it gets then is
-            handed back to it, or comes from another lender
         """
         self.spent -= tokens
-        if lends:
-            self.lent -= min(self.lent, tokens)
-        else:
-            self.borrowed += tokens
-
-    def return_loan(self, tokens: int) -> int:
-        """Count tokens as spent here that go back to a lender; return how many."""
-        given = self.lend(tokens)
-        self.borrowed -= min(self.borrowed, given)
-        return given
 
     def read(self, row: AllotmentRow, version: int) -> None:
         """Take in the row as it stood at a version.
@@ -201,11 +183,15 @@
     def propose(self, headroom: int, now: float) -> Change:
         """Return the row with this instance's entry as it should be.
 
+        The ceiling is below zero where more tokens came from others, under their
+        ceilings, than this life used, and the rest goes back to the row.
+
         :param headroom: tokens beyond those spent and reserved
         """
         ceiling = self.spent + self.reserved + headroom
         rate = int(self.demand.rate(now))
-        entry = Allotment(self.boot, ceiling, self.used, rate, self.lent)
+        lent = self.spent - self.used
+        entry = Allotment(self.boot, ceiling, self.used, rate, lent)
         return Change(self.row.with_entry(self.holder, entry), ceiling)
 
     def begin(self, change: Change) -> None:
@@ -254,11 +240,22 @@
         return max(0, self.free() + stored - self.spent - self.reserved)
 
     def left(self) -> int:
-        """Tokens that the workspace may still spend, by what is known here."""
+        """Tokens that the workspace may still spend, by what is known here.
+
+        What is free and what is unspent here are among them; what others borrowed is
+        not, nor what an earlier life held, since nobody here can have it. Entries of
+        others may be old, so it is never more than what is not known to be used.
+        """
         others = sum(one.spent + one.lent for one in self.others().values())
-        # What lenders count as lent is not counted again when it is used here.
-        own = self.used + self.lent + self.reserved - self.borrowed
-        return self.prepaid - self.row.closed - others - own
+        reachable = self.prepaid - self.row.closed - others - self._earlier_ceiling
+        unused = self.prepaid - self._surely_spent()
+        return min(reachable - self.spent, unused) - self.reserved
+
+    @property
+    def _earlier_ceiling(self) -> int:
+        """What an earlier life of this instance may have spent."""
+        entry = self.row.holders.get(self.holder)
+        return 0 if entry is None or entry.boot == self.boot else entry.ceiling
 
     @property
     def last_part(self) -> int:
@@ -274,8 +271,9 @@
         return 0 if self.is_small(tokens) else self.last_part
 
     def _surely_spent(self) -> int:
-        others = sum(one.spent for one in self.others().values())
-        return self.row.closed_spent + others + self.used
+        own = self.row.find(self.holder, self.boot)
+        known = 0 if own is None else own.spent
+        return self.row.surely_spent - known + self.used
 
     def others(self) -> Mapping[str, Allotment]:
         """Return the other living instances' entries."""
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -21,10 +21,14 @@
     """One living instance's entry.
 
     :param boot: the life of the instance that it is for
-    :param ceiling: the most tokens that this life may ever spend
+    Only its own life writes it, and the next life takes it out.
+
+    :param ceiling: the most tokens that this life may ever spend: what requests use
+        and what it lends, less what others lend to it
     :param spent: what requests had used there when it wrote this, without loans
     :param rate: tokens a second that it was asked for
-    :param lent: what it lent to instances that hold no allotment
+    :param lent: what it had lent then, less what came from others; below zero where
+        more came than went
     """
 
     boot: str
