--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -85,6 +85,7 @@
         self._boot = boot
         self._accounts: dict[str, Account] = {}
         self._writing: set[str] = set()
+        self._unread: set[str] = set()
         self._closed = False
         self._settled_at = 0.0
 
@@ -105,13 +106,13 @@
                     self._holder, self._boot, workspace.prepaid, policy=self._policy
                 )
                 self._accounts[workspace.name] = account
+                self._unread.add(workspace.name)
             account.prepaid = workspace.prepaid
             self._adjust_soon(workspace.name)
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
-        """Take in all rows of the table."""
-        for row in snapshot.rows:
-            self._take_row(row.key, row.value, row.version)
+        """Learn that changes may have been missed; rows are read when needed."""
+        self._unread = set(self._accounts)
 
     def take_change(self, change: RowChange) -> None:
         """Take in one row of the table."""
@@ -273,7 +274,8 @@
         if not self._loans.lends(name):
             self._loans.return_surplus(name, account)
             return
-        if account.version is not None and (plan_headroom(account, now) is None):
+        unread = name in self._unread
+        if not unread and plan_headroom(account, now) is None:
             return
         self._writing.add(name)
         spawn(self._adjust(name), "AccountBook")
@@ -285,7 +287,7 @@
     async def _adjust(self, name: str) -> None:
         account = self._accounts[name]
         try:
-            if account.version is None and not await self._open(name, account):
+            if name in self._unread and not await self._read(name, account):
                 return
             for _ in range(WRITE_ATTEMPTS):
                 if await self._write(name, account):
@@ -293,9 +295,12 @@
         finally:
             self._writing.discard(name)
 
-    async def _open(self, name: str, account: Account) -> bool:
+    async def _read(self, name: str, account: Account) -> bool:
+        """Read a workspace's row; tell whether that succeeded."""
+        self._unread.discard(name)
         reply = await self._store.read_row(row_key(name))
         if isinstance(reply, Unreachable):
+            self._unread.add(name)
             await self._pause(name)
             return False
         self._read_row(account, reply)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
@@ -54,8 +54,16 @@
         """
 
     @abstractmethod
-    def open_store(self, settings: RelaySettings, clock: IReactorTime) -> Store:
-        """Return a client of the platform's store."""
+    def open_store(
+        self,
+        settings: RelaySettings,
+        clock: IReactorTime,
+        partitioned: frozenset[str] = frozenset(),
+    ) -> Store:
+        """Return a client of the platform's store.
+
+        :param partitioned: names of the tables whose rows are partitions by themselves
+        """
 
     @abstractmethod
     def read_configuration(self, value: Mapping[str, Any]) -> RoutingConfiguration:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -55,6 +55,8 @@
     :param table: its name
     :param pause: seconds between two polls, for tables that change often and whose
         news can wait
+    :param rereads: whether the table is read again while there is doubt; needless where
+        whoever writes a row learns its newest state
     """
 
     def __init__(
@@ -64,8 +66,11 @@
         table: str,
         listener: TableListener,
         pause: float = 0.0,
+        *,
+        rereads: bool = True,
     ) -> None:
         self._clock = clock
+        self._rereads = rereads
         self._pause = pause
         self._store = store
         self._table = table
@@ -133,7 +138,7 @@
 
     async def _poll(self, since: int) -> bool:
         now = self._clock.seconds()
-        if self._read_again_at < now < self._doubt_until:
+        if self._rereads and self._read_again_at < now < self._doubt_until:
             await self._read()
         asked = self._clock.seconds()
         reply = await self._store.follow(self._table, since, POLL_SECONDS)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -80,7 +80,9 @@
         self._settings = settings
         self._metrics = metrics
         self._pool = EgressPool(reactor)
-        self._store = border.open_store(settings, reactor)
+        # Hundreds of instances start at once, and a partition takes some hundred writes
+        # a second: 1,282 writes of allotments failed in 3 s with all in one partition.
+        self._store = border.open_store(settings, reactor, frozenset({ALLOTMENTS}))
         directory = UpstreamDirectory(reactor.seconds)
         bounds = settings.bounds
         self._member = Member(settings.peers, settings.domain)
@@ -133,7 +135,12 @@
             self._feed,
             self._upstream_feed,
             TableFeed(
-                reactor, self._store, ALLOTMENTS, self._accounts, ALLOTMENTS_PAUSE
+                reactor,
+                self._store,
+                ALLOTMENTS,
+                self._accounts,
+                ALLOTMENTS_PAUSE,
+                rereads=False,
             ),
             TableFeed(reactor, self._store, MEMBERS, self._members, MEMBERS_PAUSE),
         ]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/store.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/store.py
@@ -47,12 +47,17 @@
 class Store(ABC):
     """A client of the store. No call raises for what the network or store does.
 
-    Keys of transactions and reads are ``TABLE/KEY``.
+    Keys of transactions and reads are ``TABLE/KEY``. In a partitioned table each row is
+    a partition by itself, which the store writes to without waiting for others.
     """
 
     @abstractmethod
     async def read_table(self, table: str) -> Snapshot | Unreachable:
-        """Read all rows of a table."""
+        """Read all rows of a table.
+
+        Of a partitioned table only the version is read, as that takes one call and its
+        rows would take one each.
+        """
 
     @abstractmethod
     async def read_row(self, key: str) -> Row | None | Unreachable:
