--- /dev/null
+++ b/packages/pondquay-daemon/tests/border/test_store.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet.defer import Deferred
+
+from pondquay.tables import Condition, Transaction, Write
+from pondquay_daemon.relay.fetch import Call, Fetched
+from pondquay_platform.store import TableStore
+
+
+@dataclass
+class Replies:
+    """A store that has no rows and takes every write."""
+
+    calls: list[Call] = field(default_factory=list)
+
+    async def fetch(self, call: Call, seconds: float) -> Fetched:
+        self.calls.append(call)
+        return Fetched(200, b'{"rows": [], "ver": 1, "more": false}')
+
+
+def run(replies: Replies, table: str) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Read and write a row; return where both are sent to."""
+    fetcher: Any = replies
+    store = TableStore(fetcher, "store", frozenset({"budgets"}))
+    key = f"{table}/row"
+    write = Transaction("write", (Condition(key, 0),), (Write(key, {}),))
+    Deferred.fromCoroutine(store.read_row(key))
+    Deferred.fromCoroutine(store.commit(write))
+    read, written = replies.calls
+    query = parse_qs(urlsplit(read.target.decode()).query, keep_blank_values=True)
+    return {name: one[0] for name, one in query.items()}, json.loads(written.body)
+
+
+def test_each_row_of_a_partitioned_table_has_a_part_of_its_own() -> None:
+    query, body = run(Replies(), "budgets")
+    assert (query["part"], query["from"]) == ("row", "row")
+    place = {"table": "budgets", "part": "row", "key": "row"}
+    assert body["put"] == [{**place, "value": "e30="}]
+    assert body["expected_rev"] == [{**place, "ver": 0}]
+
+
+def test_rows_of_other_tables_share_the_part_without_a_name() -> None:
+    query, body = run(Replies(), "instances")
+    assert query["part"] == ""
+    assert body["put"][0]["part"] == ""
--- a/packages/pondquay-daemon/tests/relay/test_feeds.py
+++ b/packages/pondquay-daemon/tests/relay/test_feeds.py
@@ -64,6 +64,17 @@
     return heard, feed, script.clock
 
 
+def test_a_table_whose_writers_read_it_is_read_once_after_history_was_lost() -> None:
+    script = Script(reads=[Snapshot((), 2)], polls=[HistoryLost(), Changes((), 5)])
+    heard = Heard()
+    store: Any = script
+    feed = TableFeed(script.clock, store, "budgets", heard, rereads=False)
+    feed.start()
+    for _ in range(int(DOUBT_SECONDS)):
+        script.clock.advance(1.0)
+    assert script.asked.count(None) == 2
+
+
 def change(key: str, version: int) -> Changes:
     return Changes((RowChange(key, version, {}),), version)
 
