--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
@@ -41,13 +41,17 @@
 
 
 class PeerLink(Protocol):
-    """A connection to another instance; both ends are alike."""
+    """A connection to another instance; both ends are alike.
+
+    :ivar has_sent: whether anything was sent since its owner last looked
+    """
 
     def __init__(self, owner: LinkOwner) -> None:
         self._owner = owner
         self._reader = MessageReader()
         self.instance = ""
         self.heard = 0.0
+        self.has_sent = False
         # The configuration in force at the peer, as it last said.
         self.version = 0
 
@@ -77,6 +81,7 @@
 
     def send_bytes(self, data: bytes) -> None:
         """Send messages that are encoded already."""
+        self.has_sent = True
         cast("Connection", self.transport).write(data)
 
     def drop(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -42,8 +42,14 @@
     from pondquay_daemon.relay.peerlistener import PeerListener
     from pondquay_daemon.relay.peermessages import PeerMessage
 
+# A link on which nothing else was sent for this long carries a heartbeat, so a live
+# peer is heard every second.
 HEARTBEAT_SECONDS = 0.5
 SILENT_SECONDS = 2.0
+# Of a pair, the instance whose name comes first opens the link; the other one does if
+# there is none after this long, as when the first has not noticed that it was lost.
+# Otherwise both open one where a fleet starts as a whole, and each is kept alive.
+OTHER_END_SECONDS = HEARTBEAT_SECONDS
 CONNECT_SECONDS = 0.5
 # Seconds in which a loan comes over links in order: a few milliseconds, and as many
 # again at a busy lender. After it, a demand is overdue; judged.
@@ -124,6 +130,7 @@
         self._links: dict[str, PeerLink] = {}
         self._all: set[PeerLink] = set()
         self._connecting: set[Address] = set()
+        self._unlinked_since: dict[str, float] = {}
         self._numbers = count(1)
         self._demands: dict[tuple[PeerLink, str], LoanDemand] = {}
         self._loads: dict[str, list[str]] = {}
@@ -147,6 +154,7 @@
         """Take in that an instance is gone."""
         if instance != self._instance:
             self._members.pop(instance, None)
+            self._unlinked_since.pop(instance, None)
             self._domains = {
                 name: domain
                 for name, domain in self._domains.items()
@@ -282,6 +290,7 @@
         for name, fields in hello.members.items():
             if name not in self._members:
                 self.learn(name, Member.parse(*fields))
+        self._unlinked_since.pop(hello.instance, None)
         if hello.instance not in self._links:
             self._links[hello.instance] = link
             log_event("peer-linked", peer=hello.instance)
@@ -323,7 +332,9 @@
         # link is kept alive by itself.
         data = encode_message(Heartbeat(self._listener.configuration_version()))
         for link in self._all:
-            link.send_bytes(data)
+            if not link.has_sent:
+                link.send_bytes(data)
+            link.has_sent = False
         self._open_links()
 
     def _drop_silent(self) -> None:
@@ -336,7 +347,7 @@
         near: list[Address] = []
         far: list[Address] = []
         for name, member in self._members.items():
-            if name not in self._links and name != self._instance:
+            if self._opens(name):
                 within = member.domain == self._domain
                 (near if within else far).append(member.address)
         if not self._links:
@@ -349,6 +360,14 @@
         for address in wanted[: max(0, room)]:
             self._connect(address)
 
+    def _opens(self, name: str) -> bool:
+        """Tell whether it is for this instance to open a link to another now."""
+        if name in self._links or name == self._instance:
+            return False
+        now = self.clock.seconds()
+        since = self._unlinked_since.setdefault(name, now)
+        return self._instance < name or now - since >= OTHER_END_SECONDS
+
     def _connect(self, address: Address) -> None:
         if address in self._connecting:
             return
