--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -7,17 +7,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from itertools import count
 from random import shuffle
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-
 from pondquay.routing.directory import Departure
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.loandemands import LoanDemands
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
 from pondquay_daemon.relay.peermessages import (
@@ -31,7 +29,7 @@
     UpstreamLoads,
     encode_message,
 )
-from pondquay_daemon.tasks import Task, wait_at_most
+from pondquay_daemon.tasks import Task
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -51,9 +49,6 @@
 # Otherwise both open one where a fleet starts as a whole, and each is kept alive.
 OTHER_END_SECONDS = HEARTBEAT_SECONDS
 CONNECT_SECONDS = 0.5
-# Seconds in which a loan comes over links in order: a few milliseconds, and as many
-# again at a busy lender. After it, a demand is overdue; judged.
-LOAN_SECONDS = 0.04
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
 SELDOM_LOADS_SECONDS = 0.25
@@ -90,19 +85,6 @@
     return UpstreamDepartures([(one.name, one.version) for one in departures])
 
 
-@dataclass(slots=True)
-class LoanDemand:
-    """Tokens of one workspace that a peer was asked for.
-
-    :param overdue_at: when waiting for the answer no longer helps, in seconds
-    :param answer: fires with the tokens that came
-    """
-
-    number: int
-    overdue_at: float
-    answer: Deferred[int]
-
-
 class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
@@ -131,8 +113,7 @@
         self._all: set[PeerLink] = set()
         self._connecting: set[Address] = set()
         self._unlinked_since: dict[str, float] = {}
-        self._numbers = count(1)
-        self._demands: dict[tuple[PeerLink, str], LoanDemand] = {}
+        self._demands = LoanDemands(self.clock)
         self._loads: dict[str, list[str]] = {}
         self._counts: dict[str, Callable[[], int]] = {}
         self._fetch = ConfigurationFetch(self.clock, listener, self._all)
@@ -205,27 +186,11 @@
     async def borrow(
         self, peer: str, workspace: str, tokens: int, ahead: int = 0
     ) -> int:
-        """Ask a peer for tokens; return how many came in time.
-
-        One demand for a workspace is under way to a peer at most; who asks meanwhile
-        waits for the same answer, or not at all if that is overdue. A lender cannot
-        tell that nobody waits any more, so over a network that is a second late it
-        would lend for all demands of that second: all of a workspace's tokens, to one
-        instance.
-        """
+        """Ask a peer for tokens; return how many came in time."""
         link = self._links.get(peer)
         if link is None:
             return 0
-        now = self.clock.seconds()
-        demand = self._demands.get((link, workspace))
-        if demand is None:
-            demand = LoanDemand(next(self._numbers), now + LOAN_SECONDS, Deferred())
-            self._demands[link, workspace] = demand
-            link.send(LoanRequest(demand.number, workspace, tokens, ahead))
-        seconds = demand.overdue_at - now
-        if seconds <= 0:
-            return 0
-        return await wait_at_most(demand.answer, seconds, self.clock, 0)
+        return await self._demands.ask(link, workspace, tokens, ahead)
 
     def give(self, peer: str, workspace: str, tokens: int) -> None:
         """Hand over tokens that were counted as spent here."""
@@ -247,8 +212,7 @@
     def lose(self, link: PeerLink) -> None:
         """Forget a link."""
         self._all.discard(link)
-        for key in [one for one in self._demands if one[0] is link]:
-            self._demands.pop(key).answer.callback(0)
+        self._demands.lose(link)
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
             self._listener.forget_loads(link.instance)
@@ -321,10 +285,7 @@
         """Take a loan, also one that comes after it was waited for."""
         if loan.tokens > 0:
             self._listener.receive_loan(loan.workspace, loan.tokens)
-        demand = self._demands.get((link, loan.workspace))
-        if demand is not None and demand.number == loan.number:
-            del self._demands[link, loan.workspace]
-            demand.answer.callback(loan.tokens)
+        self._demands.end(link, loan)
 
     async def _beat(self) -> None:
         self._drop_silent()
