--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -58,8 +58,10 @@
 # Seconds between two polls. A write that meets a newer row learns of it anyway.
 ALLOTMENTS_PAUSE = 0.3
 # Rows of upstreams change with each heartbeat, several a second in all, and a poll ends
-# with the first. An upstream serves on for two seconds after it said that it leaves.
-UPSTREAMS_PAUSE = 0.25
+# with the first. As a part of the time in which a leaving upstream may still get work:
+# the rest is for a poll that is slow, or has to be made again. Where that is 4 s, an
+# instance makes 2 of these calls a second, not 4, of some 11 of all kinds.
+UPSTREAMS_PAUSE_PART = 0.125
 MEMBERS_PAUSE = 2.0
 # Seconds after which a caller that is refused for the stop should ask another instance.
 ELSEWHERE = 0.1
@@ -129,7 +131,11 @@
             reactor, self._store, names.configuration[0], self._configuration
         )
         self._upstream_feed = TableFeed(
-            reactor, self._store, names.upstreams, self._upstreams, UPSTREAMS_PAUSE
+            reactor,
+            self._store,
+            names.upstreams,
+            self._upstreams,
+            UPSTREAMS_PAUSE_PART * bounds.departure,
         )
         self._feeds = [
             self._feed,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -18,6 +18,7 @@
 
     :param configuration: seconds after which a configuration is in force everywhere
     :param stop: seconds that a planned stop may take
+    :param departure: seconds after which an upstream that leaves gets no new work
     :param retry_ratio: further attempts that the fleet may make for each request
     :param retry_extra: further attempts that it may always make in a window
     :param retry_window: seconds
@@ -25,6 +26,7 @@
 
     configuration: float = 2.0
     stop: float = 8.0
+    departure: float = 2.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
     retry_window: float = 10.0
