--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -86,6 +86,7 @@
         self._accounts: dict[str, Account] = {}
         self._writing: set[str] = set()
         self._unread: set[str] = set()
+        self._refilling: set[str] = set()
         self._closed = False
         self._settled_at = 0.0
 
@@ -205,6 +206,8 @@
             return 0
         if account.unspent < tokens:
             account.wanted = max(account.wanted, tokens)
+            if ahead:
+                self._refill_soon(workspace, account)
         lent = account.lend_ahead(tokens, ahead)
         if ahead:
             # The borrower's demand is met from here and shows nowhere else.
@@ -215,6 +218,29 @@
         self._adjust_soon(workspace)
         return lent
 
+    def _refill_soon(self, workspace: str, account: Account) -> None:
+        """Borrow for a borrower, unless the table can give what it needs.
+
+        Other lenders that ask are told what is here: if each asked on for the other,
+        tokens would go round.
+        """
+        if workspace in self._refilling or not self._loans.lends(workspace):
+            return
+        if self._reachable() and account.wanted <= account.most_headroom():
+            return
+        self._refilling.add(workspace)
+        spawn(self._refill(workspace, account), "AccountBook")
+
+    async def _refill(self, workspace: str, account: Account) -> None:
+        try:
+            await self._loans.refill(account, workspace, account.wanted)
+        finally:
+            self._refilling.discard(workspace)
+
+    def partners(self) -> frozenset[str]:
+        """Return the instances that lend for the same workspaces as this one."""
+        return self._loans.partners(self._accounts)
+
     def receive_loan(self, workspace: str, tokens: int) -> None:
         """Take tokens that a peer has handed over."""
         account = self._accounts.get(workspace)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -16,7 +16,7 @@
 from pondquay_daemon.tasks import sleep
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -81,6 +81,8 @@
         self._lender = lender
         self._domains: Mapping[str, str] = {}
         self._chosen: dict[str, frozenset[str]] = {}
+        self._partners: frozenset[str] = frozenset()
+        self._partners_known: tuple[Mapping[str, str], int] | None = None
 
     def settle_until(self, time: float) -> None:
         """Wait for links, and for the list of instances, until a time in seconds."""
@@ -122,6 +124,27 @@
             refused = await self._ask_all(account, workspace, tokens, ahead)
         return refused
 
+    async def refill(self, account: Account, workspace: str, tokens: int) -> None:
+        """Borrow from other lenders what a borrower waits for here.
+
+        A borrower reaches the lenders of its domain only, and these each other's.
+        """
+        for peer in self._rank(account, workspace):
+            lacking = tokens - account.unspent
+            if lacking <= 0:
+                return
+            await self._lender.borrow(peer, workspace, lacking)
+
+    def partners(self, workspaces: Collection[str]) -> frozenset[str]:
+        """Return the lenders of those workspaces for which this instance lends too."""
+        known = self._lender.domains, len(workspaces)
+        if self._partners_known != known:
+            chosen = [self._choose(one) for one in workspaces]
+            shared = [one for one in chosen if self._instance in one]
+            self._partners = frozenset().union(*shared) - {self._instance}
+            self._partners_known = known
+        return self._partners
+
     def return_surplus(self, workspace: str, account: Account) -> None:
         """Hand back what is borrowed and not needed."""
         surplus = plan_return(account, self._clock.seconds())
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -59,3 +59,7 @@
     @abstractmethod
     def receive_loan(self, workspace: str, tokens: int) -> None:
         """Take tokens that a peer has counted as spent."""
+
+    @abstractmethod
+    def partners(self) -> frozenset[str]:
+        """Return the instances to which a link is worth most, wherever they are."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -52,8 +52,10 @@
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
 SELDOM_LOADS_SECONDS = 0.25
-# Links that an instance opens by itself: those within its domain first, since it
-# borrows there, and some of the others.
+# Links that an instance opens by itself. First those to the instances that lend for the
+# same workspaces, some 16 where 40 workspaces have two lenders in each of five domains
+# of 39; then those within its domain, since it borrows there; then some others, so that
+# news crosses domains.
 MOST_LINKS = 64
 MOST_FAR_LINKS = 16
 # Departures that are told on a new link, the newest: about 5 KB. Those before are long
@@ -305,18 +307,26 @@
                 link.drop()
 
     def _open_links(self) -> None:
+        partners = self._listener.partners()
+        first: list[Address] = []
         near: list[Address] = []
         far: list[Address] = []
         for name, member in self._members.items():
-            if self._opens(name):
-                within = member.domain == self._domain
-                (near if within else far).append(member.address)
+            if not self._opens(name):
+                continue
+            if name in partners:
+                first.append(member.address)
+            elif member.domain == self._domain:
+                near.append(member.address)
+            else:
+                far.append(member.address)
         if not self._links:
             far += self._seeds
-        shuffle(near)
-        shuffle(far)
+        for addresses in (first, near, far):
+            shuffle(addresses)
         far_links = sum(self._domains.get(name) != self._domain for name in self._links)
-        wanted = near + far[: max(0, MOST_FAR_LINKS - far_links)]
+        far_links += len(first)
+        wanted = first + near + far[: max(0, MOST_FAR_LINKS - far_links)]
         room = MOST_LINKS - len(self._links)
         for address in wanted[: max(0, room)]:
             self._connect(address)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -322,6 +322,10 @@
         """Hand tokens to a peer."""
         return self._accounts.lend(workspace, tokens, ahead)
 
+    def partners(self) -> frozenset[str]:
+        """Return the instances that lend for the same workspaces as this one."""
+        return self._accounts.partners()
+
     def receive_loan(self, workspace: str, tokens: int) -> None:
         """Take tokens from a peer."""
         self._accounts.receive_loan(workspace, tokens)
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_fleet.py
@@ -0,0 +1,201 @@
+"""Budgets of a whole fleet: its start, and a cut from the table.
+
+The figures are those of a deployment of 195 instances in five domains with 40 budgets.
+The start is tried with 60 instances, since the writers of a row are the same ten, and
+the cut with a fifth of the budgets, for which each has a fifth of the links. The store
+takes 300 writes a second in a partition, one after another, refuses what would wait for
+more than a second, and is 5 ms away. Instances link to those of their domain and to
+those that lend for the same workspaces.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+
+from pondquay.budgets.lenders import choose_lenders
+from pondquay.policy import DEFAULT_POLICY
+from pondquay.routes.entities import RoutedWorkspace, RoutingConfiguration
+from pondquay.routes.table import RouteTable
+from pondquay.tables import ABSENT, Committed, Conflict, Row, Rows, Unreachable
+from pondquay_daemon.relay.accounts import AccountBook, row_key
+from pondquay_daemon.relay.loans import Lender
+from pondquay_daemon.relay.metrics import RelayMetrics
+from pondquay_daemon.tasks import sleep
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from pondquay.budgets.accounts import Refused
+    from pondquay.tables import Transaction
+
+DOMAINS = 5
+WORKSPACES = tuple(f"workspace-{number}" for number in range(40))
+PREPAID = 1_000_000
+WRITES_PER_SECOND = 300
+LONGEST_QUEUE_SECONDS = 1.0
+WAY_SECONDS = 0.005
+STEP_SECONDS = 0.005
+
+
+@dataclass
+class PartitionedStore:
+    """Rows whose partitions take their writes one after another."""
+
+    clock: Any
+    rows: dict[str, Row] = field(default_factory=dict)
+    free_at: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    turned_away: int = 0
+
+    async def read_row(self, key: str) -> Row | None:
+        await sleep(2 * WAY_SECONDS, self.clock)
+        return self.rows.get(key)
+
+    async def commit(self, transaction: Transaction) -> Any:
+        await sleep(WAY_SECONDS, self.clock)
+        key = transaction.writes[0].key
+        now = self.clock.seconds()
+        done_at = max(now, self.free_at[key]) + 1 / WRITES_PER_SECOND
+        if done_at - now > LONGEST_QUEUE_SECONDS:
+            self.turned_away += 1
+            return Unreachable()
+        self.free_at[key] = done_at
+        await sleep(done_at - now, self.clock)
+        reply = self.decide(transaction, key)
+        await sleep(WAY_SECONDS, self.clock)
+        return reply
+
+    def decide(self, transaction: Transaction, key: str) -> Committed | Conflict:
+        found = self.rows.get(key)
+        version = ABSENT if found is None else found.version
+        if version != transaction.conditions[0].version:
+            return Conflict(Rows({} if found is None else {key: found}))
+        value = transaction.writes[0].value or {}
+        self.rows[key] = Row(key, version + 1, value)
+        return Committed(version + 1)
+
+
+@dataclass
+class Links(Lender):
+    """One instance's links."""
+
+    fleet: Fleet
+    name: str
+
+    @property
+    def peers(self) -> list[str]:
+        books = self.fleet.books
+        return [one for one in books if one != self.name and self.is_linked(one)]
+
+    def is_linked(self, other: str) -> bool:
+        domains, books = self.fleet.domains, self.fleet.books
+        if domains[other] == domains[self.name]:
+            return True
+        return other in books[self.name].partners()
+
+    @property
+    def domains(self) -> Mapping[str, str]:
+        return self.fleet.domains
+
+    async def borrow(
+        self, peer: str, workspace: str, tokens: int, ahead: int = 0
+    ) -> int:
+        await sleep(WAY_SECONDS, self.fleet.clock)
+        lent = self.fleet.books[peer].lend(workspace, tokens, ahead)
+        await sleep(WAY_SECONDS, self.fleet.clock)
+        self.fleet.books[self.name].receive_loan(workspace, lent)
+        return lent
+
+    def give(self, peer: str, workspace: str, tokens: int) -> None:
+        self.fleet.clock.callLater(
+            WAY_SECONDS, self.fleet.books[peer].receive_loan, workspace, tokens
+        )
+
+
+class Fleet:
+    """The account books of all instances, on one clock."""
+
+    def __init__(self, size: int, workspaces: Sequence[str]) -> None:
+        self.clock: Any = MemoryReactorClock()
+        self.store = PartitionedStore(self.clock)
+        self.store_is_up = True
+        self.domains = {f"entry-{one}": f"hall-{one % DOMAINS}" for one in range(size)}
+        self.books: dict[str, AccountBook] = {}
+        self.served = 0
+        paid = tuple(RoutedWorkspace(one, (), prepaid=PREPAID) for one in workspaces)
+        table = RouteTable(RoutingConfiguration(1, (), (), workspaces=paid))
+        for name in self.domains:
+            self.books[name] = self.make_book(name)
+        for number, book in enumerate(self.books.values()):
+            # Instances start within 0.3 s of each other.
+            self.clock.callLater(0.3 * number / size, book.start)
+            self.clock.callLater(0.3 * number / size, book.take_table, table)
+
+    def make_book(self, name: str) -> AccountBook:
+        store: Any = self.store
+        return AccountBook(
+            self.clock,
+            store,
+            name,
+            "1",
+            lambda: self.store_is_up,
+            Links(self, name),
+            lambda: True,
+            RelayMetrics(Counter()),
+            DEFAULT_POLICY,
+        )
+
+    def run_until(self, seconds: float) -> None:
+        while self.clock.seconds() < seconds:
+            self.clock.advance(STEP_SECONDS)
+
+    def ask(self, name: str, workspace: str, tokens: int) -> None:
+        """Have a request come to an instance; its tokens are used at once."""
+        book = self.books[name]
+
+        def note(refused: Refused | None) -> None:
+            if refused is None:
+                book.settle(workspace, tokens, tokens)
+                self.served += tokens
+
+        asked = book.obtain("r1", workspace, tokens, patience=0.2)
+        Deferred.fromCoroutine(asked).addCallback(note)
+
+
+def test_a_fleet_that_starts_holds_all_budgets_within_seconds() -> None:
+    """All instances come up within a second, at first and after a loss of all power.
+
+    Each budget has two lenders a domain, and all write its row at that moment. With all
+    rows in one partition 89 of 400 allotments stood after 3 s.
+    """
+    fleet = Fleet(60, WORKSPACES)
+    fleet.run_until(3.0)
+    for workspace in WORKSPACES:
+        holders = fleet.store.rows[row_key(workspace)].value["holders"]
+        assert set(holders) == choose_lenders(workspace, fleet.domains)
+    assert fleet.store.turned_away == 0
+
+
+def test_in_a_cut_callers_of_one_domain_get_what_lenders_of_all_hold() -> None:
+    """No instance reaches the table for 8 s; all callers of a budget are in one domain.
+
+    Two of its ten lenders are in that domain, and borrowers there have links to hardly
+    any of the others. Where lenders do not borrow for them, 0.35 of what is held serves,
+    and 0.92 where they do.
+    """
+    fleet = Fleet(195, WORKSPACES[:8])
+    fleet.run_until(3.0)
+    workspace = WORKSPACES[0]
+    fleet.store_is_up = False
+    held = fleet.store.rows[row_key(workspace)].value["holders"]
+    ahead = sum(ceiling for _, ceiling, *_ in held.values())
+    callers = [name for name, domain in fleet.domains.items() if domain == "hall-0"]
+    tokens = ahead // 40
+    for number in range(40):
+        fleet.ask(callers[number % len(callers)], workspace, tokens)
+        fleet.run_until(fleet.clock.seconds() + 0.2)
+    assert fleet.served >= 0.8 * ahead
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -84,6 +84,9 @@
     def receive_loan(self, workspace: str, tokens: int) -> None:
         self.tokens += tokens
 
+    def partners(self) -> frozenset[str]:
+        return frozenset()
+
 
 class Transport(FakeTransport):
     """One end of a link in memory."""
