--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -126,18 +126,7 @@
 
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the accounts by workspace, for operators."""
-        return {
-            name: {
-                "prepaid": one.prepaid,
-                "ceiling": one.ceiling,
-                "spent": one.spent,
-                "reserved": one.reserved,
-                "free": one.free(),
-                "left": one.left(),
-                "row": one.version or ABSENT,
-            }
-            for name, one in self._accounts.items()
-        }
+        return {name: one.describe() for name, one in self._accounts.items()}
 
     async def obtain(
         self, request: str, workspace: str, tokens: int, patience: float
@@ -190,6 +179,7 @@
             tokens=tokens,
             unspent=account.unspent,
             ceiling=account.ceiling,
+            reserved=account.reserved,
             free=account.free(),
             left=account.left(),
             row=account.version or ABSENT,
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -217,6 +217,24 @@
         if entry is not None and self._lowered is None:
             self.ceiling = entry.ceiling
 
+    def describe(self) -> dict[str, int]:
+        """Return each term of the account, for operators."""
+        others = self.others().values()
+        return {
+            "prepaid": self.prepaid,
+            "used": self.used,
+            "used_by_all": self._surely_spent(),
+            "reserved": self.reserved,
+            "ceiling": self.ceiling,
+            "unspent": self.unspent,
+            "lent": self.spent - self.used,
+            "held_by_others": sum(one.unspent for one in others),
+            "unaccounted": self.row.closed - self.row.closed_spent,
+            "free": self.free(),
+            "left": self.left(),
+            "row": self.version or 0,
+        }
+
     def free(self) -> int:
         """Tokens that no instance holds, by the row as last known."""
         return self.prepaid - self.row.committed
--- a/packages/pondquay/tests/budgets/test_lenders.py
+++ b/packages/pondquay/tests/budgets/test_lenders.py
@@ -140,3 +140,22 @@
     borrower.read(row, 3)
     assert borrower.left() == prepaid
     assert borrower.free() == prepaid - 50_000
+
+
+def test_an_account_tells_where_its_tokens_are() -> None:
+    entry = Allotment("1", ceiling=50_000, spent=2_000, lent=40_000)
+    account = Account("me", "1", 100_000)
+    account.read(AllotmentRow(9_000, 7_000, {"a": entry}), 3)
+    account.receive_loan(6_000)
+    assert account.reserve(4_000) is None
+    account.settle(4_000, 1_000)
+    assert account.reserve(500) is None
+    terms = account.describe()
+    assert (terms["used"], terms["used_by_all"], terms["reserved"]) == (
+        1000,
+        10000,
+        500,
+    )
+    assert (terms["unspent"], terms["lent"]) == (4_500, -6_000)
+    assert (terms["held_by_others"], terms["unaccounted"]) == (8_000, 2_000)
+    assert (terms["free"], terms["left"]) == (41_000, 53_500)
