--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -10,7 +10,7 @@
 
 from pondquay.budgets.accounts import Account, Refused
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
-from pondquay.budgets.headroom import first_headroom, plan_headroom
+from pondquay.budgets.headroom import plan_headroom
 from pondquay.tables import (
     ABSENT,
     Committed,
@@ -284,18 +284,24 @@
         if name in self._writing or self._closed or not self._reachable():
             return
         account = self._accounts[name]
-        now = self.clock.seconds()
-        if now < self._settled_at and _is_untouched(account, now):
-            return
         if not self._loans.lends(name):
             self._loans.return_surplus(name, account)
             return
-        unread = name in self._unread
-        if not unread and plan_headroom(account, now) is None:
+        if name not in self._unread and not self._has_plan(account):
             return
         self._writing.add(name)
         spawn(self._adjust(name), "AccountBook")
 
+    def _may_hold(self, account: Account) -> bool:
+        """Tell whether this instance may hold tokens by now, if it is to."""
+        now = self.clock.seconds()
+        return now >= self._settled_at or not _is_untouched(account, now)
+
+    def _has_plan(self, account: Account) -> bool:
+        if not self._may_hold(account):
+            return False
+        return plan_headroom(account, self.clock.seconds()) is not None
+
     async def _adjust_all(self) -> None:
         for name in self._accounts:
             self._adjust_soon(name)
@@ -305,7 +311,8 @@
         try:
             if name in self._unread and not await self._read(name, account):
                 return
-            for _ in range(WRITE_ATTEMPTS):
+            attempts = WRITE_ATTEMPTS if self._may_hold(account) else 0
+            for _ in range(attempts):
                 if await self._write(name, account):
                     break
         finally:
@@ -327,9 +334,7 @@
         now = self.clock.seconds()
         headroom = plan_headroom(account, now)
         if headroom is None:
-            if account.row.find(self._holder, self._boot) is not None:
-                return True
-            headroom = first_headroom(account, now)
+            return True
         change = account.propose(headroom, now)
         account.begin(change)
         transaction = make_transaction(name, account.version or ABSENT, change.row)
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -109,8 +109,3 @@
     if surplus > max(HIGH_PART * target, WORTH_RETURNING * account.prepaid):
         return target
     return None
-
-
-def first_headroom(account: Account, now: float) -> int:
-    """Return the headroom of a first entry, where nothing is planned."""
-    return min(target_headroom(account, now), account.most_headroom())
