--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,25 +2,16 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from random import uniform
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred, gatherResults
 
 from pondquay.budgets.accounts import Account, Refused
-from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
+from pondquay.budgets.allotments import AllotmentRow
 from pondquay.budgets.headroom import plan_headroom
-from pondquay.tables import (
-    ABSENT,
-    Committed,
-    Condition,
-    Conflict,
-    Transaction,
-    Unreachable,
-    Write,
-)
+from pondquay.tables import ABSENT
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.allotmentrows import AllotmentRows
 from pondquay_daemon.relay.feeds import TableListener
 from pondquay_daemon.relay.loans import Loans
 from pondquay_daemon.tasks import Task, sleep, spawn
@@ -32,17 +23,12 @@
 
     from pondquay.policy import RelayPolicy
     from pondquay.routes.table import RouteTable
-    from pondquay.tables import JsonObject, Row
+    from pondquay.tables import JsonObject
     from pondquay_daemon.relay.loans import Lender
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.store import RowChange, Snapshot, Store
 
-TABLE = "allotments"
 ADJUST_SECONDS = 0.5
-# Pause after a failed call, and how often it doubles after several in a row: the table
-# turns writes away that it cannot take, and those that come again at once keep it full.
-RETRY_SECONDS = 0.1
-MOST_DOUBLINGS = 4
 # On its first start a fleet learns who belongs to it, before anyone holds anything.
 SETTLE_SECONDS = 1.5
 # Waits for tokens to come from the table, in turn, before a request is refused.
@@ -81,8 +67,7 @@
         self._metrics = metrics
         self._policy = policy
         self._loans = Loans(clock, holder, lender, reachable, knows_fleet, policy)
-        self._failures: Counter[str] = Counter()
-        self._store = store
+        self._rows = AllotmentRows(clock, store)
         self._reachable = reachable
         self._holder = holder
         self._boot = boot
@@ -274,12 +259,17 @@
     async def _hand_back(self, name: str, account: Account) -> None:
         closed: bool | None = None
         for _ in range(HAND_BACK_ATTEMPTS):
-            closed = self._reachable() and await self._close_account(name, account)
+            closed = self._reachable() and await self._close(name, account)
             if closed is not None:
                 break
         if closed is False:
             self._loans.give_away(name, account)
 
+    async def _close(self, name: str, account: Account) -> bool | None:
+        if account.version is None or account.reserved or name in self._writing:
+            return False
+        return await self._rows.close(name, account)
+
     def _take_row(self, key: str, value: JsonObject, version: int) -> None:
         account = self._accounts.get(key)
         if account is None:
@@ -325,110 +315,19 @@
     async def _adjust(self, name: str) -> None:
         account = self._accounts[name]
         try:
-            if name in self._unread and not await self._read(name, account):
-                return
+            if name in self._unread:
+                self._unread.discard(name)
+                if not await self._rows.read(name, account):
+                    self._unread.add(name)
+                    return
             attempts = WRITE_ATTEMPTS if self._may_hold(account) else 0
             for _ in range(attempts):
-                if await self._write(name, account):
+                if await self._rows.write(name, account):
                     break
         finally:
             self._writing.discard(name)
 
-    async def _read(self, name: str, account: Account) -> bool:
-        """Read a workspace's row; tell whether that succeeded."""
-        self._unread.discard(name)
-        reply = await self._store.read_row(row_key(name))
-        if isinstance(reply, Unreachable):
-            self._unread.add(name)
-            await self._pause(name)
-            return False
-        self._read_row(account, reply)
-        return True
-
-    async def _write(self, name: str, account: Account) -> bool:
-        """Write what is planned; ``False`` if another's write came before."""
-        now = self.clock.seconds()
-        headroom = plan_headroom(account, now)
-        if headroom is None:
-            return True
-        change = account.propose(headroom, now)
-        account.begin(change)
-        transaction = make_transaction(name, account.version or ABSENT, change.row)
-        reply = await self._store.commit(transaction)
-        if isinstance(reply, Committed):
-            del self._failures[name]
-            account.confirm(change, reply.version)
-            account.wanted = 0
-            log_event(
-                "allotment-written",
-                workspace=name,
-                ceiling=change.ceiling,
-                spent=account.spent,
-                free=account.free(),
-                closed=account.row.closed,
-                closed_spent=account.row.closed_spent,
-            )
-        elif isinstance(reply, Conflict):
-            self._read_row(account, reply.rows.rows.get(row_key(name)))
-            return False
-        else:
-            log_event(
-                "allotment-unknown",
-                Level.WARNING,
-                workspace=name,
-                ceiling=change.ceiling,
-            )
-            await self._pause(name)
-        return True
-
-    async def _pause(self, name: str) -> None:
-        """Wait after a failed call, longer after each further one."""
-        doublings = min(MOST_DOUBLINGS, self._failures[name])
-        self._failures[name] += 1
-        longest = RETRY_SECONDS * 2**doublings
-        await sleep(uniform(RETRY_SECONDS, longest), self.clock)
-
-    async def _close_account(self, name: str, account: Account) -> bool | None:
-        """Write one account's end.
-
-        :returns: whether it ended, ``None`` to try again
-        """
-        if account.version is None or account.reserved or name in self._writing:
-            return False
-        if account.row.find(self._holder, self._boot) is None:
-            return account.unspent == 0
-        spent = account.spent
-        row = account.close()
-        reply = await self._store.commit(make_transaction(name, account.version, row))
-        if isinstance(reply, Conflict):
-            self._read_row(account, reply.rows.rows.get(row_key(name)))
-            return None
-        if isinstance(reply, Unreachable):
-            account.reopen()
-            return False
-        log_event("allotment-closed", workspace=name, spent=spent, reply=reply)
-        return True
-
-    def _read_row(self, account: Account, row: Row | None) -> None:
-        if row is None:
-            account.read(EMPTY_ROW, ABSENT)
-        else:
-            account.read(AllotmentRow.from_value(row.value), row.version)
-
 
 def _is_untouched(account: Account, now: float) -> bool:
     """Tell whether nobody holds or asked for tokens, as on a fleet's first start."""
     return not account.row.holders and not account.demand.rate(now)
-
-
-def row_key(workspace: str) -> str:
-    """Return the key of a workspace's row."""
-    return f"{TABLE}/{workspace}"
-
-
-def make_transaction(workspace: str, version: int, row: AllotmentRow) -> Transaction:
-    """Return the write of a row that must still be at a version."""
-    key = row_key(workspace)
-    return Transaction(
-        "allotment", (Condition(key, version),), (Write(key, row.to_value()),)
-    )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -12,7 +12,6 @@
 from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.retryshares import RetryShare
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.accounts import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.accounts import AccountBook
 from pondquay_daemon.relay.admission import (
     UNAVAILABLE,
@@ -20,6 +19,7 @@
     admit_request,
     send_refusal,
 )
+from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.egress import EgressPool
 from pondquay_daemon.relay.feeds import TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
