--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from random import shuffle
+from random import sample
 from typing import TYPE_CHECKING, Any
 
 from pondquay.routing.directory import Departure
@@ -52,11 +52,12 @@
 # What waits at upstreams is told this long after it changes, in large fleets later.
 LOADS_SECONDS = 0.004
 SELDOM_LOADS_SECONDS = 0.25
-# Links that an instance opens by itself. First those to the instances that lend for the
-# same workspaces, some 16 where 40 workspaces have two lenders in each of five domains
-# of 39; then those within its domain, since it borrows there; then some others, so that
-# news crosses domains.
-MOST_LINKS = 64
+# Links that an instance opens by itself: those within its domain, since it borrows
+# there; those to lenders of its own workspaces elsewhere, 16 on average where 40
+# workspaces have ten lenders each of 195 instances; and some others, so that news
+# crosses domains.
+MOST_NEAR_LINKS = 64
+MOST_PARTNER_LINKS = 24
 MOST_FAR_LINKS = 16
 # Departures that are told on a new link, the newest: about 5 KB. Those before are long
 # gone, and the platform's list has lost them for everyone.
@@ -308,29 +309,31 @@
 
     def _open_links(self) -> None:
         partners = self._listener.partners()
-        first: list[Address] = []
         near: list[Address] = []
-        far: list[Address] = []
+        lenders: list[Address] = []
+        others: list[Address] = []
         for name, member in self._members.items():
             if not self._opens(name):
                 continue
-            if name in partners:
-                first.append(member.address)
-            elif member.domain == self._domain:
+            if member.domain == self._domain:
                 near.append(member.address)
+            elif name in partners:
+                lenders.append(member.address)
             else:
-                far.append(member.address)
+                others.append(member.address)
         if not self._links:
-            far += self._seeds
-        for addresses in (first, near, far):
-            shuffle(addresses)
-        far_links = sum(self._domains.get(name) != self._domain for name in self._links)
-        far_links += len(first)
-        wanted = first + near + far[: max(0, MOST_FAR_LINKS - far_links)]
-        room = MOST_LINKS - len(self._links)
-        for address in wanted[: max(0, room)]:
+            others += self._seeds
+        linked_far = {one for one in self._links if not self._is_near(one)}
+        linked_near = len(self._links) - len(linked_far)
+        wanted = _draw(near, MOST_NEAR_LINKS - linked_near)
+        wanted += _draw(lenders, MOST_PARTNER_LINKS - len(linked_far & partners))
+        wanted += _draw(others, MOST_FAR_LINKS - len(linked_far) - len(lenders))
+        for address in wanted:
             self._connect(address)
 
+    def _is_near(self, name: str) -> bool:
+        return self._domains.get(name) == self._domain
+
     def _opens(self, name: str) -> bool:
         """Tell whether it is for this instance to open a link to another now."""
         if name in self._links or name == self._instance:
@@ -354,3 +357,8 @@
         data = encode_message(message)
         for link in self._links.values():
             link.send_bytes(data)
+
+
+def _draw(addresses: list[Address], most: int) -> list[Address]:
+    """Return some of the addresses, drawn at random."""
+    return sample(addresses, min(len(addresses), max(0, most)))
