--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -198,7 +198,7 @@
         if account.unspent < tokens:
             account.wanted = max(account.wanted, tokens)
             if ahead:
-                self._refill_soon(workspace, account)
+                self._refill_soon(workspace, account, tokens)
         lent = account.lend_ahead(tokens, ahead)
         if ahead:
             # The borrower's demand is met from here and shows nowhere else.
@@ -209,7 +209,7 @@
         self._adjust_soon(workspace)
         return lent
 
-    def _refill_soon(self, workspace: str, account: Account) -> None:
+    def _refill_soon(self, workspace: str, account: Account, tokens: int) -> None:
         """Borrow for a borrower, unless the table can give what it needs.
 
         Other lenders that ask are told what is here: if each asked on for the other,
@@ -217,14 +217,14 @@
         """
         if workspace in self._refilling or not self._loans.lends(workspace):
             return
-        if self._reachable() and account.wanted <= account.most_headroom():
+        if self._reachable() and tokens <= account.most_headroom():
             return
         self._refilling.add(workspace)
-        spawn(self._refill(workspace, account), "AccountBook")
+        spawn(self._refill(workspace, account, tokens), "AccountBook")
 
-    async def _refill(self, workspace: str, account: Account) -> None:
+    async def _refill(self, workspace: str, account: Account, tokens: int) -> None:
         try:
-            await self._loans.refill(account, workspace, account.wanted)
+            await self._loans.refill(account, workspace, tokens)
         finally:
             self._refilling.discard(workspace)
 
