--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -10,6 +10,7 @@
 
 from pondquay.routes.entities import CallerLimits
 from pondquay.routing.directory import UpstreamDirectory
+from pondquay.routing.listwatch import VANISHED_SECONDS
 from pondquay.routing.retryshares import RetryShare
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.accounts import AccountBook
@@ -62,10 +63,12 @@
 ALLOTMENTS_PAUSE = 0.3
 SELDOM_ALLOTMENTS_PAUSE = 3.0
 # Rows of upstreams change with each heartbeat, several a second in all, and a poll ends
-# with the first. As a part of the time in which a leaving upstream may still get work:
-# the rest is for a poll that is slow, or has to be made again. Where that is 4 s, an
-# instance makes 2 of these calls a second, not 4, of some 11 of all kinds.
+# with the first. The pause is a part of the time in which a leaving upstream may still
+# get work. Where that is long, the pause takes what is left beside the time for which a
+# vanished row counts and a second for a poll that is slow or is made again: at 4 s that
+# is 1.5 s, and a poll brings a heartbeat of every upstream once, not in pieces.
 UPSTREAMS_PAUSE_PART = 0.125
+SLOW_POLL_SECONDS = 1.0
 MEMBERS_PAUSE = 2.0
 # Seconds after which a caller that is refused for the stop should ask another instance.
 ELSEWHERE = 0.1
@@ -139,7 +142,7 @@
             self._store,
             names.upstreams,
             self._upstreams,
-            lambda: UPSTREAMS_PAUSE_PART * bounds.departure,
+            lambda: choose_upstreams_pause(bounds.departure),
         )
         self._feeds = [
             self._feed,
@@ -351,6 +354,15 @@
         )
 
 
+def choose_upstreams_pause(departure: float) -> float:
+    """Return the seconds between two polls of the list of upstreams.
+
+    :param departure: seconds after which an upstream that leaves gets no new work
+    """
+    spare = departure - VANISHED_SECONDS - SLOW_POLL_SECONDS
+    return max(UPSTREAMS_PAUSE_PART * departure, spare)
+
+
 class ReadinessHandler(RequestHandler):
     """Tells the balancer whether the relay is ready."""
 
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_relay.py
@@ -0,0 +1,19 @@
+from __future__ import annotations
+
+import pytest
+
+from pondquay.routing.listwatch import VANISHED_SECONDS
+from pondquay_daemon.relay.relay import SLOW_POLL_SECONDS, choose_upstreams_pause
+
+
+@pytest.mark.parametrize("departure", [1.0, 2.0, 3.0, 4.0, 10.0])
+def test_a_departure_is_heard_in_time_whatever_the_bound(departure: float) -> None:
+    pause = choose_upstreams_pause(departure)
+    assert 0 < pause <= departure - min(departure / 2, SLOW_POLL_SECONDS)
+    if departure >= VANISHED_SECONDS + 2 * SLOW_POLL_SECONDS:
+        assert pause + VANISHED_SECONDS + SLOW_POLL_SECONDS <= departure
+
+
+def test_a_bound_of_two_seconds_is_polled_for_often() -> None:
+    assert choose_upstreams_pause(2.0) == 0.25
+    assert choose_upstreams_pause(4.0) == 1.5
