--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -37,7 +37,8 @@
 # of reach: an outage lasts.
 AFTER_OUTAGE = 2.0
 HAND_BACK_ATTEMPTS = 4
-WRITE_ATTEMPTS = 4
+# As often as the others of ten lenders may come first, where all write a row at once.
+WRITE_ATTEMPTS = 10
 
 
 class AccountBook(Task, TableListener):
@@ -287,12 +288,14 @@
         self._adjust_soon(key)
 
     def _adjust_soon(self, name: str) -> None:
-        if name in self._writing or self._closed or not self._reachable():
+        if name in self._writing or self._closed:
             return
         account = self._accounts[name]
         if not self._loans.lends(name):
             self._loans.return_surplus(name, account)
             return
+        if not self._reachable():
+            return
         if name not in self._unread and not self._has_plan(account):
             return
         self._writing.add(name)
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -64,9 +64,15 @@
 
     Such instances are many, and each sees few requests: what they hold is missing where
     the next request comes. So one request counts for what it is, not as the first of a
-    series.
+    series, and where little is left, little of it is held.
     """
-    return int(account.policy.ahead_seconds * account.demand.mean_rate(now))
+    ahead = account.policy.ahead_seconds * account.demand.mean_rate(now)
+    return int(min(ahead, most_borrowed(account)))
+
+
+def most_borrowed(account: Account) -> float:
+    """Return the tokens that such an instance may hold without need for them."""
+    return max(0.0, account.policy.borrowed_of_left * account.left())
 
 
 def plan_return(account: Account, now: float) -> int:
@@ -76,7 +82,7 @@
         return 0
     surplus = account.unspent - keep
     worth_returning = account.policy.return_part * account.demand.largest
-    return surplus if surplus > worth_returning else 0
+    return surplus if surplus > min(worth_returning, most_borrowed(account)) else 0
 
 
 def lent_at_most(account: Account) -> int:
