--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -16,6 +16,10 @@
     from pondquay.policy import RelayPolicy
 
 RATE_SECONDS = 8.0
+# A request is small that needs this part of the prepaid tokens at most. The last ones
+# are kept for these: they answer more callers than few large requests would, when after
+# a loss of all instances hardly anything is left.
+SMALL_PART = 0.01
 LEAST_AGE_SECONDS = 2.0
 # Part of what a lender has left that a borrower may get beyond its need.
 AHEAD_PART = 0.25
@@ -25,13 +29,15 @@
     """Why tokens could not be reserved.
 
     ``EXHAUSTED`` is said only where the row shows that no instance can have them;
-    ``OUT_OF_REACH`` where the table that may have them does not answer.
+    ``OUT_OF_REACH`` where the table that may have them does not answer, ``KEPT`` where
+    they are here and are the last ones, which only small requests get.
     """
 
     EXHAUSTED = "exhausted"
     ELSEWHERE = "elsewhere"
     UNKNOWN = "unknown"
     OUT_OF_REACH = "out-of-reach"
+    KEPT = "kept-for-small"
 
 
 @dataclass(slots=True)
@@ -119,18 +125,16 @@
         return self.ceiling - self.spent - self.reserved
 
     def reserve(self, tokens: int) -> Refused | None:
-        """Set tokens aside before a request is sent, ``None`` if that succeeded.
-
-        What is in hand is refused only where operators lowered what is prepaid.
-        """
-        if tokens <= self.unspent and tokens <= self.left():
+        """Set tokens aside before a request is sent, ``None`` if that succeeded."""
+        kept = self._kept_from(tokens)
+        if tokens <= self.unspent and tokens + kept <= self.left():
             self.reserved += tokens
             return None
         if self.version is None:
             return Refused.UNKNOWN
-        if self._surely_spent() + tokens > self.prepaid:
+        if self._surely_spent() + tokens + kept > self.prepaid:
             return Refused.EXHAUSTED
-        return Refused.ELSEWHERE
+        return Refused.KEPT if tokens <= self.unspent else Refused.ELSEWHERE
 
     def settle(self, reserved: int, used: int) -> None:
         """Replace a reservation by what was used of it."""
@@ -274,6 +278,19 @@
         entry = self.row.holders.get(self.holder)
         return 0 if entry is None or entry.boot == self.boot else entry.ceiling
 
+    @property
+    def last_part(self) -> int:
+        """Tokens that are kept for small requests."""
+        return int(self.policy.last_part * self.prepaid)
+
+    def is_small(self, tokens: int) -> bool:
+        """Tell whether a request may have of the last part."""
+        return tokens <= SMALL_PART * self.prepaid
+
+    def _kept_from(self, tokens: int) -> int:
+        """Return the tokens that a request of this size may not touch."""
+        return 0 if self.is_small(tokens) else self.last_part
+
     def _surely_spent(self) -> int:
         own = self.row.find(self.holder, self.boot)
         known = 0 if own is None else own.spent
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -85,6 +85,15 @@
     return surplus if surplus > min(worth_returning, most_borrowed(account)) else 0
 
 
+def ordinary_headroom(account: Account) -> int:
+    """Return the most headroom for other than small requests.
+
+    The part for small ones stays in the row, where no death strands it.
+    """
+    most = account.most_headroom()
+    return max(0, min(account.unspent, most), most - account.last_part)
+
+
 def lent_at_most(account: Account) -> int:
     """Return the tokens that other instances could lend, by the row."""
     return sum(one.unspent for one in account.others().values())
@@ -95,22 +104,24 @@
     target = target_headroom(account, now)
     unspent = account.unspent
     most = account.most_headroom()
+    ordinary = ordinary_headroom(account)
     if account.has_earlier_life:
-        # Closed at once, also where nothing is to be had: until then others take what
-        # it held for tokens that they could borrow.
-        return min(most, target)
+        # Closed at once, also where nothing is to be had: until then what it held
+        # counts as left, and large requests take the part that is kept for small ones.
+        return min(ordinary, target)
     if account.lowering:
         return min(most, max(unspent, target))
     if account.free() < 0:
         return min(unspent, most) if unspent > most else None
-    if unspent < account.wanted <= most:
-        return max(min(most, target), account.wanted)
-    if unspent < most < account.wanted <= most + lent_at_most(account):
+    room = most if account.is_small(account.wanted) else ordinary
+    if unspent < account.wanted <= room:
+        return max(min(ordinary, target), account.wanted)
+    if unspent < room < account.wanted <= room + lent_at_most(account):
         # The rest is borrowed. Otherwise a request that fits into what is left could be
         # refused for ever, with some of it in the row and some with each instance.
-        return most
-    if unspent < LOW_PART * target and most > unspent:
-        return min(most, target)
+        return room
+    if unspent < LOW_PART * target and ordinary > unspent:
+        return min(ordinary, target)
     surplus = unspent - target if account.policy.return_surplus else 0
     if surplus > max(HIGH_PART * target, WORTH_RETURNING * account.prepaid):
         return target
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -17,6 +17,8 @@
         all instances do not queue up at the same one
     :param borrow: ask peers for tokens that the table does not give in time
     :param return_surplus: give back what is held far above the target
+    :param last_part: part of the prepaid tokens that is kept for small requests, so
+        that a workspace which is nearly out is still answered; no worth was measured
     :param most_holders: instances up to which all hold tokens of every workspace;
         beyond it a row would have more writers than the store takes
     :param cover_seconds: seconds of the demand of all that they keep ahead; it covers
@@ -48,6 +50,7 @@
     share_loads: bool = True
     borrow: bool = True
     return_surplus: bool = True
+    last_part: float = 0.03
     most_holders: int = 16
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
