--- a/packages/pondquay-standins/src/pondquay_standins/soak/__main__.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/__main__.py
@@ -2,14 +2,33 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from argparse import ArgumentParser, ArgumentTypeError
 from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
 
 from pondquay_standins.soak.runs import SoakResult, SoakRun
 
+if TYPE_CHECKING:
+    from types import FrameType
+
 SECONDS = 10.0
 EXIT_BREACH = 1
+# What ends a command at once by default, and would leave its relays running: they call
+# the ports of their table and replicas, which the next fleet is given.
+ENDING_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+SIGNAL_EXIT = 128
+
+
+def end_in_order() -> None:
+    """Have signals let the seeds under way end, with their processes."""
+
+    def leave(number: int, frame: FrameType | None) -> None:
+        raise SystemExit(SIGNAL_EXIT + number)
+
+    for one in ENDING_SIGNALS:
+        signal.signal(one, leave)
 
 
 def parse_seeds(text: str) -> list[int]:
@@ -56,4 +75,5 @@
 
 
 if __name__ == "__main__":
+    end_in_order()
     sys.exit(main())
