--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -115,6 +115,7 @@
     :param progress: set for routes whose answers are streams
     :param on_heard: called whenever something comes from the upstream
     :param on_pause: called with the seconds between two events of this attempt
+    :param on_cold: called with the seconds for which the upstream says it is cold
     """
 
     def __init__(
@@ -126,9 +127,11 @@
         progress: StreamProgress | None,
         on_heard: Callable[[], None],
         on_pause: Callable[[float], None],
+        on_cold: Callable[[float], None],
     ) -> None:
         self._on_heard = on_heard
         self._on_pause = on_pause
+        self._on_cold = on_cold
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -178,6 +181,8 @@
         """Judge the head of the answer."""
         self._touch()
         marks = self._border.read_answer(head)
+        if marks.cold:
+            self._on_cold(marks.cold)
         if marks.not_run or marks.misdirected:
             self._not_run = NotRun(head.status, marks.misdirected)
             return
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
@@ -72,6 +72,13 @@
         :raises MalformedValueError: if it has another form
         """
 
+    @abstractmethod
+    def find_emptied_domain(self, key: str) -> str | None:
+        """Return the domain that a row of the configuration's table asks to empty.
+
+        :returns: ``None`` for rows of another kind
+        """
+
     @abstractmethod
     def read_upstream(self, name: str, value: Mapping[str, Any]) -> UpstreamRecord:
         """Read an upstream's row.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -51,6 +51,33 @@
         return
 
 
+class JointListener(TableListener):
+    """Tells several listeners of one table, in order."""
+
+    def __init__(self, *listeners: TableListener) -> None:
+        self._listeners = listeners
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the table as a whole."""
+        for one in self._listeners:
+            one.take_snapshot(snapshot)
+
+    def take_change(self, change: RowChange) -> None:
+        """Take in one row."""
+        for one in self._listeners:
+            one.take_change(change)
+
+    def note_followed(self) -> None:
+        """Learn that the table answers."""
+        for one in self._listeners:
+            one.note_followed()
+
+    def note_lost(self) -> None:
+        """Learn that the table does not answer."""
+        for one in self._listeners:
+            one.note_lost()
+
+
 class TableFeed:
     """Keeps a listener up to date with a table.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -137,6 +137,7 @@
                 "reading": one.prompts.own,
                 "waiting": one.prompts.waiting,
                 "failures": one.circuit.failures,
+                "cold_until": one.cold_until,
             }
             for one in self.directory.all()
         ]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -94,9 +94,11 @@
     :param signed: whether an upstream vouches for it
     :param not_run: whether the request certainly did not run
     :param misdirected: whether another upstream has the address
+    :param cold: seconds for which the upstream still bears few requests
     """
 
     attempt: str
     signed: bool
     not_run: bool
     misdirected: bool
+    cold: float = 0.0
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -44,6 +44,11 @@
         self.store_up = self._gauge("store_up", "1 if the store answers")
         self.peers = self._gauge("peers", "Instances to which a link is open")
         self.upstreams = self._gauge("upstreams", "Upstreams that may get work")
+        self.emptied = self._gauge("emptied_domains", "Domains that get no new work")
+        self.emptied_version = self._gauge(
+            "emptied_domains_version",
+            "Table version of the newest word on emptied domains; all alike: all heard",
+        )
         self.unspent = self._gauge("unspent_tokens", "Tokens at hand, all workspaces")
 
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from pondquay.routing.directory import Departure
+    from pondquay.routing.evacuations import Evacuation
 
 
 class PeerListener(ABC):
@@ -49,6 +50,14 @@
     def hear_departure(self, departure: Departure) -> None:
         """Take in that an upstream leaves."""
 
+    @abstractmethod
+    def evacuations(self) -> list[Evacuation]:
+        """Return the newest news of each domain that was ever emptied."""
+
+    @abstractmethod
+    def hear_evacuation(self, news: Evacuation) -> None:
+        """Take in that a domain is emptied or was taken back."""
+
     @abstractmethod
     def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         """Count tokens as spent here and return how many, 0 if none can be spared.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -84,6 +84,18 @@
     departures: list[tuple[str, int | None]]
 
 
+@dataclass(frozen=True, slots=True)
+class DomainEvacuations:
+    """Names domains that are emptied or were taken back.
+
+    :param evacuations: for each its name, the version of the news, and whether it is
+        emptied
+    """
+
+    CODE: ClassVar[int] = 10
+    evacuations: list[tuple[str, int, bool]]
+
+
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
     """Asks for tokens of a workspace.
@@ -129,6 +141,7 @@
     | FetchConfiguration
     | ConfigurationValue
     | UpstreamDepartures
+    | DomainEvacuations
     | LoanRequest
     | Loan
     | UpstreamLoads
@@ -141,6 +154,7 @@
         FetchConfiguration,
         ConfigurationValue,
         UpstreamDepartures,
+        DomainEvacuations,
         LoanRequest,
         Loan,
         UpstreamLoads,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay.routing.directory import Departure
+from pondquay.routing.evacuations import Evacuation
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
@@ -20,6 +21,7 @@
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
 from pondquay_daemon.relay.peermessages import (
     ConfigurationValue,
+    DomainEvacuations,
     FetchConfiguration,
     Heartbeat,
     Hello,
@@ -88,6 +90,11 @@
     return UpstreamDepartures([(one.name, one.version) for one in departures])
 
 
+def pack_evacuations(news: Iterable[Evacuation]) -> DomainEvacuations:
+    """Return the message that tells of emptied domains."""
+    return DomainEvacuations([(one.domain, one.version, one.emptied) for one in news])
+
+
 class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
@@ -163,6 +170,10 @@
         """Tell all peers that an upstream leaves."""
         self._send_all(pack_departures([departure]))
 
+    def announce_evacuation(self, news: Evacuation) -> None:
+        """Tell all peers that a domain is emptied or was taken back."""
+        self._send_all(pack_evacuations([news]))
+
     def announce_load(
         self, upstream: str, count: Callable[[], int], parts: Iterable[str]
     ) -> None:
@@ -211,6 +222,8 @@
         link.send(Hello(self._instance, members))
         link.send(Heartbeat(self._listener.configuration_version()))
         link.send(pack_departures(self._listener.departures()[-MOST_TOLD:]))
+        if evacuations := self._listener.evacuations():
+            link.send(pack_evacuations(evacuations))
 
     def lose(self, link: PeerLink) -> None:
         """Forget a link."""
@@ -236,14 +249,25 @@
             self._send_configuration(link)
         elif isinstance(message, ConfigurationValue):
             self._receive_configuration(link, message)
-        elif isinstance(message, UpstreamDepartures):
+        elif isinstance(message, LoanRequest | Loan):
+            self._receive_tokens(link, message)
+        else:
+            self._receive_news(link, message)
+
+    def _receive_news(
+        self,
+        link: PeerLink,
+        message: UpstreamDepartures | DomainEvacuations | UpstreamLoads,
+    ) -> None:
+        if isinstance(message, UpstreamDepartures):
             for name, version in message.departures:
                 self._listener.hear_departure(Departure(name, version))
-        elif isinstance(message, UpstreamLoads):
+        elif isinstance(message, DomainEvacuations):
+            for domain, version, emptied in message.evacuations:
+                self._listener.hear_evacuation(Evacuation(domain, version, emptied))
+        else:
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
-        else:
-            self._receive_tokens(link, message)
 
     def _receive_tokens(self, link: PeerLink, message: LoanRequest | Loan) -> None:
         if isinstance(message, Loan):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -17,6 +17,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.policy import RelayPolicy
+    from pondquay.routing.coldshares import ColdShares
     from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
     from pondquay.routing.prompts import PromptPart
 
@@ -30,7 +31,9 @@
         directory: UpstreamDirectory,
         domain: str,
         policy: RelayPolicy,
+        cold_shares: ColdShares,
     ) -> None:
+        self._cold_shares = cold_shares
         self._policy = policy
         self._clock = clock
         self._directory = directory
@@ -40,11 +43,34 @@
         self, service: str, prefix: tuple[PromptPart, ...], tried: Collection[str]
     ) -> KnownUpstream | None:
         """Return an upstream that was not tried yet, ``None`` if there is none."""
-        known = self._directory.candidates(service)
-        candidates = [one for one in known if one.name not in tried]
+        now = self._clock.seconds()
+        chosen = self._choose(service, prefix, tried, now)
+        if chosen is not None:
+            chosen.sent_at = now
+        return chosen
+
+    def explain_none(self, service: str, tried: Collection[str]) -> str:
+        """Return why there is no upstream for a request."""
+        if self._directory.evacuations.emptied:
+            return "no upstream in the domains that are not emptied"
+        if any(one.name not in tried for one in self._directory.candidates(service)):
+            return "no upstream that is warm"
+        return "no upstream"
+
+    def _choose(
+        self,
+        service: str,
+        prefix: tuple[PromptPart, ...],
+        tried: Collection[str],
+        now: float,
+    ) -> KnownUpstream | None:
+        candidates = [
+            one
+            for one in self._directory.candidates(service)
+            if one.name not in tried and self._cold_shares.allows(one, now)
+        ]
         if not candidates:
             return None
-        now = self._clock.seconds()
         sound = [one for one in candidates if self._allows(one, now)] or candidates
         if prefix:
             spare = self._policy.spare_streams
@@ -72,7 +98,9 @@
         """Tell whether a sound upstream is left that was not tried."""
         now = self._clock.seconds()
         return any(
-            one.name not in tried and self._allows(one, now)
+            one.name not in tried
+            and self._allows(one, now)
+            and self._cold_shares.allows(one, now)
             for one in self._directory.candidates(service)
         )
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -9,6 +9,7 @@
 from twisted.internet.error import CannotListenError
 
 from pondquay.routes.entities import CallerLimits
+from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.listwatch import VANISHED_SECONDS
 from pondquay.routing.retryshares import RetryShare
@@ -22,7 +23,8 @@
 )
 from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.egress import EgressPool
-from pondquay_daemon.relay.feeds import TableFeed
+from pondquay_daemon.relay.evacuationview import EvacuationView
+from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
 from pondquay_daemon.relay.members import TABLE as MEMBERS
@@ -39,8 +41,10 @@
     from collections.abc import Iterable
     from typing import Any
 
+    from pondquay.routes.entities import Service
     from pondquay.routes.table import RouteTable
     from pondquay.routing.directory import Departure, KnownUpstream
+    from pondquay.routing.evacuations import Evacuation
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -115,7 +119,17 @@
             border,
             self._pool,
             directory,
-            Placement(reactor, directory, settings.domain, settings.policy),
+            Placement(
+                reactor,
+                directory,
+                settings.domain,
+                settings.policy,
+                ColdShares(
+                    settings.instance,
+                    lambda: self._peers.domains,
+                    self._cold_rate,
+                ),
+            ),
             self._accounts,
             RetryShare(
                 bounds.retry_ratio,
@@ -133,9 +147,15 @@
         self._upstreams = UpstreamView(
             border, directory, self._peers.announce_departure
         )
+        self._evacuations = EvacuationView(
+            border, directory, self._cold_seconds, self._peers.announce_evacuation
+        )
         names = border.store_names
         self._feed = TableFeed(
-            reactor, self._store, names.configuration[0], self._configuration
+            reactor,
+            self._store,
+            names.configuration[0],
+            JointListener(self._evacuations, self._configuration),
         )
         self._upstream_feed = TableFeed(
             reactor,
@@ -210,6 +230,7 @@
             "store": {"reachable": self._feed.reachable, "age": self._feed.age()},
             "peers": self._peers.peers,
             "connections": len(self._callers.connections),
+            "emptied": self._parts.directory.evacuations.describe(),
             "upstreams": self._upstreams.describe(),
             "accounts": self._accounts.describe(),
         }
@@ -220,6 +241,9 @@
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
         metrics.upstreams.set(self._parts.directory.count_present())
+        evacuations = self._parts.directory.evacuations
+        metrics.emptied.set(len(evacuations.emptied))
+        metrics.emptied_version.set(evacuations.version)
         metrics.unspent.set(self._accounts.unspent())
         return metrics.render()
 
@@ -272,7 +296,7 @@
             self._metrics.requests.labels(str(admitted.status)).inc()
             send_refusal(self._border, answer, "", admitted)
             return
-        service = None if table is None else table.service(admitted.service)
+        service = self._find_service(admitted.service)
         run = RequestRun(self._parts, admitted, service, head, body, answer)
         spawn(run.run(), "RequestRun")
 
@@ -331,6 +355,14 @@
                 source="peer",
             )
 
+    def evacuations(self) -> list[Evacuation]:
+        """Return what is known here of emptied domains."""
+        return self._parts.directory.evacuations.news()
+
+    def hear_evacuation(self, news: Evacuation) -> None:
+        """Take in a peer's news of an emptied domain."""
+        self._evacuations.hear(news)
+
     def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         """Hand tokens to a peer."""
         return self._accounts.lend(workspace, tokens, ahead)
@@ -343,6 +375,18 @@
         """Take tokens from a peer."""
         self._accounts.receive_loan(workspace, tokens)
 
+    def _find_service(self, name: str) -> Service | None:
+        table = self._configuration.table
+        return None if table is None else table.service(name)
+
+    def _cold_rate(self, service: str) -> float:
+        found = self._find_service(service)
+        return 0.0 if found is None else found.cold_rate
+
+    def _cold_seconds(self, service: str) -> float:
+        found = self._find_service(service)
+        return 0.0 if found is None else found.cold_seconds
+
     def _take_table(self, table: RouteTable) -> None:
         self._accounts.take_table(table)
         self._peers.announce_version()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -164,7 +164,7 @@
         while not self._stopped:
             upstream = self._sender.place()
             if upstream is None:
-                return self._give_up("no upstream")
+                return self._give_up(self._sender.explain_no_upstream())
             if sends and not self._retries.take():
                 return self._give_up("no retries left")
             last = runs + 1 >= self._route.attempts
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -107,9 +107,16 @@
             tried=len(self.tried),
             list_age=-1 if age is None else round(age, 2),
             gone=-1 if gone is None else round(parts.clock.seconds() - gone, 2),
+            cold=round(max(0.0, chosen.cold_until - parts.clock.seconds()), 2),
+            emptied=parts.directory.evacuations.describe(),
         )
         return chosen
 
+    def explain_no_upstream(self) -> str:
+        """Return why there is none to try."""
+        service = self._job.admission.service
+        return self._parts.placement.explain_none(service, self.tried)
+
     async def send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
         """Send the request and return what came of it.
 
@@ -162,6 +169,7 @@
             self._progress,
             reading.note_heard,
             lambda pause: self._note_pause(upstream, pause),
+            lambda cold: upstream.note_cold(cold, self._parts.clock.seconds()),
         )
 
     def _note_pause(self, upstream: KnownUpstream, pause: float) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -48,6 +48,7 @@
             self.progress,
             lambda: None,
             pauses.append,
+            lambda cold: None,
         )
         attempt.answered(AnswerHead(200, b"OK", []))
         return attempt
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -11,6 +11,7 @@
 from twisted.test.iosim import FakeTransport, IOPump
 
 from pondquay.routing.directory import Departure
+from pondquay.routing.evacuations import Evacuation
 from pondquay_daemon.addresses import Address
 from pondquay_daemon.relay.configurationfetch import (
     FETCH_SECONDS,
@@ -45,6 +46,8 @@
     value: dict[str, Any] | None = None
     left: list[Departure] = field(default_factory=list)
     heard: list[Departure] = field(default_factory=list)
+    emptied: list[Evacuation] = field(default_factory=list)
+    heard_emptied: list[Evacuation] = field(default_factory=list)
     tokens: int = 0
     loads: dict[tuple[str, str], int] = field(default_factory=dict)
     read: list[str] = field(default_factory=list)
@@ -78,6 +81,12 @@
     def hear_departure(self, departure: Departure) -> None:
         self.heard.append(departure)
 
+    def evacuations(self) -> list[Evacuation]:
+        return self.emptied
+
+    def hear_evacuation(self, news: Evacuation) -> None:
+        self.heard_emptied.append(news)
+
     def lend(self, workspace: str, tokens: int, ahead: int) -> int:
         lent = min(self.tokens, tokens)
         self.tokens -= lent
@@ -251,6 +260,18 @@
     assert pair.nodes[0].heard == [Departure("u1", version)]
 
 
+def test_emptied_domains_are_told_at_once_and_on_links_that_open_later() -> None:
+    pair = Pair(1)
+    news = Evacuation("hall", 7, emptied=True)
+    pair.meshes[1].announce_evacuation(news)
+    pair.pump()
+    assert pair.nodes[0].heard_emptied == [news]
+    pair.nodes[1].emptied = [Evacuation("hall", 9, emptied=False)]
+    pair.pumps.append(pair.link(pair.meshes[1]))
+    pair.pump()
+    assert pair.nodes[0].heard_emptied[1:] == pair.nodes[1].emptied
+
+
 def test_a_link_that_opens_later_tells_who_has_left_before() -> None:
     pair = Pair(1)
     pair.nodes[1].left = [Departure("u1"), Departure("u2", 7)]
--- a/packages/pondquay/src/pondquay/routes/entities.py
+++ b/packages/pondquay/src/pondquay/routes/entities.py
@@ -69,6 +69,9 @@
     :param most_connections: what one upstream accepts from all instances together
     :param event_tokens: the most tokens in one event of a stream
     :param shares_prompts: whether an upstream can copy what another has read
+    :param cold_seconds: for which an upstream bears little after it has started
+    :param cold_rate: requests a second that it bears then from all instances together,
+        0 for no bound
     """
 
     name: str
@@ -76,6 +79,8 @@
     most_connections: int
     event_tokens: int = 0
     shares_prompts: bool = False
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
     @property
     def counts_tokens(self) -> bool:
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.evacuations import Evacuations
 from pondquay.routing.listwatch import VANISHED_SECONDS, ListWatch
 from pondquay.routing.pauses import PauseRecord
 from pondquay.routing.promptload import PromptLoad
@@ -26,6 +27,7 @@
     :param address: ``host:port``
     :param slots: requests that it runs at the same time
     :param leaving: whether it will end soon
+    :param cold: seconds for which it still is cold: it bears few requests
     """
 
     name: str
@@ -34,6 +36,7 @@
     domain: str
     slots: int
     leaving: bool = False
+    cold: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,8 @@
     :param prompts: what waits to be read there and what has been
     :param pauses: how long its streams pause while it reads prompts
     :param heard: when anything last came from it, in seconds
+    :param sent_at: when a request was last placed there, in seconds
+    :param cold_until: until when it may be cold, in seconds
     """
 
     record: UpstreamRecord
@@ -71,6 +76,8 @@
     prompts: PromptLoad = field(default_factory=PromptLoad)
     pauses: PauseRecord = field(default_factory=PauseRecord)
     heard: float = 0.0
+    sent_at: float | None = None
+    cold_until: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
 
     @property
@@ -78,6 +85,14 @@
         """The name of this life of the upstream."""
         return self.record.name
 
+    def note_cold(self, seconds: float, now: float) -> None:
+        """Learn that it may be cold for some more seconds.
+
+        News of it is late and comes from several sides; the longest holds, since one
+        that gets its usual work while it is cold falls over.
+        """
+        self.cold_until = max(self.cold_until, now + seconds)
+
     def has_left(self, now: float) -> bool:
         """Tell whether it gets no new work for good, or until a newer row comes."""
         return self.leaving or (self.expires is not None and self.expires <= now)
@@ -91,10 +106,12 @@
     no later trouble of the store takes it back; only a newer row does.
 
     :param clock: tells the time in seconds
+    :ivar evacuations: the domains that operators have emptied
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self.evacuations = Evacuations(clock)
         self._watch = ListWatch()
         self._known: dict[str, KnownUpstream] = {}
         # The newest version at which each row is known to have been gone.
@@ -153,6 +170,7 @@
         known.vanished = None
         known.expires = None
         known.leaving = known.leaving or departure is not None
+        known.note_cold(record.cold, self._clock())
         return known
 
     def remove(self, name: str, version: int) -> KnownUpstream | None:
@@ -246,21 +264,37 @@
             known.prompts.hear(instance, 0)
 
     def candidates(self, service: str) -> list[KnownUpstream]:
-        """Return those that may get new work.
+        """Return those that may get new work; none of an emptied domain may.
 
         Rows vanish when an upstream leaves without a word, but also when the list's
         store is in trouble. Vanished ones are tried only where nothing else is left,
         and until they are taken to have left.
         """
         now = self._clock()
+        emptied = self.evacuations.emptied
         of_service = [
             one
             for one in self._known.values()
-            if one.record.service == service and not one.has_left(now)
+            if one.record.service == service
+            and one.record.domain not in emptied
+            and not one.has_left(now)
         ]
         present = [one for one in of_service if one.vanished is None]
         return present or of_service
 
+    def note_taken_back(self, domain: str, cold: Callable[[str], float]) -> None:
+        """Learn that an emptied domain gets work again.
+
+        Its upstreams may have turned cold shortly before, which the list tells up to
+        two seconds late; until then they are taken to be.
+
+        :param cold: returns the seconds for which upstreams of a service are cold
+        """
+        now = self._clock()
+        for known in self._known.values():
+            if known.record.domain == domain:
+                known.note_cold(cold(known.record.service), now)
+
     def _note_removed(self, name: str, version: int) -> None:
         before = self._removed.pop(name, 0)
         self._removed[name] = max(version, before)
--- /dev/null
+++ b/packages/pondquay/src/pondquay/routing/evacuations.py
@@ -0,0 +1,99 @@
+"""Which failure domains operators have emptied: their upstreams get no new work.
+
+The operators' row of a domain stands in the platform's table for as long as the domain
+is to stay empty. An instance hears of it from the table or from a peer, late and in any
+order; of two pieces of news the one with the newer version of the table holds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """News of one failure domain.
+
+    :param version: of the table, at which the row was written or was gone
+    :param emptied: whether the domain is emptied, or was taken back
+    """
+
+    domain: str
+    version: int
+    emptied: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    news: Evacuation
+    at: float
+
+
+class Evacuations:
+    """What an instance knows of emptied domains.
+
+    :param clock: tells the time in seconds
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._heard: dict[str, _Heard] = {}
+        self._emptied: frozenset[str] = frozenset()
+        # Up to this version the table is known as a whole: older news of a domain that
+        # is not known here has been overtaken.
+        self._read_at = 0
+
+    @property
+    def emptied(self) -> frozenset[str]:
+        """The domains whose upstreams get no new work."""
+        return self._emptied
+
+    @property
+    def version(self) -> int:
+        """The newest version at which a domain was emptied or taken back, or 0."""
+        return max((one.news.version for one in self._heard.values()), default=0)
+
+    def news(self) -> list[Evacuation]:
+        """Return the newest news of each domain."""
+        return [one.news for one in self._heard.values()]
+
+    def take(self, news: Evacuation) -> bool:
+        """Take in news; tell whether it is newer than what was known."""
+        before = self._heard.get(news.domain)
+        known = self._read_at if before is None else before.news.version
+        if news.version <= known:
+            return False
+        self._heard[news.domain] = _Heard(news, self._clock())
+        self._emptied = frozenset(
+            one.news.domain for one in self._heard.values() if one.news.emptied
+        )
+        return True
+
+    def replace(self, emptied: Mapping[str, int], at: int) -> list[Evacuation]:
+        """Take in all rows as they stood at some version, perhaps an old one.
+
+        :param emptied: for each emptied domain the version of its row
+        :returns: what of it is new here
+        """
+        found = [Evacuation(name, version, True) for name, version in emptied.items()]
+        found += [
+            Evacuation(name, at, False)
+            for name, heard in self._heard.items()
+            if heard.news.emptied and name not in emptied
+        ]
+        changed = [one for one in found if self.take(one)]
+        self._read_at = max(self._read_at, at)
+        return changed
+
+    def describe(self) -> str:
+        """Return the emptied domains with version and age, for logs."""
+        now = self._clock()
+        return ",".join(
+            f"{one.news.domain}@{one.news.version}+{now - one.at:.1f}s"
+            for one in self._heard.values()
+            if one.news.emptied
+        )
