--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -264,6 +264,11 @@
             self._watch.reset(self._patience)
 
     def _notice_silence(self) -> None:
+        if self._exchange is not None and not self._exchange.sent:
+            # There is no connection yet: nothing can have run, and to try elsewhere
+            # costs no further attempt.
+            self._end(Unsent("no connection in time"), cancel=True)
+            return
         if self._may_leave is not None and self._may_leave():
             self._end(Lost("silent", silent=True), cancel=True)
             return
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -40,15 +40,35 @@
         self._domain = domain
 
     def choose(
-        self, service: str, prefix: tuple[PromptPart, ...], tried: Collection[str]
+        self,
+        service: str,
+        prefix: tuple[PromptPart, ...],
+        tried: Collection[str],
+        unreached: Collection[str] = (),
     ) -> KnownUpstream | None:
-        """Return an upstream that was not tried yet, ``None`` if there is none."""
+        """Return an upstream that was not tried yet, ``None`` if there is none.
+
+        :param unreached: domains in which the request found no connection; others come
+            first
+        """
         now = self._clock.seconds()
-        chosen = self._choose(service, prefix, tried, now)
-        if chosen is not None:
-            chosen.sent_at = now
+        candidates = self._list_usable(service, tried, now)
+        if not candidates:
+            return None
+        sound = [one for one in candidates if self._is_sound(one, now)]
+        elsewhere = [one for one in sound if one.record.domain not in unreached]
+        chosen = self._choose_of(elsewhere or sound or candidates, prefix, now)
+        chosen.sent_at = now
         return chosen
 
+    def note_unreached(self, upstream: KnownUpstream) -> None:
+        """Learn that no connection to an upstream could be made."""
+        now = self._clock.seconds()
+        upstream.circuit.trip(now)
+        if self._policy.leave_dark:
+            reach = self._directory.reach
+            reach.note_failed(upstream.record.domain, upstream.name, now)
+
     def explain_none(self, service: str, tried: Collection[str]) -> str:
         """Return why there is no upstream for a request."""
         if self._directory.evacuations.emptied:
@@ -57,26 +77,27 @@
             return "no upstream that is warm"
         return "no upstream"
 
-    def _choose(
-        self,
-        service: str,
-        prefix: tuple[PromptPart, ...],
-        tried: Collection[str],
-        now: float,
-    ) -> KnownUpstream | None:
-        candidates = [
+    def _list_usable(
+        self, service: str, tried: Collection[str], now: float
+    ) -> list[KnownUpstream]:
+        """Return those that may get the request, whether they answer or not."""
+        return [
             one
             for one in self._directory.candidates(service)
             if one.name not in tried and self._cold_shares.allows(one, now)
         ]
-        if not candidates:
-            return None
-        sound = [one for one in candidates if self._allows(one, now)] or candidates
+
+    def _choose_of(
+        self,
+        candidates: list[KnownUpstream],
+        prefix: tuple[PromptPart, ...],
+        now: float,
+    ) -> KnownUpstream:
         if prefix:
             spare = self._policy.spare_streams
-            return choose_by_prompt(sound, prefix, now, spare_streams=spare)
-        crowded = max(1, int(self._policy.crowded_part * sound[0].record.slots))
-        return choose_nearest(sound, self._domain, crowded)
+            return choose_by_prompt(candidates, prefix, now, spare_streams=spare)
+        crowded = max(1, int(self._policy.crowded_part * candidates[0].record.slots))
+        return choose_nearest(candidates, self._domain, crowded)
 
     def find_source(
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
@@ -90,7 +111,7 @@
         sound = [
             one
             for one in self._directory.candidates(target.record.service)
-            if self._allows(one, now) and one.vanished is None
+            if self._is_sound(one, now) and one.vanished is None
         ]
         return choose_source(target, sound, prefix)
 
@@ -98,11 +119,10 @@
         """Tell whether a sound upstream is left that was not tried."""
         now = self._clock.seconds()
         return any(
-            one.name not in tried
-            and self._allows(one, now)
-            and self._cold_shares.allows(one, now)
-            for one in self._directory.candidates(service)
+            self._is_sound(one, now) for one in self._list_usable(service, tried, now)
         )
 
-    def _allows(self, upstream: KnownUpstream, now: float) -> bool:
-        return not self._policy.circuits or upstream.circuit.allows(now)
+    def _is_sound(self, upstream: KnownUpstream, now: float) -> bool:
+        if self._policy.circuits and not upstream.circuit.allows(now):
+            return False
+        return not self._directory.reach.is_dark(upstream.record.domain, now)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
@@ -60,6 +60,7 @@
             self._parts.announce_load(self._upstream, shared)
         self._end()
         self._upstream.heard = self._parts.clock.seconds()
+        self._parts.directory.reach.note_heard(self._upstream.record.domain)
 
     def _end(self) -> None:
         """Note that the prompt no longer waits to be read there."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -41,7 +41,8 @@
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
-# Connections that may fail before a request is refused; nothing was sent on them.
+# Connections that may fail before a request is refused, unless a sound upstream is
+# left; nothing was sent on them.
 MOST_CONNECT_FAILURES = 3
 # How a request ended, where it was not a status.
 NO_ANSWER = "none"
@@ -172,7 +173,7 @@
             self._observe(upstream, outcome)
             if isinstance(outcome, Unsent):
                 connect_failures += 1
-                if connect_failures >= MOST_CONNECT_FAILURES:
+                if self._is_out_of_reach(connect_failures):
                     return self._give_up("no connection")
                 continue
             sends += 1
@@ -187,6 +188,17 @@
                 return refusal
         return self._give_up(self._stopped)
 
+    def _is_out_of_reach(self, connect_failures: int) -> bool:
+        """Tell whether no further connection is worth trying.
+
+        A refused one costs a millisecond, one that does not come half a second, so only
+        the callers' time bounds them while an upstream is left that should answer.
+        """
+        if connect_failures < MOST_CONNECT_FAILURES:
+            return False
+        leaves_dark = self._parts.policy.leave_dark
+        return not leaves_dark or not self._sender.has_other()
+
     def _may_leave(self) -> bool:
         """Take a retry, if another upstream may serve the request."""
         return self._retries.hold_for_other(self._sender.tried)
@@ -201,7 +213,8 @@
         elif isinstance(outcome, NotRun) and outcome.misdirected:
             self._parts.directory.note_leaving(upstream.name)
         elif isinstance(outcome, Unsent):
-            upstream.circuit.trip(now)
+            self._parts.placement.note_unreached(upstream)
+            self._sender.unreached.add(upstream.record.domain)
         elif isinstance(outcome, Lost):
             upstream.circuit.fail(now)
         elif isinstance(outcome, Answered | Streamed):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -57,6 +57,7 @@
     :param may_leave: takes a further attempt, so that a silent upstream may be left
     :ivar tried: upstreams that it was sent to
     :ivar sent_to: the same in order
+    :ivar unreached: domains of upstreams to which there was no connection
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self._attempt: Attempt | None = None
         self.tried: set[str] = set()
         self.sent_to: list[str] = []
+        self.unreached: set[str] = set()
 
     @property
     def running(self) -> bool:
@@ -90,7 +92,9 @@
     def place(self) -> KnownUpstream | None:
         """Return the upstream to try next, ``None`` if there is none."""
         parts, service = self._parts, self._job.admission.service
-        chosen = parts.placement.choose(service, self._marks.prefix, self.tried)
+        chosen = parts.placement.choose(
+            service, self._marks.prefix, self.tried, self.unreached
+        )
         if chosen is None:
             return None
         age = parts.list_age()
@@ -112,6 +116,11 @@
         )
         return chosen
 
+    def has_other(self) -> bool:
+        """Tell whether a sound upstream is left that was not tried."""
+        service = self._job.admission.service
+        return self._parts.placement.has_other(service, self.tried)
+
     def explain_no_upstream(self) -> str:
         """Return why there is none to try."""
         service = self._job.admission.service
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -34,7 +34,7 @@
 from pondquay_daemon.relay.store import Changes, RowChange, Snapshot, Store
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Container, Mapping
 
     from pondquay.tables import JsonObject, Transaction
     from pondquay_daemon.relay.messages import (
@@ -364,6 +364,27 @@
         """Return how many calls to upstreams wait for their connection."""
         return len(self.clock.tcpClients) - self._taken
 
+    def answer_calls(self, dark: Container[str]) -> list[str]:
+        """Have calls to dark hosts time out and all others answered.
+
+        :returns: the hosts that were called, in order
+        """
+        calls = self.clock.tcpClients[self._taken :]
+        self._taken += len(calls)
+        for host, _, factory, timeout, _ in calls:
+            if host in dark:
+                lost = Failure(ConnectTimeoutError())
+                self.clock.callLater(
+                    timeout, factory.clientConnectionFailed, None, lost
+                )
+                continue
+            end = UpstreamEnd(factory.buildProtocol(None), CallerTransport())
+            end.protocol.makeConnection(end.transport)
+            end.send(
+                b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+            )
+        return [host for host, *_ in calls]
+
     def answers(self) -> list[bytes]:
         """Return what each caller has got."""
         return [one.value() for one in self._answers]
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -41,6 +41,8 @@
     :param come_back_seconds: after which a caller that was refused for want of tokens
         should try again; another instance may have some, and 1 s measured the same
     :param circuits: leave out upstreams that failed several times in a row
+    :param leave_dark: take a failure domain for dark in which two upstreams in a row
+        could not be connected to, and try another domain after each such failure
     :param leave_silent: try elsewhere what an upstream says nothing to
     :param urgency: tell upstreams which requests are urgent
     :param crowded_part: part of an upstream's places that one instance takes in its
@@ -61,6 +63,7 @@
     return_part: float = 0.25
     come_back_seconds: float = 0.1
     circuits: bool = True
+    leave_dark: bool = True
     leave_silent: bool = True
     urgency: bool = True
     crowded_part: float = 0.5
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.domainreach import DomainReach
 from pondquay.routing.evacuations import Evacuations
 from pondquay.routing.listwatch import VANISHED_SECONDS, ListWatch
 from pondquay.routing.pauses import PauseRecord
@@ -107,11 +108,13 @@
 
     :param clock: tells the time in seconds
     :ivar evacuations: the domains that operators have emptied
+    :ivar reach: the domains that cannot be reached from here
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.evacuations = Evacuations(clock)
+        self.reach = DomainReach()
         self._watch = ListWatch()
         self._known: dict[str, KnownUpstream] = {}
         # The newest version at which each row is known to have been gone.
