--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -8,7 +8,7 @@
 
 from pondquay.budgets.accounts import Account, Refused
 from pondquay.budgets.allotments import AllotmentRow
-from pondquay.budgets.headroom import plan_headroom
+from pondquay.budgets.headroom import plan_headroom, want_tokens
 from pondquay.tables import ABSENT
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.allotmentrows import AllotmentRows
@@ -130,12 +130,13 @@
         account.demand.note(tokens, self.clock.seconds())
         refused = account.reserve(tokens)
         until = self.clock.seconds() + patience
-        for wait in OBTAIN_WAITS if self._loans.lends(workspace) else ():
+        holds = self._loans.holds(workspace, account)
+        for wait in OBTAIN_WAITS if holds else ():
             if refused in (None, Refused.EXHAUSTED) or not self._reachable():
                 break
             if self.clock.seconds() + wait > until:
                 break
-            account.wanted = max(account.wanted, tokens)
+            want_tokens(account, tokens)
             self._adjust_soon(workspace)
             await sleep(wait, self.clock)
             refused = account.reserve(tokens)
@@ -197,7 +198,7 @@
         if account is None or self._closed:
             return 0
         if account.unspent < tokens:
-            account.wanted = max(account.wanted, tokens)
+            want_tokens(account, tokens)
             if ahead:
                 self._refill_soon(workspace, account, tokens)
         lent = account.lend_ahead(tokens, ahead)
@@ -291,7 +292,7 @@
         if name in self._writing or self._closed:
             return
         account = self._accounts[name]
-        if not self._loans.lends(name):
+        if not self._loans.holds(name, account):
             self._loans.return_surplus(name, account)
             return
         if not self._reachable():
--- a/packages/pondquay-daemon/tests/relay/test_fleet.py
+++ b/packages/pondquay-daemon/tests/relay/test_fleet.py
@@ -100,6 +100,8 @@
         return [one for one in books if one != self.name and self.is_linked(one)]
 
     def is_linked(self, other: str) -> bool:
+        if self.fleet.cut_off in (self.name, other):
+            return False
         domains, books = self.fleet.domains, self.fleet.books
         if domains[other] == domains[self.name]:
             return True
@@ -137,6 +139,7 @@
         self.clock: Any = MemoryReactorClock()
         self.store = PartitionedStore(self.clock)
         self.store_is_up = True
+        self.cut_off = ""
         self.domains = {f"entry-{one}": f"hall-{one % DOMAINS}" for one in range(size)}
         self.books: dict[str, AccountBook] = {}
         self.served = 0
@@ -261,6 +264,51 @@
     assert fleet.served >= 0.8 * ahead
 
 
+def test_an_instance_with_a_large_part_of_the_callers_holds_tokens_by_itself() -> None:
+    """One of 74 instances has 18% of all callers, as where few callers are heavy.
+
+    Then it reaches neither the table nor the lenders for 5 s. As a borrower it holds
+    what comes in a moment; as a holder of its own what all hold for their demand.
+    """
+    fleet = Fleet(74, WORKSPACES[:1])
+    workspace = WORKSPACES[0]
+    lenders = choose_lenders(workspace, fleet.domains)
+    borrowers = [one for one in fleet.domains if one not in lenders]
+    busy, others = borrowers[0], borrowers[1:]
+    fleet.run_until(3.0)
+
+    def ask_for(seconds: float, *, all_ask: bool) -> None:
+        for number in range(round(seconds * 10)):
+            if number % 5 == 0:
+                fleet.ask(busy, workspace, 1_500)
+            if all_ask:
+                fleet.ask(others[number % len(others)], workspace, 1_500)
+            fleet.run_until(fleet.clock.seconds() + 0.1)
+
+    ask_for(10.0, all_ask=True)
+    assert busy in fleet.holders(workspace)
+    assert len(fleet.holders(workspace)) == len(lenders) + 1
+    fleet.store_is_up = False
+    fleet.cut_off = busy
+    fleet.served = 0
+    ask_for(5.0, all_ask=False)
+    assert fleet.served >= 0.9 * 10 * 1_500
+
+
+def test_one_that_no_longer_has_many_callers_hands_its_tokens_back() -> None:
+    fleet = Fleet(74, WORKSPACES[:1])
+    workspace = WORKSPACES[0]
+    lenders = choose_lenders(workspace, fleet.domains)
+    busy = next(one for one in fleet.domains if one not in lenders)
+    fleet.run_until(3.0)
+    for _ in range(40):
+        fleet.ask(busy, workspace, 1_500)
+        fleet.run_until(fleet.clock.seconds() + 0.1)
+    assert fleet.books[busy].describe()[workspace]["unspent"] > 1_500
+    fleet.run_until(60.0)
+    assert fleet.books[busy].describe()[workspace]["unspent"] < 1_500
+
+
 def test_a_lender_learns_without_the_feed_that_tokens_were_returned() -> None:
     """In a large fleet rows come seldom; a write that meets a newer one brings it."""
     fleet = Fleet(60, WORKSPACES[:1], replace(DEFAULT_POLICY, borrow=False))
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -99,6 +99,24 @@
     return sum(one.unspent for one in account.others().values())
 
 
+def want_tokens(account: Account, tokens: int) -> None:
+    """Note that a request waits for tokens.
+
+    The most that is waited for counts, unless the row has nothing for it: a large
+    request that can only be refused must not keep the last tokens from small ones.
+    """
+    if _room_for(account, account.wanted) <= account.unspent:
+        account.wanted = 0
+    account.wanted = max(account.wanted, tokens)
+
+
+def _room_for(account: Account, tokens: int) -> int:
+    """Return the most headroom that the row has for a request of some size."""
+    if account.is_small(tokens):
+        return account.most_headroom()
+    return ordinary_headroom(account)
+
+
 def plan_headroom(account: Account, now: float) -> int | None:
     """Return the headroom that should be written, ``None`` if nothing is worth it."""
     target = target_headroom(account, now)
@@ -113,7 +131,7 @@
         return min(most, max(unspent, target))
     if account.free() < 0:
         return min(unspent, most) if unspent > most else None
-    room = most if account.is_small(account.wanted) else ordinary
+    room = _room_for(account, account.wanted)
     if unspent < account.wanted <= room:
         return max(min(ordinary, target), account.wanted)
     if unspent < room < account.wanted <= room + lent_at_most(account):
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -11,6 +11,7 @@
     MOST_OF_PREPAID,
     plan_headroom,
     target_headroom,
+    want_tokens,
 )
 from pondquay.policy import DEFAULT_POLICY
 
@@ -158,3 +159,22 @@
     assert plan_headroom(account, NOW) is None, "too large for the last part"
     account.wanted = account.last_part // 4
     assert plan_headroom(account, NOW) == account.wanted
+
+
+def test_a_large_request_that_cannot_be_served_keeps_no_small_one_waiting() -> None:
+    """Of a budget that is nearly used up only the part for small requests is free.
+
+    A lender was asked for a large request, which that part is not for, and from then on
+    refused small ones for ten seconds, with the whole part free in the row.
+    """
+    account = Account("me", "1", PREPAID)
+    last = account.last_part
+    account.read(AllotmentRow(0, 0, {"other": Allotment("1", PREPAID - last)}), 1)
+    want_tokens(account, last)
+    assert plan_headroom(account, NOW) is None
+    small = PREPAID // 200
+    want_tokens(account, small)
+    assert plan_headroom(account, NOW) == small
+    want_tokens(account, 2 * small)
+    want_tokens(account, small)
+    assert plan_headroom(account, NOW) == 2 * small
