--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -311,17 +311,26 @@
         if name in self._writing or self._closed:
             return
         account = self._accounts[name]
-        if not self._loans.holds(name, account):
-            self._loans.return_surplus(name, account)
-            if self._loans.lacks_ahead(account):
-                self._borrow_soon(name, self._loans.top_up(account, name))
-            return
+        holds = self._loans.holds(name, account)
+        if not holds:
+            self._adjust_loans(name, account)
         if not self._reachable():
             return
-        if name not in self._unread and not self._has_plan(account):
-            return
-        self._writing.add(name)
-        spawn(self._adjust(name), "AccountBook")
+        if name in self._unread:
+            # A borrower reads a row once it has a request for it: what it may keep
+            # ahead follows from what is left and who else asks for it.
+            is_due = holds or account.demand.largest > 0
+        else:
+            is_due = holds and self._has_plan(account)
+        if is_due:
+            self._writing.add(name)
+            spawn(self._adjust(name), "AccountBook")
+
+    def _adjust_loans(self, name: str, account: Account) -> None:
+        """Hand back what is not needed, or borrow ahead what is."""
+        self._loans.return_surplus(name, account)
+        if self._loans.lacks_ahead(account):
+            self._borrow_soon(name, self._loans.top_up(account, name))
 
     def _may_hold(self, account: Account) -> bool:
         """Tell whether this instance may hold tokens by now, if it is to."""
@@ -345,7 +354,8 @@
                 if not await self._rows.read(name, account):
                     self._unread.add(name)
                     return
-            attempts = WRITE_ATTEMPTS if self._may_hold(account) else 0
+            writes = self._loans.holds(name, account) and self._may_hold(account)
+            attempts = WRITE_ATTEMPTS if writes else 0
             for _ in range(attempts):
                 if await self._rows.write(name, account):
                     break
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -127,6 +127,7 @@
         self._demands = LoanDemands(self.clock)
         self._loads: dict[str, list[str]] = {}
         self._counts: dict[str, Callable[[], int]] = {}
+        self._told_loads: dict[str, int] = {}
         self._fetch = ConfigurationFetch(self.clock, listener, self._all)
 
     def start(self) -> None:
@@ -190,13 +191,24 @@
         self._loads.setdefault(upstream, []).extend(parts)
 
     def _send_loads(self) -> None:
-        loads = [
-            (upstream, self._counts[upstream](), parts)
-            for upstream, parts in self._loads.items()
-        ]
+        """Tell peers what has changed at upstreams since they were told.
+
+        Most of what waits has been read before the next message, so most of it is
+        never told: with 60 requests a second, 40 links and four messages a second the
+        whole took an estimated sixth of a link of 5 Mbit/s.
+        """
+        loads = []
+        for upstream, parts in self._loads.items():
+            tokens = self._counts[upstream]()
+            if parts or tokens != self._told_loads.get(upstream, 0):
+                self._told_loads[upstream] = tokens
+                loads.append((upstream, tokens, parts))
+            if not tokens:
+                self._told_loads.pop(upstream, None)
         self._loads.clear()
         self._counts.clear()
-        self._send_all(UpstreamLoads(loads))
+        if loads:
+            self._send_all(UpstreamLoads(loads))
 
     async def borrow(
         self, peer: str, workspace: str, tokens: int, ahead: int = 0
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
@@ -55,9 +55,9 @@
     def note_heard(self) -> None:
         """Learn that something came from the upstream: the prompt has been read."""
         if self._unread:
-            shared = list_shared(self._prefix)
-            self._upstream.prompts.note_read(shared)
-            self._parts.announce_load(self._upstream, shared)
+            new = self._upstream.prompts.note_read(list_shared(self._prefix))
+            if new:
+                self._parts.announce_load(self._upstream, new)
         self._end()
         self._upstream.heard = self._parts.clock.seconds()
         self._parts.directory.reach.note_heard(self._upstream.record.domain)
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -262,6 +262,23 @@
     assert pair.nodes[0].heard == [Departure("u1", version)]
 
 
+def test_what_was_read_before_it_could_be_told_is_never_told() -> None:
+    pair = Pair(1)
+    waiting = [5_000]
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], [])
+    waiting[0] = 0
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], [])
+    pair.advance(LOADS_SECONDS)
+    assert pair.nodes[1].loads == {}
+    waiting[0] = 5_000
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], [])
+    pair.advance(LOADS_SECONDS)
+    waiting[0] = 0
+    pair.meshes[0].announce_load("u1", lambda: waiting[0], [])
+    pair.advance(LOADS_SECONDS)
+    assert pair.nodes[1].loads == {("a", "u1"): 0}
+
+
 def test_emptied_domains_are_told_at_once_and_on_links_that_open_later() -> None:
     pair = Pair(1)
     news = Evacuation("hall", 7, emptied=True)
--- a/packages/pondquay/src/pondquay/routing/promptload.py
+++ b/packages/pondquay/src/pondquay/routing/promptload.py
@@ -51,13 +51,20 @@
         """Return the tokens to be read there before a prompt that comes now is."""
         return self.waiting + self.count_unread(prefix)
 
-    def note_read(self, parts: Iterable[str]) -> None:
-        """Note shared parts that have been read there, in the order of the prompt."""
+    def note_read(self, parts: Iterable[str]) -> list[str]:
+        """Note shared parts that have been read there, in the order of the prompt.
+
+        :returns: those that were not known to be
+        """
+        new = []
         for part in parts:
+            if part not in self._read:
+                new.append(part)
             self._read[part] = None
             self._read.move_to_end(part)
         while len(self._read) > MOST_PARTS:
             self._read.popitem(last=False)
+        return new
 
     def hear(self, instance: str, tokens: int) -> None:
         """Take in what another instance has waiting there."""
