--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -152,7 +152,10 @@
         return self._departures.get(name)
 
     def put(self, record: UpstreamRecord, version: int) -> KnownUpstream | None:
-        """Take in a row of the list, ``None`` if it says nothing new."""
+        """Take in a row of the list; ``None`` if it says nothing new.
+
+        Most rows are heartbeats, which only prove that the upstream lives.
+        """
         name = record.name
         if record.leaving:
             self.note_leaving(name)
@@ -166,6 +169,7 @@
             # It had only lapsed.
             del self._departures[name]
             departure = None
+        is_news = known is None or known.vanished is not None or known.record != record
         if known is None:
             known = self._known[name] = KnownUpstream(record, version)
         known.record = record
@@ -174,7 +178,7 @@
         known.expires = None
         known.leaving = known.leaving or departure is not None
         known.note_cold(record.cold, self._clock())
-        return known
+        return known if is_news else None
 
     def remove(self, name: str, version: int) -> KnownUpstream | None:
         """Take in that a row is gone, ``None`` if that is not new."""
