--- a/packages/pondquay-daemon/tests/border/test_configuration.py
+++ b/packages/pondquay-daemon/tests/border/test_configuration.py
@@ -6,6 +6,7 @@
 
 from pondquay.routes.entities import RequestKind
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_platform.border import PlatformBorder
 from pondquay_platform.configuration import read_configuration, read_upstream
 
 
@@ -73,6 +74,22 @@
     assert read.limits.header_timeout == 3.0
 
 
+def test_what_an_upstream_bears_while_it_is_cold_is_read() -> None:
+    value = make_value()
+    value["services"][0] |= {"cold_s": 3.0, "cold_per_s": 6.6}
+    first, second = read_configuration(value).services
+    assert (first.cold_seconds, first.cold_rate) == (3.0, 6.6)
+    assert (second.cold_seconds, second.cold_rate) == (0.0, 0.0)
+    row = {"service": "s-1", "address": "10.0.0.1:80", "cold_remaining_ms": 1500}
+    assert read_upstream("i-1", row).cold == 1.5
+
+
+def test_a_row_that_empties_a_domain_names_it() -> None:
+    border = PlatformBorder()
+    assert border.find_emptied_domain("evacuate/hall-a") == "hall-a"
+    assert border.find_emptied_domain("config") is None
+
+
 @pytest.mark.parametrize("missing", ["version", "routes", "services"])
 def test_a_configuration_without_a_part_is_an_error(missing: str) -> None:
     value = make_value()
--- a/packages/pondquay-daemon/tests/border/test_headers.py
+++ b/packages/pondquay-daemon/tests/border/test_headers.py
@@ -138,6 +138,12 @@
     assert (marks.not_run, marks.misdirected) == (not_run, misdirected)
 
 
+@pytest.mark.parametrize(("value", "cold"), [(b"1500", 1.5), (b"0", 0.0), (b"x", 0.0)])
+def test_an_answer_may_say_that_its_upstream_is_cold(value: bytes, cold: float) -> None:
+    head = AnswerHead(200, b"", [(b"X-Pondquay-Cold-Ms", value)])
+    assert read_answer(head).cold == cold
+
+
 def test_a_refusal_bears_no_signature_and_says_when_to_come_back() -> None:
     assert write_refusal("a1", 0.25) == [
         (b"X-Pondquay-Attempt-Id", b"a1"),
