--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -131,8 +131,7 @@
         account.demand.note(tokens, self.clock.seconds())
         refused = account.reserve(tokens)
         until = self.clock.seconds() + patience
-        holds = self._loans.holds(workspace, account)
-        for wait in OBTAIN_WAITS if holds else ():
+        for wait in OBTAIN_WAITS if self._loans.lends(workspace) else ():
             if refused in (None, Refused.EXHAUSTED) or not self._reachable():
                 break
             if self.clock.seconds() + wait > until:
@@ -311,17 +310,17 @@
         if name in self._writing or self._closed:
             return
         account = self._accounts[name]
-        holds = self._loans.holds(name, account)
-        if not holds:
+        lends = self._loans.lends(name)
+        if not lends:
             self._adjust_loans(name, account)
         if not self._reachable():
             return
         if name in self._unread:
             # A borrower reads a row once it has a request for it: what it may keep
             # ahead follows from what is left and who else asks for it.
-            is_due = holds or account.demand.largest > 0
+            is_due = lends or account.demand.largest > 0
         else:
-            is_due = holds and self._has_plan(account)
+            is_due = lends and self._has_plan(account)
         if is_due:
             self._writing.add(name)
             spawn(self._adjust(name), "AccountBook")
@@ -354,7 +353,7 @@
                 if not await self._rows.read(name, account):
                     self._unread.add(name)
                     return
-            writes = self._loans.holds(name, account) and self._may_hold(account)
+            writes = self._loans.lends(name) and self._may_hold(account)
             attempts = WRITE_ATTEMPTS if writes else 0
             for _ in range(attempts):
                 if await self._rows.write(name, account):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.headroom import plan_ahead, plan_return, plan_top_up
-from pondquay.budgets.lenders import choose_lenders, is_main_user
+from pondquay.budgets.lenders import choose_lenders
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.tasks import sleep
 
@@ -103,13 +103,6 @@
             return True
         return settled and chosen.isdisjoint(self._lender.peers)
 
-    def holds(self, workspace: str, account: Account) -> bool:
-        """Tell whether this instance is to hold an allotment, if only for itself."""
-        if self.lends(workspace):
-            return True
-        now = self._clock.seconds()
-        return now >= self._settled_at and is_main_user(account, now)
-
     async def borrow(
         self, account: Account, workspace: str, tokens: int
     ) -> Refused | None:
@@ -119,10 +112,10 @@
         """
         if not self._policy.borrow:
             return account.reserve(tokens)
-        holds = self.holds(workspace, account)
-        ahead = 0 if holds else max(1, plan_ahead(account, self._clock.seconds()))
+        lends = self.lends(workspace)
+        ahead = 0 if lends else max(1, plan_ahead(account, self._clock.seconds()))
         refused = await self._ask_all(account, workspace, tokens, ahead)
-        if holds and self._reachable():
+        if lends and self._reachable():
             return refused
         for wait in ASK_AGAIN_WAITS:
             if refused is None:
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -23,6 +23,8 @@
 FLOOR_PART = 0.5
 # Below this part of the target more is asked for.
 LOW_PART = 0.7
+# Below this part of its plan an instance without an allotment borrows ahead; judged.
+TOP_UP_PART = 0.3
 # What is above the target by this part of it, and by this part of the prepaid tokens,
 # is returned.
 HIGH_PART = 0.2
@@ -101,8 +103,9 @@
     """
     keep = plan_ahead(account, now)
     lacking = keep - account.unspent
-    enough = keep >= account.demand.largest and lacking > LOW_PART * keep
-    return lacking if enough else 0
+    if keep < account.demand.largest or account.unspent >= TOP_UP_PART * keep:
+        return 0
+    return lacking
 
 
 def plan_return(account: Account, now: float) -> int:
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -23,8 +23,6 @@
         return, where a quarter is due; it costs 0.008 of worth over 15 paired days
     :param most_holders: instances up to which all hold tokens of every workspace;
         beyond it a row would have more writers than the store takes
-    :param main_users_hold: in a larger fleet, have an instance that sees a large part
-        of a workspace's demand hold tokens of its own
     :param cover_seconds: seconds of the demand of all that they keep ahead; it covers
         outages of the table of 5 s and the time in which demand is noticed, and 4 s
         cost 0.025 of worth at one of three deployments, over 15 paired days
@@ -59,7 +57,6 @@
     return_surplus: bool = True
     last_part: float = 0.03
     most_holders: int = 16
-    main_users_hold: bool = True
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
     ahead_seconds: float = 8.0
