--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pondquay.routes.entities import Service
     from pondquay.routing.directory import (
         Departure,
         KnownUpstream,
@@ -47,6 +48,20 @@
         if change.key == self._key and change.value is not None:
             self.offer(change.value)
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service, ``None`` if the configuration has none of this name."""
+        return None if self.table is None else self.table.service(name)
+
+    def cold_rate(self, service: str) -> float:
+        """Return the requests a second that a cold upstream bears, 0 for no bound."""
+        found = self.find_service(service)
+        return 0.0 if found is None else found.cold_rate
+
+    def cold_seconds(self, service: str) -> float:
+        """Return the seconds for which an upstream that has started is cold."""
+        found = self.find_service(service)
+        return 0.0 if found is None else found.cold_seconds
+
     def offer(self, value: JsonObject) -> bool:
         """Take in a configuration; tell whether it is newer than the one known."""
         known = 0 if self.table is None else self.table.version
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -16,6 +16,7 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.loadnews import LoadNews
 from pondquay_daemon.relay.loandemands import LoanDemands
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
@@ -52,9 +53,6 @@
 # Otherwise both open one where a fleet starts as a whole, and each is kept alive.
 OTHER_END_SECONDS = HEARTBEAT_SECONDS
 CONNECT_SECONDS = 0.5
-# What waits at upstreams is told this long after it changes, in large fleets later.
-LOADS_SECONDS = 0.004
-SELDOM_LOADS_SECONDS = 0.25
 # Links that an instance opens by itself: those within its domain, since it borrows
 # there; those to lenders of its own workspaces elsewhere, 16 on average where 40
 # workspaces have ten lenders each of 195 instances; and some others, so that news
@@ -125,9 +123,9 @@
         self._connecting: set[Address] = set()
         self._unlinked_since: dict[str, float] = {}
         self._demands = LoanDemands(self.clock)
-        self._loads: dict[str, list[str]] = {}
-        self._counts: dict[str, Callable[[], int]] = {}
-        self._told_loads: dict[str, int] = {}
+        self._load_news = LoadNews(
+            self.clock, self._send_all, lambda: len(self._links) > MOST_FAR_LINKS
+        )
         self._fetch = ConfigurationFetch(self.clock, listener, self._all)
 
     def start(self) -> None:
@@ -183,32 +181,7 @@
 
         :param count: returns the prompt tokens that wait there then
         """
-        if not self._loads:
-            many = len(self._links) > MOST_FAR_LINKS
-            wait = SELDOM_LOADS_SECONDS if many else LOADS_SECONDS
-            self.clock.callLater(wait, self._send_loads)
-        self._counts[upstream] = count
-        self._loads.setdefault(upstream, []).extend(parts)
-
-    def _send_loads(self) -> None:
-        """Tell peers what has changed at upstreams since they were told.
-
-        Most of what waits has been read before the next message, so most of it is
-        never told: with 60 requests a second, 40 links and four messages a second the
-        whole took an estimated sixth of a link of 5 Mbit/s.
-        """
-        loads = []
-        for upstream, parts in self._loads.items():
-            tokens = self._counts[upstream]()
-            if parts or tokens != self._told_loads.get(upstream, 0):
-                self._told_loads[upstream] = tokens
-                loads.append((upstream, tokens, parts))
-            if not tokens:
-                self._told_loads.pop(upstream, None)
-        self._loads.clear()
-        self._counts.clear()
-        if loads:
-            self._send_all(UpstreamLoads(loads))
+        self._load_news.announce(upstream, count, parts)
 
     async def borrow(
         self, peer: str, workspace: str, tokens: int, ahead: int = 0
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -33,6 +33,7 @@
 from pondquay_daemon.relay.peerlistener import PeerListener
 from pondquay_daemon.relay.peers import Member, PeerMesh
 from pondquay_daemon.relay.placement import Placement
+from pondquay_daemon.relay.readiness import ReadinessHandler
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.tasks import sleep, spawn
@@ -41,7 +42,6 @@
     from collections.abc import Iterable
     from typing import Any
 
-    from pondquay.routes.entities import Service
     from pondquay.routes.table import RouteTable
     from pondquay.routing.directory import Departure, KnownUpstream
     from pondquay.routing.evacuations import Evacuation
@@ -51,7 +51,6 @@
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.settings import RelaySettings
 
-OK = 200
 # What is not known is said not to exist only if the store confirmed it this lately, as
 # a part of the time in which a configuration must be in force.
 CURRENT_PART = 0.8
@@ -127,7 +126,7 @@
                 ColdShares(
                     settings.instance,
                     lambda: self._peers.domains,
-                    self._cold_rate,
+                    lambda service: self._configuration.cold_rate(service),
                 ),
             ),
             self._accounts,
@@ -148,7 +147,10 @@
             border, directory, self._peers.announce_departure
         )
         self._evacuations = EvacuationView(
-            border, directory, self._cold_seconds, self._peers.announce_evacuation
+            border,
+            directory,
+            self._configuration.cold_seconds,
+            self._peers.announce_evacuation,
         )
         names = border.store_names
         self._feed = TableFeed(
@@ -180,7 +182,9 @@
             ),
         ]
         self._callers = IngressServer(reactor, self)
-        self._probes = IngressServer(reactor, ReadinessHandler(self, border))
+        self._probes = IngressServer(
+            reactor, ReadinessHandler(border.ready_path, lambda: self.ready)
+        )
         self._reports = IngressServer(
             reactor, ReportHandler(self._render_metrics, self.describe)
         )
@@ -296,7 +300,7 @@
             self._metrics.requests.labels(str(admitted.status)).inc()
             send_refusal(self._border, answer, "", admitted)
             return
-        service = self._find_service(admitted.service)
+        service = self._configuration.find_service(admitted.service)
         run = RequestRun(self._parts, admitted, service, head, body, answer)
         spawn(run.run(), "RequestRun")
 
@@ -377,18 +381,6 @@
         """Take tokens from a peer."""
         self._accounts.receive_loan(workspace, tokens, returned=returned)
 
-    def _find_service(self, name: str) -> Service | None:
-        table = self._configuration.table
-        return None if table is None else table.service(name)
-
-    def _cold_rate(self, service: str) -> float:
-        found = self._find_service(service)
-        return 0.0 if found is None else found.cold_rate
-
-    def _cold_seconds(self, service: str) -> float:
-        found = self._find_service(service)
-        return 0.0 if found is None else found.cold_seconds
-
     def _take_table(self, table: RouteTable) -> None:
         self._accounts.take_table(table)
         self._peers.announce_version()
@@ -407,20 +399,3 @@
     """
     spare = departure - VANISHED_SECONDS - SLOW_POLL_SECONDS
     return max(UPSTREAMS_PAUSE_PART * departure, spare)
-
-
-class ReadinessHandler(RequestHandler):
-    """Tells the balancer whether the relay is ready."""
-
-    def __init__(self, relay: Relay, border: Border) -> None:
-        self._relay = relay
-        self._path = border.ready_path
-
-    def limits(self) -> CallerLimits:
-        """Return what a balancer may send."""
-        return CallerLimits(body_bytes=0)
-
-    def handle(self, head: RequestHead, body: bytes, answer: CallerAnswer) -> None:
-        """Answer one question."""
-        ready = head.target == self._path and self._relay.ready
-        answer.send_whole(OK if ready else UNAVAILABLE, [], b"")
