--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -327,6 +327,8 @@
 
     def _adjust_loans(self, name: str, account: Account) -> None:
         """Hand back what is not needed, or borrow ahead what is."""
+        if account.unspent <= 0 and not account.demand.largest:
+            return
         self._loans.return_surplus(name, account)
         if self._loans.lacks_ahead(account):
             self._borrow_soon(name, self._loans.top_up(account, name))
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -31,8 +31,8 @@
         is served after it; against two fifths it brought 0.019, 0.004 and 0.022 of
         worth at three deployments, over 10 paired days each
     :param ahead_seconds: seconds of its own demand that an instance without tokens of
-        its own borrows ahead, as many as all keep, since cuts of 8 s take instances
-        from the table and from each other
+        its own borrows ahead, so that its requests do not wait for a lender one after
+        the other; what a cut takes more lenders hold for all
     :param borrowed_of_left: part of what a workspace has left that such an instance
         holds at most without need where its part of what all keep fits no request: 200
         of them hold a fifth, as lenders do together. Of a budget that was nearly used
@@ -59,7 +59,7 @@
     most_holders: int = 16
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
-    ahead_seconds: float = 8.0
+    ahead_seconds: float = 2.0
     borrowed_of_left: float = 0.001
     return_part: float = 0.25
     come_back_seconds: float = 0.1
