--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -32,7 +32,8 @@
         worth at three deployments, over 10 paired days each
     :param ahead_seconds: seconds of its own demand that an instance without tokens of
         its own borrows ahead, so that its requests do not wait for a lender one after
-        the other; what a cut takes more lenders hold for all
+        the other. Eight lose more with all instances than they serve in a cut from the
+        table: 0.484 and 0.477 of worth on two days, two 0.523 and 0.496
     :param borrowed_of_left: part of what a workspace has left that such an instance
         holds at most without need where its part of what all keep fits no request: 200
         of them hold a fifth, as lenders do together. Of a budget that was nearly used
@@ -43,7 +44,8 @@
         should try again; another instance may have some, and 1 s measured the same
     :param circuits: leave out upstreams that failed several times in a row
     :param leave_dark: take a failure domain for dark in which two upstreams in a row
-        could not be connected to, and try another domain after each such failure
+        could not be connected to, and try another domain after each such failure; in
+        memory, with 24 upstreams dark and three sound, no caller is refused
     :param leave_silent: try elsewhere what an upstream says nothing to
     :param urgency: tell upstreams which requests are urgent
     :param crowded_part: part of an upstream's places that one instance takes in its
