--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -10,6 +11,7 @@
 from pondquay.streamevents import EventReader, StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.heads import drop_connection_headers
+from pondquay_daemon.relay.messages import NO_SIGNS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +23,12 @@
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.errors import BrokenExchangeError
     from pondquay_daemon.relay.ingress import CallerAnswer
-    from pondquay_daemon.relay.messages import AnswerHead, HeaderList
+    from pondquay_daemon.relay.messages import (
+        AnswerHead,
+        AnswerMarks,
+        HeaderList,
+        UpstreamSigns,
+    )
 
 SUCCESS = range(200, 300)
 # Statuses by which a caller is promised that its request has not run. An upstream's
@@ -116,14 +123,27 @@
         return pause
 
 
+class UpstreamListener(ABC):
+    """What is told of an upstream while an attempt is under way there."""
+
+    @abstractmethod
+    def heard(self) -> None:
+        """Learn that something came from it."""
+
+    @abstractmethod
+    def paused(self, seconds: float) -> None:
+        """Learn how long two events of the attempt lay apart."""
+
+    @abstractmethod
+    def signed(self, signs: UpstreamSigns) -> None:
+        """Learn what it says of itself; only this upstream can have said it."""
+
+
 class Attempt(ExchangeListener):
     """Sends a request to one upstream and waits for what comes of it.
 
     :param attempt: the caller's name for its try, which the answer must echo
     :param progress: set for routes whose answers are streams
-    :param on_heard: called whenever something comes from the upstream
-    :param on_pause: called with the seconds between two events of this attempt
-    :param on_cold: called with the seconds for which the upstream says it is cold
     """
 
     def __init__(
@@ -133,13 +153,9 @@
         attempt: str,
         answer: CallerAnswer,
         progress: StreamProgress | None,
-        on_heard: Callable[[], None],
-        on_pause: Callable[[float], None],
-        on_cold: Callable[[float], None],
+        upstream: UpstreamListener,
     ) -> None:
-        self._on_heard = on_heard
-        self._on_pause = on_pause
-        self._on_cold = on_cold
+        self._upstream = upstream
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -190,8 +206,8 @@
         """Judge the head of the answer."""
         self._touch()
         marks = self._border.read_answer(head)
-        if marks.cold:
-            self._on_cold(marks.cold)
+        if marks.not_run or marks.attempt == self._attempt:
+            self._take_signs(marks)
         if marks.not_run or marks.misdirected:
             self._not_run = NotRun(head.status, marks.misdirected)
             return
@@ -223,7 +239,7 @@
             pause = progress.note_events(now)
             # A pause that began at another upstream says nothing of this one.
             if pause is not None and self._first_event is not None:
-                self._on_pause(pause)
+                self._upstream.paused(pause)
             if self._first_event is None:
                 self._first_event = now
             self._pass_on(whole, progress)
@@ -256,6 +272,11 @@
         else:
             self._end(Lost(str(error), broken=True, streamed=self._streamed()))
 
+    def _take_signs(self, marks: AnswerMarks) -> None:
+        # An address may have gone to another upstream, whose signs these are then.
+        if not marks.misdirected and marks.signs != NO_SIGNS:
+            self._upstream.signed(marks.signs)
+
     def _streamed(self) -> float:
         """Return the seconds for which events have been coming."""
         if self._first_event is None:
@@ -276,7 +297,7 @@
         self._end(Lost(reason), cancel=True)
 
     def _touch(self) -> None:
-        self._on_heard()
+        self._upstream.heard()
         if self._watch is None or not self._watch.active():
             return
         if self._judging:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
@@ -45,6 +45,11 @@
     return None
 
 
+def list_values(headers: HeaderList, name: bytes) -> list[bytes]:
+    """Return the values of all headers of a name, which is given in lower case."""
+    return [value.strip() for one, value in headers if one.lower() == name]
+
+
 def wants_close(headers: HeaderList) -> bool:
     """Tell whether a message says that its connection ends after it."""
     for name, value in headers:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -86,19 +86,35 @@
     headers: HeaderList
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamSigns:
+    """What an upstream says of itself in an answer.
+
+    :param leaving: whether it will end soon and wants no new work
+    :param cold: seconds for which it still bears few requests
+    :param rest: seconds for which it wants no request from this instance
+    """
+
+    leaving: bool = False
+    cold: float = 0.0
+    rest: float = 0.0
+
+
+NO_SIGNS = UpstreamSigns()
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerMarks:
-    """What an upstream's headers say of its answer.
+    """What an upstream's headers say of its answer and of itself.
 
     :param attempt: the request that it is for, empty if it does not say
     :param signed: whether an upstream vouches for it
     :param not_run: whether the request certainly did not run
     :param misdirected: whether another upstream has the address
-    :param cold: seconds for which the upstream still bears few requests
     """
 
     attempt: str
     signed: bool
     not_run: bool
     misdirected: bool
-    cold: float = 0.0
+    signs: UpstreamSigns = NO_SIGNS
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -7,6 +7,7 @@
 
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.attempts import Attempt, Stopped
+from pondquay_daemon.relay.contacts import UpstreamContact
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
 from pondquay_daemon.relay.readings import PromptReading
@@ -175,16 +176,9 @@
             self._marks.attempt,
             self._job.answer,
             self._progress,
-            reading.note_heard,
-            lambda pause: self._note_pause(upstream, pause),
-            lambda cold: upstream.note_cold(cold, self._parts.clock.seconds()),
+            UpstreamContact(self._parts, upstream, reading, self._route.pause),
         )
 
-    def _note_pause(self, upstream: KnownUpstream, pause: float) -> None:
-        if self._route.pause is not None:
-            now = self._parts.clock.seconds()
-            upstream.pauses.note(pause, self._route.pause, now)
-
     def _find_source(self, upstream: KnownUpstream) -> KnownUpstream | None:
         if not self._job.shares_prompts:
             return None
