--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/links.py
@@ -0,0 +1,51 @@
+"""Links between relays in memory, which a test can cut."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.test.iosim import FakeTransport, IOPump
+
+from .conftest import PEERS_PORT
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class LinkTransport(FakeTransport):
+    """One end of a link between relays."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        pass
+
+
+class RelayLinks:
+    """All links between relays.
+
+    :ivar cut: whether the relays cannot reach each other
+    """
+
+    def __init__(self) -> None:
+        self.cut = False
+        self._links: list[IOPump] = []
+
+    def open(self, servers: Iterable[Any], host: str, factory: Any) -> None:
+        """Connect a call for a link with the relay at a host.
+
+        :param servers: that listen, as the reactor keeps them
+        """
+        server = next(
+            server
+            for port, server, _, own in servers
+            if (own, port) == (host, PEERS_PORT)
+        )
+        ends = [factory.buildProtocol(None), server.buildProtocol(None)]
+        transports = [LinkTransport(end, bool(n)) for n, end in enumerate(ends)]
+        for end, transport in zip(ends, transports, strict=True):
+            end.makeConnection(transport)
+        self._links.append(IOPump(*ends, *transports, debug=False))
+
+    def pump(self) -> None:
+        """Carry all that was sent, unless they are cut."""
+        while not self.cut and any([link.pump() for link in self._links]):
+            pass
