--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -16,6 +16,7 @@
 from pondquay.streams import Frame
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK, make_pool
+from pondquay_daemon.retryafter import read_rest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +35,10 @@
 DATA_PREFIX = b"data: "
 END_MARK = b"[DONE]"
 CLIENT_ERRORS = range(400, 500)
-REFUSALS = (429, 503)
+# An engine that has no room. Only with this is its ``Retry-After`` about the engine
+# itself and not about the caller.
+FULL = 503
+REFUSALS = (429, FULL)
 
 
 class StreamState(StrEnum):
@@ -156,6 +160,13 @@
         return None
 
 
+def _read_rest(response: Any) -> float:
+    """Return the seconds for which an engine wants no other call, 0 if it says none."""
+    if response.code != FULL:
+        return 0.0
+    return read_rest(response.headers.getRawHeaders(b"retry-after", []))
+
+
 class Engines:
     """Calls to engines from one instance."""
 
@@ -231,7 +242,7 @@
     async def _receive(self, response: Any, take: Callable[[Frame], None]) -> bool:
         if response.code in CLIENT_ERRORS or response.code in REFUSALS:
             await treq.content(response)
-            raise RefusedError(response.code)
+            raise RefusedError(response.code, _read_rest(response))
         if response.code != OK:
             await treq.content(response)
             raise MayHaveRunError(f"status {response.code}")
--- a/packages/pondquay-daemon/src/pondquay_daemon/requestattempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/requestattempts.py
@@ -9,6 +9,7 @@
 from pondquay.requests.lifecycle import Outcome
 from pondquay.routing.retries import RetryBudget
 from pondquay_daemon.calls import Refusal, RefusalCode
+from pondquay_daemon.errors import RefusedError
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.progress import RETRY_SECONDS, Started, refuse_budget
 
@@ -81,6 +82,9 @@
     ) -> None:
         """Give back all that was taken for an attempt that certainly did not run."""
         self.log_failure(progress.call, started, error)
+        upstream = started.placement.upstream
+        if isinstance(error, RefusedError) and started.attempt.boot == upstream.boot:
+            upstream.note_rest(error.rest, self._clock.seconds())
         self.avoid(progress, started)
         progress.life.refuse()
         await self._grants.settle(started.attempt, None)
--- a/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
@@ -270,10 +270,11 @@
     def _may_serve(self, upstream: Upstream, wish: Wish, version: str) -> bool:
         if upstream.kind != wish.kind or upstream.state is not UpstreamState.LIVE:
             return False
+        now = self.clock.seconds()
         report = upstream.report
-        if report is None or self.clock.seconds() - report.received > STALE_SECONDS:
+        if report is None or now - report.received > STALE_SECONDS:
             return False
-        if not upstream.circuit.allows(self.clock.seconds()):
+        if now < upstream.rests_until or not upstream.circuit.allows(now):
             return False
         if not upstream.serves(wish.target, version):
             return False
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -2,8 +2,9 @@
 
 Faults, by ``POST /faults``: ``frozen`` (accepts and says nothing), ``cut_after`` (each
 connection breaks after so many pieces, the stream goes on), ``late_ms`` (before the
-first piece), ``slow_factor``, ``refuse`` (503 before starting), ``foreign`` (each
-piece is sent a second time under another stream's name).
+first piece), ``slow_factor``, ``refuse`` (503 before starting), ``rest_seconds`` (what
+a 503 asks for), ``foreign`` (each piece is sent a second time under another stream's
+name).
 """
 
 from __future__ import annotations
@@ -57,6 +58,7 @@
     late_ms: int = 0
     slow_factor: float = 1.0
     refuse: bool = False
+    rest_seconds: int = 0
     foreign: bool = False
     leaving: bool = False
 
@@ -116,6 +118,7 @@
         self.slots = slots
         self.boot = token_hex(4)
         self.faults = Faults()
+        self.refused = 0
         self.streams: OrderedDict[str, Stream] = OrderedDict()
         self.log: list[dict[str, Any]] = []
         self.fence = 0
@@ -146,7 +149,7 @@
         body = read_body(request)
         name = request.getHeader(STREAM_HEADER) or token_hex(8)
         if self.faults.refuse:
-            return write_body(request, {"error": "refused"}, REFUSED)
+            return self._refuse(request)
         if body["model"] != self.model or body["version"] not in self.versions:
             return write_body(request, {"error": "model"}, NOT_FOUND)
         if (request.getHeader(BOOT_HEADER) or self.boot) != self.boot:
@@ -160,6 +163,12 @@
         self._start_next()
         return Deferred.fromCoroutine(self._send(request, stream, 0))
 
+    def _refuse(self, request: Request) -> bytes:
+        self.refused += 1
+        if self.faults.rest_seconds:
+            request.setHeader("Retry-After", str(self.faults.rest_seconds))
+        return write_body(request, {"error": "refused"}, REFUSED)
+
     def _make_stream(self, name: str, body: Any, request: Request) -> Stream:
         text = "\n".join(one["content"] for one in body["messages"])
         prompt = max(1, len(text.encode()) // BYTES_PER_TOKEN)
@@ -350,7 +359,7 @@
 
     def show_log(self, request: Request) -> bytes:
         """Return every stream that ended, for comparing with bills."""
-        return write_body(request, {"streams": self.log})
+        return write_body(request, {"streams": self.log, "refused": self.refused})
 
     def set_faults(self, request: Request) -> bytes:
         """Switch faults on or off."""
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -353,6 +353,16 @@
     assert reader.text == plain.json()["choices"][0]["message"]["content"]
 
 
+def test_an_engine_that_asks_for_rest_gets_one_call(fleet: Fleet) -> None:
+    resting = next(one for one in fleet.upstreams if one.kind == "engine")
+    faults = {"refuse": True, "rest_seconds": 60}
+    call_http("POST", f"{resting.url}/faults", faults)
+    for number in range(20):
+        assert fleet.complete(KEY, f"call {number}").status == 200
+    refused = call_http("GET", f"{resting.url}/log").json()["refused"]
+    assert refused == 1
+
+
 def test_a_stream_whose_engine_dies_is_never_called_whole_or_not_run(
     fleet: Fleet,
 ) -> None:
