--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -69,12 +69,33 @@
     ended: str = "running"
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a replica, whether it ran or not.
+
+    :param born: tells the replica's life
+    :param at: when, in seconds of the clock that all processes of a host share
+    :param leaving: whether the answer said that the replica leaves
+    :param rest: seconds for which the answer asked for no request, 0 if it did not
+    """
+
+    attempt: str
+    replica: str
+    born: int
+    at: float
+    leaving: bool
+    rest: int
+
+
 @dataclass(slots=True)
 class Replica:
     """One replica, in one life.
 
     :param born: when this life began, in milliseconds of the time of day
     :param sequence: how often it wrote its row
+    :param leaving: whether it says in all its answers that it leaves
+    :param rest: seconds without a request that it asks for as it turns all away; 0
+        while it does not
     :param on_crash: called once a request has crashed it
     """
 
@@ -84,8 +105,10 @@
     fault: ReplicaFault = ReplicaFault.NONE
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
+    leaving: bool = False
+    rest: int = 0
     runs: list[Run] = field(default_factory=list)
-    arrivals: int = 0
+    arrivals: list[Arrival] = field(default_factory=list)
     connections: set[ReplicaConnection] = field(default_factory=set)
     on_crash: Callable[[], None] | None = None
 
@@ -156,13 +179,13 @@
 
     def _begin(self) -> None:
         replica = self._replica
-        replica.arrivals += 1
         expected = self._header("X-Pondquay-Expect-Replica")
         if expected and expected != replica.name:
             self._send_whole(421, [("X-Pondquay-Replica-Id", replica.name)], b"")
             return
-        if replica.fault is ReplicaFault.FULL:
-            self._send_whole(503, [("X-Pondquay-Not-Executed", "1")], b"")
+        self._note_arrival()
+        if replica.fault is ReplicaFault.FULL or replica.rest:
+            self._turn_away()
             return
         assert self._request is not None
         self._run = Run(
@@ -183,6 +206,24 @@
         seconds = SLOW_SECONDS if slow else WORK_SECONDS
         self._timer = reactor.callLater(seconds, self._work, self._run)
 
+    def _note_arrival(self) -> None:
+        replica = self._replica
+        arrival = Arrival(
+            self._header("X-Pondquay-Attempt-Id"),
+            replica.name,
+            replica.born,
+            time.monotonic(),
+            replica.leaving,
+            replica.rest,
+        )
+        replica.arrivals.append(arrival)
+
+    def _turn_away(self) -> None:
+        headers = [("X-Pondquay-Not-Executed", "1")]
+        if self._replica.rest:
+            headers.append(("Retry-After", str(self._replica.rest)))
+        self._send_whole(503, headers, b"")
+
     def _work(self, run: Run) -> None:
         fault = self._replica.fault
         if fault is ReplicaFault.HANG:
@@ -210,8 +251,13 @@
             marks.append(("X-Pondquay-Replica-Signature", f"sig.{self._replica.name}"))
         return marks
 
+    def _own_marks(self) -> list[tuple[str, str]]:
+        """Return what stands in all its answers."""
+        return [("Server-Leaving", "1")] if self._replica.leaving else []
+
     def _send_head(self) -> None:
-        headers = [*self._marks(), ("Content-Type", "text/event-stream")]
+        kind = ("Content-Type", "text/event-stream")
+        headers = [*self._marks(), *self._own_marks(), kind]
         self._write(self._http.send(h11.Response(status_code=200, headers=headers)))
 
     def _send_events(self, run: Run, last: int) -> None:
@@ -234,7 +280,8 @@
     def _send_whole(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
-        all_headers = [*headers, ("Content-Length", str(len(body)))]
+        length = ("Content-Length", str(len(body)))
+        all_headers = [*headers, *self._own_marks(), length]
         response = h11.Response(status_code=status, headers=all_headers)
         out = self._http.send(response) or b""
         out += self._http.send(h11.Data(data=body)) or b""
--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay_standins.processes import HOST, Process, call_http, pick_port, wait_until
+from pondquay_standins.replicas import Arrival
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -264,6 +265,12 @@
         found: list[dict[str, Any]] = call_http("GET", url).json()
         return found
 
+    def arrivals(self) -> list[Arrival]:
+        """Return all that reached replicas, whether it ran or not."""
+        url = f"http://{HOST}:{self.control_port}/arrivals"
+        found: list[dict[str, Any]] = call_http("GET", url).json()
+        return [Arrival(**one) for one in found]
+
     def rows(self, table: str) -> list[dict[str, Any]]:
         """Return a table's rows."""
         url = f"http://{HOST}:{self.control_port}/rows/{table}"
--- a/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
@@ -70,7 +70,16 @@
     def _start_again(self, name: str) -> None:
         before = self.replicas[name]
         self._begin_life(
-            Replica(name, before.service, before.zone, before.fault, runs=before.runs)
+            Replica(
+                name,
+                before.service,
+                before.zone,
+                before.fault,
+                leaving=before.leaving,
+                rest=before.rest,
+                runs=before.runs,
+                arrivals=before.arrivals,
+            )
         )
         if name in self._listed:
             self.list_replica(name, *self._listed[name])
@@ -88,6 +97,7 @@
         replica = self.replicas[name]
         self._listed[name] = (port, state)
         replica.sequence += 1
+        replica.leaving = replica.leaving or state == "draining"
         row = {
             "service": replica.service,
             "address": f"{HOST}:{port}",
@@ -106,6 +116,7 @@
         app: Any = Klein()
         app.route("/<action>", methods=["POST"])(self.control)
         app.route("/runs", methods=["GET"])(self.tell_runs)
+        app.route("/arrivals", methods=["GET"])(self.tell_arrivals)
         app.route("/rows/<table>", methods=["GET"])(self.tell_rows)
         return app
 
@@ -116,6 +127,10 @@
             self.store.fault = StoreFault(body["fault"])
         elif action == "replica":
             self.replicas[body["name"]].fault = ReplicaFault(body["fault"])
+        elif action == "say-leaving":
+            self.replicas[body["name"]].leaving = True
+        elif action == "rest":
+            self.replicas[body["name"]].rest = body["seconds"]
         elif action == "start":
             self.start_replica(body)
         elif action == "list":
@@ -133,6 +148,11 @@
         found = [asdict(run) for one in self.replicas.values() for run in one.runs]
         return write_body(request, found)
 
+    def tell_arrivals(self, request: Request) -> bytes:
+        """Return all that reached replicas."""
+        lists = [one.arrivals for one in self.replicas.values()]
+        return write_body(request, [asdict(one) for all_ in lists for one in all_])
+
     def tell_rows(self, request: Request, table: str) -> bytes:
         """Return a table's rows."""
         rows = self.store.rows.items()
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -119,6 +119,12 @@
             self.drained.add(name)
             self.unlist_replica(name)
 
+    def say_leaving(self, name: str) -> None:
+        """Let a replica say that it leaves in its answers alone."""
+        if self._may_leave(name):
+            self.drained.add(name)
+            self.control("say-leaving", name=name)
+
     def unlist_replica(self, name: str) -> None:
         """Delete a replica's row."""
         self.control("delete", table="servers", key=name)
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -34,6 +34,7 @@
 )
 from pondquay_standins.soak.promises import Breach, check_all
 from pondquay_standins.soak.schedules import FaultKind, PlannedFault, plan_faults
+from pondquay_standins.soak.signs import Disturbance, Disturbances, check_signs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,6 +59,8 @@
 CRASHING_PATH = "/fetch/crashing-"
 CRASHING_SECONDS = 5.0
 AGAIN_SECONDS = 0.2
+# What a replica that turns all away asks for.
+REST_SECONDS = 2
 STOP_PROMISE = "a planned stop cuts nothing off"
 FOLDER = Path("var") / "soak"
 
@@ -118,6 +121,7 @@
         self._planned = plan_faults(seed, seconds, RELAYS, list(REPLICAS))
         self._fleet = SoakFleet()
         self._stops: list[PlannedStop] = []
+        self._disturbances: list[Disturbance] = []
         self._threads: list[Thread] = []
         self._ends: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
@@ -178,6 +182,7 @@
                     lambda: fleet.control("replica", name=target, fault="none"),
                 )
             case FaultKind.STORE_LINE | FaultKind.REPLICA_LINE:
+                self._disturb(target, fault.seconds)
                 fleet.set_line_fault(target, fault.fault)
                 self._later(fault.seconds, lambda: fleet.set_line_fault(target, "none"))
             case FaultKind.DRAIN:
@@ -210,6 +215,14 @@
                 self._later(fault.seconds, lambda: fleet.end_lapse(target))
             case FaultKind.SUSPEND:
                 self._suspend(target)
+            case FaultKind.SAY_LEAVING:
+                fleet.say_leaving(target)
+            case FaultKind.REST:
+                fleet.control("rest", name=target, seconds=REST_SECONDS)
+                self._later(
+                    fault.seconds,
+                    lambda: fleet.control("rest", name=target, seconds=0),
+                )
             case _:
                 self._signal(fault)
 
@@ -231,14 +244,21 @@
     def _suspend(self, name: str) -> None:
         fleet = self._fleet
         if fleet.states[name] is RelayState.UP and fleet.is_ready(name):
+            self._disturb(name, 0.0)
             fleet.relays[name].process.popen.send_signal(SIGUSR1)
 
+    def _disturb(self, target: str, seconds: float) -> None:
+        """Note what is done to a relay or on a line, from now on."""
+        now = time.monotonic()
+        self._disturbances.append(Disturbance(target, now, now + seconds))
+
     def _signal(self, fault: PlannedFault) -> None:
         """Kill, stop or freeze a relay that is up, and undo it later."""
         fleet, name = self._fleet, fault.target
         if fleet.states[name] is not RelayState.UP or not fleet.is_ready(name):
             return
         process = fleet.relays[name].process
+        self._disturb(name, fault.seconds)
         if fault.kind is FaultKind.PAUSE:
             fleet.states[name] = RelayState.PAUSED
             process.pause()
@@ -266,6 +286,7 @@
         began = time.monotonic()
         status = self._fleet.relays[name].process.stop()
         self._stops.append(PlannedStop(name, began, time.monotonic(), status))
+        self._disturb(name, 0.0)
         self._restart(name)
 
     # What is checked
@@ -277,6 +298,7 @@
         fleet.end_line_faults()
         for name in REPLICAS:
             fleet.control("replica", name=name, fault="none")
+            fleet.control("rest", name=name, seconds=0)
         fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
         found = []
         for name in RELAYS:
@@ -346,6 +368,8 @@
 
     def _check(self, calls: list[Call]) -> list[Breach]:
         found = check_all(calls, self._fleet.runs(), self._fleet.prepaid)
+        arrivals = self._fleet.arrivals()
+        found += check_signs(calls, arrivals, Disturbances(self._disturbances))
         found += self._check_stops(calls)
         found += [
             Breach(OWN_ERROR_PROMISE, "a relay", line)
