--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -119,11 +119,16 @@
             self.drained.add(name)
             self.unlist_replica(name)
 
-    def say_leaving(self, name: str) -> None:
-        """Let a replica say that it leaves in its answers alone."""
-        if self._may_leave(name):
-            self.drained.add(name)
-            self.control("say-leaving", name=name)
+    def say_leaving(self, name: str) -> bool:
+        """Let a replica say that it leaves in its answers alone; tell whether it may.
+
+        It writes so into its row later.
+        """
+        if not self._may_leave(name):
+            return False
+        self.drained.add(name)
+        self.control("say-leaving", name=name)
+        return True
 
     def unlist_replica(self, name: str) -> None:
         """Delete a replica's row."""
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -216,7 +216,9 @@
             case FaultKind.SUSPEND:
                 self._suspend(target)
             case FaultKind.SAY_LEAVING:
-                fleet.say_leaving(target)
+                if fleet.say_leaving(target):
+                    drain = partial(fleet.list_replica, target, "draining")
+                    self._later(fault.seconds, drain)
             case FaultKind.REST:
                 fleet.control("rest", name=target, seconds=REST_SECONDS)
                 self._later(
