--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -130,6 +130,10 @@
     def heard(self) -> None:
         """Learn that something came from it."""
 
+    @abstractmethod
+    def began(self) -> None:
+        """Learn that it answers the request, whose prompt it has read then."""
+
     @abstractmethod
     def paused(self, seconds: float) -> None:
         """Learn how long two events of the attempt lay apart."""
@@ -217,6 +221,7 @@
         if head.status in SUCCESS and not marks.signed:
             self._lose("a success that no upstream vouches for")
             return
+        self._upstream.began()
         self._head = head
         self._streaming = self._progress is not None and head.status in SUCCESS
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -43,6 +43,10 @@
         """Learn that something came from it."""
         self._reading.note_heard()
 
+    def began(self) -> None:
+        """Learn that it answers the request, whose prompt it has read then."""
+        self._reading.note_read()
+
     def paused(self, seconds: float) -> None:
         """Learn how long two events of the attempt lay apart."""
         if self._most_pause is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
@@ -53,14 +53,21 @@
         self._end()
 
     def note_heard(self) -> None:
-        """Learn that something came from the upstream: the prompt has been read."""
+        """Learn that something came from the upstream, if only that it is full."""
+        self._upstream.heard = self._parts.clock.seconds()
+        self._parts.directory.reach.note_heard(self._upstream.record.domain)
+
+    def note_read(self) -> None:
+        """Learn that the prompt has been read.
+
+        What was turned away was not: taken for read, it would draw the next prompts
+        with the same parts to an upstream that has to read them first.
+        """
         if self._unread:
             new = self._upstream.prompts.note_read(list_shared(self._prefix))
             if new:
                 self._parts.announce_load(self._upstream, new)
         self._end()
-        self._upstream.heard = self._parts.clock.seconds()
-        self._parts.directory.reach.note_heard(self._upstream.record.domain)
 
     def _end(self) -> None:
         """Note that the prompt no longer waits to be read there."""
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -44,10 +44,14 @@
 
     pauses: list[float] = field(default_factory=list)
     signs: list[UpstreamSigns] = field(default_factory=list)
+    has_begun: bool = False
 
     def heard(self) -> None:
         pass
 
+    def began(self) -> None:
+        self.has_begun = True
+
     def paused(self, seconds: float) -> None:
         self.pauses.append(seconds)
 
@@ -137,3 +141,24 @@
     attempt = Attempt(Clock(), border, "a1", answer, None, upstream)
     attempt.answered(AnswerHead(200, b"OK", []))
     assert upstream.signs == told
+
+
+@pytest.mark.parametrize(
+    ("marks", "has_begun"),
+    [
+        (SOUND, True),
+        (replace(SOUND, not_run=True), False),
+        (replace(SOUND, misdirected=True), False),
+        (replace(SOUND, attempt="another"), False),
+        (replace(SOUND, signed=False), False),
+    ],
+)
+def test_only_what_answers_the_request_has_read_its_prompt(
+    marks: AnswerMarks, has_begun: bool
+) -> None:
+    upstream = Upstream()
+    border: Any = Border(marks)
+    answer: Any = Answer()
+    attempt = Attempt(Clock(), border, "a1", answer, None, upstream)
+    attempt.answered(AnswerHead(200, b"OK", []))
+    assert upstream.has_begun is has_begun
