--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -234,6 +234,9 @@
         elif isinstance(outcome, NotRun) and outcome.misdirected:
             record = upstream.record
             self._parts.directory.note_leaving(record.name, record.born)
+        elif isinstance(outcome, NotRun):
+            # One that turns everything away runs nothing, so it seems the least loaded.
+            upstream.circuit.fail(now)
         elif isinstance(outcome, Unsent):
             self._parts.placement.note_unreached(upstream, refused=outcome.refused)
             if not outcome.refused:
--- a/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
+++ b/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
@@ -124,6 +124,16 @@
     assert relay.answers()[-1].startswith(SERVED)
 
 
+def test_those_that_turn_away_and_ask_for_nothing_get_little(relay: RelaySide) -> None:
+    upstreams = AnsweringUpstreams.start(relay)
+    upstreams.full.update(FULL)
+    upstreams.ask_for(LINKED_SECONDS, relay)
+    turned_away = sum(upstreams.count_since(0, host) for host in FULL)
+    # Each is tried three times, then after 0.5, 1, 2 and 4 s.
+    assert turned_away <= len(FULL) * (3 + 4)
+    assert all(one.startswith(SERVED) for one in relay.answers())
+
+
 def test_the_rest_of_a_life_is_not_the_next_ones(relay: RelaySide) -> None:
     upstreams = AnsweringUpstreams.start(relay, hosts=HOSTS[:1], born=1)
     turn_away(upstreams, HOSTS[0])
