--- /dev/null
+++ b/packages/pondquay-lab/tests/test_fuzz.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import pytest
+
+from pondquay_lab.fuzz import Round, RoundError, main, read_round, run_rounds
+
+
+@pytest.mark.parametrize(
+    ("last", "passed", "failed"),
+    [
+        ("37 passed in 80.1s", 37, 0),
+        ("2 failed, 35 passed in 81.0s (0:01:21)", 35, 2),
+        ("1 error, 1 failed in 1.0s", 0, 2),
+    ],
+)
+def test_the_counts_stand_in_the_last_line(last: str, passed: int, failed: int) -> None:
+    done = read_round(7, f"1 passed\n{last}\n")
+    assert (done.passed, done.failed) == (passed, failed)
+
+
+@pytest.mark.parametrize("output", ["", "\n", "no tests ran in 0.1s\n"])
+def test_a_round_that_ran_nothing_is_an_error(output: str) -> None:
+    with pytest.raises(RoundError):
+        read_round(7, output)
+
+
+def test_rounds_end_with_the_time_and_have_seeds_in_a_row(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    now = [0.0]
+
+    def run(seed: int) -> Round:
+        now[0] += 40.0
+        return Round(seed, 3, int(seed == 8), "falsified by x=1")
+
+    rounds = run_rounds(7, 60.0, run, lambda: now[0])
+    assert [one.seed for one in rounds] == [7, 8]
+    assert capsys.readouterr().out.splitlines() == [
+        "seed 7: 3 passed, 0 failed",
+        "falsified by x=1",
+        "seed 8: 3 passed, 1 failed",
+    ]
+
+
+@pytest.mark.parametrize("minutes", ["0", "-1", "nan", "inf", "x"])
+def test_a_time_that_is_none_is_an_error(
+    minutes: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit):
+        main(["--minutes", minutes])
+    assert "must be a positive number" in capsys.readouterr().err
