--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -129,19 +129,23 @@
             log_event("crash-row-malformed", Level.ERROR, key=row.key, error=error)
 
 
+# Rows of before name the upstreams alone. What a row says is refused, which does not
+# change with the ages, so it does not matter that they are of the moment of writing.
+_Ages = dict[str, Annotated[float, msgspec.Meta(ge=0)]]
+
+
 class _CrashDocument(msgspec.Struct, frozen=True):
     """A content's row."""
 
-    crashed: list[str]
+    crashed: _Ages | list[str]
     cleared: list[str]
     trials: Annotated[int, msgspec.Meta(ge=0)]
 
 
 def pack_report(report: CrashReport) -> JsonObject:
     """Return the value of a content's row."""
-    document = _CrashDocument(
-        sorted(report.crashed), sorted(report.cleared), report.trials
-    )
+    ages = {life: round(report.age(life), 3) for life in sorted(report.crashed)}
+    document = _CrashDocument(ages, sorted(report.cleared), report.trials)
     packed: JsonObject = msgspec.to_builtins(document)
     return packed
 
@@ -156,5 +160,8 @@
         document = msgspec.convert(value, _CrashDocument)
     except (msgspec.ValidationError, ValueError, RecursionError) as error:
         raise MalformedValueError(f"crashes: {error}") from error
-    crashed, cleared = frozenset(document.crashed), frozenset(document.cleared)
-    return CrashReport(content, crashed, cleared, document.trials)
+    ages = document.crashed
+    if isinstance(ages, list):
+        ages = dict.fromkeys(ages, 0.0)
+    cleared = frozenset(document.cleared)
+    return CrashReport(content, frozenset(ages), cleared, document.trials, ages)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -38,6 +38,9 @@
 Count = Annotated[int, Meta(ge=0, le=MOST_NUMBER)]
 Content = Annotated[bytes, Meta(min_length=CONTENT_BYTES, max_length=CONTENT_BYTES)]
 Lives = Annotated[list[str], Meta(max_length=MOST_CRASHED)]
+# Seconds since something happened.
+Age = Annotated[float, Meta(ge=0, le=MOST_NUMBER)]
+Ages = Annotated[dict[str, Age], Meta(max_length=MOST_CRASHED)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,19 +145,25 @@
 class UpstreamCrashes:
     """Names contents under which upstreams crashed.
 
-    :param crashes: for each its digest, the upstreams that crashed, those that it was
-        cleared of, and how often it was tried again
+    :param crashes: for each its digest, the upstreams that crashed with the seconds
+        since, those that it was cleared of, and how often it was tried again
     """
 
-    CODE: ClassVar[int] = 11
-    crashes: list[tuple[Content, Lives, Lives, Count]]
+    # 11 was the same without the ages.
+    CODE: ClassVar[int] = 13
+    crashes: list[tuple[Content, Ages, Lives, Count]]
 
     @classmethod
     def pack(cls, reports: Iterable[CrashReport]) -> UpstreamCrashes:
         """Return the message for some reports."""
         return cls(
             [
-                (one.content, sorted(one.crashed), sorted(one.cleared), one.trials)
+                (
+                    one.content,
+                    {life: one.age(life) for life in sorted(one.crashed)},
+                    sorted(one.cleared),
+                    one.trials,
+                )
                 for one in reports
             ]
         )
@@ -162,8 +171,8 @@
     def unpack(self) -> list[CrashReport]:
         """Return the reports."""
         return [
-            CrashReport(content, frozenset(crashed), frozenset(cleared), trials)
-            for content, crashed, cleared, trials in self.crashes
+            CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
+            for content, ages, cleared, trials in self.crashes
         ]
 
 
--- a/packages/pondquay-daemon/tests/relay/test_crashrows.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashrows.py
@@ -141,3 +141,17 @@
 def test_a_row_of_another_form_is_an_error(value: dict[str, Any]) -> None:
     with pytest.raises(MalformedValueError):
         unpack_report(make_content(1).hex(), value)
+
+
+def test_a_row_of_before_names_the_upstreams_alone() -> None:
+    value: dict[str, Any] = {"crashed": sorted(BLOCKED), "cleared": [], "trials": 1}
+    report = unpack_report(make_content(1).hex(), value)
+    assert report == CrashReport(make_content(1), BLOCKED, trials=1)
+    assert report.blocked
+
+
+@pytest.mark.parametrize("age", [-1.0, "x", None, float("nan")])
+def test_an_age_that_is_none_is_an_error(age: object) -> None:
+    value: dict[str, Any] = {"crashed": {"u1": age}, "cleared": [], "trials": 0}
+    with pytest.raises(MalformedValueError):
+        unpack_report(make_content(1).hex(), value)
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -7,18 +7,19 @@
 Requests that were beside it are suspected as well. A run that comes to its end clears
 its content of all upstreams that are known to have crashed under it by then.
 
-What is known of a content only grows: the upstreams that crashed, those that it was
-cleared of, and how often it was tried again. Reports can come late, twice and in any
-order; instances that have heard the same reports know the same.
+What is known of a content are facts: the upstreams that crashed and how long ago, those
+that it was cleared of, and how often it was tried again. Reports can come late, twice,
+in any order and over others. The age of a crash goes with it, so it does not matter
+when and from whom an instance hears: those that have heard the same know the same.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 # Upstreams that may crash under a content until it is refused. A request with two
 # attempts is beside one that crashes its upstreams twice easily, three times seldom.
@@ -31,9 +32,14 @@
 SOONEST_RETRY_SECONDS = 1.0
 # What a caller is told whose content will not be tried again, in seconds.
 BLOCKED_RETRY_SECONDS = 600.0
-# Seconds for which a content is suspected under which no further upstream crashes. It
-# bounds for how long runs that end well are compared with suspected contents.
+# Crashes that lie further apart, in seconds, are taken for unrelated. It bounds for how
+# long runs that end well are compared with suspected contents.
 SUSPECT_SECONDS = 600.0
+# A crash that is heard of later is passed over. Judged: news crosses a fleet in
+# seconds, and what was cut off for longer has little to say of callers that come now.
+LATEST_NEWS_SECONDS = 2 * SUSPECT_SECONDS
+# A crash is kept for as long as others that count with it may be heard of.
+KEPT_SECONDS = LATEST_NEWS_SECONDS + SUSPECT_SECONDS
 # Contents that are suspected at a time, 300 bytes each, contents that are refused, and
 # upstreams of each. A crash brings as many suspects as were running there, a few dozen.
 MOST_SUSPECTED = 4096
@@ -48,12 +54,14 @@
     :param crashed: lives of upstreams that ended while they ran it
     :param cleared: those of them that ended before a run of it came to its end
     :param trials: how often it was tried again after it had been refused
+    :param ages: seconds since each of them ended, 0 where it has just done so
     """
 
     content: bytes
     crashed: frozenset[str]
     cleared: frozenset[str] = frozenset()
     trials: int = 0
+    ages: Mapping[str, float] = field(default_factory=dict, compare=False)
 
     @property
     def suspected(self) -> bool:
@@ -62,19 +70,34 @@
 
     @property
     def blocked(self) -> bool:
-        """Whether it is refused."""
-        return len(self.crashed - self.cleared) >= CRASHES_TO_BLOCK
+        """Whether it is refused: enough upstreams crashed within a while.
 
-    def merge(self, other: CrashReport) -> CrashReport:
-        """Return what both say together."""
-        cleared = self.cleared | other.cleared
-        crashed = self.crashed | other.crashed
-        if len(crashed) > MOST_UPSTREAMS:
-            # What was cleared decides nothing any more.
-            crashed, cleared = crashed - cleared, frozenset()
-        kept = frozenset(sorted(crashed)[:MOST_UPSTREAMS])
-        trials = max(self.trials, other.trials)
-        return CrashReport(self.content, kept, cleared & kept, trials)
+        This does not change as the crashes age.
+        """
+        ages = sorted(self.age(one) for one in self.crashed - self.cleared)
+        last = CRASHES_TO_BLOCK - 1
+        spans = zip(ages, ages[last:], strict=False)
+        return any(late - early <= SUSPECT_SECONDS for early, late in spans)
+
+    def age(self, upstream: str) -> float:
+        """Return the seconds since an upstream crashed."""
+        return self.ages.get(upstream, 0.0)
+
+    def keep(self, crashed: frozenset[str]) -> CrashReport:
+        """Return what it says of some upstreams alone."""
+        ages = {one: self.age(one) for one in crashed}
+        cleared = self.cleared & crashed
+        return CrashReport(self.content, crashed, cleared, self.trials, ages)
+
+    def drop_late(self, most: float) -> CrashReport:
+        """Return it without crashes that are too old, unless it is refused for them.
+
+        :param most: seconds
+        """
+        if self.blocked:
+            return self
+        fresh = frozenset(one for one in self.crashed if self.age(one) <= most)
+        return self if len(fresh) == len(self.crashed) else self.keep(fresh)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,10 +112,45 @@
 
 @dataclass(slots=True)
 class _Entry:
-    report: CrashReport
-    changed: float
+    """One content, in times of this instance's clock.
+
+    :param crashed: when each upstream crashed, in seconds
+    :param next_trial: when it may be tried again, in seconds
+    """
+
+    content: bytes
+    crashed: dict[str, float]
+    cleared: frozenset[str]
+    trials: int
     next_trial: float
 
+    def describe(self, now: float) -> CrashReport:
+        """Return what is known."""
+        ages = {one: now - at for one, at in self.crashed.items()}
+        crashed = frozenset(self.crashed)
+        report = CrashReport(self.content, crashed, self.cleared, self.trials, ages)
+        return report.drop_late(KEPT_SECONDS)
+
+    def merge(self, report: CrashReport, now: float) -> None:
+        """Take in what another instance knows.
+
+        An age grows on its way by less than the way takes, so the oldest is the truest.
+        """
+        for one in report.crashed:
+            at = now - report.age(one)
+            self.crashed[one] = min(at, self.crashed.get(one, at))
+        self.cleared |= report.cleared
+        if len(self.crashed) > MOST_UPSTREAMS:
+            self._drop_crashes()
+        self.cleared = self.cleared & frozenset(self.crashed)
+        self.trials = max(self.trials, report.trials)
+
+    def _drop_crashes(self) -> None:
+        """Keep the newest crashes; what was cleared decides nothing any more."""
+        left = [one for one in self.crashed.items() if one[0] not in self.cleared]
+        left.sort(key=lambda one: (-one[1], one[0]))
+        self.crashed = dict(left[:MOST_UPSTREAMS])
+
 
 class CrashHistory:
     """The contents under which upstreams crashed, as one instance knows them.
@@ -120,16 +178,22 @@
 
     def blocked(self) -> list[CrashReport]:
         """Return what is known of the contents that are refused, the newest first."""
-        return [one.report for one in reversed(self._blocked.values())]
+        now = self._clock()
+        return [one.describe(now) for one in reversed(self._blocked.values())]
 
     def suspected(self) -> list[CrashReport]:
         """Return what is known of the other contents, the newest first."""
-        return [one.report for one in reversed(self._suspected.values())]
+        now = self._clock()
+        known = [one.describe(now) for one in reversed(self._suspected.values())]
+        return [one for one in known if one.crashed]
 
     def find(self, content: bytes) -> CrashReport | None:
         """Return what is known of a content."""
         entry = self._find(content)
-        return None if entry is None else entry.report
+        if entry is None:
+            return None
+        known = entry.describe(self._clock())
+        return known if known.crashed or known.trials else None
 
     def note_crash(self, content: bytes, upstream: str) -> CrashReport | None:
         """Take in that an upstream ended while it ran a content.
@@ -147,7 +211,7 @@
         known = self.find(content)
         if known is None or not known.suspected:
             return None
-        self.hear(CrashReport(content, known.crashed, known.crashed))
+        self.hear(replace(known, cleared=known.crashed))
         return self.find(content)
 
     def hear(self, report: CrashReport) -> bool:
@@ -155,14 +219,15 @@
         content, now = report.content, self._clock()
         entry = self._find(content)
         if entry is None:
-            entry = _Entry(CrashReport(content, frozenset()), now, now)
-        before, merged = entry.report, entry.report.merge(report)
+            entry = _Entry(content, {}, frozenset(), 0, now)
+        before = entry.describe(now)
+        entry.merge(self._drop_late(report, before), now)
+        merged = entry.describe(now)
         if merged == before:
             return False
         if merged.crashed != before.crashed or merged.trials != before.trials:
             last = len(TRIAL_SECONDS) - 1
             entry.next_trial = now + TRIAL_SECONDS[min(merged.trials, last)]
-        entry.report, entry.changed = merged, now
         self._suspected.pop(content, None)
         self._blocked.pop(content, None)
         entries = self._blocked if merged.blocked else self._suspected
@@ -175,7 +240,7 @@
         entry = self._blocked.get(content)
         if entry is None:
             return None
-        if entry.report.trials >= len(TRIAL_SECONDS):
+        if entry.trials >= len(TRIAL_SECONDS):
             return Blocked(BLOCKED_RETRY_SECONDS)
         # One that is due is tried by an instance that its callers may reach next.
         return Blocked(max(SOONEST_RETRY_SECONDS, entry.next_trial - self._clock()))
@@ -188,7 +253,7 @@
         entry = self._blocked.get(content)
         if entry is None or not self._is_trier(content):
             return None
-        trials = entry.report.trials
+        trials = entry.trials
         if trials >= len(TRIAL_SECONDS) or self._clock() < entry.next_trial:
             return None
         self.hear(CrashReport(content, frozenset(), trials=trials + 1))
@@ -197,11 +262,22 @@
     def _find(self, content: bytes) -> _Entry | None:
         return self._blocked.get(content) or self._suspected.get(content)
 
+    def _drop_late(self, report: CrashReport, known: CrashReport) -> CrashReport:
+        """Return a report without crashes that are new here and too old."""
+        fresh = report.drop_late(LATEST_NEWS_SECONDS).crashed
+        return report.keep(fresh | (report.crashed & known.crashed))
+
     def _forget_old(self) -> None:
-        oldest_kept = self._clock() - SUSPECT_SECONDS
+        """Drop what says nothing any more, and what is too much.
+
+        Where more contents are suspected than are kept, instances may differ.
+        """
+        now = self._clock()
         while self._suspected:
             content, entry = next(iter(self._suspected.items()))
-            if entry.changed >= oldest_kept and len(self._suspected) <= MOST_SUSPECTED:
+            known = entry.describe(now)
+            is_known = known.crashed or known.trials
+            if is_known and len(self._suspected) <= MOST_SUSPECTED:
                 break
             del self._suspected[content]
         if len(self._blocked) > MOST_BLOCKED:
