--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -7,6 +7,7 @@
 from pondquay.routing.directory import Departure
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.attempts import UpstreamListener
+from pondquay_daemon.relay.egress import CONNECT_SECONDS
 
 if TYPE_CHECKING:
     from pondquay.routing.directory import KnownUpstream
@@ -38,6 +39,7 @@
         self._upstream = upstream
         self._reading = reading
         self._most_pause = most_pause
+        self._began = parts.clock.seconds()
 
     def heard(self) -> None:
         """Learn that something came from it."""
@@ -59,21 +61,27 @@
         if signs.cold:
             self._upstream.note_cold(signs.cold, now)
         if signs.rest:
-            self._upstream.note_rest(signs.rest, now)
+            directory = self._parts.directory
+            directory.note_rest(self._upstream, signs.rest, self._sent_by(now))
             log_event(
                 "upstream-rests", upstream=self._upstream.name, seconds=signs.rest
             )
         if signs.leaving:
-            self._note_leaving()
+            self._note_leaving(self._sent_by(now))
 
-    def _note_leaving(self) -> None:
+    def _sent_by(self, now: float) -> float:
+        """Return by when the request has reached the upstream, in seconds."""
+        return min(now, self._began + CONNECT_SECONDS)
+
+    def _note_leaving(self, sent_by: float) -> None:
         """Take in that it leaves, and tell peers.
 
         While the table is away no row says so. Each instance that is not told finds
         out by a request of its own, which may still run there when the upstream ends.
         """
         record = self._upstream.record
-        if not self._parts.directory.note_leaving(record.name, record.born):
+        directory = self._parts.directory
+        if not directory.note_said_leaving(self._upstream, sent_by):
             return
         log_event("upstream-leaves", upstream=self._upstream.name, source=FROM_ANSWER)
         self._parts.announce_departure(Departure(record.name, None, record.born))
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -125,6 +125,14 @@
         """Whether the last call was answered."""
         return self._answered is True
 
+    @property
+    def confirmed(self) -> float | None:
+        """As of when the store last confirmed what is known, in seconds.
+
+        While an answer is taken in this is still of the one before.
+        """
+        return self._confirmed
+
     def age(self) -> float | None:
         """Seconds since the store last confirmed what is known, ``None`` if never."""
         if self._confirmed is None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -97,7 +97,9 @@
         # Hundreds of instances start at once, and a partition takes some hundred writes
         # a second: 1,282 writes of allotments failed in 3 s with all in one partition.
         self._store = border.open_store(settings, reactor, frozenset({ALLOTMENTS}))
-        directory = UpstreamDirectory(reactor.seconds)
+        directory = UpstreamDirectory(
+            reactor.seconds, lambda: self._upstream_feed.confirmed
+        )
         bounds = settings.bounds
         self._member = Member(settings.peers, settings.domain)
         self.news = PeerNews(directory)
--- a/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
+++ b/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
@@ -22,6 +22,7 @@
 FULL = HOSTS[:2]
 SERVED = b"HTTP/1.1 200"
 REST_SECONDS = 3.0
+HEARTBEAT_SECONDS = 1.2
 # Seconds in which instances that were started together have linked to each other.
 LINKED_SECONDS = 5.0
 REST = b"rest: 3\r\n"
@@ -136,10 +137,14 @@
 
 
 def test_the_rest_of_a_life_is_not_the_next_ones(relay: RelaySide) -> None:
+    """It has written its row since, so it was that life which asked."""
     upstreams = AnsweringUpstreams.start(relay, hosts=HOSTS[:1], born=1)
     turn_away(upstreams, HOSTS[0])
+    upstreams.says[HOSTS[0]] = b"rest: 30\r\n"
     upstreams.ask_for(0.1, relay)
-    relay.store.put_upstream(HOSTS[0], f"{HOSTS[0]}:{PORT}", born=2)
+    for born in (1, 2):
+        upstreams.run_for(HEARTBEAT_SECONDS)
+        relay.store.put_upstream(HOSTS[0], f"{HOSTS[0]}:{PORT}", born=born)
     upstreams.full.clear()
     upstreams.run_for(1.0)
     relay.connect_caller("/read/x")
@@ -147,6 +152,46 @@
     assert relay.answers()[-1].startswith(SERVED)
 
 
+def test_a_life_that_is_not_listed_yet_may_be_the_one_that_asks(
+    relay: RelaySide,
+) -> None:
+    """It has begun under its old name while the table is away.
+
+    Seen with real processes: the answer was noted for the life before, and 14 requests
+    went to the new one in the two seconds for which it had asked.
+    """
+    upstreams = AnsweringUpstreams.start(relay, hosts=HOSTS[:2], born=1)
+    relay.store.away = True
+    turn_away(upstreams, HOSTS[0])
+    upstreams.ask_for(0.1, relay)
+    since = upstreams.now
+    relay.store.put_upstream(HOSTS[0], f"{HOSTS[0]}:{PORT}", born=2)
+    relay.store.away = False
+    upstreams.ask_for(REST_SECONDS - 0.5, relay)
+    assert relay.relay.describe()["upstreams"][-1]["born"] == 2
+    assert upstreams.hosts_since(since) == {HOSTS[1]}
+    upstreams.full = {HOSTS[1]}
+    upstreams.ask_for(1.0, relay)
+    assert HOSTS[0] in upstreams.hosts_since(since)
+
+
+def test_what_was_under_way_as_a_life_began_may_be_answered_by_it(
+    relay: RelaySide,
+) -> None:
+    upstreams = AnsweringUpstreams.start(relay, hosts=HOSTS[:2], born=1)
+    relay.connect_caller(HELD)
+    upstreams.run_for(0.1)
+    (host,) = upstreams.hosts_of_held()
+    relay.store.put_upstream(host, f"{host}:{PORT}", born=2)
+    upstreams.run_for(0.25)
+    turn_away(upstreams, host)
+    upstreams.answer_held()
+    upstreams.run_for(0.1)
+    since = upstreams.now
+    upstreams.ask_for(REST_SECONDS - 0.5, relay)
+    assert host not in upstreams.hosts_since(since)
+
+
 def test_a_row_that_comes_back_does_not_end_the_rest(relay: RelaySide) -> None:
     upstreams = AnsweringUpstreams.start(relay, hosts=HOSTS[:2])
     turn_away(upstreams, HOSTS[0])
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -94,6 +94,12 @@
     :param sent_at: when a request was last placed there, in seconds
     :param cold_until: until when it may be cold, in seconds
     :param rests_until: until when it wants no request of this instance, in seconds
+    :param alive_at: a moment after which this life has written its row, in seconds
+    :param signed_by: by when the latest request had reached its upstream whose answer
+        said something of the upstream, in seconds
+    :param said_leaving_at: when such an answer last said that it leaves, in seconds
+    :param doubted_since: set while an answer that said so may be this life's: when it
+        came, in seconds
     """
 
     record: UpstreamRecord
@@ -108,6 +114,10 @@
     sent_at: float | None = None
     cold_until: float = 0.0
     rests_until: float = 0.0
+    alive_at: float = -math.inf
+    signed_by: float = -math.inf
+    said_leaving_at: float = -math.inf
+    doubted_since: float | None = None
     circuit: Circuit = field(default_factory=Circuit)
 
     @property
@@ -136,7 +146,37 @@
 
     def has_left(self, now: float) -> bool:
         """Tell whether it gets no new work for good, or until a newer row comes."""
-        return self.leaving or (self.expires is not None and self.expires <= now)
+        if self.leaving or self.doubted_since is not None:
+            return True
+        return self.expires is not None and self.expires <= now
+
+    def note_written(self, after: float | None) -> None:
+        """Learn that it has written its row, which does not say that it leaves.
+
+        :param after: a moment after which it has, in seconds, ``None`` if none is known
+        """
+        if after is None:
+            return
+        self.alive_at = max(self.alive_at, after)
+        if self.doubted_since is not None and self.alive_at >= self.doubted_since:
+            self.doubted_since = None
+
+    def doubt(self, before: KnownUpstream) -> None:
+        """Take over what answers said that may be this life's and not the one's before.
+
+        Until its row is read a life is taken for the one before. What an answer said is
+        surely of that one where it has written its row after the request reached it. A
+        rest is taken over whole: it costs a life that did not ask for it some seconds
+        at one instance. That it leaves holds until it writes a row that does not say
+        so, a heartbeat later at most.
+        """
+        if before.signed_by <= before.alive_at:
+            return
+        self.signed_by = max(self.signed_by, before.signed_by)
+        self.rests_until = max(self.rests_until, before.rests_until)
+        self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
+        if self.alive_at < self.said_leaving_at:
+            self.doubted_since = self.said_leaving_at
 
 
 class UpstreamDirectory:
@@ -148,12 +188,19 @@
     no later trouble of the store takes it back; only a newer row does.
 
     :param clock: tells the time in seconds
+    :param confirmed: returns the moment as of which the list was whole before the row
+        that is being taken in, in seconds, ``None`` if it never was
     :ivar evacuations: the domains that operators have emptied
     :ivar reach: the domains that cannot be reached from here
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        confirmed: Callable[[], float | None] = lambda: None,
+    ) -> None:
         self._clock = clock
+        self._confirmed = confirmed
         self.evacuations = Evacuations(clock)
         self.reach = DomainReach()
         self._watch = ListWatch()
@@ -225,8 +272,13 @@
             del self._departures[life]
             departure = None
         is_news = known is None or known.vanished is not None or known.record != record
+        is_written = known is None or known.version < version
         if known is None:
             known = self._known[life] = KnownUpstream(record, version)
+        if is_written and not record.leaving:
+            known.note_written(self._confirmed())
+        if listed is not None and listed is not known:
+            known.doubt(listed)
         self._listed[name] = life
         known.record = record
         known.version = version
@@ -320,6 +372,32 @@
             known.leaving = True
         return True
 
+    def note_said_leaving(self, upstream: KnownUpstream, sent_by: float) -> bool:
+        """Note that an answer of an upstream says that it leaves.
+
+        :param sent_by: by when the request had reached it, in seconds
+        :returns: whether that is new
+        """
+        upstream.said_leaving_at = self._clock()
+        self._note_signed(upstream, sent_by)
+        return self.note_leaving(upstream.record.name, upstream.record.born)
+
+    def note_rest(
+        self, upstream: KnownUpstream, seconds: float, sent_by: float
+    ) -> None:
+        """Note that an answer of an upstream asks for some seconds without a request.
+
+        :param sent_by: by when the request had reached it, in seconds
+        """
+        upstream.note_rest(seconds, self._clock())
+        self._note_signed(upstream, sent_by)
+
+    def _note_signed(self, upstream: KnownUpstream, sent_by: float) -> None:
+        upstream.signed_by = max(upstream.signed_by, sent_by)
+        later = self.find_listed(upstream.record.name)
+        if later is not None and later is not upstream:
+            later.doubt(upstream)
+
     def hear(self, departure: Departure) -> bool:
         """Take in what another instance knows; tell whether that is new."""
         if departure.version is None:
