--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -11,6 +11,7 @@
 from pondquay_standins.routedfleet import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
+    USUAL_SECONDS,
     RoutedFleet,
     make_configuration,
 )
@@ -33,6 +34,13 @@
 TOP_UP_TOKENS = 4_000
 # Below what callers wait for an answer, and what a planned stop takes.
 REVIEW_SECONDS = 3
+# After which a request of each route ends, as the configuration says.
+ROUTE_SECONDS = {
+    "audit": USUAL_SECONDS,
+    "review": REVIEW_SECONDS,
+    "fetch": USUAL_SECONDS,
+    "write": USUAL_SECONDS,
+}
 # What another writer may put into the list of upstreams.
 ODD_VALUES: tuple[Any, ...] = (
     "text",
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -28,6 +28,7 @@
 from pondquay_standins.soak.fleet import (
     RELAYS,
     REPLICAS,
+    ROUTE_SECONDS,
     TOP_UP_TOKENS,
     RelayState,
     SoakFleet,
@@ -105,6 +106,9 @@
             return False
         if not call.began < self.began - STOP_MARGIN_SECONDS < call.ended:
             return False
+        # Its route's time was up; its replica may have said nothing for long.
+        if call.ended - call.began >= ROUTE_SECONDS[call.route]:
+            return False
         # An answer that broke off before that may be a replica's doing.
         at_the_end = call.ended >= self.ended - STOP_MARGIN_SECONDS
         return call.status == NO_ANSWER or at_the_end
