--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/border.py
@@ -15,7 +15,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.routes.entities import RoutingConfiguration
-    from pondquay.routing.directory import UpstreamRecord
+    from pondquay.routing.upstreamrecords import UpstreamRecord
     from pondquay_daemon.relay.messages import (
         AnswerHead,
         AnswerMarks,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.routing.directory import Departure
+from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.attempts import UpstreamListener
 from pondquay_daemon.relay.egress import CONNECT_SECONDS
 
 if TYPE_CHECKING:
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.messages import UpstreamSigns
     from pondquay_daemon.relay.parts import RelayParts
     from pondquay_daemon.relay.readings import PromptReading
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashwatch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashwatch.py
@@ -31,7 +31,7 @@
 
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.metrics import RelayMetrics
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -13,12 +13,9 @@
     from collections.abc import Callable
 
     from pondquay.routes.entities import Service
-    from pondquay.routing.directory import (
-        Departure,
-        KnownUpstream,
-        UpstreamDirectory,
-        UpstreamRecord,
-    )
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay.routing.upstreamrecords import Departure, UpstreamRecord
     from pondquay.tables import JsonObject
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.store import RowChange, Snapshot
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -12,12 +12,10 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.policy import RelayPolicy
-    from pondquay.routing.directory import (
-        Departure,
-        KnownUpstream,
-        UpstreamDirectory,
-    )
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.retryshares import RetryShare
+    from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.accounts import AccountBook
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashwatch import CrashWatch
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlistener.py
@@ -7,8 +7,8 @@
 
 if TYPE_CHECKING:
     from pondquay.routing.crashes import CrashReport
-    from pondquay.routing.directory import Departure
     from pondquay.routing.evacuations import Evacuation
+    from pondquay.routing.upstreamrecords import Departure
 
 
 class PeerListener(ABC):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -17,8 +17,8 @@
 
 from pondquay.requests.contents import CONTENT_BYTES
 from pondquay.routing.crashes import CrashReport
-from pondquay.routing.directory import Departure
 from pondquay.routing.evacuations import Evacuation
+from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.errors import MalformedValueError
 
 if TYPE_CHECKING:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peernews.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peernews.py
@@ -9,8 +9,9 @@
 
 if TYPE_CHECKING:
     from pondquay.routing.crashes import CrashReport
-    from pondquay.routing.directory import Departure, UpstreamDirectory
+    from pondquay.routing.directory import UpstreamDirectory
     from pondquay.routing.evacuations import Evacuation
+    from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.accounts import AccountBook
     from pondquay_daemon.relay.crashwatch import CrashWatch
     from pondquay_daemon.relay.evacuationview import EvacuationView
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -40,8 +40,8 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.routing.crashes import CrashReport
-    from pondquay.routing.directory import Departure
     from pondquay.routing.evacuations import Evacuation
+    from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.peerlinks import PeerLink
     from pondquay_daemon.relay.peerlistener import PeerListener
     from pondquay_daemon.relay.peermessages import PeerMessage
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -19,7 +19,8 @@
 
     from pondquay.policy import RelayPolicy
     from pondquay.routing.coldshares import ColdShares
-    from pondquay.routing.directory import KnownUpstream, UpstreamDirectory
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/readings.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
     from pondquay_daemon.relay.parts import RelayParts
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -46,7 +46,7 @@
     from typing import Any
 
     from pondquay.routes.table import RouteTable
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerAnswer
     from pondquay_daemon.relay.messages import RequestHead
@@ -282,6 +282,7 @@
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
         metrics.upstreams.set(self._parts.directory.count_present())
+        metrics.resting.set(self._parts.directory.count_resting())
         evacuations = self._parts.directory.evacuations
         metrics.emptied.set(len(evacuations.emptied))
         metrics.emptied_version.set(evacuations.version)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -34,7 +34,7 @@
     from twisted.internet.interfaces import IDelayedCall
 
     from pondquay.routes.entities import Service
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome
     from pondquay_daemon.relay.ingress import CallerAnswer
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome, StreamProgress
     from pondquay_daemon.relay.ingress import CallerAnswer
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -22,7 +22,7 @@
     Service,
     WeightedService,
 )
-from pondquay.routing.directory import UpstreamRecord
+from pondquay.routing.upstreamrecords import UpstreamRecord
 from pondquay_daemon.relay.border import Border, StoreNames
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.ingress import CallerAnswer, IngressServer, RequestHandler
--- a/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
+++ b/packages/pondquay-daemon/tests/relay/test_asked_to_rest.py
@@ -43,6 +43,7 @@
     since = upstreams.now
     upstreams.ask_for(REST_SECONDS - 1.0, relay)
     assert upstreams.hosts_since(since) == {HOSTS[2]}
+    assert b"pondquay_resting_upstreams 2.0" in relay.relay._render_metrics()
     assert all(one.startswith(SERVED) for one in relay.answers())
 
 
--- a/packages/pondquay-daemon/tests/relay/test_crashwatch.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashwatch.py
@@ -13,7 +13,8 @@
 
 from pondquay.addresses import Address
 from pondquay.routing.crashes import CRASHES_TO_BLOCK, CrashReport
-from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.knownupstreams import KnownUpstream
+from pondquay.routing.upstreamrecords import UpstreamRecord
 from pondquay_daemon.relay.connectioncheck import STAY_SECONDS
 from pondquay_daemon.relay.crashwatch import CHECK_SECONDS, ROW_SECONDS, CrashWatch
 from pondquay_daemon.relay.metrics import RelayMetrics
--- a/packages/pondquay-daemon/tests/relay/test_peermessages.py
+++ b/packages/pondquay-daemon/tests/relay/test_peermessages.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from pondquay.routing.crashes import CrashReport
-from pondquay.routing.directory import Departure
+from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.peermessages import (
     MESSAGE_TYPES,
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -11,8 +11,8 @@
 from twisted.test.iosim import FakeTransport, IOPump
 
 from pondquay.addresses import Address
-from pondquay.routing.directory import Departure
 from pondquay.routing.evacuations import Evacuation
+from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.configurationfetch import (
     FETCH_SECONDS,
     FETCH_WAIT_SECONDS,
--- a/packages/pondquay-lab/src/pondquay_lab/slopes.py
+++ b/packages/pondquay-lab/src/pondquay_lab/slopes.py
@@ -23,9 +23,10 @@
 from pondquay.membership.peers import Peers
 from pondquay.names import InstanceId, RequestName
 from pondquay.routing.copies import choose_source
-from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.prompts import PromptPart
 from pondquay.routing.rendezvous import choose_by_prompt
+from pondquay.routing.upstreamrecords import UpstreamRecord
 from pondquay.routing.upstreams import ENGINE, LoadReport, Upstream
 from pondquay_daemon.wire import decode_message, encode_message
 
--- a/packages/pondquay/src/pondquay/routing/coldshares.py
+++ b/packages/pondquay/src/pondquay/routing/coldshares.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
 
 # Seconds between two requests of one sender. The bound counts what arrives within any
 # second, so a shorter pause would let one sender be counted twice.
--- a/packages/pondquay/src/pondquay/routing/copies.py
+++ b/packages/pondquay/src/pondquay/routing/copies.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
 
 # Tokens that a copy must spare reading. To set one up takes some milliseconds, in which
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -3,182 +3,24 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from pondquay.routing.circuits import Circuit
 from pondquay.routing.domainreach import DomainReach
 from pondquay.routing.evacuations import Evacuations
+from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.listwatch import VANISHED_SECONDS, ListWatch
-from pondquay.routing.pauses import PauseRecord
-from pondquay.routing.promptload import PromptLoad
+from pondquay.routing.upstreamrecords import Departure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from pondquay.addresses import Address
+    from pondquay.routing.upstreamrecords import UpstreamRecord
 
 # Departures that an instance remembers: more than a day of releases in a large fleet.
 # Each is for news that comes late: by a list that lags, or by a link after a cut.
 MOST_DEPARTURES = 4096
 
 
-def name_life(name: str, born: int | None) -> str:
-    """Return what one life of an upstream is known by.
-
-    An upstream may start again under its name. Nothing that was learnt of the life
-    before says anything of the new one, so all that is known goes by lives.
-    """
-    return name if born is None else f"{name}@{born}"
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamRecord:
-    """What an upstream says of itself in the list.
-
-    :param name: of its row
-    :param slots: requests that it runs at the same time
-    :param leaving: whether it will end soon
-    :param cold: seconds for which it still is cold: it bears few requests
-    :param born: when this life began by the clock of its host, ``None`` if it does not
-        say. It only tells lives apart: that clock may jump back between two of them
-    """
-
-    name: str
-    service: str
-    address: Address
-    domain: str
-    slots: int
-    leaving: bool = False
-    cold: float = 0.0
-    born: int | None = None
-
-    @property
-    def life(self) -> str:
-        """The name of this life."""
-        return name_life(self.name, self.born)
-
-
-@dataclass(frozen=True, slots=True)
-class Departure:
-    """News that an upstream leaves or has left.
-
-    :param name: of its row
-    :param version: at which its row was gone, ``None`` if it said so itself; then no
-        newer row takes it back
-    :param born: tells the life that it is about
-    """
-
-    name: str
-    version: int | None = None
-    born: int | None = None
-
-    @property
-    def life(self) -> str:
-        """The name of the life that it is about."""
-        return name_life(self.name, self.born)
-
-
-@dataclass(slots=True)
-class KnownUpstream:
-    """An upstream and what this instance has seen of it.
-
-    :param version: of the list's row that the record is from
-    :param vanished: when its row was gone, in seconds
-    :param expires: when it is taken to have left since its row is gone, in seconds;
-        ``None`` while its row may have lapsed for the store's sake
-    :param running: requests of this instance that are there now
-    :param prompts: what waits to be read there and what has been
-    :param pauses: how long its streams pause while it reads prompts
-    :param heard: when anything last came from it, in seconds
-    :param sent_at: when a request was last placed there, in seconds
-    :param cold_until: until when it may be cold, in seconds
-    :param rests_until: until when it wants no request of this instance, in seconds
-    :param alive_at: a moment after which this life has written its row, in seconds
-    :param signed_by: by when the latest request had reached its upstream whose answer
-        said something of the upstream, in seconds
-    :param said_leaving_at: when such an answer last said that it leaves, in seconds
-    :param doubted_since: set while an answer that said so may be this life's: when it
-        came, in seconds
-    """
-
-    record: UpstreamRecord
-    version: int
-    leaving: bool = False
-    vanished: float | None = None
-    expires: float | None = None
-    running: int = 0
-    prompts: PromptLoad = field(default_factory=PromptLoad)
-    pauses: PauseRecord = field(default_factory=PauseRecord)
-    heard: float = 0.0
-    sent_at: float | None = None
-    cold_until: float = 0.0
-    rests_until: float = 0.0
-    alive_at: float = -math.inf
-    signed_by: float = -math.inf
-    said_leaving_at: float = -math.inf
-    doubted_since: float | None = None
-    circuit: Circuit = field(default_factory=Circuit)
-
-    @property
-    def name(self) -> str:
-        """The name of this life of the upstream."""
-        return self.record.life
-
-    def note_cold(self, seconds: float, now: float) -> None:
-        """Learn that it may be cold for some more seconds.
-
-        News of it is late and comes from several sides; the longest holds, since one
-        that gets its usual work while it is cold falls over.
-        """
-        self.cold_until = max(self.cold_until, now + seconds)
-
-    def note_rest(self, seconds: float, now: float) -> None:
-        """Learn that it wants no request of this instance for some more seconds.
-
-        Answers overtake each other, and each is meant by itself, so the longest holds.
-        """
-        self.rests_until = max(self.rests_until, now + seconds)
-
-    def rests(self, now: float) -> bool:
-        """Tell whether it wants no request of this instance now."""
-        return now < self.rests_until
-
-    def has_left(self, now: float) -> bool:
-        """Tell whether it gets no new work for good, or until a newer row comes."""
-        if self.leaving or self.doubted_since is not None:
-            return True
-        return self.expires is not None and self.expires <= now
-
-    def note_written(self, after: float | None) -> None:
-        """Learn that it has written its row, which does not say that it leaves.
-
-        :param after: a moment after which it has, in seconds, ``None`` if none is known
-        """
-        if after is None:
-            return
-        self.alive_at = max(self.alive_at, after)
-        if self.doubted_since is not None and self.alive_at >= self.doubted_since:
-            self.doubted_since = None
-
-    def doubt(self, before: KnownUpstream) -> None:
-        """Take over what answers said that may be this life's and not the one's before.
-
-        Until its row is read a life is taken for the one before. What an answer said is
-        surely of that one where it has written its row after the request reached it. A
-        rest is taken over whole: it costs a life that did not ask for it some seconds
-        at one instance. That it leaves holds until it writes a row that does not say
-        so, a heartbeat later at most.
-        """
-        if before.signed_by <= before.alive_at:
-            return
-        self.signed_by = max(self.signed_by, before.signed_by)
-        self.rests_until = max(self.rests_until, before.rests_until)
-        self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
-        if self.alive_at < self.said_leaving_at:
-            self.doubted_since = self.said_leaving_at
-
-
 class UpstreamDirectory:
     """Upstreams by service; the first sign that one leaves is final.
 
@@ -230,6 +72,11 @@
             not one.leaving and one.vanished is None for one in self._known.values()
         )
 
+    def count_resting(self) -> int:
+        """Return how many want no request of this instance now."""
+        now = self._clock()
+        return sum(one.rests(now) for one in self._known.values())
+
     def find(self, name: str) -> KnownUpstream | None:
         """Return an upstream by the name of its life."""
         return self._known.get(name)
--- /dev/null
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -0,0 +1,114 @@
+"""One life of an upstream, and what an instance has seen of it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pondquay.routing.circuits import Circuit
+from pondquay.routing.pauses import PauseRecord
+from pondquay.routing.promptload import PromptLoad
+
+if TYPE_CHECKING:
+    from pondquay.routing.upstreamrecords import UpstreamRecord
+
+
+@dataclass(slots=True)
+class KnownUpstream:
+    """An upstream and what this instance has seen of it.
+
+    :param version: of the list's row that the record is from
+    :param vanished: when its row was gone, in seconds
+    :param expires: when it is taken to have left since its row is gone, in seconds;
+        ``None`` while its row may have lapsed for the store's sake
+    :param running: requests of this instance that are there now
+    :param prompts: what waits to be read there and what has been
+    :param pauses: how long its streams pause while it reads prompts
+    :param heard: when anything last came from it, in seconds
+    :param sent_at: when a request was last placed there, in seconds
+    :param cold_until: until when it may be cold, in seconds
+    :param rests_until: until when it wants no request of this instance, in seconds
+    :param alive_at: a moment after which this life has written its row, in seconds
+    :param signed_by: by when the latest request had reached its upstream whose answer
+        said something of the upstream, in seconds
+    :param said_leaving_at: when such an answer last said that it leaves, in seconds
+    :param doubted_since: set while an answer that said so may be this life's: when it
+        came, in seconds
+    """
+
+    record: UpstreamRecord
+    version: int
+    leaving: bool = False
+    vanished: float | None = None
+    expires: float | None = None
+    running: int = 0
+    prompts: PromptLoad = field(default_factory=PromptLoad)
+    pauses: PauseRecord = field(default_factory=PauseRecord)
+    heard: float = 0.0
+    sent_at: float | None = None
+    cold_until: float = 0.0
+    rests_until: float = 0.0
+    alive_at: float = -math.inf
+    signed_by: float = -math.inf
+    said_leaving_at: float = -math.inf
+    doubted_since: float | None = None
+    circuit: Circuit = field(default_factory=Circuit)
+
+    @property
+    def name(self) -> str:
+        """The name of this life of the upstream."""
+        return self.record.life
+
+    def note_cold(self, seconds: float, now: float) -> None:
+        """Learn that it may be cold for some more seconds.
+
+        News of it is late and comes from several sides; the longest holds, since one
+        that gets its usual work while it is cold falls over.
+        """
+        self.cold_until = max(self.cold_until, now + seconds)
+
+    def note_rest(self, seconds: float, now: float) -> None:
+        """Learn that it wants no request of this instance for some more seconds.
+
+        Answers overtake each other, and each is meant by itself, so the longest holds.
+        """
+        self.rests_until = max(self.rests_until, now + seconds)
+
+    def rests(self, now: float) -> bool:
+        """Tell whether it wants no request of this instance now."""
+        return now < self.rests_until
+
+    def has_left(self, now: float) -> bool:
+        """Tell whether it gets no new work for good, or until a newer row comes."""
+        if self.leaving or self.doubted_since is not None:
+            return True
+        return self.expires is not None and self.expires <= now
+
+    def note_written(self, after: float | None) -> None:
+        """Learn that it has written its row, which does not say that it leaves.
+
+        :param after: a moment after which it has, in seconds, ``None`` if none is known
+        """
+        if after is None:
+            return
+        self.alive_at = max(self.alive_at, after)
+        if self.doubted_since is not None and self.alive_at >= self.doubted_since:
+            self.doubted_since = None
+
+    def doubt(self, before: KnownUpstream) -> None:
+        """Take over what answers said that may be this life's and not the one's before.
+
+        Until its row is read a life is taken for the one before. What an answer said is
+        surely of that one where it has written its row after the request reached it. A
+        rest is taken over whole: it costs a life that did not ask for it some seconds
+        at one instance. That it leaves holds until it writes a row that does not say
+        so, a heartbeat later at most.
+        """
+        if before.signed_by <= before.alive_at:
+            return
+        self.signed_by = max(self.signed_by, before.signed_by)
+        self.rests_until = max(self.rests_until, before.rests_until)
+        self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
+        if self.alive_at < self.said_leaving_at:
+            self.doubted_since = self.said_leaving_at
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pondquay.routing.directory import KnownUpstream
+    from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
 
 # Requests of one instance at an upstream from which the next one in rank is taken.
--- a/packages/pondquay/tests/routing/test_coldshares.py
+++ b/packages/pondquay/tests/routing/test_coldshares.py
@@ -13,7 +13,8 @@
 
 from pondquay.addresses import Address
 from pondquay.routing.coldshares import ColdShares, choose_senders
-from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.knownupstreams import KnownUpstream
+from pondquay.routing.upstreamrecords import UpstreamRecord
 
 RATE = 6.6
 MOST_IN_A_SECOND = RATE * 1.5 + 5
--- a/packages/pondquay/tests/routing/test_copies.py
+++ b/packages/pondquay/tests/routing/test_copies.py
@@ -4,8 +4,9 @@
 
 from pondquay.addresses import Address
 from pondquay.routing.copies import LEAST_COPIED_TOKENS, choose_source
-from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.prompts import PromptPart
+from pondquay.routing.upstreamrecords import UpstreamRecord
 
 PROMPT = (PromptPart("a", 2_500), PromptPart("b", 3_800), PromptPart("own", 2_900))
 
--- a/packages/pondquay/tests/routing/test_departures.py
+++ b/packages/pondquay/tests/routing/test_departures.py
@@ -15,8 +15,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pondquay.addresses import Address
-from pondquay.routing.directory import Departure, UpstreamDirectory, UpstreamRecord
+from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.listwatch import LAPSE_SECONDS, RETURN_SECONDS, VANISHED_SECONDS
+from pondquay.routing.upstreamrecords import Departure, UpstreamRecord
 
 NAMES = ["u1", "u2"]
 names = st.sampled_from(NAMES)
--- a/packages/pondquay/tests/routing/test_promptload.py
+++ b/packages/pondquay/tests/routing/test_promptload.py
@@ -4,10 +4,11 @@
 from hypothesis import strategies as st
 
 from pondquay.addresses import Address
-from pondquay.routing.directory import UpstreamDirectory, UpstreamRecord
+from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.promptload import MOST_PARTS, PromptLoad
 from pondquay.routing.prompts import PromptPart, list_shared
 from pondquay.routing.rendezvous import MOST_READING_TOKENS, choose_by_prompt
+from pondquay.routing.upstreamrecords import UpstreamRecord
 
 NOW = 50.0
 PROMPT = (PromptPart("aa", 800), PromptPart("bb", 400), PromptPart("own", 250))
--- a/packages/pondquay/tests/routing/test_rendezvous.py
+++ b/packages/pondquay/tests/routing/test_rendezvous.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from pondquay.addresses import Address
-from pondquay.routing.directory import KnownUpstream, UpstreamRecord
+from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.prompts import PromptPart
 from pondquay.routing.rendezvous import (
     MOST_READING_TOKENS,
@@ -9,6 +9,7 @@
     choose_by_prompt,
     choose_nearest,
 )
+from pondquay.routing.upstreamrecords import UpstreamRecord
 
 NOW = 50.0
 
