--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
+from contextlib import suppress
 from enum import StrEnum
 from functools import partial
-from itertools import count
+from http.client import HTTPException
+from itertools import count, cycle
 from typing import TYPE_CHECKING, Any
 
 from pondquay_standins.processes import HOST, call_http, pick_port, wait_until
@@ -34,6 +37,8 @@
 TOP_UP_TOKENS = 4_000
 # Below what callers wait for an answer, and what a planned stop takes.
 REVIEW_SECONDS = 3
+# Between two tries of a caller that sends the same again.
+AGAIN_SECONDS = 0.2
 # After which a request of each route ends, as the configuration says.
 ROUTE_SECONDS = {
     "audit": USUAL_SECONDS,
@@ -147,6 +152,15 @@
         if name not in self.drained:
             self.list_replica(name, "ready")
 
+    def ask_again(self, path: str, seconds: float) -> None:
+        """Have a caller send a request to one relay after the other for a while."""
+        until = time.monotonic() + seconds
+        relays = cycle(RELAYS)
+        while time.monotonic() < until:
+            with suppress(OSError, HTTPException):
+                self.ask(self.relays[next(relays)], path)
+            time.sleep(AGAIN_SECONDS)
+
     def put_foreign_row(self) -> str:
         """Write a row that names no replica; return its key."""
         number = next(self._foreign)
