--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -131,15 +131,15 @@
         """Learn that something came from it."""
 
     @abstractmethod
-    def began(self) -> None:
-        """Learn that it answers the request, whose prompt it has read then."""
+    def answers(self) -> None:
+        """Learn that it answers the request, so that it has read its prompt."""
 
     @abstractmethod
     def paused(self, seconds: float) -> None:
         """Learn how long two events of the attempt lay apart."""
 
     @abstractmethod
-    def signed(self, signs: UpstreamSigns) -> None:
+    def said(self, signs: UpstreamSigns) -> None:
         """Learn what it says of itself; only this upstream can have said it."""
 
 
@@ -221,7 +221,7 @@
         if head.status in SUCCESS and not marks.signed:
             self._lose("a success that no upstream vouches for")
             return
-        self._upstream.began()
+        self._upstream.answers()
         self._head = head
         self._streaming = self._progress is not None and head.status in SUCCESS
 
@@ -280,7 +280,7 @@
     def _take_signs(self, marks: AnswerMarks) -> None:
         # An address may have gone to another upstream, whose signs these are then.
         if not marks.misdirected and marks.signs != NO_SIGNS:
-            self._upstream.signed(marks.signs)
+            self._upstream.said(marks.signs)
 
     def _streamed(self) -> float:
         """Return the seconds for which events have been coming."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -39,14 +39,14 @@
         self._upstream = upstream
         self._reading = reading
         self._most_pause = most_pause
-        self._began = parts.clock.seconds()
+        self._placed_at = parts.clock.seconds()
 
     def heard(self) -> None:
         """Learn that something came from it."""
         self._reading.note_heard()
 
-    def began(self) -> None:
-        """Learn that it answers the request, whose prompt it has read then."""
+    def answers(self) -> None:
+        """Learn that it answers the request, so that it has read its prompt."""
         self._reading.note_read()
 
     def paused(self, seconds: float) -> None:
@@ -55,25 +55,25 @@
             now = self._parts.clock.seconds()
             self._upstream.pauses.note(seconds, self._most_pause, now)
 
-    def signed(self, signs: UpstreamSigns) -> None:
+    def said(self, signs: UpstreamSigns) -> None:
         """Take in what the upstream says of itself."""
         now = self._parts.clock.seconds()
         if signs.cold:
             self._upstream.note_cold(signs.cold, now)
         if signs.rest:
             directory = self._parts.directory
-            directory.note_rest(self._upstream, signs.rest, self._sent_by(now))
+            directory.note_rest(self._upstream, signs.rest, self._reached_by(now))
             log_event(
                 "upstream-rests", upstream=self._upstream.name, seconds=signs.rest
             )
         if signs.leaving:
-            self._note_leaving(self._sent_by(now))
+            self._note_leaving(self._reached_by(now))
 
-    def _sent_by(self, now: float) -> float:
+    def _reached_by(self, now: float) -> float:
         """Return by when the request has reached the upstream, in seconds."""
-        return min(now, self._began + CONNECT_SECONDS)
+        return min(now, self._placed_at + CONNECT_SECONDS)
 
-    def _note_leaving(self, sent_by: float) -> None:
+    def _note_leaving(self, reached_by: float) -> None:
         """Take in that it leaves, and tell peers.
 
         While the table is away no row says so. Each instance that is not told finds
@@ -81,7 +81,7 @@
         """
         record = self._upstream.record
         directory = self._parts.directory
-        if not directory.note_said_leaving(self._upstream, sent_by):
+        if not directory.note_said_leaving(self._upstream, reached_by):
             return
         log_event("upstream-leaves", upstream=self._upstream.name, source=FROM_ANSWER)
         self._parts.announce_departure(Departure(record.name, None, record.born))
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -219,28 +219,28 @@
             known.leaving = True
         return True
 
-    def note_said_leaving(self, upstream: KnownUpstream, sent_by: float) -> bool:
+    def note_said_leaving(self, upstream: KnownUpstream, reached_by: float) -> bool:
         """Note that an answer of an upstream says that it leaves.
 
-        :param sent_by: by when the request had reached it, in seconds
+        :param reached_by: by when the request had reached it, in seconds
         :returns: whether that is new
         """
         upstream.said_leaving_at = self._clock()
-        self._note_signed(upstream, sent_by)
+        self._note_reached(upstream, reached_by)
         return self.note_leaving(upstream.record.name, upstream.record.born)
 
     def note_rest(
-        self, upstream: KnownUpstream, seconds: float, sent_by: float
+        self, upstream: KnownUpstream, seconds: float, reached_by: float
     ) -> None:
         """Note that an answer of an upstream asks for some seconds without a request.
 
-        :param sent_by: by when the request had reached it, in seconds
+        :param reached_by: by when the request had reached it, in seconds
         """
         upstream.note_rest(seconds, self._clock())
-        self._note_signed(upstream, sent_by)
+        self._note_reached(upstream, reached_by)
 
-    def _note_signed(self, upstream: KnownUpstream, sent_by: float) -> None:
-        upstream.signed_by = max(upstream.signed_by, sent_by)
+    def _note_reached(self, upstream: KnownUpstream, reached_by: float) -> None:
+        upstream.reached_by = max(upstream.reached_by, reached_by)
         later = self.find_listed(upstream.record.name)
         if later is not None and later is not upstream:
             later.doubt(upstream)
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -30,7 +30,7 @@
     :param cold_until: until when it may be cold, in seconds
     :param rests_until: until when it wants no request of this instance, in seconds
     :param alive_at: a moment after which this life has written its row, in seconds
-    :param signed_by: by when the latest request had reached its upstream whose answer
+    :param reached_by: by when the latest request had reached its upstream whose answer
         said something of the upstream, in seconds
     :param said_leaving_at: when such an answer last said that it leaves, in seconds
     :param doubted_since: set while an answer that said so may be this life's: when it
@@ -50,7 +50,7 @@
     cold_until: float = 0.0
     rests_until: float = 0.0
     alive_at: float = -math.inf
-    signed_by: float = -math.inf
+    reached_by: float = -math.inf
     said_leaving_at: float = -math.inf
     doubted_since: float | None = None
     circuit: Circuit = field(default_factory=Circuit)
@@ -105,9 +105,9 @@
         at one instance. That it leaves holds until it writes a row that does not say
         so, a heartbeat later at most.
         """
-        if before.signed_by <= before.alive_at:
+        if before.reached_by <= before.alive_at:
             return
-        self.signed_by = max(self.signed_by, before.signed_by)
+        self.reached_by = max(self.reached_by, before.reached_by)
         self.rests_until = max(self.rests_until, before.rests_until)
         self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
         if self.alive_at < self.said_leaving_at:
