--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -16,7 +16,7 @@
 from pondquay.streams import Frame
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK, make_pool
-from pondquay_daemon.retryafter import read_rest
+from pondquay_daemon.retryafter import read_backoff
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,11 +160,11 @@
         return None
 
 
-def _read_rest(response: Any) -> float:
+def _read_backoff(response: Any) -> float:
     """Return the seconds for which an engine wants no other call, 0 if it says none."""
     if response.code != FULL:
         return 0.0
-    return read_rest(response.headers.getRawHeaders(b"retry-after", []))
+    return read_backoff(response.headers.getRawHeaders(b"retry-after", []))
 
 
 class Engines:
@@ -242,7 +242,7 @@
     async def _receive(self, response: Any, take: Callable[[Frame], None]) -> bool:
         if response.code in CLIENT_ERRORS or response.code in REFUSALS:
             await treq.content(response)
-            raise RefusedError(response.code, _read_rest(response))
+            raise RefusedError(response.code, _read_backoff(response))
         if response.code != OK:
             await treq.content(response)
             raise MayHaveRunError(f"status {response.code}")
--- a/packages/pondquay-daemon/src/pondquay_daemon/errors.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/errors.py
@@ -19,13 +19,13 @@
     """An upstream refused a call before it started.
 
     :param status: the HTTP status of the refusal
-    :param rest: seconds for which the upstream wants no other call of this instance
+    :param backoff: seconds for which the upstream wants no other call of this instance
     """
 
-    def __init__(self, status: int, rest: float = 0.0) -> None:
+    def __init__(self, status: int, backoff: float = 0.0) -> None:
         super().__init__(f"refused with status {status}")
         self.status = status
-        self.rest = rest
+        self.backoff = backoff
 
 
 class LinkError(DaemonError):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -60,11 +60,11 @@
         now = self._parts.clock.seconds()
         if signs.cold:
             self._upstream.note_cold(signs.cold, now)
-        if signs.rest:
+        if signs.backoff:
             directory = self._parts.directory
-            directory.note_rest(self._upstream, signs.rest, self._reached_by(now))
+            directory.note_backoff(self._upstream, signs.backoff, self._reached_by(now))
             log_event(
-                "upstream-rests", upstream=self._upstream.name, seconds=signs.rest
+                "upstream-backoff", upstream=self._upstream.name, seconds=signs.backoff
             )
         if signs.leaving:
             self._note_leaving(self._reached_by(now))
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -177,7 +177,7 @@
                 "waiting": one.prompts.waiting,
                 "failures": one.circuit.failures,
                 "cold_until": one.cold_until,
-                "rests_until": one.rests_until,
+                "backoff_until": one.backoff_until,
             }
             for one in self.directory.all()
         ]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -92,12 +92,12 @@
 
     :param leaving: whether it will end soon and wants no new work
     :param cold: seconds for which it still bears few requests
-    :param rest: seconds for which it wants no request from this instance
+    :param backoff: seconds for which it wants no request from this instance
     """
 
     leaving: bool = False
     cold: float = 0.0
-    rest: float = 0.0
+    backoff: float = 0.0
 
 
 NO_SIGNS = UpstreamSigns()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -49,8 +49,9 @@
         self.store_up = self._gauge("store_up", "1 if the store answers")
         self.peers = self._gauge("peers", "Instances to which a link is open")
         self.upstreams = self._gauge("upstreams", "Upstreams that may get work")
-        self.resting = self._gauge(
-            "resting_upstreams", "Upstreams that want no request of this instance now"
+        self.backoff = self._gauge(
+            "upstreams_in_backoff",
+            "Upstreams that want no request of this instance now",
         )
         self.emptied = self._gauge("emptied_domains", "Domains that get no new work")
         self.emptied_version = self._gauge(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -90,12 +90,12 @@
         """Return why there is no upstream for a request."""
         now = self._clock.seconds()
         candidates = self._directory.candidates(service)
-        if candidates and all(one.rests(now) for one in candidates):
-            first = min(one.rests_until for one in candidates)
-            return NoUpstream("all upstreams asked for rest", first - now)
+        if candidates and all(one.in_backoff(now) for one in candidates):
+            first = min(one.backoff_until for one in candidates)
+            return NoUpstream("all upstreams asked to back off", first - now)
         if self._directory.evacuations.emptied:
             return NoUpstream("no upstream in the domains that are not emptied")
-        if any(one.name not in tried and not one.rests(now) for one in candidates):
+        if any(one.name not in tried and not one.in_backoff(now) for one in candidates):
             return NoUpstream("no upstream that is warm")
         return NoUpstream("no upstream")
 
@@ -104,15 +104,15 @@
     ) -> list[KnownUpstream]:
         """Return those that may get the request, whether they answer or not.
 
-        One that asked for rest runs nothing, so it seems the least loaded of all. Where
-        two of six do so, 59 sends in 9 s were turned away there and took the tries
-        of 19 callers that others could have served.
+        One that asked to back off runs nothing, so it seems the least loaded of all.
+        Where two of six do so, 59 sends in 9 s were turned away there and took the
+        tries of 19 callers that others could have served.
         """
         return [
             one
             for one in self._directory.candidates(service)
             if one.name not in tried
-            and not one.rests(now)
+            and not one.in_backoff(now)
             and self._cold_shares.allows(one, now)
         ]
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -282,7 +282,7 @@
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
         metrics.upstreams.set(self._parts.directory.count_present())
-        metrics.resting.set(self._parts.directory.count_resting())
+        metrics.backoff.set(self._parts.directory.count_backing_off())
         evacuations = self._parts.directory.evacuations
         metrics.emptied.set(len(evacuations.emptied))
         metrics.emptied_version.set(evacuations.version)
--- a/packages/pondquay-daemon/src/pondquay_daemon/requestattempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/requestattempts.py
@@ -84,7 +84,7 @@
         self.log_failure(progress.call, started, error)
         upstream = started.placement.upstream
         if isinstance(error, RefusedError) and started.attempt.boot == upstream.boot:
-            upstream.note_rest(error.rest, self._clock.seconds())
+            upstream.note_backoff(error.backoff, self._clock.seconds())
         self.avoid(progress, started)
         progress.life.refuse()
         await self._grants.settle(started.attempt, None)
--- a/packages/pondquay-daemon/src/pondquay_daemon/retryafter.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/retryafter.py
@@ -10,11 +10,11 @@
 
 # No upstream wants nothing for longer; a slip of one must not keep it from work for
 # good. Judged: the longest that was seen is 3 s.
-MOST_REST_SECONDS = 3600.0
+MOST_BACKOFF_SECONDS = 3600.0
 SECONDS_FORM = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 
 
-def read_rest(values: Iterable[bytes]) -> float:
+def read_backoff(values: Iterable[bytes]) -> float:
     """Return the longest of the times that stand in an answer, 0 if none does.
 
     Each is a number of seconds (RFC 9110, section 10.2.3), here with fractions as well.
@@ -27,4 +27,4 @@
     text = value.strip()
     if SECONDS_FORM.fullmatch(text) is None:
         return 0.0
-    return min(float(text), MOST_REST_SECONDS)
+    return min(float(text), MOST_BACKOFF_SECONDS)
--- a/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/upstreams.py
@@ -274,7 +274,7 @@
         report = upstream.report
         if report is None or now - report.received > STALE_SECONDS:
             return False
-        if now < upstream.rests_until or not upstream.circuit.allows(now):
+        if now < upstream.backoff_until or not upstream.circuit.allows(now):
             return False
         if not upstream.serves(wish.target, version):
             return False
--- a/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
@@ -76,7 +76,7 @@
                 before.zone,
                 before.fault,
                 leaving=before.leaving,
-                rest=before.rest,
+                backoff=before.backoff,
                 runs=before.runs,
                 arrivals=before.arrivals,
             )
@@ -129,8 +129,8 @@
             self.replicas[body["name"]].fault = ReplicaFault(body["fault"])
         elif action == "say-leaving":
             self.replicas[body["name"]].leaving = True
-        elif action == "rest":
-            self.replicas[body["name"]].rest = body["seconds"]
+        elif action == "backoff":
+            self.replicas[body["name"]].backoff = body["seconds"]
         elif action == "start":
             self.start_replica(body)
         elif action == "list":
--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -45,7 +45,7 @@
         fleet.end_line_faults()
         for name in REPLICAS:
             fleet.control("replica", name=name, fault="none")
-            fleet.control("rest", name=name, seconds=0)
+            fleet.control("backoff", name=name, seconds=0)
         fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
         found = []
         for name in RELAYS:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -43,7 +43,7 @@
 STOP_MARGIN_SECONDS = 0.1
 OWN_ERROR_PROMISE = "nothing fails of a relay's own"
 # What a replica that turns all away asks for.
-REST_SECONDS = 2
+BACKOFF_SECONDS = 2
 STOP_PROMISE = "a planned stop cuts nothing off"
 FOLDER = Path("var") / "soak"
 
@@ -205,11 +205,11 @@
                 if fleet.say_leaving(target):
                     drain = partial(fleet.list_replica, target, "draining")
                     self._later(fault.seconds, drain)
-            case FaultKind.REST:
-                fleet.control("rest", name=target, seconds=REST_SECONDS)
+            case FaultKind.BACKOFF:
+                fleet.control("backoff", name=target, seconds=BACKOFF_SECONDS)
                 self._later(
                     fault.seconds,
-                    lambda: fleet.control("rest", name=target, seconds=0),
+                    lambda: fleet.control("backoff", name=target, seconds=0),
                 )
             case _:
                 self._signal(fault)
--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -41,7 +41,7 @@
     OVERWRITTEN_ROW = "overwritten-row"
     SUSPEND = "suspend"
     SAY_LEAVING = "say-leaving"
-    REST = "rest"
+    BACKOFF = "backoff"
 
 
 # These are drawn by themselves, so that a seed brings the others as it always has.
@@ -52,7 +52,7 @@
     FaultKind.OVERWRITTEN_ROW,
     FaultKind.SUSPEND,
 )
-NEWEST_KINDS = (FaultKind.SAY_LEAVING, FaultKind.REST)
+NEWEST_KINDS = (FaultKind.SAY_LEAVING, FaultKind.BACKOFF)
 FIRST_KINDS = tuple(
     one for one in FaultKind if one not in (*LATER_KINDS, *NEWEST_KINDS)
 )
@@ -119,7 +119,7 @@
         FaultKind.FOREIGN_ROW: ([""], [""]),
         FaultKind.OVERWRITTEN_ROW: (replicas, [""]),
         FaultKind.SAY_LEAVING: (replicas, [""]),
-        FaultKind.REST: (replicas, [""]),
+        FaultKind.BACKOFF: (replicas, [""]),
         FaultKind.KILL_ALL: ([""], [""]),
         FaultKind.CONFIGURE: ([""], [""]),
     }
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -72,10 +72,10 @@
             not one.leaving and one.vanished is None for one in self._known.values()
         )
 
-    def count_resting(self) -> int:
+    def count_backing_off(self) -> int:
         """Return how many want no request of this instance now."""
         now = self._clock()
-        return sum(one.rests(now) for one in self._known.values())
+        return sum(one.in_backoff(now) for one in self._known.values())
 
     def find(self, name: str) -> KnownUpstream | None:
         """Return an upstream by the name of its life."""
@@ -229,14 +229,14 @@
         self._note_reached(upstream, reached_by)
         return self.note_leaving(upstream.record.name, upstream.record.born)
 
-    def note_rest(
+    def note_backoff(
         self, upstream: KnownUpstream, seconds: float, reached_by: float
     ) -> None:
         """Note that an answer of an upstream asks for some seconds without a request.
 
         :param reached_by: by when the request had reached it, in seconds
         """
-        upstream.note_rest(seconds, self._clock())
+        upstream.note_backoff(seconds, self._clock())
         self._note_reached(upstream, reached_by)
 
     def _note_reached(self, upstream: KnownUpstream, reached_by: float) -> None:
@@ -318,12 +318,12 @@
     def _forget_departed(self) -> None:
         """Drop those that have left and run nothing of this instance any more.
 
-        One that asked for rest is kept until that has passed: its row may come back.
+        One that asked to back off is kept until that has passed: its row may come back.
         """
         now = self._clock()
         for name, known in list(self._known.items()):
             is_gone = known.vanished is not None and known.has_left(now)
-            if is_gone and known.running == 0 and not known.rests(now):
+            if is_gone and known.running == 0 and not known.in_backoff(now):
                 del self._known[name]
                 if self._listed.get(known.record.name) == name:
                     del self._listed[known.record.name]
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -28,7 +28,7 @@
     :param heard: when anything last came from it, in seconds
     :param sent_at: when a request was last placed there, in seconds
     :param cold_until: until when it may be cold, in seconds
-    :param rests_until: until when it wants no request of this instance, in seconds
+    :param backoff_until: until when it wants no request of this instance, in seconds
     :param alive_at: a moment after which this life has written its row, in seconds
     :param reached_by: by when the latest request had reached its upstream whose answer
         said something of the upstream, in seconds
@@ -48,7 +48,7 @@
     heard: float = 0.0
     sent_at: float | None = None
     cold_until: float = 0.0
-    rests_until: float = 0.0
+    backoff_until: float = 0.0
     alive_at: float = -math.inf
     reached_by: float = -math.inf
     said_leaving_at: float = -math.inf
@@ -68,16 +68,16 @@
         """
         self.cold_until = max(self.cold_until, now + seconds)
 
-    def note_rest(self, seconds: float, now: float) -> None:
+    def note_backoff(self, seconds: float, now: float) -> None:
         """Learn that it wants no request of this instance for some more seconds.
 
         Answers overtake each other, and each is meant by itself, so the longest holds.
         """
-        self.rests_until = max(self.rests_until, now + seconds)
+        self.backoff_until = max(self.backoff_until, now + seconds)
 
-    def rests(self, now: float) -> bool:
+    def in_backoff(self, now: float) -> bool:
         """Tell whether it wants no request of this instance now."""
-        return now < self.rests_until
+        return now < self.backoff_until
 
     def has_left(self, now: float) -> bool:
         """Tell whether it gets no new work for good, or until a newer row comes."""
@@ -101,14 +101,14 @@
 
         Until its row is read a life is taken for the one before. What an answer said is
         surely of that one where it has written its row after the request reached it. A
-        rest is taken over whole: it costs a life that did not ask for it some seconds
-        at one instance. That it leaves holds until it writes a row that does not say
-        so, a heartbeat later at most.
+        back-off is taken over whole: it costs a life that did not ask for it some
+        seconds at one instance. That it leaves holds until it writes a row that does
+        not say so, a heartbeat later at most.
         """
         if before.reached_by <= before.alive_at:
             return
         self.reached_by = max(self.reached_by, before.reached_by)
-        self.rests_until = max(self.rests_until, before.rests_until)
+        self.backoff_until = max(self.backoff_until, before.backoff_until)
         self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
         if self.alive_at < self.said_leaving_at:
             self.doubted_since = self.said_leaving_at
--- a/packages/pondquay/src/pondquay/routing/upstreams.py
+++ b/packages/pondquay/src/pondquay/routing/upstreams.py
@@ -47,7 +47,7 @@
     :param since_report: tokens that this instance sent since the last report
     :param sent: requests that this instance sent since the last report
     :param pace: seconds between two tokens of a stream there, as lately observed
-    :param rests_until: until when it wants no request of this instance, in seconds
+    :param backoff_until: until when it wants no request of this instance, in seconds
     """
 
     name: str
@@ -62,7 +62,7 @@
     since_report: int = 0
     sent: int = 0
     pace: float = 0.0
-    rests_until: float = 0.0
+    backoff_until: float = 0.0
     circuit: Circuit = field(default_factory=Circuit)
     prefixes: dict[str, int] = field(default_factory=dict)
 
@@ -72,7 +72,7 @@
         A life that begins anew has asked for nothing.
         """
         if self.report is not None and report.boot != self.boot:
-            self.rests_until = 0.0
+            self.backoff_until = 0.0
         self.report = report
         self.since_report = 0
         self.sent = 0
@@ -109,9 +109,9 @@
         busy = max(reported + self.sent, self.running)
         return busy < PLACES_BY_RANK[rank] * self.slots
 
-    def note_rest(self, seconds: float, now: float) -> None:
+    def note_backoff(self, seconds: float, now: float) -> None:
         """Learn that it wants no request of this instance for some more seconds."""
-        self.rests_until = max(self.rests_until, now + seconds)
+        self.backoff_until = max(self.backoff_until, now + seconds)
 
     def observe_pace(self, seconds: float) -> None:
         """Take in how long a token of a stream took."""
