--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -11,7 +11,6 @@
 from pondquay.streamevents import EventReader, StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.heads import drop_connection_headers
-from pondquay_daemon.relay.messages import NO_SIGNS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -140,7 +139,7 @@
 
     @abstractmethod
     def said(self, signs: UpstreamSigns) -> None:
-        """Learn what it says of itself; only this upstream can have said it."""
+        """Learn what its answer says of it; only this upstream can have said it."""
 
 
 class Attempt(ExchangeListener):
@@ -279,7 +278,7 @@
 
     def _take_signs(self, marks: AnswerMarks) -> None:
         # An address may have gone to another upstream, whose signs these are then.
-        if not marks.misdirected and marks.signs != NO_SIGNS:
+        if not marks.misdirected:
             self._upstream.said(marks.signs)
 
     def _streamed(self) -> float:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from pondquay.routing.ratelimits import RateLimit
 from pondquay.routing.upstreamrecords import Departure
-from pondquay_daemon.logs import log_event
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.attempts import UpstreamListener
 from pondquay_daemon.relay.egress import CONNECT_SECONDS
 
@@ -66,6 +67,10 @@
             log_event(
                 "upstream-backoff", upstream=self._upstream.name, seconds=signs.backoff
             )
+        if signs.tells_limit:
+            self._note_limit(RateLimit(signs.limit, now))
+        else:
+            log_event("limit-malformed", Level.WARNING, upstream=self._upstream.name)
         if signs.leaving:
             self._note_leaving(self._reached_by(now))
 
@@ -73,6 +78,17 @@
         """Return by when the request has reached the upstream, in seconds."""
         return min(now, self._placed_at + CONNECT_SECONDS)
 
+    def _note_limit(self, limit: RateLimit) -> None:
+        before = self._upstream.limit.rate
+        if self._upstream.note_limit(limit):
+            log_event(
+                "upstream-limit",
+                upstream=self._upstream.name,
+                per_second=describe_rate(limit.rate),
+                before=describe_rate(before),
+                source=FROM_ANSWER,
+            )
+
     def _note_leaving(self, reached_by: float) -> None:
         """Take in that it leaves, and tell peers.
 
@@ -85,3 +101,8 @@
             return
         log_event("upstream-leaves", upstream=self._upstream.name, source=FROM_ANSWER)
         self._parts.announce_departure(Departure(record.name, None, record.born))
+
+
+def describe_rate(rate: float | None) -> float | str:
+    """Return a limit as logs and state dumps show it."""
+    return "none" if rate is None else rate
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -178,6 +178,7 @@
                 "failures": one.circuit.failures,
                 "cold_until": one.cold_until,
                 "backoff_until": one.backoff_until,
+                "limit": one.limit.rate,
             }
             for one in self.directory.all()
         ]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -93,11 +93,17 @@
     :param leaving: whether it will end soon and wants no new work
     :param cold: seconds for which it still bears few requests
     :param backoff: seconds for which it wants no request from this instance
+    :param limit: requests a second that it takes from all instances together, ``None``
+        if it names none that can be read
+    :param tells_limit: whether the answer tells if there is a limit; one that names it
+        in a form that cannot be read does not
     """
 
     leaving: bool = False
     cold: float = 0.0
     backoff: float = 0.0
+    limit: float | None = None
+    tells_limit: bool = True
 
 
 NO_SIGNS = UpstreamSigns()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -53,6 +53,9 @@
             "upstreams_in_backoff",
             "Upstreams that want no request of this instance now",
         )
+        self.limited = self._gauge(
+            "upstreams_limited", "Upstreams that name a limit for all instances"
+        )
         self.emptied = self._gauge("emptied_domains", "Domains that get no new work")
         self.emptied_version = self._gauge(
             "emptied_domains_version",
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -283,6 +283,7 @@
         metrics.peers.set(len(self._peers.peers))
         metrics.upstreams.set(self._parts.directory.count_present())
         metrics.backoff.set(self._parts.directory.count_backing_off())
+        metrics.limited.set(self._parts.directory.count_limited())
         evacuations = self._parts.directory.evacuations
         metrics.emptied.set(len(evacuations.emptied))
         metrics.emptied_version.set(evacuations.version)
--- a/packages/pondquay-daemon/tests/border/test_headers.py
+++ b/packages/pondquay-daemon/tests/border/test_headers.py
@@ -198,6 +198,35 @@
     assert read_answer(AnswerHead(status, b"", headers)).signs.backoff == backoff
 
 
+@pytest.mark.parametrize(
+    ("values", "limit", "tells"),
+    [
+        ([], None, True),
+        ([b"1"], 1.0, True),
+        ([b" 0.5 "], 0.5, True),
+        ([b".5"], 0.5, True),
+        ([b"0"], 0.0, True),
+        ([b"3", b"2", b"x"], 2.0, True),
+        ([b""], None, False),
+        ([b"-1"], None, False),
+        ([b"nan"], None, False),
+        ([b"inf"], None, False),
+        ([b"1e3"], None, False),
+        ([b"1,5"], None, False),
+        ([b"."], None, False),
+        ([b"9" * 5000], None, False),
+        (["٣".encode()], None, False),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_an_answer_may_name_a_limit_for_all_instances(
+    values: list[bytes], limit: float | None, tells: bool, status: int
+) -> None:
+    headers = [(b"server-limit", value) for value in values]
+    signs = read_answer(AnswerHead(status, b"", headers)).signs
+    assert (signs.limit, signs.tells_limit) == (limit, tells)
+
+
 def test_a_refusal_bears_no_signature_and_says_when_to_come_back() -> None:
     assert write_refusal("a1", 0.25) == [
         (b"X-Pondquay-Attempt-Id", b"a1"),
@@ -246,6 +275,7 @@
             b"Keep-Alive",
             b"Retry-After",
             b"Server-Leaving",
+            b"Server-Limit",
         ]
     ),
     st.one_of(
@@ -258,5 +288,6 @@
 ) -> None:
     marks = read_answer(AnswerHead(503, b"", [(name, value)]))
     assert 0 <= marks.signs.cold < math.inf
+    assert marks.signs.limit is None or 0 <= marks.signs.limit < math.inf
     assert 0 <= marks.signs.backoff < math.inf
     keep_alive_seconds([(name, value)])
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -23,8 +23,9 @@
     WeightedService,
 )
 from pondquay.routing.upstreamrecords import UpstreamRecord
+from pondquay_daemon.ratelimits import read_limit
 from pondquay_daemon.relay.border import Border, StoreNames
-from pondquay_daemon.relay.heads import find_header
+from pondquay_daemon.relay.heads import find_header, list_values
 from pondquay_daemon.relay.ingress import CallerAnswer, IngressServer, RequestHandler
 from pondquay_daemon.relay.messages import AnswerMarks, RequestMarks, UpstreamSigns
 from pondquay_daemon.relay.metrics import RelayMetrics
@@ -192,9 +193,12 @@
 
     def read_answer(self, head: AnswerHead) -> AnswerMarks:
         backoff = find_header(head.headers, b"backoff")
+        limits = list_values(head.headers, b"limit")
         signs = UpstreamSigns(
             leaving=find_header(head.headers, b"leaving") is not None,
             backoff=0.0 if backoff is None else float(backoff),
+            limit=read_limit(limits),
+            tells_limit=not limits or read_limit(limits) is not None,
         )
         return AnswerMarks(
             "attempt",
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -77,6 +77,10 @@
         now = self._clock()
         return sum(one.in_backoff(now) for one in self._known.values())
 
+    def count_limited(self) -> int:
+        """Return how many have named a limit for all instances."""
+        return sum(one.limit.rate is not None for one in self._known.values())
+
     def find(self, name: str) -> KnownUpstream | None:
         """Return an upstream by the name of its life."""
         return self._known.get(name)
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -9,6 +9,7 @@
 from pondquay.routing.circuits import Circuit
 from pondquay.routing.pauses import PauseRecord
 from pondquay.routing.promptload import PromptLoad
+from pondquay.routing.ratelimits import NEVER_SAID, RateLimit
 
 if TYPE_CHECKING:
     from pondquay.routing.upstreamrecords import UpstreamRecord
@@ -29,6 +30,7 @@
     :param sent_at: when a request was last placed there, in seconds
     :param cold_until: until when it may be cold, in seconds
     :param backoff_until: until when it wants no request of this instance, in seconds
+    :param limit: what it takes from all instances together, as it last said
     :param alive_at: a moment after which this life has written its row, in seconds
     :param reached_by: by when the latest request had reached its upstream whose answer
         said something of the upstream, in seconds
@@ -49,6 +51,7 @@
     sent_at: float | None = None
     cold_until: float = 0.0
     backoff_until: float = 0.0
+    limit: RateLimit = NEVER_SAID
     alive_at: float = -math.inf
     reached_by: float = -math.inf
     said_leaving_at: float = -math.inf
@@ -75,6 +78,15 @@
         """
         self.backoff_until = max(self.backoff_until, now + seconds)
 
+    def note_limit(self, limit: RateLimit) -> bool:
+        """Learn what it takes from all instances together.
+
+        :returns: whether it is another limit than was known
+        """
+        is_other = limit.rate != self.limit.rate
+        self.limit = limit
+        return is_other
+
     def in_backoff(self, now: float) -> bool:
         """Tell whether it wants no request of this instance now."""
         return now < self.backoff_until
