--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/contacts.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay.routing.ratelimits import RateLimit
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.attempts import UpstreamListener
@@ -68,7 +67,9 @@
                 "upstream-backoff", upstream=self._upstream.name, seconds=signs.backoff
             )
         if signs.tells_limit:
-            self._note_limit(RateLimit(signs.limit, now))
+            self._parts.permits.note_named(
+                self._upstream, signs.limit, self._placed_at, self._reached_by(now)
+            )
         else:
             log_event("limit-malformed", Level.WARNING, upstream=self._upstream.name)
         if signs.leaving:
@@ -78,17 +79,6 @@
         """Return by when the request has reached the upstream, in seconds."""
         return min(now, self._placed_at + CONNECT_SECONDS)
 
-    def _note_limit(self, limit: RateLimit) -> None:
-        before = self._upstream.limit.rate
-        if self._upstream.note_limit(limit):
-            log_event(
-                "upstream-limit",
-                upstream=self._upstream.name,
-                per_second=describe_rate(limit.rate),
-                before=describe_rate(before),
-                source=FROM_ANSWER,
-            )
-
     def _note_leaving(self, reached_by: float) -> None:
         """Take in that it leaves, and tell peers.
 
@@ -101,8 +91,3 @@
             return
         log_event("upstream-leaves", upstream=self._upstream.name, source=FROM_ANSWER)
         self._parts.announce_departure(Departure(record.name, None, record.born))
-
-
-def describe_rate(rate: float | None) -> float | str:
-    """Return a limit as logs and state dumps show it."""
-    return "none" if rate is None else rate
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -53,6 +53,9 @@
             "upstreams_in_backoff",
             "Upstreams that want no request of this instance now",
         )
+        self.permits = self._counter(
+            "permits", "Permits to send to limited upstreams, and refusals", "way"
+        )
         self.limited = self._gauge(
             "upstreams_limited", "Upstreams that name a limit for all instances"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/parts.py
@@ -21,6 +21,7 @@
     from pondquay_daemon.relay.crashwatch import CrashWatch
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.metrics import RelayMetrics
+    from pondquay_daemon.relay.permits import PermitDesk
     from pondquay_daemon.relay.placement import Placement
 
 
@@ -48,3 +49,4 @@
     announce_departure: Callable[[Departure], None]
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashWatch
+    permits: PermitDesk
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -32,6 +32,8 @@
 MOST_NUMBER = 1 << 53
 # Upstreams that a report of one content names; a peer keeps no more itself.
 MOST_CRASHED = 64
+# Permits that are asked for at once at most.
+MOST_PERMITS = 1000
 # Number of a loan that nobody asked for; requests are numbered from 1.
 UNASKED = 0
 
@@ -40,6 +42,9 @@
 Lives = Annotated[list[str], Meta(max_length=MOST_CRASHED)]
 # Seconds since something happened.
 Age = Annotated[float, Meta(ge=0, le=MOST_NUMBER)]
+# Requests or permits a second.
+Rate = Annotated[float, Meta(ge=0, le=MOST_NUMBER)]
+PermitCount = Annotated[int, Meta(ge=0, le=MOST_PERMITS)]
 Ages = Annotated[dict[str, Age], Meta(max_length=MOST_CRASHED)]
 
 
@@ -216,6 +221,60 @@
     loads: list[tuple[str, Count, list[str]]]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLimits:
+    """Says what upstreams take from all instances together, as they last said.
+
+    The first one on a link, which may be empty, also says that its sender knows limits
+    and can be asked for permits.
+
+    :param limits: for each its name, the requests a second, ``None`` for no limit, and
+        the seconds since it said so
+    """
+
+    CODE: ClassVar[int] = 14
+    limits: list[tuple[str, Rate | None, Age]]
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Asks for permits to send to a limited upstream.
+
+    :param asker: the instance that will use them
+    :param hops: instances that have passed the request on
+    :param rate: what the upstream takes, as the sender knows it
+    :param age: seconds since the upstream said so
+    """
+
+    CODE: ClassVar[int] = 15
+    number: Count
+    asker: str
+    upstream: str
+    count: PermitCount
+    hops: Count
+    rate: Rate | None
+    age: Age
+
+
+@dataclass(frozen=True, slots=True)
+class PermitGrant:
+    """Answers a request for permits.
+
+    :param seconds: for which the permits may be used, counted from the request
+    :param pause: seconds after which more may be asked for
+    :param rate: what the upstream takes, as the sender knows it
+    :param age: seconds since the upstream said so, ``None`` if it never did
+    """
+
+    CODE: ClassVar[int] = 16
+    number: Count
+    count: PermitCount
+    seconds: Age
+    pause: Age
+    rate: Rate | None
+    age: Age | None
+
+
 PeerMessage: TypeAlias = (
     Hello
     | Heartbeat
@@ -227,6 +286,9 @@
     | LoanRequest
     | Loan
     | UpstreamLoads
+    | UpstreamLimits
+    | PermitRequest
+    | PermitGrant
 )
 MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
     one.CODE: one
@@ -241,6 +303,9 @@
         LoanRequest,
         Loan,
         UpstreamLoads,
+        UpstreamLimits,
+        PermitRequest,
+        PermitGrant,
     )
 }
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -45,6 +45,7 @@
     from pondquay_daemon.relay.peerlinks import PeerLink
     from pondquay_daemon.relay.peerlistener import PeerListener
     from pondquay_daemon.relay.peermessages import PeerMessage
+    from pondquay_daemon.relay.peertopics import PeerTopic
 
 # A link on which nothing else was sent for this long carries a heartbeat, so a live
 # peer is heard every second.
@@ -119,6 +120,13 @@
             self.clock, self._send_all, lambda: len(self._links) > MOST_FAR_LINKS
         )
         self._fetch = ConfigurationFetch(self.clock, listener, self._all)
+        self._topics: list[PeerTopic] = []
+        self._topic_of: dict[type[PeerMessage], PeerTopic] = {}
+
+    def add_topic(self, topic: PeerTopic) -> None:
+        """Have a matter's messages handed to it; before the first link."""
+        self._topics.append(topic)
+        self._topic_of.update(dict.fromkeys(topic.MESSAGES, topic))
 
     def start(self) -> None:
         """Accept and open links."""
@@ -154,6 +162,14 @@
         """The domains of all known instances; never changed, only replaced."""
         return self._domains
 
+    def find_link(self, peer: str) -> PeerLink | None:
+        """Return the link to a peer, ``None`` if there is none."""
+        return self._links.get(peer)
+
+    def tell_all(self, message: PeerMessage) -> None:
+        """Send a message to all peers."""
+        self._send_all(message)
+
     def announce_version(self) -> None:
         """Tell all peers which configuration is in force here."""
         self._send_all(Heartbeat(self._listener.configuration_version()))
@@ -208,6 +224,8 @@
             link.send(DomainEvacuations.pack(evacuations))
         if crashes := self._listener.crash_reports():
             link.send(UpstreamCrashes.pack(crashes))
+        for topic in self._topics:
+            link.send(topic.make_greeting())
 
     def lose(self, link: PeerLink) -> None:
         """Forget a link."""
@@ -216,6 +234,8 @@
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
             self._listener.forget_loads(link.instance)
+            for topic in self._topics:
+                topic.lose(link)
             log_event("peer-lost", Level.WARNING, peer=link.instance)
 
     def end_connecting(self, address: Address) -> None:
@@ -235,17 +255,12 @@
             self._receive_configuration(link, message)
         elif isinstance(message, LoanRequest | Loan):
             self._receive_tokens(link, message)
+        elif topic := self._topic_of.get(type(message)):
+            topic.receive(link, message)
         else:
             self._receive_news(link, message)
 
-    def _receive_news(
-        self,
-        link: PeerLink,
-        message: UpstreamDepartures
-        | DomainEvacuations
-        | UpstreamCrashes
-        | UpstreamLoads,
-    ) -> None:
+    def _receive_news(self, link: PeerLink, message: PeerMessage) -> None:
         if isinstance(message, UpstreamDepartures):
             for departure in message.unpack():
                 self._listener.hear_departure(departure)
@@ -255,7 +270,7 @@
         elif isinstance(message, UpstreamCrashes):
             for report in message.unpack():
                 self._listener.hear_crash(report)
-        else:
+        elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
 
@@ -336,7 +351,9 @@
 
     def _open_links(self) -> None:
         partners = self._listener.partners()
+        wished = {one for topic in self._topics for one in topic.list_wished()}
         near: list[Address] = []
+        wanted: list[Address] = []
         lenders: list[Address] = []
         others: list[Address] = []
         for name, member in self._members.items():
@@ -344,6 +361,8 @@
                 continue
             if member.domain == self._domain:
                 near.append(member.address)
+            elif name in wished:
+                wanted.append(member.address)
             elif name in partners:
                 lenders.append(member.address)
             else:
@@ -352,7 +371,7 @@
             others += self._seeds
         linked_far = {one for one in self._links if not self._is_near(one)}
         linked_near = len(self._links) - len(linked_far)
-        wanted = _draw(near, MOST_NEAR_LINKS - linked_near)
+        wanted += _draw(near, MOST_NEAR_LINKS - linked_near)
         wanted += _draw(lenders, MOST_PARTNER_LINKS - len(linked_far & partners))
         wanted += _draw(others, MOST_FAR_LINKS - len(linked_far) - len(lenders))
         for address in wanted:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -22,6 +22,7 @@
     from pondquay.routing.directory import UpstreamDirectory
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
+    from pondquay_daemon.relay.permits import PermitDesk
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,9 @@
         domain: str,
         policy: RelayPolicy,
         cold_shares: ColdShares,
+        permits: PermitDesk,
     ) -> None:
+        self._permits = permits
         self._cold_shares = cold_shares
         self._policy = policy
         self._clock = clock
@@ -95,7 +98,15 @@
             return NoUpstream("all upstreams asked to back off", first - now)
         if self._directory.evacuations.emptied:
             return NoUpstream("no upstream in the domains that are not emptied")
-        if any(one.name not in tried and not one.in_backoff(now) for one in candidates):
+        left = [
+            one
+            for one in candidates
+            if one.name not in tried and not one.in_backoff(now)
+        ]
+        retry_after = self._permits.plan_return(left)
+        if retry_after is not None:
+            return NoUpstream("no upstream below its limit", retry_after)
+        if left:
             return NoUpstream("no upstream that is warm")
         return NoUpstream("no upstream")
 
@@ -148,7 +159,8 @@
         """Tell whether a sound upstream is left that was not tried."""
         now = self._clock.seconds()
         return any(
-            self._is_sound(one, now) for one in self._list_usable(service, tried, now)
+            self._is_sound(one, now) and self._permits.may_give(one)
+            for one in self._list_usable(service, tried, now)
         )
 
     def _is_sound(self, upstream: KnownUpstream, now: float) -> bool:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -11,6 +11,7 @@
 from pondquay.routes.entities import CallerLimits
 from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
+from pondquay.routing.issuers import IssuerChoice, LinkedPeers
 from pondquay.routing.listwatch import VANISHED_SECONDS
 from pondquay.routing.retryshares import RetryShare
 from pondquay_daemon.logs import Level, log_event
@@ -34,6 +35,8 @@
 from pondquay_daemon.relay.parts import RelayParts
 from pondquay_daemon.relay.peernews import FROM_STORE, PeerNews
 from pondquay_daemon.relay.peers import Member, PeerMesh
+from pondquay_daemon.relay.permitlinks import PermitLinks
+from pondquay_daemon.relay.permits import PermitDesk
 from pondquay_daemon.relay.placement import Placement
 from pondquay_daemon.relay.readiness import ReadinessHandler
 from pondquay_daemon.relay.reports import ReportHandler
@@ -118,6 +121,20 @@
             metrics,
             settings.policy,
         )
+        linked = LinkedPeers(reactor.seconds)
+        permits = PermitDesk(
+            reactor,
+            settings.instance,
+            directory,
+            IssuerChoice(
+                settings.instance,
+                settings.domain,
+                lambda: self._peers.domains,
+                linked,
+            ),
+            PermitLinks(reactor, self._peers, linked),
+            metrics,
+        )
         self._parts = RelayParts(
             reactor,
             border,
@@ -133,6 +150,7 @@
                     lambda: self._peers.domains,
                     lambda service: self._configuration.cold_rate(service),
                 ),
+                permits,
             ),
             self._accounts,
             RetryShare(
@@ -155,6 +173,7 @@
                 lambda report: self._crash_rows.keep(report),
                 metrics,
             ),
+            permits,
         )
         self._configuration = ConfigurationView(border, self._take_table)
         self._upstreams = UpstreamView(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -173,7 +173,9 @@
         connect_failures = 0
         self._retries.note_first()
         while not self._stopped:
-            upstream = self._choose(sends)
+            upstream = await self._choose(sends)
+            if self._stopped:
+                break
             if isinstance(upstream, Refusal):
                 return upstream
             last = runs + 1 >= self._route.attempts
@@ -196,12 +198,12 @@
                 return refusal
         return self._give_up(self._stopped)
 
-    def _choose(self, sends: int) -> KnownUpstream | Refusal:
+    async def _choose(self, sends: int) -> KnownUpstream | Refusal:
         """Return the upstream to try next, or why the request is not sent."""
         refusal = self._permit.check_again(sends)
         if refusal is not None:
             return self._give_up(refusal.reason, refusal.retry_after)
-        upstream = self._sender.place()
+        upstream = await self._sender.place()
         if upstream is None:
             none = self._sender.explain_no_upstream()
             return self._give_up(none.reason, none.retry_after or SOON)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -10,6 +10,7 @@
 from pondquay_daemon.relay.contacts import UpstreamContact
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
+from pondquay_daemon.relay.permits import describe_rate
 from pondquay_daemon.relay.readings import PromptReading
 
 if TYPE_CHECKING:
@@ -90,14 +91,26 @@
         if self._attempt is not None:
             self._attempt.stop()
 
-    def place(self) -> KnownUpstream | None:
+    async def place(self) -> KnownUpstream | None:
         """Return the upstream to try next, ``None`` if there is none."""
         parts, service = self._parts, self._job.admission.service
-        chosen = parts.placement.choose(
-            service, self._marks.prefix, self.tried, self.unreached
-        )
-        if chosen is None:
-            return None
+        passed_over: set[str] = set()
+        while True:
+            chosen = parts.placement.choose(
+                service,
+                self._marks.prefix,
+                self.tried | passed_over,
+                self.unreached,
+            )
+            if chosen is None:
+                return None
+            if await parts.permits.take(chosen):
+                self._log_chosen(chosen)
+                return chosen
+            passed_over.add(chosen.name)
+
+    def _log_chosen(self, chosen: KnownUpstream) -> None:
+        parts, service = self._parts, self._job.admission.service
         age = parts.list_age()
         gone = chosen.vanished
         log_event(
@@ -113,9 +126,9 @@
             list_age=-1 if age is None else round(age, 2),
             gone=-1 if gone is None else round(parts.clock.seconds() - gone, 2),
             cold=round(max(0.0, chosen.cold_until - parts.clock.seconds()), 2),
+            limit=describe_rate(chosen.limit.rate),
             emptied=parts.directory.evacuations.describe(),
         )
-        return chosen
 
     def has_other(self) -> bool:
         """Tell whether a sound upstream is left that was not tried."""
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -14,11 +14,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from pondquay.routing.ratelimits import RateLimit
     from pondquay.routing.upstreamrecords import UpstreamRecord
 
 # Departures that an instance remembers: more than a day of releases in a large fleet.
 # Each is for news that comes late: by a list that lags, or by a link after a cut.
 MOST_DEPARTURES = 4096
+# For which the limit of one that has left is kept, in seconds: longer than a row takes
+# to come back that lapsed in an outage of the store.
+LIMIT_KEPT_SECONDS = 60.0
 
 
 class UpstreamDirectory:
@@ -79,7 +83,11 @@
 
     def count_limited(self) -> int:
         """Return how many have named a limit for all instances."""
-        return sum(one.limit.rate is not None for one in self._known.values())
+        return len(self.list_limited())
+
+    def list_limited(self) -> list[KnownUpstream]:
+        """Return those that have named a limit for all instances."""
+        return [one for one in self._known.values() if one.is_limited()]
 
     def find(self, name: str) -> KnownUpstream | None:
         """Return an upstream by the name of its life."""
@@ -243,6 +251,24 @@
         upstream.note_backoff(seconds, self._clock())
         self._note_reached(upstream, reached_by)
 
+    def note_limit(
+        self,
+        upstream: KnownUpstream,
+        limit: RateLimit,
+        asked_at: float,
+        reached_by: float,
+    ) -> bool:
+        """Note what an answer of an upstream says of how much it takes.
+
+        :param asked_at: when the request was placed, in seconds
+        :param reached_by: by when it had reached the upstream, in seconds
+        :returns: whether it is another limit than was known
+        """
+        is_other = upstream.note_limit(limit, asked_at)
+        if limit.rate is not None:
+            self._note_reached(upstream, reached_by)
+        return is_other
+
     def _note_reached(self, upstream: KnownUpstream, reached_by: float) -> None:
         upstream.reached_by = max(upstream.reached_by, reached_by)
         later = self.find_listed(upstream.record.name)
@@ -322,12 +348,16 @@
     def _forget_departed(self) -> None:
         """Drop those that have left and run nothing of this instance any more.
 
-        One that asked to back off is kept until that has passed: its row may come back.
+        One that asked to back off is kept until that has passed, and one that named a
+        limit for a while: its row may come back.
         """
         now = self._clock()
         for name, known in list(self._known.items()):
             is_gone = known.vanished is not None and known.has_left(now)
-            if is_gone and known.running == 0 and not known.in_backoff(now):
+            said_lately = known.in_backoff(now) or (
+                known.is_limited() and known.limit.age(now) < LIMIT_KEPT_SECONDS
+            )
+            if is_gone and known.running == 0 and not said_lately:
                 del self._known[name]
                 if self._listed.get(known.record.name) == name:
                     del self._listed[known.record.name]
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -8,8 +8,9 @@
 
 from pondquay.routing.circuits import Circuit
 from pondquay.routing.pauses import PauseRecord
+from pondquay.routing.permitstock import PermitStock
 from pondquay.routing.promptload import PromptLoad
-from pondquay.routing.ratelimits import NEVER_SAID, RateLimit
+from pondquay.routing.ratelimits import NEVER_SAID, PermitIssuer, RateLimit
 
 if TYPE_CHECKING:
     from pondquay.routing.upstreamrecords import UpstreamRecord
@@ -37,6 +38,8 @@
     :param said_leaving_at: when such an answer last said that it leaves, in seconds
     :param doubted_since: set while an answer that said so may be this life's: when it
         came, in seconds
+    :param permits: to send there while it is limited
+    :param issuer: issues them, where this instance does that
     """
 
     record: UpstreamRecord
@@ -57,6 +60,8 @@
     said_leaving_at: float = -math.inf
     doubted_since: float | None = None
     circuit: Circuit = field(default_factory=Circuit)
+    permits: PermitStock = field(default_factory=PermitStock)
+    issuer: PermitIssuer = field(default_factory=PermitIssuer)
 
     @property
     def name(self) -> str:
@@ -78,14 +83,27 @@
         """
         self.backoff_until = max(self.backoff_until, now + seconds)
 
-    def note_limit(self, limit: RateLimit) -> bool:
-        """Learn what it takes from all instances together.
+    def note_limit(self, limit: RateLimit, asked_at: float = math.inf) -> bool:
+        """Learn what it takes from all instances together; the newest word holds.
 
+        :param asked_at: when the request was placed whose answer says so, in seconds;
+            one that was made before the word that is known does not lift a limit
         :returns: whether it is another limit than was known
         """
-        is_other = limit.rate != self.limit.rate
+        known = self.limit
+        if limit.said_at < known.said_at:
+            return False
+        if asked_at < known.said_at and limit.allows_more(known):
+            return False
         self.limit = limit
-        return is_other
+        if limit.rate == known.rate:
+            return False
+        self.permits.reset()
+        return True
+
+    def is_limited(self) -> bool:
+        """Tell whether it names a limit for all instances together."""
+        return self.limit.rate is not None
 
     def in_backoff(self, now: float) -> bool:
         """Tell whether it wants no request of this instance now."""
@@ -114,13 +132,15 @@
         Until its row is read a life is taken for the one before. What an answer said is
         surely of that one where it has written its row after the request reached it. A
         back-off is taken over whole: it costs a life that did not ask for it some
-        seconds at one instance. That it leaves holds until it writes a row that does
-        not say so, a heartbeat later at most.
+        seconds at one instance. A limit holds until its first answer. That it leaves
+        holds until it writes a row that does not say so, a heartbeat later at most.
         """
         if before.reached_by <= before.alive_at:
             return
         self.reached_by = max(self.reached_by, before.reached_by)
         self.backoff_until = max(self.backoff_until, before.backoff_until)
+        if before.is_limited():
+            self.note_limit(before.limit)
         self.said_leaving_at = max(self.said_leaving_at, before.said_leaving_at)
         if self.alive_at < self.said_leaving_at:
             self.doubted_since = self.said_leaving_at
