--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -77,6 +77,7 @@
     :param at: when, in seconds of the clock that all processes of a host share
     :param leaving: whether the answer said that the replica leaves
     :param backoff: seconds for which the answer asked for no request, 0 if it did not
+    :param limit: requests a second that the answer named, ``None`` if it named none
     """
 
     attempt: str
@@ -85,6 +86,7 @@
     at: float
     leaving: bool
     backoff: int
+    limit: float | None = None
 
 
 @dataclass(slots=True)
@@ -96,6 +98,7 @@
     :param leaving: whether it says in all its answers that it leaves
     :param backoff: seconds without a request that it asks for as it turns all away; 0
         while it does not
+    :param limit: requests a second that it names in all its answers, ``None`` for none
     :param on_crash: called once a request has crashed it
     """
 
@@ -107,6 +110,7 @@
     sequence: int = 0
     leaving: bool = False
     backoff: int = 0
+    limit: float | None = None
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     connections: set[ReplicaConnection] = field(default_factory=set)
@@ -215,6 +219,7 @@
             time.monotonic(),
             replica.leaving,
             replica.backoff,
+            replica.limit,
         )
         replica.arrivals.append(arrival)
 
@@ -253,7 +258,12 @@
 
     def _own_marks(self) -> list[tuple[str, str]]:
         """Return what stands in all its answers."""
-        return [("Server-Leaving", "1")] if self._replica.leaving else []
+        marks = []
+        if self._replica.leaving:
+            marks.append(("Server-Leaving", "1"))
+        if self._replica.limit is not None:
+            marks.append(("Server-Limit", str(self._replica.limit)))
+        return marks
 
     def _send_head(self) -> None:
         kind = ("Content-Type", "text/event-stream")
--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -46,6 +46,7 @@
         for name in REPLICAS:
             fleet.control("replica", name=name, fault="none")
             fleet.control("backoff", name=name, seconds=0)
+            fleet.control("limit", name=name, limit=None)
         fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
         found = []
         for name in RELAYS:
