--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -129,23 +129,29 @@
             log_event("crash-row-malformed", Level.ERROR, key=row.key, error=error)
 
 
-# Rows of before name the upstreams alone. What a row says is refused, which does not
-# change with the ages, so it does not matter that they are of the moment of writing.
 _Ages = dict[str, Annotated[float, msgspec.Meta(ge=0)]]
 
 
 class _CrashDocument(msgspec.Struct, frozen=True):
-    """A content's row."""
+    """A content's row, which other builds read and write as well.
 
-    crashed: _Ages | list[str]
+    What a row says is refused, which does not change with the ages, so it does not
+    matter that they are of the moment of writing.
+
+    :param crashed: lives of upstreams; some builds write them with their ages
+    :param ages: seconds since they crashed; some builds write none
+    """
+
+    crashed: list[str] | _Ages
     cleared: list[str]
     trials: Annotated[int, msgspec.Meta(ge=0)]
+    ages: _Ages = {}
 
 
 def pack_report(report: CrashReport) -> JsonObject:
     """Return the value of a content's row."""
     ages = {life: round(report.age(life), 3) for life in sorted(report.crashed)}
-    document = _CrashDocument(ages, sorted(report.cleared), report.trials)
+    document = _CrashDocument(list(ages), sorted(report.cleared), report.trials, ages)
     packed: JsonObject = msgspec.to_builtins(document)
     return packed
 
@@ -160,8 +166,7 @@
         document = msgspec.convert(value, _CrashDocument)
     except (msgspec.ValidationError, ValueError, RecursionError) as error:
         raise MalformedValueError(f"crashes: {error}") from error
-    ages = document.crashed
-    if isinstance(ages, list):
-        ages = dict.fromkeys(ages, 0.0)
+    crashed = document.crashed
+    ages = document.ages if isinstance(crashed, list) else crashed
     cleared = frozenset(document.cleared)
-    return CrashReport(content, frozenset(ages), cleared, document.trials, ages)
+    return CrashReport(content, frozenset(crashed), cleared, document.trials, ages)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
@@ -9,7 +9,11 @@
 
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.errors import MalformedValueError
-from pondquay_daemon.relay.peermessages import MessageReader, encode_message
+from pondquay_daemon.relay.peermessages import (
+    MessageReader,
+    encode_message,
+    make_former,
+)
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IAddress
@@ -44,6 +48,7 @@
     """A connection to another instance; both ends are alike.
 
     :ivar has_sent: whether anything was sent since its owner last looked
+    :ivar understood: codes of the messages that the peer reads, as far as it has said
     """
 
     def __init__(self, owner: LinkOwner) -> None:
@@ -52,6 +57,7 @@
         self.instance = ""
         self.heard = 0.0
         self.has_sent = False
+        self.understood: frozenset[int] = frozenset()
         # The configuration in force at the peer, as it last said.
         self.version = 0
 
@@ -75,9 +81,16 @@
         """Learn that the link is gone."""
         self._owner.lose(self)
 
+    def reads(self, kind: type[PeerMessage]) -> bool:
+        """Tell whether the peer has said that it reads messages of a kind."""
+        return kind.CODE in self.understood
+
     def send(self, message: PeerMessage) -> None:
-        """Send a message."""
+        """Send a message, also in its former form to who may read that alone."""
         self.send_bytes(encode_message(message))
+        former = make_former(message)
+        if former is not None and not self.reads(type(message)):
+            self.send_bytes(encode_message(former))
 
     def send_bytes(self, data: bytes) -> None:
         """Send messages that are encoded already."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -1,7 +1,10 @@
 """What instances say to each other, as msgpack arrays that begin with a code.
 
-A message of a kind that is not known here is passed over, as it comes from an instance
-of a later version; one that lacks the form of its kind ends its link.
+Instances of different builds run side by side. A message of a kind that is not known
+here is passed over, and so are fields beyond those that are known. A field that is
+added to a kind comes last and has a default. A kind whose form changes gets a new code,
+and is said in its former form too, to peers that do not read the new one. What lacks
+the form of its kind ends its link. ``docs/design/changing.md`` has the rules.
 """
 
 from __future__ import annotations
@@ -60,6 +63,17 @@
     members: dict[str, tuple[str, str]]
 
 
+@dataclass(frozen=True, slots=True)
+class Understood:
+    """Names the kinds of messages that the sender reads.
+
+    It follows the first message on a link; builds that do not know it never send it.
+    """
+
+    CODE: ClassVar[int] = 17
+    codes: list[Count]
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Says that the sender lives, and which configuration it has."""
@@ -154,7 +168,6 @@
         since, those that it was cleared of, and how often it was tried again
     """
 
-    # 11 was the same without the ages.
     CODE: ClassVar[int] = 13
     crashes: list[tuple[Content, Ages, Lives, Count]]
 
@@ -181,6 +194,21 @@
         ]
 
 
+@dataclass(frozen=True, slots=True)
+class UndatedCrashes:
+    """The former form of ``UpstreamCrashes``, without the ages."""
+
+    CODE: ClassVar[int] = 11
+    crashes: list[tuple[Content, Lives, Lives, Count]]
+
+    def unpack(self) -> list[CrashReport]:
+        """Return the reports, as if the upstreams had just crashed."""
+        return [
+            CrashReport(content, frozenset(crashed), frozenset(cleared), trials)
+            for content, crashed, cleared, trials in self.crashes
+        ]
+
+
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
     """Asks for tokens of a workspace.
@@ -225,9 +253,6 @@
 class UpstreamLimits:
     """Says what upstreams take from all instances together, as they last said.
 
-    The first one on a link, which may be empty, also says that its sender knows limits
-    and can be asked for permits.
-
     :param limits: for each its name, the requests a second, ``None`` for no limit, and
         the seconds since it said so
     """
@@ -277,12 +302,14 @@
 
 PeerMessage: TypeAlias = (
     Hello
+    | Understood
     | Heartbeat
     | FetchConfiguration
     | ConfigurationValue
     | UpstreamDepartures
     | DomainEvacuations
     | UpstreamCrashes
+    | UndatedCrashes
     | LoanRequest
     | Loan
     | UpstreamLoads
@@ -294,12 +321,14 @@
     one.CODE: one
     for one in (
         Hello,
+        Understood,
         Heartbeat,
         FetchConfiguration,
         ConfigurationValue,
         UpstreamDepartures,
         DomainEvacuations,
         UpstreamCrashes,
+        UndatedCrashes,
         LoanRequest,
         Loan,
         UpstreamLoads,
@@ -316,6 +345,21 @@
     return packed
 
 
+def make_former(message: PeerMessage) -> PeerMessage | None:
+    """Return what is said to peers that do not read a message's kind.
+
+    :returns: the former form of its kind, ``None`` if there is none
+    """
+    if not isinstance(message, UpstreamCrashes):
+        return None
+    return UndatedCrashes(
+        [
+            (content, sorted(ages), cleared, trials)
+            for content, ages, cleared, trials in message.crashes
+        ]
+    )
+
+
 class MessageReader:
     """Reads messages from a stream of bytes."""
 
@@ -353,4 +397,4 @@
     if message_type is None:
         return None
     names = [one.name for one in dataclass_fields(message_type)]
-    return msgspec.convert(dict(zip(names, values, strict=True)), message_type)
+    return msgspec.convert(dict(zip(names, values, strict=False)), message_type)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -19,6 +19,7 @@
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
 from pondquay_daemon.relay.peermessages import (
+    MESSAGE_TYPES,
     UNASKED,
     ConfigurationValue,
     DomainEvacuations,
@@ -27,10 +28,13 @@
     Hello,
     Loan,
     LoanRequest,
+    UndatedCrashes,
+    Understood,
     UpstreamCrashes,
     UpstreamDepartures,
     UpstreamLoads,
     encode_message,
+    make_former,
 )
 from pondquay_daemon.tasks import Task
 
@@ -218,6 +222,7 @@
             name: (str(one.address), one.domain) for name, one in self._members.items()
         }
         link.send(Hello(self._instance, members))
+        link.send(Understood(sorted(MESSAGE_TYPES)))
         link.send(Heartbeat(self._listener.configuration_version()))
         link.send(UpstreamDepartures.pack(self._listener.departures()[-MOST_TOLD:]))
         if evacuations := self._listener.evacuations():
@@ -247,6 +252,8 @@
         link.heard = self.clock.seconds()
         if isinstance(message, Hello):
             self._receive_hello(link, message)
+        elif isinstance(message, Understood):
+            self._receive_understood(link, message)
         elif isinstance(message, Heartbeat):
             self._receive_version(link, message.version)
         elif isinstance(message, FetchConfiguration):
@@ -270,10 +277,19 @@
         elif isinstance(message, UpstreamCrashes):
             for report in message.unpack():
                 self._listener.hear_crash(report)
+        elif isinstance(message, UndatedCrashes):
+            self._receive_undated(link, message)
         elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.hear_load(link.instance, upstream, tokens, parts)
 
+    def _receive_undated(self, link: PeerLink, message: UndatedCrashes) -> None:
+        """Take crashes without ages, unless the peer says them with ages as well."""
+        if link.reads(UpstreamCrashes):
+            return
+        for report in message.unpack():
+            self._listener.hear_crash(report)
+
     def _receive_tokens(self, link: PeerLink, message: LoanRequest | Loan) -> None:
         if isinstance(message, Loan):
             self._receive_loan(link, message)
@@ -291,6 +307,11 @@
             self._links[hello.instance] = link
             log_event("peer-linked", peer=hello.instance)
 
+    def _receive_understood(self, link: PeerLink, message: Understood) -> None:
+        link.understood = frozenset(message.codes)
+        for topic in self._topics:
+            topic.note_understood(link)
+
     def _learn_from(self, link: PeerLink, name: str, address: str, domain: str) -> None:
         try:
             self.learn(name, Member.parse(address, domain))
@@ -401,8 +422,12 @@
 
     def _send_all(self, message: PeerMessage) -> None:
         data = encode_message(message)
+        former = make_former(message)
         for link in self._links.values():
-            link.send_bytes(data)
+            if former is None:
+                link.send_bytes(data)
+            else:
+                link.send(message)
 
 
 def _draw(addresses: list[Address], most: int) -> list[Address]:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peertopics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peertopics.py
@@ -21,6 +21,10 @@
     def make_greeting(self) -> PeerMessage:
         """Return what a peer is told on each new link."""
 
+    @abstractmethod
+    def note_understood(self, link: PeerLink) -> None:
+        """Learn which messages a peer reads."""
+
     @abstractmethod
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Act on a message."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/permitlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/permitlinks.py
@@ -121,10 +121,14 @@
         """Return what upstreams take, as far as it is known."""
         return self._pack(self._listener.list_limited())
 
+    def note_understood(self, link: PeerLink) -> None:
+        """Learn whether a peer can be asked for permits."""
+        if link.reads(PermitRequest):
+            self._peers.note_linked(link.instance)
+
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Act on a message."""
         if isinstance(message, UpstreamLimits):
-            self._peers.note_linked(link.instance)
             for upstream, rate, age in message.limits:
                 self._listener.hear(upstream, rate, age)
         elif isinstance(message, PermitRequest):
--- /dev/null
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -0,0 +1,98 @@
+"""The command ``python -m pondquay_lab.keptforms``: what a build says and writes.
+
+It makes the files beside the tests of messages and rows, by which today's code is held
+to what builds in use read and write. Sources of another build are taken with
+``PYTHONPATH``, from a work tree of its commit.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from argparse import ArgumentParser
+from dataclasses import fields
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from pondquay.budgets.allotments import AllotmentRow
+from pondquay.routing.crashes import CrashReport
+from pondquay_daemon.relay import peermessages
+from pondquay_daemon.relay.crashrows import pack_report
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CONTENT = bytes(range(16))
+CRASHED = ("u1@5", "u2", "u3")
+# An example of each field, by its name; of those that mean different things in
+# different kinds or builds, by the kind's code as well.
+EXAMPLES: dict[str | tuple[int, str], Any] = {
+    "instance": "r1",
+    "members": {"r1": ("10.0.0.1:8003", "hall"), "r2": ("10.0.0.2:8003", "yard")},
+    "codes": [1, 2, 3],
+    "version": 7,
+    "packed": b"\x01\x02",
+    "departures": [("u1", 7, 5), ("u2", None, None)],
+    "evacuations": [("hall", 9, True)],
+    (11, "crashes"): [(CONTENT, ["u1@5", "u2"], ["u2"], 1)],
+    (13, "crashes"): [(CONTENT, {"u1@5": 482.5, "u2": 0.0}, ["u2"], 1)],
+    "number": 3,
+    "workspace": "moderators",
+    "tokens": 400,
+    "ahead": 20,
+    "loads": [("u1", 120, ["aa", "bb"])],
+    "limits": [("u1", 1.5, 0.25), ("u2", None, 3.0)],
+    "asker": "r1",
+    "upstream": "u1",
+    "count": 2,
+    "hops": 1,
+    "rate": 1.5,
+    "age": 0.25,
+    "seconds": 1.0,
+    "pause": 0.5,
+}
+
+
+def describe_messages() -> dict[str, Any]:
+    """Return each kind of message: its fields with their types, and an example."""
+    found = {}
+    kinds: dict[int, Any] = dict(peermessages.MESSAGE_TYPES)
+    for code, kind in sorted(kinds.items()):
+        own = fields(kind)
+        values = [EXAMPLES.get((code, one.name), EXAMPLES.get(one.name)) for one in own]
+        found[str(code)] = {
+            "kind": kind.__name__,
+            "fields": [[one.name, str(one.type)] for one in own],
+            "example": peermessages.encode_message(kind(*values)).hex(),
+        }
+    return found
+
+
+def describe_rows() -> dict[str, Any]:
+    """Return an example of each kind of row that outlives an instance."""
+    report = CrashReport(CONTENT, frozenset(CRASHED), frozenset(), 1)
+    allotment = AllotmentRow.from_value(
+        {
+            "closed": [30, 25],
+            "holders": {"r1": ["b1", 100, 40, 7, -5], "r2": ["b2", 60, 0, 0, 5]},
+        }
+    )
+    return {
+        "crashes": pack_report(report),
+        "allotments": allotment.to_value(),
+        "instances": {"address": "10.0.0.1:8003", "domain": "hall"},
+    }
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Write the file of the build whose sources are on the path."""
+    parser = ArgumentParser(prog="python -m pondquay_lab.keptforms")
+    parser.add_argument("file", type=Path)
+    options = parser.parse_args(arguments)
+    described = {"messages": describe_messages(), "rows": describe_rows()}
+    options.file.write_text(json.dumps(described, indent=1, sort_keys=True) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
