--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -81,10 +82,22 @@
 ) -> KnownUpstream:
     """Return the least used upstream, one of the own domain while not crowded.
 
+    Those that are used alike take turns. Otherwise one would get all requests where
+    there are few, and one that has begun anew none.
+
     :param crowded: requests of this instance from which the own domain is left
     """
     near = [one for one in candidates if one.record.domain == domain]
-    best = min(near, key=lambda one: one.running, default=None)
+    best = min(near, key=_rank_by_use, default=None)
     if best is not None and best.running < crowded:
         return best
-    return min(candidates, key=lambda one: (one.running, one.record.domain != domain))
+    return min(
+        candidates,
+        key=lambda one: (one.running, one.record.domain != domain, _rank_by_use(one)),
+    )
+
+
+def _rank_by_use(upstream: KnownUpstream) -> tuple[int, float]:
+    """Return what runs there, and when a request was last placed there."""
+    sent_at = -math.inf if upstream.sent_at is None else upstream.sent_at
+    return upstream.running, sent_at
