--- a/packages/pondquay-standins/src/pondquay_standins/soak/proxies.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/proxies.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from argparse import ArgumentParser
+from collections import deque
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, cast
 
@@ -79,6 +80,8 @@
         self._drops = drops
         self.other: ProxyEnd | None = None
         self._early: list[bytes] = []
+        # What has come and is to be passed on later, in order.
+        self._delayed: deque[bytes] = deque()
 
     def connectionMade(self) -> None:
         """Take part in the line's faults."""
@@ -89,8 +92,10 @@
         fault = self.line.fault
         if fault in self._drops:
             return
-        if fault is ProxyFault.DELAY:
-            reactor.callLater(DELAY_SECONDS, self._pass_on, data)
+        if fault is ProxyFault.DELAY or self._delayed:
+            # Nothing overtakes on a connection, also once the fault is over.
+            self._delayed.append(data)
+            reactor.callLater(DELAY_SECONDS, self._pass_on_next)
             return
         self._pass_on(data)
 
@@ -115,6 +120,9 @@
         for data in early:
             self._pass_on(data)
 
+    def _pass_on_next(self) -> None:
+        self._pass_on(self._delayed.popleft())
+
     def _pass_on(self, data: bytes) -> None:
         if self.other is None:
             self._early.append(data)
