--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -10,7 +10,7 @@
 from base64 import b64decode
 from contextlib import ExitStack
 from dataclasses import dataclass
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -333,11 +333,19 @@
 
 def _read_answer(connection: HTTPConnection) -> Answered:
     response = connection.getresponse()
+    body, complete = read_body(response)
+    return Answered(response.status, dict(response.headers), body, complete)
+
+
+def read_body(response: HTTPResponse) -> tuple[bytes, bool]:
+    """Return a body, and whether it came to its end."""
     body = b""
-    complete = True
     try:
         while piece := response.read1(65536):
             body += piece
+        whole = response.length in (None, 0)
+        # Only this ends the answer, so that its connection carries the next request.
+        response.read()
     except (OSError, HTTPException):
-        complete = False
-    return Answered(response.status, dict(response.headers), body, complete)
+        return body, False
+    return body, whole
--- /dev/null
+++ b/packages/pondquay-standins/tests/soak/test_callers.py
@@ -0,0 +1,74 @@
+"""Callers of the soak use a connection again, and see when an answer breaks off.
+
+Seen: on a connection that was kept each second call failed at the caller itself, which
+had not ended the answer before; a third of all calls, and no stop ever met a connection
+that was in use (seed 4001: a call that failed so beside a planned stop).
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from threading import Thread
+from typing import TYPE_CHECKING
+
+import pytest
+
+from pondquay_standins.processes import HOST
+from pondquay_standins.routedfleet import read_body
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BODY = b"whole"
+
+
+class Answering(BaseHTTPRequestHandler):
+    """Answers each request by its path."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        self.send_response(200)
+        if self.path == "/chunked":
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            self.wfile.write(b"5\r\nwhole\r\n0\r\n\r\n")
+            return
+        self.send_header("Content-Length", str(len(BODY)))
+        self.end_headers()
+        if self.path == "/short":
+            self.wfile.write(BODY[:-1])
+            self.close_connection = True
+            return
+        self.wfile.write(BODY)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+@pytest.fixture
+def connection() -> Iterator[HTTPConnection]:
+    server = HTTPServer((HOST, 0), Answering)
+    thread = Thread(target=server.serve_forever)
+    thread.start()
+    connection = HTTPConnection(HOST, server.server_port, timeout=5)
+    yield connection
+    connection.close()
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+@pytest.mark.parametrize("path", ["/length", "/chunked"])
+def test_a_connection_carries_one_request_after_the_other(
+    connection: HTTPConnection, path: str
+) -> None:
+    for _ in range(3):
+        connection.request("GET", path)
+        assert read_body(connection.getresponse()) == (BODY, True)
+
+
+def test_an_answer_that_breaks_off_is_not_whole(connection: HTTPConnection) -> None:
+    connection.request("GET", "/short")
+    assert read_body(connection.getresponse()) == (BODY[:-1], False)
