--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
@@ -81,11 +81,13 @@
             return True
         return upstream.permits.may_give(self._clock.seconds())
 
-    async def take(self, upstream: KnownUpstream) -> bool:
+    async def take(self, upstream: KnownUpstream, until: float) -> bool:
         """Use a permit for one request; tell whether there was one, or none is needed.
 
         It waits for the time of a message and its answer at most: other upstreams may
         serve the request, and where there are none its caller is told to come again.
+
+        :param until: when the request is to be sent or refused, in seconds
         """
         if not upstream.is_limited():
             return True
@@ -102,7 +104,7 @@
                 Deferred(), now + WAIT_SECONDS
             )
             spawn(self._refill(upstream, refill), "PermitDesk")
-        seconds = refill.overdue_at - now
+        seconds = min(refill.overdue_at, until) - now
         if seconds > 0:
             await wait_at_most(refill.done, seconds, self._clock, None)
         return not upstream.is_limited() or stock.take(self._clock.seconds())
@@ -192,10 +194,10 @@
         self, asker: str, upstream: KnownUpstream, wanted: int, hops: int
     ) -> PermitGrant:
         """Return permits for an instance, issued here or by the one that does."""
-        record, rate = upstream.record, upstream.limit.rate
+        rate = upstream.limit.rate
         if rate is None:
             return PermitGrant(0, wanted, PERMIT_SECONDS, 0.0, None, None)
-        source = self._choice.choose(record.name, record.domain)
+        source = self._choose_source(upstream)
         if source == self._instance:
             now = self._clock.seconds()
             issued = upstream.issuer.issue(asker, wanted, rate, now)
@@ -212,6 +214,15 @@
             self._hear(upstream, grant.rate, grant.age)
         return grant
 
+    def _choose_source(self, upstream: KnownUpstream) -> str | None:
+        """Return whom to ask for an upstream's permits, and log it where it changes."""
+        record, stock = upstream.record, upstream.permits
+        source = self._choice.choose(record.name, record.domain)
+        if source != stock.source:
+            log_event("permit-source", upstream=upstream.name, asks=source or "nobody")
+            stock.source = source
+        return source
+
     def _hear(self, upstream: KnownUpstream, rate: float | None, age: float) -> None:
         before = upstream.limit.rate
         if upstream.note_limit(RateLimit(rate, self._clock.seconds() - age)):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -10,7 +10,7 @@
 from pondquay_daemon.relay.contacts import UpstreamContact
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
-from pondquay_daemon.relay.permits import describe_rate
+from pondquay_daemon.relay.permits import WAIT_SECONDS, describe_rate
 from pondquay_daemon.relay.readings import PromptReading
 
 if TYPE_CHECKING:
@@ -95,6 +95,7 @@
         """Return the upstream to try next, ``None`` if there is none."""
         parts, service = self._parts, self._job.admission.service
         passed_over: set[str] = set()
+        until = parts.clock.seconds() + WAIT_SECONDS
         while True:
             chosen = parts.placement.choose(
                 service,
@@ -104,7 +105,7 @@
             )
             if chosen is None:
                 return None
-            if await parts.permits.take(chosen):
+            if await parts.permits.take(chosen, until):
                 self._log_chosen(chosen)
                 return chosen
             passed_over.add(chosen.name)
--- a/packages/pondquay-daemon/tests/relay/test_limited_upstreams.py
+++ b/packages/pondquay-daemon/tests/relay/test_limited_upstreams.py
@@ -146,6 +146,21 @@
     assert all(one.answers()[-1].startswith(SERVED) for one in relays)
 
 
+def test_no_request_waits_for_each_of_several_limited_upstreams(
+    relay: RelaySide,
+) -> None:
+    relays = start_fleet(relay)
+    upstreams = AnsweringUpstreams.start(*relays)
+    upstreams.run_for(LINKED_SECONDS)
+    name_limit(upstreams, "1", *HOSTS)
+    ask_each(upstreams, relays, CONTACT_SECONDS)
+    upstreams.links.cut = True
+    for one in relays:
+        one.connect_caller("/read/x")
+    upstreams.run_for(2 * WAIT_SECONDS)
+    assert all(one.answers()[-1] for one in relays)
+
+
 def test_a_limit_that_is_named_no_more_is_gone_everywhere(relay: RelaySide) -> None:
     upstreams, relays = start_limited(relay, "0")
     upstreams.says.clear()
--- a/packages/pondquay/src/pondquay/routing/issuers.py
+++ b/packages/pondquay/src/pondquay/routing/issuers.py
@@ -29,8 +29,9 @@
 EARLY_SECONDS = 2.0
 # Instances of another domain that are tried before the domain counts as out of reach.
 MOST_SPEAKERS = 3
-# A wish for a link is forgotten if it is not repeated for this long, in seconds.
-WISH_SECONDS = 2.0
+# A wish for a link is forgotten if it is not repeated for this long, in seconds; few
+# requests may come for a limited upstream.
+WISH_SECONDS = 30.0
 
 
 class LinkedPeers:
--- a/packages/pondquay/src/pondquay/routing/permitstock.py
+++ b/packages/pondquay/src/pondquay/routing/permitstock.py
@@ -16,9 +16,10 @@
     """Permits with the times until which they may be used.
 
     :ivar ask_at: when more may be asked for, in seconds
+    :ivar source: the instance that was last asked, ``None`` if there was none to ask
     """
 
-    __slots__ = ("_demand", "_refused", "_until", "_wished_at", "ask_at")
+    __slots__ = ("_demand", "_refused", "_until", "_wished_at", "ask_at", "source")
 
     def __init__(self) -> None:
         self._until: deque[float] = deque()
@@ -26,6 +27,7 @@
         self._wished_at = -math.inf
         self._refused = 0
         self.ask_at = -math.inf
+        self.source: str | None = None
 
     def may_give(self, now: float) -> bool:
         """Tell whether there is a permit, or there may be one for the asking."""
--- a/packages/pondquay/tests/routing/test_issuers.py
+++ b/packages/pondquay/tests/routing/test_issuers.py
@@ -129,6 +129,16 @@
     assert choice.choose(UPSTREAM, "hall") == "a"
 
 
+def test_one_that_seldom_asks_also_passes_over_a_domain_out_of_reach() -> None:
+    now = [0.0]
+    peers = LinkedPeers(lambda: now[0])
+    choice = IssuerChoice("a", "hall", lambda: {"a": "hall", "b": "yard"}, peers)
+    now[0] = START_SECONDS
+    assert choice.choose(UPSTREAM, "yard") is None
+    now[0] += 10.0
+    assert choice.choose(UPSTREAM, "yard") == "a"
+
+
 def test_a_domain_that_cannot_be_reached_is_passed_over() -> None:
     now = [0.0]
     peers = LinkedPeers(lambda: now[0])
