--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/configurationfetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/configurationfetch.py
@@ -20,8 +20,7 @@
 # large configuration comes from it within the second, over the slowest links.
 FETCH_WAIT_SECONDS = 0.25
 STORE_WAIT_SECONDS = 1.0
-# Time for a peer to send its configuration: 400 KB over the slowest links of the
-# deployments, of 5 Mbit/s; compressed, some 3 MB of routes.
+# Time for a peer to send a large configuration over a slow link.
 FETCH_SECONDS = 0.7
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashwatch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashwatch.py
@@ -45,9 +45,8 @@
 # that comes at the last moment.
 MOST_WAIT_SECONDS = CHECK_SECONDS + CONNECT_SECONDS + STAY_SECONDS
 # A request whose events have been coming for this long, in seconds, is not what crashed
-# its upstream: those that do so do it as they begin to run, within 0.17 s in the record
-# of a fleet. Without this, where upstreams crash of something else every 0.7 s, 577 of
-# 9,300 streams are refused for it, with it 52 (``pondquay_lab.crashruns``).
+# its upstream: one that does so does it as it begins to run. So fewer streams are
+# refused where upstreams crash of something else.
 BEGINNING_SECONDS = 1.0
 # Lost requests that wait at a time to be explained.
 MOST_UNEXPLAINED = 1024
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -26,8 +26,7 @@
 # table is read again and again until this has passed.
 DOUBT_SECONDS = 10.0
 REREAD_SECONDS = 0.7
-# Part of the time that such reads may take: a configuration of 1,400 routes takes 0.6 s
-# over a link of 5 Mbit/s, which callers' requests go over too.
+# Part of the time that such reads may take: callers' requests go over the same link.
 REREAD_PART = 0.05
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loadnews.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loadnews.py
@@ -19,9 +19,8 @@
 class LoadNews:
     """Gathers changes until the next message.
 
-    Most of what waits has been read before the message, so most of it is never told:
-    with 60 requests a second, 40 links and four messages a second the whole took an
-    estimated sixth of a link of 5 Mbit/s.
+    Most of what waits has been read before the message, so most of it is never told,
+    which spares narrow links in large fleets.
 
     :param send: sends a message to all peers
     :param is_large: tells whether the fleet is so large that news has to wait
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loandemands.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loandemands.py
@@ -18,7 +18,7 @@
     from pondquay_daemon.relay.peermessages import Loan
 
 # Seconds in which a loan comes over links in order: a few milliseconds, and as many
-# again at a busy lender. After it, a demand is overdue; judged.
+# again at a busy lender. After it, a demand is overdue.
 LOAN_SECONDS = 0.04
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -28,8 +28,7 @@
     from collections.abc import Iterable
 
 MOST_MESSAGE_BYTES = 16 << 20
-# The fastest: 1,400 made-up routes become a ninth in 0.8 ms, at the best level an
-# eleventh in 3 ms.
+# The fastest; routes are so much alike that a better one gains little.
 COMPRESSION_LEVEL = 1
 # No number of tokens or version comes near this, and sums of it stay exact.
 MOST_NUMBER = 1 << 53
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peernews.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peernews.py
@@ -21,8 +21,8 @@
 # Where news came from, for the logs.
 FROM_PEER = "peer"
 FROM_STORE = "store"
-# Contents that are told on a new link: a refused one takes 300 bytes, a suspected one
-# 50, so 30 KB at most. Later reports of the others make up for what is not told.
+# Contents that are told on a new link, so that a start does not fill links. Later
+# reports of the others make up for what is not told.
 MOST_BLOCKED_TOLD = 64
 MOST_SUSPECTED_TOLD = 64
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -61,14 +61,13 @@
 OTHER_END_SECONDS = HEARTBEAT_SECONDS
 CONNECT_SECONDS = 0.5
 # Links that an instance opens by itself: those within its domain, since it borrows
-# there; those to lenders of its own workspaces elsewhere, 16 on average where 40
-# workspaces have ten lenders each of 195 instances; and some others, so that news
+# there; those to lenders of its own workspaces elsewhere; and some others, so that news
 # crosses domains.
 MOST_NEAR_LINKS = 64
 MOST_PARTNER_LINKS = 24
 MOST_FAR_LINKS = 16
-# Departures that are told on a new link, the newest: about 5 KB. Those before are long
-# gone, and the platform's list has lost them for everyone.
+# Departures that are told on a new link, the newest. Those before are long gone, and
+# the platform's list has lost them for everyone.
 MOST_TOLD = 256
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -115,9 +115,8 @@
     ) -> list[KnownUpstream]:
         """Return those that may get the request, whether they answer or not.
 
-        One that asked to back off runs nothing, so it seems the least loaded of all.
-        Where two of six do so, 59 sends in 9 s were turned away there and took the
-        tries of 19 callers that others could have served.
+        One that asked to back off runs nothing, so it would seem the least loaded of
+        all, and take the tries of callers that others can serve.
         """
         return [
             one
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -66,15 +66,15 @@
 STOP_STEP_SECONDS = 0.05
 # Seconds between two polls. A write that meets a newer row learns of it anyway. In a
 # large fleet an instance writes the rows of a few workspaces; of the others' it only
-# learns what lenders may have. With the shorter pause 195 instances made 1,500 calls of
-# all kinds a second, with the longer one 1,170.
+# learns what lenders may have, and polls less often, since the store takes so many
+# calls of all instances.
 ALLOTMENTS_PAUSE = 0.3
 SELDOM_ALLOTMENTS_PAUSE = 3.0
 # Rows of upstreams change with each heartbeat, several a second in all, and a poll ends
 # with the first. The pause is a part of the time in which a leaving upstream may still
 # get work. Where that is long, the pause takes what is left beside the time for which a
-# vanished row counts and a second for a poll that is slow or is made again: at 4 s that
-# is 1.5 s, and a poll brings a heartbeat of every upstream once, not in pieces.
+# vanished row counts and a second for a poll that is slow or is made again, so that a
+# poll brings a heartbeat of every upstream once, not in pieces.
 UPSTREAMS_PAUSE_PART = 0.125
 SLOW_POLL_SECONDS = 1.0
 MEMBERS_PAUSE = 2.0
@@ -98,7 +98,7 @@
         self._metrics = metrics
         self._pool = EgressPool(reactor)
         # Hundreds of instances start at once, and a partition takes some hundred writes
-        # a second: 1,282 writes of allotments failed in 3 s with all in one partition.
+        # a second, so each budget has its own.
         self._store = border.open_store(settings, reactor, frozenset({ALLOTMENTS}))
         directory = UpstreamDirectory(
             reactor.seconds, lambda: self._upstream_feed.confirmed
--- a/packages/pondquay-daemon/src/pondquay_daemon/retryafter.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/retryafter.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
 # No upstream wants nothing for longer; a slip of one must not keep it from work for
-# good. Judged: the longest that was seen is 3 s.
+# good.
 MOST_BACKOFF_SECONDS = 3600.0
 SECONDS_FORM = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -23,7 +23,7 @@
 FLOOR_PART = 0.5
 # Below this part of the target more is asked for.
 LOW_PART = 0.7
-# Below this part of its plan an instance without an allotment borrows ahead; judged.
+# Below this part of its plan an instance without an allotment borrows ahead.
 TOP_UP_PART = 0.3
 # What is above the target by this part of it, and by this part of the prepaid tokens,
 # is returned.
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -19,42 +19,34 @@
     :param return_surplus: give back what is held far above the target
     :param last_part: part of the prepaid tokens that is kept for small requests: after
         a loss of all instances it answers many callers where few large requests would
-        take the rest. Without it 15 and 16 of 66 requests were served 12 s after the
-        return, where a quarter is due; it costs 0.008 of worth over 15 paired days
+        take the rest
     :param most_holders: instances up to which all hold tokens of every workspace;
         beyond it a row would have more writers than the store takes
     :param cover_seconds: seconds of the demand of all that they keep ahead; it covers
-        outages of the table of 5 s and the time in which demand is noticed, and 4 s
-        cost 0.025 of worth at one of three deployments, over 15 paired days
+        short outages of the table and the time in which demand is noticed
     :param most_of_left: part of what a workspace has left that they keep ahead at most:
         a loss of all instances loses it, and what is missing in an outage for its sake
-        is served after it; against two fifths it brought 0.019, 0.004 and 0.022 of
-        worth at three deployments, over 10 paired days each
+        is served after it
     :param ahead_seconds: seconds of its own demand that an instance without tokens of
         its own borrows ahead, so that its requests do not wait for a lender one after
-        the other. Eight lose more with all instances than they serve in a cut from the
-        table: 0.484 and 0.477 of worth on two days, two 0.523 and 0.496
+        the other; a loss of all instances loses what they hold
     :param borrowed_of_left: part of what a workspace has left that such an instance
-        holds at most without need where its part of what all keep fits no request: 200
-        of them hold a fifth, as lenders do together. Of a budget that was nearly used
-        up, 116 instances held a tenth, in remnants too small for any request
+        holds at most without need where its part of what all keep fits no request, so
+        that a nearly used budget does not lie about in remnants
     :param return_part: part of its largest request from which such an instance hands
-        back what it does not need; judged, as a message to a peer costs little
+        back what it does not need
     :param come_back_seconds: after which a caller that was refused for want of tokens
-        should try again; another instance may have some, and 1 s measured the same
+        should try again; another instance may have some
     :param circuits: leave out upstreams that failed several times in a row
     :param leave_dark: take a failure domain for dark in which two upstreams in a row
-        could not be connected to, and try another domain after each such failure; in
-        memory, with 24 upstreams dark and three sound, no caller is refused
+        could not be connected to, and try another domain after each such failure
     :param leave_silent: try elsewhere what an upstream says nothing to
     :param urgency: tell upstreams which requests are urgent
     :param crowded_part: part of an upstream's places that one instance takes in its
-        own domain before it looks further; judged
+        own domain before it looks further
     :param spare_streams: keep long prompts from upstreams whose streams they break
-    :param refuse_crashing: refuse a request under which three upstreams crashed. In
-        virtual time one that comes again and again takes six engines away from all:
-        581 of 9,300 streams are served without, 9,271 with it; where nothing crashes it
-        costs nothing that 27 paired plays of three deployments could show
+    :param refuse_crashing: refuse a request under which three upstreams crashed; one
+        that comes again and again would take all of them away from everyone
     :param copy_parts: let an upstream copy shared parts that another has read
     """
 
--- a/packages/pondquay/src/pondquay/requests/contents.py
+++ b/packages/pondquay/src/pondquay/requests/contents.py
@@ -12,7 +12,7 @@
 
     :param owner: workspace of the caller, empty if its route needs no key
     :param target: path and query
-    :returns: ``CONTENT_BYTES`` bytes; a body of 17 KB takes 55 µs
+    :returns: ``CONTENT_BYTES`` bytes
     """
     digest = blake2b(digest_size=CONTENT_BYTES)
     for part in (owner.encode(), host.encode(), target, body):
--- a/packages/pondquay/src/pondquay/routing/copies.py
+++ b/packages/pondquay/src/pondquay/routing/copies.py
@@ -14,8 +14,8 @@
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
 
-# Tokens that a copy must spare reading. To set one up takes some milliseconds, in which
-# engines of 30 to 50 tokens a millisecond read 100 to 200 tokens.
+# Tokens that a copy must spare reading: more than an engine reads in the time that it
+# takes to set one up.
 LEAST_COPIED_TOKENS = 512
 
 
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -35,13 +35,13 @@
 # Crashes that lie further apart, in seconds, are taken for unrelated. It bounds for how
 # long runs that end well are compared with suspected contents.
 SUSPECT_SECONDS = 600.0
-# A crash that is heard of later is passed over. Judged: news crosses a fleet in
-# seconds, and what was cut off for longer has little to say of callers that come now.
+# A crash that is heard of later, in seconds, is passed over: what was cut off for
+# longer has little to say of callers that come now.
 LATEST_NEWS_SECONDS = 2 * SUSPECT_SECONDS
 # A crash is kept for as long as others that count with it may be heard of.
 KEPT_SECONDS = LATEST_NEWS_SECONDS + SUSPECT_SECONDS
-# Contents that are suspected at a time, 300 bytes each, contents that are refused, and
-# upstreams of each. A crash brings as many suspects as were running there, a few dozen.
+# Contents that are suspected at a time, contents that are refused, and upstreams of
+# each. A crash brings as many suspects as were running there.
 MOST_SUSPECTED = 4096
 MOST_BLOCKED = 1024
 MOST_UPSTREAMS = 16
--- a/packages/pondquay/src/pondquay/routing/pauses.py
+++ b/packages/pondquay/src/pondquay/routing/pauses.py
@@ -17,8 +17,7 @@
 # given long prompts again.
 HALF_LIFE_SECONDS = 15.0
 # Pauses that were too long, as a part of those in which a prompt was read, from which
-# long prompts are kept away. Of six engines of one service, measured over a day of
-# 1,163 streams, four had such a pause in 8 of 100 streams, two in 72 and 82 of 100.
+# long prompts are kept away.
 BROKEN_PART = 0.15
 # Too long pauses that are needed for a verdict; one may be the network's.
 LEAST_BROKEN = 1.5
