--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/members.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/members.py
@@ -17,7 +17,7 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.feeds import TableListener
-from pondquay_daemon.relay.peers import Member
+from pondquay_daemon.relay.member import Member
 from pondquay_daemon.tasks import sleep
 
 if TYPE_CHECKING:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from random import sample
 from typing import TYPE_CHECKING, Any
 
-from pondquay.addresses import Address
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.configurationfetch import ConfigurationFetch
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.linkplans import (
+    HEARTBEAT_SECONDS,
+    MOST_FAR_LINKS,
+    LinkPlan,
+)
 from pondquay_daemon.relay.loadnews import LoadNews
 from pondquay_daemon.relay.loandemands import LoanDemands
 from pondquay_daemon.relay.loans import Lender
+from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.peerlinks import LinkConnector, LinkListener, LinkOwner
 from pondquay_daemon.relay.peermessages import (
     MESSAGE_TYPES,
@@ -43,6 +46,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.evacuations import Evacuation
     from pondquay.routing.upstreamrecords import Departure
@@ -51,45 +55,13 @@
     from pondquay_daemon.relay.peermessages import PeerMessage
     from pondquay_daemon.relay.peertopics import PeerTopic
 
-# A link on which nothing else was sent for this long carries a heartbeat, so a live
-# peer is heard every second.
-HEARTBEAT_SECONDS = 0.5
 SILENT_SECONDS = 2.0
-# Of a pair, the instance whose name comes first opens the link; the other one does if
-# there is none after this long, as when the first has not noticed that it was lost.
-# Otherwise both open one where a fleet starts as a whole, and each is kept alive.
-OTHER_END_SECONDS = HEARTBEAT_SECONDS
 CONNECT_SECONDS = 0.5
-# Links that an instance opens by itself: those within its domain, since it borrows
-# there; those to lenders of its own workspaces elsewhere; and some others, so that news
-# crosses domains.
-MOST_NEAR_LINKS = 64
-MOST_PARTNER_LINKS = 24
-MOST_FAR_LINKS = 16
 # Departures that are told on a new link, the newest. Those before are long gone, and
 # the platform's list has lost them for everyone.
 MOST_TOLD = 256
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    """Where an instance is.
-
-    :param address: where it accepts links
-    """
-
-    address: Address
-    domain: str
-
-    @classmethod
-    def parse(cls, address: str, domain: str) -> Member:
-        """Read the form in which it is sent.
-
-        :raises ValueError: if the address has another form
-        """
-        return cls(Address.parse(address), domain)
-
-
 class PeerMesh(Task, Lender, LinkOwner):
     """All links of one instance.
 
@@ -109,7 +81,6 @@
         self._reactor: Any = reactor
         self._instance = instance
         self._address = member.address
-        self._domain = member.domain
         self._listener = listener
         self._members: dict[str, Member] = {instance: member}
         self._domains: dict[str, str] = {instance: member.domain}
@@ -117,7 +88,7 @@
         self._links: dict[str, PeerLink] = {}
         self._all: set[PeerLink] = set()
         self._connecting: set[Address] = set()
-        self._unlinked_since: dict[str, float] = {}
+        self._plan = LinkPlan(self.clock, instance, member.domain)
         self._demands = LoanDemands(self.clock)
         self._load_news = LoadNews(
             self.clock, self._send_all, lambda: len(self._links) > MOST_FAR_LINKS
@@ -148,7 +119,7 @@
         """Take in that an instance is gone."""
         if instance != self._instance:
             self._members.pop(instance, None)
-            self._unlinked_since.pop(instance, None)
+            self._plan.forget(instance)
             self._domains = {
                 name: domain
                 for name, domain in self._domains.items()
@@ -301,7 +272,7 @@
         for name, (address, domain) in hello.members.items():
             if name not in self._members:
                 self._learn_from(link, name, address, domain)
-        self._unlinked_since.pop(hello.instance, None)
+        self._plan.forget(hello.instance)
         if hello.instance not in self._links:
             self._links[hello.instance] = link
             log_event("peer-linked", peer=hello.instance)
@@ -370,44 +341,17 @@
                 link.drop()
 
     def _open_links(self) -> None:
-        partners = self._listener.partners()
-        wished = {one for topic in self._topics for one in topic.list_wished()}
-        near: list[Address] = []
-        wanted: list[Address] = []
-        lenders: list[Address] = []
-        others: list[Address] = []
-        for name, member in self._members.items():
-            if not self._opens(name):
-                continue
-            if member.domain == self._domain:
-                near.append(member.address)
-            elif name in wished:
-                wanted.append(member.address)
-            elif name in partners:
-                lenders.append(member.address)
-            else:
-                others.append(member.address)
+        addresses = self._plan.choose(
+            self._members,
+            self._links,
+            self._listener.partners(),
+            {one for topic in self._topics for one in topic.list_wished()},
+        )
         if not self._links:
-            others += self._seeds
-        linked_far = {one for one in self._links if not self._is_near(one)}
-        linked_near = len(self._links) - len(linked_far)
-        wanted += _draw(near, MOST_NEAR_LINKS - linked_near)
-        wanted += _draw(lenders, MOST_PARTNER_LINKS - len(linked_far & partners))
-        wanted += _draw(others, MOST_FAR_LINKS - len(linked_far) - len(lenders))
-        for address in wanted:
+            addresses += self._seeds
+        for address in addresses:
             self._connect(address)
 
-    def _is_near(self, name: str) -> bool:
-        return self._domains.get(name) == self._domain
-
-    def _opens(self, name: str) -> bool:
-        """Tell whether it is for this instance to open a link to another now."""
-        if name in self._links or name == self._instance:
-            return False
-        now = self.clock.seconds()
-        since = self._unlinked_since.setdefault(name, now)
-        return self._instance < name or now - since >= OTHER_END_SECONDS
-
     def _connect(self, address: Address) -> None:
         if address in self._connecting:
             return
@@ -427,8 +371,3 @@
                 link.send_bytes(data)
             else:
                 link.send(message)
-
-
-def _draw(addresses: list[Address], most: int) -> list[Address]:
-    """Return some of the addresses, drawn at random."""
-    return sample(addresses, min(len(addresses), max(0, most)))
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -30,11 +30,12 @@
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.parts import RelayParts
 from pondquay_daemon.relay.peernews import FROM_STORE, PeerNews
-from pondquay_daemon.relay.peers import Member, PeerMesh
+from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
 from pondquay_daemon.relay.permits import PermitDesk
 from pondquay_daemon.relay.placement import Placement
