--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -14,7 +14,7 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.allotmentrows import AllotmentRows
 from pondquay_daemon.relay.feeds import TableListener
-from pondquay_daemon.relay.loans import Loans
+from pondquay_daemon.relay.loans import Loans, LoanSearch
 from pondquay_daemon.tasks import Task, sleep, spawn
 
 if TYPE_CHECKING:
@@ -117,6 +117,17 @@
         """Return the tokens of all workspaces that can be reserved now."""
         return sum(max(0, account.unspent) for account in self._accounts.values())
 
+    def reserved(self) -> int:
+        """Return the tokens of all workspaces that running requests have reserved."""
+        return sum(account.reserved for account in self._accounts.values())
+
+    def unaccounted(self) -> int:
+        """Return the tokens of all closed incarnations that are not known to be spent.
+
+        They are those of all workspaces, by the rows as last read.
+        """
+        return sum(account.row.unaccounted for account in self._accounts.values())
+
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the state of each workspace's account, for operators."""
         return {name: account.describe() for name, account in self._accounts.items()}
@@ -144,11 +155,12 @@
             await sleep(wait, self.clock)
             refused = account.reserve(tokens)
         account.requested = 0
+        search = LoanSearch()
         if refused is not None:
-            refused = await self._loans.borrow(account, workspace, tokens)
+            refused = await self._loans.borrow(account, workspace, tokens, search)
         if refused is RefusalReason.ELSEWHERE and not self._reachable():
             refused = RefusalReason.OUT_OF_REACH
-        self._log_reservation(request, workspace, account, tokens, refused)
+        self._log_reservation(request, workspace, account, tokens, refused, search)
         self._schedule_adjustment(workspace)
         return refused
 
@@ -173,6 +185,7 @@
         account: Account,
         tokens: int,
         refused: RefusalReason | None,
+        search: LoanSearch,
     ) -> None:
         """Log the result of a reservation and the account's state."""
         if refused is not None:
@@ -189,6 +202,9 @@
             reserved=account.reserved,
             free=account.free(),
             left=account.remaining(),
+            unaccounted=account.row.unaccounted,
+            asked=search.asked,
+            received=search.received,
             row=account.version or ABSENT,
             store="up" if self._reachable() else "away",
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
@@ -25,6 +25,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.budgets.accounts import Account
+    from pondquay.budgets.allotments import Allotment
     from pondquay.tables import Row
     from pondquay_daemon.relay.store import Store
 
@@ -84,6 +85,7 @@
             await self._back_off(name)
             return True
         del self._failures[name]
+        _log_closed(name, account.earlier_incarnation)
         account.confirm_write(change, reply.version)
         account.requested = 0
         log_event(
@@ -127,6 +129,21 @@
         await sleep(uniform(RETRY_SECONDS, max_delay), self._clock)
 
 
+def _log_closed(name: str, closed: Allotment | None) -> None:
+    """Log the incarnation that a write has closed, if any."""
+    if closed is None:
+        return
+    log_event(
+        "incarnation-closed",
+        workspace=name,
+        boot=closed.boot,
+        ceiling=closed.ceiling,
+        spent=closed.spent,
+        lent=closed.lent,
+        unaccounted=closed.ceiling - closed.spent,
+    )
+
+
 def apply_row(name: str, account: Account, row: Row | None) -> bool:
     """Update an account from its row.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.headroom import plan_borrowed_headroom, plan_return, plan_top_up
@@ -30,6 +31,18 @@
 LENDER_RETRY_WAITS = (0.03, 0.06)
 
 
+@dataclass(slots=True)
+class LoanSearch:
+    """The search for the tokens that one request lacks.
+
+    :param asked: number of demands sent to lenders; one lender may get several
+    :param received: tokens that lenders sent in time
+    """
+
+    asked: int = 0
+    received: int = 0
+
+
 class Lender(ABC):
     """Borrows tokens from other instances and transfers tokens to them."""
 
@@ -110,10 +123,11 @@
         return startup_ended and chosen.isdisjoint(self._lender.peers)
 
     async def borrow(
-        self, account: Account, workspace: str, tokens: int
+        self, account: Account, workspace: str, tokens: int, search: LoanSearch
     ) -> RefusalReason | None:
         """Borrow the tokens that a request lacks and reserve them.
 
+        :param search: updated with the demands and the tokens received
         :returns: the reason if they cannot be reserved, ``None`` otherwise
         """
         if not self._policy.borrow:
@@ -124,7 +138,9 @@
             if lends
             else max(1, plan_borrowed_headroom(account, self._clock.seconds()))
         )
-        refused = await self._borrow_from_lenders(account, workspace, tokens, headroom)
+        refused = await self._borrow_from_lenders(
+            account, workspace, tokens, headroom, search
+        )
         if lends and self._reachable():
             return refused
         for wait in LENDER_RETRY_WAITS:
@@ -132,7 +148,7 @@
                 break
             await sleep(wait, self._clock)
             refused = await self._borrow_from_lenders(
-                account, workspace, tokens, headroom
+                account, workspace, tokens, headroom, search
             )
         return refused
 
@@ -181,7 +197,12 @@
         self._transfer(workspace, account, account.unspent)
 
     async def _borrow_from_lenders(
-        self, account: Account, workspace: str, tokens: int, headroom: int
+        self,
+        account: Account,
+        workspace: str,
+        tokens: int,
+        headroom: int,
+        search: LoanSearch,
     ) -> RefusalReason | None:
         refused = account.reserve(tokens)
         for peer in self._rank_lenders(account, workspace):
@@ -189,7 +210,10 @@
                 break
             missing = tokens - account.unspent
             if missing > 0:
-                await self._lender.borrow(peer, workspace, missing, headroom)
+                search.asked += 1
+                search.received += await self._lender.borrow(
+                    peer, workspace, missing, headroom
+                )
             refused = account.reserve(tokens)
         return refused
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -75,6 +75,14 @@
             "Requests that are refused as upstreams crash under them",
         )
         self.unspent = self._gauge("unspent_tokens", "Tokens at hand, all workspaces")
+        self.reserved = self._gauge(
+            "reserved_tokens", "Tokens reserved for running requests, all workspaces"
+        )
+        self.unaccounted = self._gauge(
+            "unaccounted_tokens",
+            "Tokens of ended incarnations that are not known to be spent,"
+            " all workspaces",
+        )
 
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
         """Count a request that has ended.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -314,6 +314,8 @@
         metrics.evacuated.set(len(evacuations.evacuated))
         metrics.evacuations_version.set(evacuations.version)
         metrics.unspent.set(self._accounts.unspent())
+        metrics.reserved.set(self._accounts.reserved())
+        metrics.unaccounted.set(self._accounts.unaccounted())
         metrics.malformed.set(len(self._upstreams.malformed))
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
         return metrics.render()
--- a/packages/pondquay-daemon/tests/relay/test_accounts.py
+++ b/packages/pondquay-daemon/tests/relay/test_accounts.py
@@ -8,14 +8,17 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
+from pondquay.budgets.allotments import Allotment, AllotmentRow
 from pondquay.policy import DEFAULT_POLICY
 from pondquay.routes.entities import RoutedWorkspace, RoutingConfiguration
 from pondquay.routes.table import RouteTable
 from pondquay.tables import Committed, Unreachable
+from pondquay_daemon.relay import allotmentrows
 from pondquay_daemon.relay.accounts import AccountBook
 from pondquay_daemon.relay.allotmentrows import MAX_DOUBLINGS, RETRY_SECONDS
 from pondquay_daemon.relay.loans import Lender
 from pondquay_daemon.relay.metrics import RelayMetrics
+from pondquay_daemon.relay.store import RowChange
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -137,3 +140,27 @@
     instance.list_is_read = True
     instance.advance(1.0)
     assert instance.store.commits
+
+
+def test_an_ended_incarnation_is_logged_and_counted_with_what_it_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a crash, logs and metrics tell how many tokens are lost to the budget."""
+    events: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(
+        allotmentrows,
+        "log_event",
+        lambda event, *_, **more: events.append((event, more)),
+    )
+    instance = Instance()
+    instance.store.rejecting = False
+    ended = Allotment("0", ceiling=9_000, spent=2_000, lent=500)
+    row = AllotmentRow(0, 0, {"entry-1": ended})
+    instance.advance(2.0)
+    instance.accounts.apply_change(RowChange(WORKSPACES[0], 1_000, row.to_value()))
+    instance.advance(1.0)
+    closed = [more for event, more in events if event == "incarnation-closed"]
+    assert [(more["ceiling"], more["unaccounted"]) for more in closed] == [
+        (9_000, 7_000)
+    ]
+    assert instance.accounts.unaccounted() == 7_000
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -258,7 +258,7 @@
             "unspent": self.unspent,
             "lent": self.spent - self.used,
             "held_by_others": sum(allotment.unspent for allotment in others),
-            "unaccounted": self.row.closed - self.row.closed_spent,
+            "unaccounted": self.row.unaccounted,
             "free": self.free(),
             "left": self.remaining(),
             "row": self.version or 0,
@@ -274,10 +274,10 @@
         return self._pending_ceiling is not None
 
     @property
-    def has_earlier_incarnation(self) -> bool:
-        """Whether the row still has an entry of an earlier incarnation."""
+    def earlier_incarnation(self) -> Allotment | None:
+        """The entry of an earlier incarnation of this instance, if the row has one."""
         entry = self.row.holders.get(self.holder)
-        return entry is not None and entry.boot != self.boot
+        return None if entry is None or entry.boot == self.boot else entry
 
     def max_headroom(self) -> int:
         """Return the largest headroom that the row can grant this instance."""
@@ -303,8 +303,8 @@
     @property
     def _earlier_ceiling(self) -> int:
         """Tokens that an earlier incarnation of this instance may have spent."""
-        entry = self.row.holders.get(self.holder)
-        return 0 if entry is None or entry.boot == self.boot else entry.ceiling
+        earlier = self.earlier_incarnation
+        return 0 if earlier is None else earlier.ceiling
 
     @property
     def withheld(self) -> int:
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -93,6 +93,11 @@
             allotment.spent for allotment in self.holders.values()
         )
 
+    @property
+    def unaccounted(self) -> int:
+        """Tokens of closed incarnations that are not known to be spent."""
+        return self.closed - self.closed_spent
+
     def find(self, holder: str, boot: str) -> Allotment | None:
         """Return the entry of one incarnation of an instance."""
         entry = self.holders.get(holder)
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -169,7 +169,7 @@
     unspent = account.unspent
     limit = account.max_headroom()
     large_request_limit = max_large_request_headroom(account)
-    if account.has_earlier_incarnation:
+    if account.earlier_incarnation is not None:
         # Any write closes the earlier incarnation, even if no tokens are available.
         return min(large_request_limit, target)
     if account.has_pending_decrease:
