--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -2,7 +2,8 @@
 
 Headroom lets an instance serve requests while the table is unreachable. Other instances
 cannot spend it, and it is lost if the instance dies. So it is proportional to the
-demand and bounded by a fraction of the workspace's remaining tokens.
+demand and bounded by a fraction of the workspace's remaining tokens, which falls as the
+budget is used up.
 """
 
 from __future__ import annotations
@@ -19,6 +20,10 @@
 INITIAL_HEADROOM_FRACTION = 0.15
 # Upper limit of the fleet's headroom as a fraction of the prepaid tokens.
 MAX_HEADROOM_FRACTION = 0.25
+# A budget counts as full if at least this fraction of the prepaid tokens remains, or if
+# the remaining tokens last at least this long at the present demand.
+FULL_FRACTION = 0.8
+FULL_SECONDS = 600.0
 # Upper limit of an instance's headroom as a fraction of the prepaid tokens while the
 # row has no entries of others.
 FIRST_INSTANCE_FRACTION = 0.03
@@ -59,11 +64,29 @@
         need = INITIAL_HEADROOM_FRACTION * account.prepaid
     limit = min(
         MAX_HEADROOM_FRACTION * account.prepaid,
-        account.policy.most_of_left * account.remaining(),
+        headroom_fraction(account, rate) * account.remaining(),
     )
     return min(need, limit)
 
 
+def headroom_fraction(account: Account, rate: float) -> float:
+    """Return the fraction of the remaining tokens that may be headroom.
+
+    It falls with the square of how full the budget is. A full budget can afford to lose
+    headroom in a crash of all instances. Of a budget that is nearly used up, the loss
+    would refuse requests that the prepaid tokens could have paid.
+
+    :param rate: tokens per second that all instances request
+    """
+    remaining = account.remaining()
+    if remaining <= 0:
+        return 0.0
+    fullness = remaining / (FULL_FRACTION * account.prepaid)
+    if rate > 0.0:
+        fullness = max(fullness, remaining / (FULL_SECONDS * rate))
+    return account.policy.most_of_left * min(1.0, fullness) ** 2
+
+
 def target_headroom(account: Account, now: float) -> int:
     """Return the tokens that this instance should hold unspent."""
     headroom = fleet_headroom(account, now)
@@ -90,9 +113,9 @@
     than its largest request or than the policy's minimum, the minimum applies.
     """
     remaining = max(0, account.remaining())
-    share = (
-        account.policy.most_of_left * remaining * borrower_share_of_demand(account, now)
-    )
+    rate = sum(allotment.rate for allotment in account.others().values())
+    fraction = headroom_fraction(account, rate)
+    share = fraction * remaining * borrower_share_of_demand(account, now)
     minimum = account.policy.borrowed_of_left * remaining
     return share if share >= max(minimum, account.demand.largest) else minimum
 
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -8,6 +8,7 @@
 from pondquay.budgets.accounts import RATE_SECONDS, Account
 from pondquay.budgets.allotments import Allotment, AllotmentRow
 from pondquay.budgets.headroom import (
+    FULL_SECONDS,
     MAX_HEADROOM_FRACTION,
     plan_headroom,
     request_tokens,
@@ -70,6 +71,32 @@
     assert 0 < total <= remaining / 5
 
 
+def sum_targets(remaining: int, rate: int) -> int:
+    """Return the headroom that six instances together should hold.
+
+    :param rate: tokens per second requested at each of them
+    """
+    accounts = [make_account(rate, [rate] * 5, used=PREPAID - remaining)] * 6
+    return sum(target_headroom(account, NOW) for account in accounts)
+
+
+def test_a_crash_of_all_instances_loses_a_smaller_fraction_of_a_smaller_rest() -> None:
+    """Guards against refusals for tokens that crashed instances held unused."""
+    lost_of_half = sum_targets(PREPAID // 2, 20_000) / (PREPAID // 2)
+    lost_of_fifth = sum_targets(PREPAID // 5, 20_000) / (PREPAID // 5)
+    assert 0 < lost_of_half <= 0.1
+    assert 0 < lost_of_fifth <= 0.02
+
+
+def test_a_small_rest_that_lasts_long_keeps_its_headroom() -> None:
+    """Guards against outages that refuse callers of a budget that is topped up."""
+    rate = 10
+    remaining = PREPAID // 10
+    assert remaining > FULL_SECONDS * 6 * rate
+    needed = DEFAULT_POLICY.cover_seconds * 6 * rate
+    assert sum_targets(remaining, rate) >= 0.99 * needed
+
+
 def test_an_instance_without_demand_has_headroom() -> None:
     account = make_account(0, [0, 0, 0])
     assert target_headroom(account, NOW) > 0
