--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -136,7 +136,7 @@
         headroom = (
             0
             if lends
-            else max(1, plan_borrowed_headroom(account, self._clock.seconds()))
+            else max(1, plan_borrowed_headroom(account, *self._planning_inputs()))
         )
         refused = await self._borrow_from_lenders(
             account, workspace, tokens, headroom, search
@@ -166,12 +166,14 @@
 
     def needs_top_up(self, account: Account) -> bool:
         """Return whether this instance should borrow before a request needs tokens."""
-        return self._policy.borrow and plan_top_up(account, self._clock.seconds()) > 0
+        if not self._policy.borrow:
+            return False
+        return plan_top_up(account, *self._planning_inputs()) > 0
 
     async def top_up(self, account: Account, workspace: str) -> None:
         """Borrow headroom, from lenders in turn."""
         for peer in self._rank_lenders(account, workspace):
-            missing = plan_top_up(account, self._clock.seconds())
+            missing = plan_top_up(account, *self._planning_inputs())
             if missing <= 0:
                 return
             await self._lender.borrow(peer, workspace, 0, missing)
@@ -188,7 +190,7 @@
 
     def return_surplus(self, workspace: str, account: Account) -> None:
         """Return borrowed tokens that are not needed."""
-        surplus = plan_return(account, self._clock.seconds())
+        surplus = plan_return(account, *self._planning_inputs())
         if surplus:
             self._transfer(workspace, account, surplus)
 
@@ -196,6 +198,10 @@
         """Transfer all unspent tokens to another instance, for a planned stop."""
         self._transfer(workspace, account, account.unspent)
 
+    def _planning_inputs(self) -> tuple[float, int]:
+        """Return the time in seconds and the number of instances of the fleet."""
+        return self._clock.seconds(), len(self._lender.domains)
+
     async def _borrow_from_lenders(
         self,
         account: Account,
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -95,28 +95,33 @@
     return max(0, int(headroom * share_of_demand(account, now)))
 
 
-def plan_borrowed_headroom(account: Account, now: float) -> int:
+def plan_borrowed_headroom(account: Account, now: float, instances: int) -> int:
     """Return the headroom that an instance without an allotment should borrow.
 
     There are many such instances, each with few requests, and an instance cannot use
     the tokens that another one holds. So a single request yields only a low rate, and
     the headroom is limited to a fraction of the remaining tokens.
+
+    :param instances: number of instances of the fleet
     """
     headroom = account.policy.ahead_seconds * account.demand.uncorrected_rate(now)
-    return int(min(headroom, max_borrowed(account, now)))
+    return int(min(headroom, max_borrowed(account, now, instances)))
 
 
-def max_borrowed(account: Account, now: float) -> float:
+def max_borrowed(account: Account, now: float, instances: int) -> float:
     """Return the most headroom that an instance without an allotment may hold.
 
     This is its share, by demand, of a fraction of the remaining tokens. If that is less
-    than its largest request or than the policy's minimum, the minimum applies.
+    than its largest request or than the policy's minimum, the minimum applies. The sum
+    of all minimums does not depend on the size of the fleet.
+
+    :param instances: number of instances of the fleet
     """
     remaining = max(0, account.remaining())
     rate = sum(allotment.rate for allotment in account.others().values())
     fraction = headroom_fraction(account, rate)
     share = fraction * remaining * borrower_share_of_demand(account, now)
-    minimum = account.policy.borrowed_of_left * remaining
+    minimum = account.policy.borrowed_of_left * remaining / max(1, instances)
     return share if share >= max(minimum, account.demand.largest) else minimum
 
 
@@ -131,26 +136,31 @@
     return own / max(own, others) if others and own else 0.0
 
 
-def plan_top_up(account: Account, now: float) -> int:
+def plan_top_up(account: Account, now: float, instances: int) -> int:
     """Return the tokens that an instance without an allotment should borrow in advance.
 
     They serve requests while no lender is reachable.
+
+    :param instances: number of instances of the fleet
     """
-    planned = plan_borrowed_headroom(account, now)
+    planned = plan_borrowed_headroom(account, now, instances)
     missing = planned - account.unspent
     if planned < account.demand.largest or account.unspent >= TOP_UP_FRACTION * planned:
         return 0
     return missing
 
 
-def plan_return(account: Account, now: float) -> int:
-    """Return the surplus that an instance without an allotment should return."""
-    planned = plan_borrowed_headroom(account, now)
+def plan_return(account: Account, now: float, instances: int) -> int:
+    """Return the surplus that an instance without an allotment should return.
+
+    :param instances: number of instances of the fleet
+    """
+    planned = plan_borrowed_headroom(account, now, instances)
     if not account.policy.return_surplus:
         return 0
     surplus = account.unspent - planned
     worth_returning = account.policy.return_part * account.demand.largest
-    minimum = min(worth_returning, max_borrowed(account, now))
+    minimum = min(worth_returning, max_borrowed(account, now, instances))
     return surplus if surplus > minimum else 0
 
 
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -34,9 +34,9 @@
         instances
     :param ahead_seconds: seconds of its own demand that an instance without an
         allotment borrows in advance, so that requests need not wait for a lender
-    :param borrowed_of_left: fraction of a workspace's remaining tokens that an instance
-        without an allotment may hold as headroom if its share of the fleet's headroom
-        is smaller than this fraction or than its largest request
+    :param borrowed_of_left: fraction of a workspace's remaining tokens that all
+        instances without an allotment together may hold as headroom where the share of
+        each is smaller than its largest request
     :param return_part: fraction of an instance's largest request; an instance without
         an allotment returns a surplus to a lender only if it exceeds this fraction or
         the headroom that the instance may hold, whichever is less
@@ -72,7 +72,7 @@
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
     ahead_seconds: float = 2.0
-    borrowed_of_left: float = 0.001
+    borrowed_of_left: float = 0.02
     return_part: float = 0.25
     come_back_seconds: float = 0.1
     circuits: bool = True
