--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -39,6 +39,9 @@
 SURPLUS_FRACTION = 0.2
 # Fraction of the prepaid tokens that a surplus must exceed to be returned.
 MIN_RETURN_FRACTION = 0.005
+# An entry of the row is rewritten if it understates the tokens used here by more than
+# this fraction of the prepaid tokens.
+MAX_UNREPORTED_FRACTION = 0.01
 
 
 def share_of_demand(account: Account, now: float) -> float:
@@ -221,4 +224,19 @@
     surplus = unspent - target if account.policy.return_surplus else 0
     if surplus > max(SURPLUS_FRACTION * target, MIN_RETURN_FRACTION * account.prepaid):
         return target
+    if is_report_due(account):
+        return min(limit, max(0, unspent))
     return None
+
+
+def is_report_due(account: Account) -> bool:
+    """Return whether the row understates what this instance has used.
+
+    Other instances compute the remaining tokens from the row. While nothing is free, no
+    other plan rewrites the entry, and they would take used tokens for remaining ones.
+    """
+    entry = account.row.find(account.holder, account.boot)
+    if entry is None:
+        return False
+    unreported = account.used - entry.spent
+    return unreported > MAX_UNREPORTED_FRACTION * account.prepaid
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondquay.budgets.accounts import RATE_SECONDS, Account
+from pondquay.budgets.accounts import RATE_SECONDS, Account, RefusalReason
 from pondquay.budgets.allotments import Allotment, AllotmentRow
 from pondquay.budgets.headroom import (
     FULL_SECONDS,
@@ -162,6 +162,26 @@
     assert account.reserve(PREPAID // 10) is not None
 
 
+def test_used_tokens_are_reported_although_nothing_is_free() -> None:
+    """Guards against refusals that promise tokens which others have used."""
+    me, other = Allotment("1", PREPAID // 2), Allotment("1", PREPAID // 2)
+    row = AllotmentRow(0, 0, {"me": me, "other": other})
+    accounts = [Account(name, "1", PREPAID) for name in ("me", "other")]
+    for account in accounts:
+        account.read(row, 1)
+        assert account.reserve(PREPAID // 2 - 1_000) is None
+        account.settle(account.reserved, account.reserved)
+        assert account.reserve(5_000) is RefusalReason.ELSEWHERE
+    for version, account in enumerate(accounts, 2):
+        assert plan_headroom(account, NOW) == 1_000
+        row = account.propose(1_000, NOW).row
+        for reader in accounts:
+            reader.read(row, version)
+    for account in accounts:
+        assert plan_headroom(account, NOW) is None
+        assert account.reserve(5_000) is RefusalReason.EXHAUSTED
+
+
 def test_tokens_for_small_requests_stay_in_the_row() -> None:
     spent = int(PREPAID * 0.96)
     account = make_account(50_000, [50_000] * 3, used=spent)
