--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -22,7 +22,7 @@
 MAX_HEADROOM_FRACTION = 0.25
 # A budget counts as full if at least this fraction of the prepaid tokens remains, or if
 # the remaining tokens last at least this long at the present demand.
-FULL_FRACTION = 0.8
+FULL_FRACTION = 0.65
 FULL_SECONDS = 600.0
 # Upper limit of an instance's headroom as a fraction of the prepaid tokens while the
 # row has no entries of others.
@@ -75,7 +75,7 @@
 def headroom_fraction(account: Account, rate: float) -> float:
     """Return the fraction of the remaining tokens that may be headroom.
 
-    It falls with the square of how full the budget is. A full budget can afford to lose
+    It falls with the cube of how full the budget is. A full budget can afford to lose
     headroom in a crash of all instances. Of a budget that is nearly used up, the loss
     would refuse requests that the prepaid tokens could have paid.
 
@@ -87,7 +87,7 @@
     fullness = remaining / (FULL_FRACTION * account.prepaid)
     if rate > 0.0:
         fullness = max(fullness, remaining / (FULL_SECONDS * rate))
-    return account.policy.most_of_left * min(1.0, fullness) ** 2
+    return account.policy.most_of_left * min(1.0, fullness) ** 3
 
 
 def target_headroom(account: Account, now: float) -> int:
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -30,7 +30,7 @@
         as headroom; it bridges short outages of the table
     :param most_of_left: maximum fraction of a workspace's remaining tokens that all
         instances together hold as headroom while the budget is full; it falls with the
-        square of what remains and bounds what is unavailable after a loss of all
+        cube of what remains and bounds what is unavailable after a loss of all
         instances
     :param ahead_seconds: seconds of its own demand that an instance without an
         allotment borrows in advance, so that requests need not wait for a lender
