--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -37,7 +37,7 @@
 TOP_UP_FRACTION = 0.3
 # Fraction of the target that a surplus must exceed to be returned.
 SURPLUS_FRACTION = 0.2
-# Fraction of the remaining tokens that a surplus must exceed to be returned.
+# Fraction of the prepaid tokens that a surplus must exceed to be returned.
 MIN_RETURN_FRACTION = 0.005
 # An entry of the row is rewritten if it understates the tokens used here by more than
 # this fraction of the prepaid tokens.
@@ -222,8 +222,7 @@
     if unspent < REFILL_FRACTION * target and large_request_limit > unspent:
         return min(large_request_limit, target)
     surplus = unspent - target if account.policy.return_surplus else 0
-    min_surplus = MIN_RETURN_FRACTION * account.remaining()
-    if surplus > max(SURPLUS_FRACTION * target, min_surplus):
+    if surplus > max(SURPLUS_FRACTION * target, MIN_RETURN_FRACTION * account.prepaid):
         return target
     if is_report_due(account):
         return min(limit, max(0, unspent))
