--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -17,9 +17,11 @@
 
 # Time constant of the exponential average of the demand.
 RATE_SECONDS = 8.0
-# Requests of at most this fraction of the prepaid tokens count as small and may use the
-# tokens that are withheld from larger ones.
+# Requests of at most this fraction of the prepaid tokens, or of the largest request at
+# this instance, count as small and may use the tokens that are withheld from larger
+# ones. In a small budget, even the smallest requests may exceed the first fraction.
 SMALL_REQUEST_FRACTION = 0.01
+SMALL_OF_LARGEST_FRACTION = 0.25
 # Shortest period over which a rate is averaged.
 MIN_AGE_SECONDS = 2.0
 # Fraction of a lender's spare tokens that a borrower may get beyond what it needs now.
@@ -313,7 +315,8 @@
 
     def is_small(self, tokens: int) -> bool:
         """Return whether a request may use the tokens withheld from larger ones."""
-        return tokens <= SMALL_REQUEST_FRACTION * self.prepaid
+        by_budget = SMALL_REQUEST_FRACTION * self.prepaid
+        return tokens <= max(by_budget, SMALL_OF_LARGEST_FRACTION * self.demand.largest)
 
     def _withheld_from(self, tokens: int) -> int:
         """Return the tokens that a request of this size may not use."""
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -17,6 +17,8 @@
 from pondquay.policy import DEFAULT_POLICY
 
 PREPAID = 1_000_000
+# A request of which a quarter is less than what counts as small by the budget.
+LARGEST = PREPAID // 50
 NOW = 100.0
 rates = st.lists(st.integers(0, 60_000), min_size=2, max_size=12)
 
@@ -185,6 +187,7 @@
 def test_tokens_for_small_requests_stay_in_the_row() -> None:
     spent = int(PREPAID * 0.955)
     account = make_account(50_000, [50_000] * 3, used=spent)
+    account.demand.largest = LARGEST
     assert account.free() == PREPAID - spent
     free_for_large = account.free() - account.withheld
     account.requested = free_for_large
@@ -194,6 +197,7 @@
     headroom = plan_headroom(account, NOW)
     assert headroom is None or headroom <= free_for_large
     account = make_account(50_000, [50_000] * 3, used=PREPAID - account.withheld)
+    account.demand.largest = LARGEST
     assert plan_headroom(account, NOW) is None
     account.requested = 2 * account.withheld // 3
     assert plan_headroom(account, NOW) is None, (
@@ -203,6 +207,17 @@
     assert plan_headroom(account, NOW) == account.requested
 
 
+def test_the_last_tokens_of_a_small_budget_serve_its_small_requests() -> None:
+    """Guards against a last part that no request of a small budget may use."""
+    long, short = PREPAID // 8, PREPAID // 60
+    account = Account("me", "1", PREPAID)
+    account.read(AllotmentRow(0, 0, {"me": Allotment("1", PREPAID)}), 1)
+    account.demand.note(long, NOW)
+    assert account.reserve(PREPAID - account.withheld) is None
+    assert account.reserve(short) is None
+    assert account.reserve(long) is not None
+
+
 def test_a_large_request_that_cannot_be_served_does_not_block_small_ones() -> None:
     """A lender that waits for a large request still refills for small ones."""
     account = Account("me", "1", PREPAID)
