--- a/packages/pondquay-cli/src/pondquay_cli/commands/explain.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/explain.py
@@ -6,14 +6,12 @@
 from typing import TYPE_CHECKING
 
 from pondquay_cli.commands.base import COMMANDS, CommandResult, LocalCommand
-from pondquay_cli.errors import EXIT_REFUSED, InvalidUsageError
-from pondquay_cli.logfiles import find_request_events, read_events
+from pondquay_cli.errors import EXIT_REFUSED
+from pondquay_cli.logfiles import find_request_events, read_log
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
-    from pondquay_cli.logfiles import LogEvent
-
 DEFAULT_MARGIN_SECONDS = 2.0
 
 
@@ -41,7 +39,7 @@
 
         :raises InvalidUsageError: if a file cannot be read
         """
-        events = [event for path in options.files for event in _read_log(path)]
+        events = [event for path in options.files for event in read_log(path)]
         found = find_request_events(events, options.request, options.around)
         if not found:
             text = f"found no event of {options.request} among {len(events)} events"
@@ -52,11 +50,3 @@
             for event in found
         ]
         return CommandResult(content, "\n".join(event.describe() for event in found))
-
-
-def _read_log(path: Path) -> list[LogEvent]:
-    try:
-        with path.open(encoding="utf-8", errors="replace") as file:
-            return list(read_events(file, path.stem))
-    except OSError as error:
-        raise InvalidUsageError(f"{path}: {error.strerror}") from error
--- a/packages/pondquay-cli/src/pondquay_cli/logfiles.py
+++ b/packages/pondquay-cli/src/pondquay_cli/logfiles.py
@@ -7,8 +7,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pondquay_cli.errors import InvalidUsageError
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
+    from pathlib import Path
 
 FIELD_PATTERN = re.compile(r'([\w-]+)=("(?:[^"\\]|\\.)*"|\S*)')
 EVENT_START = "time="
@@ -85,6 +88,18 @@
             yield event
 
 
+def read_log(path: Path) -> list[LogEvent]:
+    """Return the events of a log file.
+
+    :raises InvalidUsageError: if it cannot be read
+    """
+    try:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            return list(read_events(file, path.stem))
+    except OSError as error:
+        raise InvalidUsageError(f"{path}: {error.strerror}") from error
+
+
 def find_request_events(
     events: Iterable[LogEvent], request: str, margin_seconds: float
 ) -> list[LogEvent]:
