--- a/packages/pondquay-lab/src/pondquay_lab/lossfleet.py
+++ b/packages/pondquay-lab/src/pondquay_lab/lossfleet.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -86,6 +85,8 @@
 
     :param prepaid: tokens of the budget
     :param size: number of instances
+    :param seed: determines which instances serve requests and crash
+    :param policy: the settings that the instances' plans use
     :ivar used: tokens that requests have used
     :ivar store_is_up: whether the table responds
     :ivar stranded: tokens that crashes have made unavailable
@@ -107,7 +108,8 @@
         self._boots = count(1)
         self._adjust_at = 0.0
         self._reserved = 0
-        self._numbers = count()
+        # Requests that end at the same time end in the order in which they started.
+        self._run_numbers = count()
         self._ends: list[tuple[float, int, Run]] = []
         domains = {f"r{n}": f"d{n % DOMAINS}" for n in range(self.size)}
         self._domains = domains
@@ -182,7 +184,8 @@
         if not self._obtain(account, request.max_tokens):
             return False
         run = Run(account.holder, request)
-        heappush(self._ends, (self.now + request.seconds, next(self._numbers), run))
+        ends_at = self.now + request.seconds
+        heappush(self._ends, (ends_at, next(self._run_numbers), run))
         self._reserved += request.max_tokens
         return True
 
@@ -245,7 +248,7 @@
 
     def crash(self, number: int) -> None:
         """End the processes of some instances, which start anew."""
-        crashed = deque(self.random.sample(sorted(self.accounts), number))
+        crashed = self.random.sample(sorted(self.accounts), number)
         interrupted = [
             run for _, _, run in self._ends if run.instance in crashed and not run.ended
         ]
