--- a/packages/pondquay-cli/src/pondquay_cli/commands/losses.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/losses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import asdict
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -55,10 +56,12 @@
 
 
 def _describe_sums(losses: list[TokenLoss]) -> list[str]:
-    workspaces = sorted({loss.workspace for loss in losses})
+    """Return a line with the sum of each workspace."""
+    by_workspace: defaultdict[str, list[TokenLoss]] = defaultdict(list)
+    for loss in losses:
+        by_workspace[loss.workspace].append(loss)
     return [
         f"{workspace}: {sum(loss.unused for loss in of_workspace)} unused tokens of "
         f"{len(of_workspace)} ended incarnations"
-        for workspace in workspaces
-        if (of_workspace := [x for x in losses if x.workspace == workspace])
+        for workspace, of_workspace in sorted(by_workspace.items())
     ]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -24,17 +24,19 @@
     def __init__(self, suppressed: Counts[str]) -> None:
         self._suppressed = suppressed
         self.registry = CollectorRegistry()
-        self.requests = self._counter("requests", "Requests by their end", "status")
+        self.requests = self._counter("requests", "Requests by final status", "status")
         self.refusals = self._counter(
-            "tokens_refused", "Requests refused for want of tokens", "reason"
+            "tokens_refused", "Requests refused for lack of tokens", "reason"
         )
-        self.attempts = self._counter("attempts", "Sends by what came of them", "end")
+        self.attempts = self._counter("attempts", "Attempts by outcome", "end")
         self.broken = self._counter(
             "broken_upstreams",
-            "Upstreams whose connections broke, by whether they still listen",
+            "Upstreams whose connections broke, by whether they still accept new ones",
             "listens",
         )
-        self.retries = self._counter("retries", "Wishes for a further send", "granted")
+        self.retries = self._counter(
+            "retries", "Retries requested, by whether they were granted", "granted"
+        )
         self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
         self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
         self.suppressed_lines = Gauge(
@@ -44,37 +46,41 @@
             registry=self.registry,
         )
         self.first_byte = self._histogram(
-            "first_byte", "To the first byte of an answer"
+            "first_byte", "To the first byte of a response"
+        )
+        self.duration = self._histogram("request", "To the end of a response")
+        self.version = self._gauge(
+            "configuration_version", "Version of the configuration in force"
         )
-        self.duration = self._histogram("request", "To the end of an answer")
-        self.version = self._gauge("configuration_version", "Version in force here")
-        self.store_up = self._gauge("store_up", "1 if the store answers")
+        self.store_up = self._gauge("store_up", "1 if the store responds")
         self.peers = self._gauge("peers", "Instances to which a link is open")
-        self.upstreams = self._gauge("upstreams", "Upstreams that may get work")
+        self.upstreams = self._gauge("upstreams", "Upstreams that may receive requests")
         self.backoff = self._gauge(
             "upstreams_in_backoff",
-            "Upstreams that want no request of this instance now",
+            "Upstreams to which this instance sends nothing until their back-off ends",
         )
         self.permits = self._counter(
             "permits", "Permits to send to limited upstreams, and refusals", "way"
         )
         self.limited = self._gauge(
-            "upstreams_limited", "Upstreams that name a limit for all instances"
+            "upstreams_limited", "Upstreams with a rate limit for all instances"
         )
-        # Emptied domains are evacuated ones.
-        self.evacuated = self._gauge("emptied_domains", "Domains that get no new work")
+        # The names on the wire call evacuated domains emptied.
+        self.evacuated = self._gauge("emptied_domains", "Evacuated domains")
         self.evacuations_version = self._gauge(
             "emptied_domains_version",
-            "Table version of the newest word on emptied domains; all alike: all heard",
+            "Table version of the last known change of evacuated domains",
         )
         self.malformed = self._gauge(
-            "malformed_rows", "Rows of the list of upstreams that nobody can use"
+            "malformed_rows", "Rows of the list of upstreams that cannot be parsed"
         )
         self.blocked = self._gauge(
             "blocked_contents",
-            "Requests that are refused as upstreams crash under them",
+            "Request contents that are refused since upstreams crashed under them",
+        )
+        self.unspent = self._gauge(
+            "unspent_tokens", "Tokens that can be reserved now, all workspaces"
         )
-        self.unspent = self._gauge("unspent_tokens", "Tokens at hand, all workspaces")
         self.reserved = self._gauge(
             "reserved_tokens", "Tokens reserved for running requests, all workspaces"
         )
--- a/packages/pondquay-lab/src/pondquay_lab/experiment/lossdays.py
+++ b/packages/pondquay-lab/src/pondquay_lab/experiment/lossdays.py
@@ -141,6 +141,7 @@
 
 
 def _draw_closing(random: Random) -> dict[str, Any]:
+    # In two of three days, the loss is one of power.
     kind = random.choice(["power_off_all", "power_off_all", "kill_all"])
     closing = {"kind": kind, "down_s": round(random.uniform(1.0, 2.8), 1)}
     if kind == "power_off_all" and random.random() < 0.5:
--- a/packages/pondquay/tests/budgets/test_headroom.py
+++ b/packages/pondquay/tests/budgets/test_headroom.py
@@ -190,6 +190,8 @@
     account.demand.largest = LARGEST
     assert account.free() == PREPAID - spent
     free_for_large = account.free() - account.withheld
+    headroom = plan_headroom(account, NOW)
+    assert headroom is None or headroom <= free_for_large
     account.requested = free_for_large
     assert not account.is_small(free_for_large)
     assert plan_headroom(account, NOW) == free_for_large
