--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -24,6 +24,8 @@
 EVENT_INTERVAL_SECONDS = 0.01
 RESPONSE_DELAY_SECONDS = 0.01
 SLOW_RESPONSE_DELAY_SECONDS = 0.75
+# Byte with which a plain response is padded to a requested length.
+PADDING = b"."
 # A request whose path contains this crashes the replica that starts to run it.
 CRASH_PATH_MARKER = "crashing"
 
@@ -112,6 +114,7 @@
     :ivar backoff: seconds of ``Retry-After`` with which all requests are rejected, 0 to
         accept them
     :ivar limit: rate limit in all responses, in requests per second, ``None`` for none
+    :ivar delay_factor: factor of all delays, above 1 for a slow replica
     :ivar on_crash: callback for a crash of the replica
     """
 
@@ -124,6 +127,7 @@
     leaving: bool = False
     backoff: int = 0
     limit: float | None = None
+    delay_factor: float = 1.0
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     connections: set[ReplicaConnection] = field(default_factory=set)
@@ -221,6 +225,7 @@
             return
         slow = replica.fault is ReplicaFault.SLOW
         seconds = SLOW_RESPONSE_DELAY_SECONDS if slow else RESPONSE_DELAY_SECONDS
+        seconds *= replica.delay_factor
         self._timer = reactor.callLater(seconds, self._respond, self._run)
 
     def _record_arrival(self) -> None:
@@ -258,6 +263,7 @@
         status = 500 if fault is ReplicaFault.ERROR else 200
         run.ended = str(status)
         body = f"{run.replica}:{run.attempt}".encode()
+        body = body.ljust(int(self._header("X-Test-Bytes") or 0), PADDING)
         self._send_complete(status, self._attempt_headers(), body)
 
     def _attempt_headers(self) -> list[tuple[str, str]]:
@@ -301,7 +307,10 @@
         self._write(self._http.send(h11.Data(data=data)))
         run.events += 1
         self._timer = reactor.callLater(
-            EVENT_INTERVAL_SECONDS, self._send_events, run, last_event
+            EVENT_INTERVAL_SECONDS * self._replica.delay_factor,
+            self._send_events,
+            run,
+            last_event,
         )
 
     def _send_complete(
--- a/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
@@ -75,9 +75,13 @@
         self._thread = Thread(target=self._run, daemon=True)
         self._thread.start()
 
+    def request_stop(self) -> None:
+        """Stop sending requests, without waiting for the last response."""
+        self._stopping.set()
+
     def stop(self) -> None:
         """Stop sending requests and wait for the last response."""
-        self._stopping.set()
+        self.request_stop()
         assert self._thread is not None
         self._thread.join()
 
--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -44,10 +44,12 @@
         fleet = self._fleet
         fleet.control("store", fault="none")
         fleet.clear_proxy_faults()
+        fleet.preferred = ""
         for name in REPLICAS:
             fleet.control("replica", name=name, fault="none")
             fleet.control("backoff", name=name, seconds=0)
             fleet.control("limit", name=name, limit=None)
+            fleet.control("pace", name=name, factor=1.0)
         fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
         violations = []
         for name in RELAYS:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -66,6 +66,7 @@
     """The state that the soak has put a relay into."""
 
     UP = "up"
+    SLOW = "slow"
     PAUSED = "paused"
     STOPPING = "stopping"
     KILLED = "gone"
@@ -75,6 +76,7 @@
     """Three relays, and a store and five replicas behind a proxy.
 
     :ivar states: the state of each relay
+    :ivar preferred: relay that all callers choose while it is up, empty for any
     :ivar leaving: replicas that were made to leave; they do not return
     :ivar prepaid: current prepaid tokens of the workspace
     :ivar version: version of the newest configuration
@@ -87,6 +89,7 @@
         self._replica_proxy_ports = {name: pick_port() for name in REPLICAS}
         self.leaving: set[str] = set()
         self.states = dict.fromkeys(RELAYS, RelayState.UP)
+        self.preferred = ""
         self.prepaid = INITIAL_PREPAID_TOKENS
         self.version = 0
         self.daemon = "pondquay_standins.suspendable"
@@ -235,6 +238,8 @@
         chosen = [
             (name, self.relays[name].port)
             for name, state in self.states.items()
-            if state in (RelayState.UP, RelayState.PAUSED)
+            if state in (RelayState.UP, RelayState.SLOW, RelayState.PAUSED)
         ]
+        preferred = [endpoint for endpoint in chosen if endpoint[0] == self.preferred]
+        chosen = preferred or chosen
         return chosen or [(name, relay.port) for name, relay in self.relays.items()]
--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 from pondquay_standins.soak.__main__ import main, parse_seeds
 from pondquay_standins.soak.callers import PROMPT_TOKENS, Call
 from pondquay_standins.soak.invariants import check_all, check_call
-from pondquay_standins.soak.runs import PlannedStop
+from pondquay_standins.soak.plannedstops import PlannedStop
 from pondquay_standins.soak.schedules import REPLACEMENT_KINDS, FaultKind, plan_faults
 
 RELAYS = ("r1", "r2")
