--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import zlib
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from dataclasses import fields as dataclass_fields
 from typing import TYPE_CHECKING, Annotated, Any, ClassVar, TypeAlias
 
@@ -28,6 +28,8 @@
     from collections.abc import Iterable
 
 MAX_MESSAGE_BYTES = 16 << 20
+# The buffer of a link grows from this size to that of its longest messages.
+INITIAL_BUFFER_BYTES = 4096
 # The fastest level, since configurations are repetitive and compress well.
 COMPRESSION_LEVEL = 1
 # Maximum of counts and versions; floats represent integers exactly up to it.
@@ -353,9 +355,21 @@
 }
 
 
+# Reused, since a packer allocates its buffer when it is created.
+_PACKER = msgpack.Packer()
+
+
+# Names of the fields of each kind, in the order in which they are sent.
+_FIELD_NAMES = {
+    kind: tuple(field.name for field in dataclass_fields(kind))
+    for kind in MESSAGE_TYPES.values()
+}
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Return the encoded message."""
-    packed: bytes = msgpack.packb([message.CODE, *astuple(message)])
+    values = [getattr(message, name) for name in _FIELD_NAMES[type(message)]]
+    packed: bytes = _PACKER.pack([message.CODE, *values])
     return packed
 
 
@@ -378,7 +392,9 @@
     """Decodes messages from a stream of bytes."""
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_MESSAGE_BYTES, read_size=INITIAL_BUFFER_BYTES
+        )
 
     def feed(self, data: bytes) -> list[PeerMessage]:
         """Return the messages that are complete after adding some bytes.
@@ -410,5 +426,5 @@
     message_type = MESSAGE_TYPES.get(code)
     if message_type is None:
         return None
-    names = [field.name for field in dataclass_fields(message_type)]
+    names = _FIELD_NAMES[message_type]
     return msgspec.convert(dict(zip(names, values, strict=False)), message_type)
--- a/packages/pondquay-daemon/tests/relay/test_peermessages.py
+++ b/packages/pondquay-daemon/tests/relay/test_peermessages.py
@@ -13,7 +13,9 @@
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.peermessages import (
+    INITIAL_BUFFER_BYTES,
     MESSAGE_TYPES,
+    ConfigurationValue,
     Heartbeat,
     MessageReader,
     PeerMessage,
@@ -103,3 +105,15 @@
     assert len(MESSAGE_TYPES) == len(set(MESSAGE_TYPES.values()))
     assert {kind.CODE for kind in get_args(PeerMessage)} == set(MESSAGE_TYPES)
     assert len(get_args(PeerMessage)) == len(MESSAGE_TYPES)
+
+
+# Guards against a buffer of a link that does not grow to a long message.
+def test_a_message_longer_than_the_initial_buffer_is_read_from_its_parts() -> None:
+    heartbeat = Heartbeat(7)
+    value = ConfigurationValue(8, bytes(40 * INITIAL_BUFFER_BYTES))
+    data = encode_message(value) + encode_message(heartbeat)
+    reader = MessageReader()
+    messages = []
+    for start in range(0, len(data), INITIAL_BUFFER_BYTES - 1):
+        messages += reader.feed(data[start : start + INITIAL_BUFFER_BYTES - 1])
+    assert messages == [value, heartbeat]
