--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
@@ -13,6 +13,7 @@
 from pondquay.errors import InvalidInputError
 from pondquay_daemon.clocks import use_monotonic_clock
 from pondquay_daemon.logs import Level, log_event, start_logs
+from pondquay_daemon.reactor import install_reactor
 from pondquay_daemon.relay.border import BORDERS
 from pondquay_daemon.relay.policyfile import load_policy
 from pondquay_daemon.tasks import spawn
@@ -64,6 +65,7 @@
         reports = Address(settings.callers.host, options.reports_port)
         settings = replace(settings, reports=reports)
 
+    install_reactor()
     from twisted.internet import reactor
 
     from pondquay_daemon.relay.metrics import RelayMetrics
