--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -295,9 +295,9 @@
         incarnation of this one. The entries of others may be stale, so the result is
         bounded by the tokens that are not known to be used.
         """
-        others = sum(
-            allotment.spent + allotment.lent for allotment in self.others().values()
-        )
+        own = self.row.holders.get(self.holder)
+        own_part = 0 if own is None else own.spent + own.lent
+        others = self.row.spent_or_lent - own_part
         reachable = self.prepaid - self.row.closed - others - self._earlier_ceiling
         unused = self.prepaid - self._known_spent()
         return min(reachable - self.spent, unused) - self.reserved
@@ -328,6 +328,15 @@
         known = 0 if own is None else own.spent
         return self.row.known_spent - known + self.used
 
+    def rate_elsewhere(self) -> int:
+        """Return the tokens requested per second at all other instances."""
+        own = self.row.holders.get(self.holder)
+        return self.row.rate - (0 if own is None else own.rate)
+
+    def count_others(self) -> int:
+        """Return the number of other instances with an entry in the row."""
+        return len(self.row.holders) - (self.holder in self.row.holders)
+
     def others(self) -> Mapping[str, Allotment]:
         """Return the entries of the other instances."""
         return {
--- a/packages/pondquay/src/pondquay/budgets/allotments.py
+++ b/packages/pondquay/src/pondquay/budgets/allotments.py
@@ -73,25 +73,34 @@
     :param closed: tokens that closed incarnations may have spent
     :param closed_spent: tokens of these that are known to be spent
     :param holders: the entry of each instance by its name
+    :ivar committed: tokens that have been or may be spent, according to the row
+    :ivar known_spent: tokens that are known to be spent
+    :ivar spent_or_lent: tokens that open incarnations have used or lent
+    :ivar rate: tokens requested per second at all instances
     """
 
     closed: int = 0
     closed_spent: int = 0
     holders: Mapping[str, Allotment] = field(default_factory=dict)
-
-    @property
-    def committed(self) -> int:
-        """Tokens that have been or may be spent, according to the row."""
-        return self.closed + sum(
-            allotment.ceiling for allotment in self.holders.values()
-        )
-
-    @property
-    def known_spent(self) -> int:
-        """Tokens that are known to be spent."""
-        return self.closed_spent + sum(
-            allotment.spent for allotment in self.holders.values()
-        )
+    # Each plan for an account uses the sums several times.
+    committed: int = field(init=False, repr=False, compare=False)
+    known_spent: int = field(init=False, repr=False, compare=False)
+    spent_or_lent: int = field(init=False, repr=False, compare=False)
+    rate: int = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Add up the entries."""
+        committed, known_spent, lent, rate = self.closed, self.closed_spent, 0, 0
+        for allotment in self.holders.values():
+            committed += allotment.ceiling
+            known_spent += allotment.spent
+            lent += allotment.lent
+            rate += allotment.rate
+        spent = known_spent - self.closed_spent
+        object.__setattr__(self, "committed", committed)
+        object.__setattr__(self, "known_spent", known_spent)
+        object.__setattr__(self, "spent_or_lent", spent + lent)
+        object.__setattr__(self, "rate", rate)
 
     @property
     def unaccounted(self) -> int:
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -50,16 +50,15 @@
     A floor is added to each rate, so that no fraction is 0.
     """
     own = account.demand.rate(now)
-    rates = [float(allotment.rate) for allotment in account.others().values()]
-    mean = (own + sum(rates)) / (1 + len(rates))
-    floor = RATE_FLOOR_FRACTION * mean + 1.0
-    return (own + floor) / (own + sum(rates) + floor * (1 + len(rates)))
+    total = own + account.rate_elsewhere()
+    instances = 1 + account.count_others()
+    floor = RATE_FLOOR_FRACTION * (total / instances) + 1.0
+    return (own + floor) / (total + floor * instances)
 
 
 def fleet_headroom(account: Account, now: float) -> float:
     """Return the tokens that all instances together should hold unspent."""
-    rate = account.demand.rate(now)
-    rate += sum(allotment.rate for allotment in account.others().values())
+    rate = account.demand.rate(now) + account.rate_elsewhere()
     need = (
         account.policy.cover_seconds * rate + HEADROOM_REQUESTS * account.demand.largest
     )
@@ -93,7 +92,7 @@
 def target_headroom(account: Account, now: float) -> int:
     """Return the tokens that this instance should hold unspent."""
     headroom = fleet_headroom(account, now)
-    if not account.others():
+    if not account.count_others():
         headroom = min(headroom, FIRST_INSTANCE_FRACTION * account.prepaid)
     return max(0, int(headroom * share_of_demand(account, now)))
 
@@ -121,7 +120,7 @@
     :param instances: number of instances of the fleet
     """
     remaining = max(0, account.remaining())
-    rate = sum(allotment.rate for allotment in account.others().values())
+    rate = account.rate_elsewhere()
     fraction = headroom_fraction(account, rate)
     share = fraction * remaining * borrower_share_of_demand(account, now)
     minimum = account.policy.borrowed_of_left * remaining / max(1, instances)
@@ -134,7 +133,7 @@
     Its own demand is included in the rates of its lenders, so these sum up to the
     demand of the fleet. The result is 0 while the row has no rates.
     """
-    others = sum(allotment.rate for allotment in account.others().values())
+    others = account.rate_elsewhere()
     own = account.demand.uncorrected_rate(now)
     return own / max(own, others) if others and own else 0.0
 
