--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/linkplans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/linkplans.py
@@ -13,8 +13,11 @@
     from pondquay.addresses import Address
     from pondquay_daemon.relay.member import Member
 
-# Interval after which an idle link carries a heartbeat.
+# Interval at which links are checked and opened.
 HEARTBEAT_SECONDS = 0.5
+# An idle link carries a heartbeat at the end of each so many intervals, so that the
+# peer receives something at least once a second.
+MAX_SILENT_INTERVALS = 2
 # Of two instances, the one whose name sorts first opens the link. The other opens it
 # only after this delay, so that they do not open two links when the fleet starts.
 FALLBACK_OPEN_SECONDS = HEARTBEAT_SECONDS
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
@@ -48,7 +48,8 @@
     """A connection to another instance; both ends behave alike.
 
     :ivar last_seen_at: time of the last message from the peer, in seconds
-    :ivar has_sent: whether anything was sent in the current heartbeat interval
+    :ivar silent_intervals: heartbeat intervals that have ended since the last message
+        to the peer
     :ivar supported_codes: codes of the messages for which the peer has declared support
     :ivar version: version of the configuration in force at the peer
     """
@@ -58,7 +59,7 @@
         self._reader = MessageReader()
         self.instance = ""
         self.last_seen_at = 0.0
-        self.has_sent = False
+        self.silent_intervals = 0
         self.supported_codes: frozenset[int] = frozenset()
         self.version = 0
 
@@ -95,7 +96,7 @@
 
     def send_bytes(self, data: bytes) -> None:
         """Send messages that are already encoded."""
-        self.has_sent = True
+        self.silent_intervals = 0
         cast("Connection", self.transport).write(data)
 
     def drop(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -14,6 +14,7 @@
 from pondquay_daemon.relay.linkplans import (
     HEARTBEAT_SECONDS,
     MAX_FAR_LINKS,
+    MAX_SILENT_INTERVALS,
     LinkPlan,
 )
 from pondquay_daemon.relay.loadannouncer import LoadAnnouncer
@@ -338,9 +339,9 @@
         # link each and may use different ones.
         data = encode_message(Heartbeat(self._listener.configuration_version()))
         for link in self._all_links:
-            if not link.has_sent:
+            link.silent_intervals += 1
+            if link.silent_intervals >= MAX_SILENT_INTERVALS:
                 link.send_bytes(data)
-            link.has_sent = False
         self._open_links()
 
     def _drop_unresponsive(self) -> None:
