--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -4,7 +4,6 @@
 
 import sys
 from argparse import Action, ArgumentParser, Namespace
-from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from signal import SIGINT, SIGTERM, signal
 from typing import TYPE_CHECKING, Any
@@ -28,6 +27,8 @@
 
     def __call__(self, parser: ArgumentParser, *_: object) -> None:
         """Print the version and exit."""
+        from importlib.metadata import PackageNotFoundError, version
+
         try:
             text = version("pondquay-daemon")
         except PackageNotFoundError:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
@@ -15,7 +15,6 @@
 from pondquay_daemon.logs import Level, log_event, start_logs
 from pondquay_daemon.reactor import install_reactor
 from pondquay_daemon.relay.border import BORDERS
-from pondquay_daemon.relay.policyfile import load_policy
 from pondquay_daemon.tasks import spawn
 
 if TYPE_CHECKING:
@@ -53,6 +52,8 @@
     try:
         settings = border.read_settings()
         if options.policy is not None:
+            from pondquay_daemon.relay.policyfile import load_policy
+
             settings = replace(settings, policy=load_policy(options.policy))
     except InvalidInputError as error:
         print(error, file=sys.stderr)
--- a/packages/pondquay/src/pondquay/findings.py
+++ b/packages/pondquay/src/pondquay/findings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from difflib import get_close_matches
 from typing import TYPE_CHECKING
 
 from pondquay.errors import Finding, InvalidInputError
@@ -33,5 +32,7 @@
 
 def suggest_name(name: str, known: Iterable[str]) -> str:
     """Return a hint with the most similar known name, or an empty string."""
+    from difflib import get_close_matches
+
     matches = get_close_matches(name, list(known), n=1)
     return f"; did you mean {matches[0]!r}?" if matches else ""
