--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -10,6 +10,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
+from pondquay_daemon.relay.chunkedhttp import ClientHttp
 from pondquay_daemon.relay.errors import BrokenExchangeError
 from pondquay_daemon.relay.heads import keep_alive_seconds, wants_close
 from pondquay_daemon.relay.messages import ResponseHead
@@ -62,9 +63,7 @@
     def __init__(self, pool: EgressPool, address: Address) -> None:
         self._pool = pool
         self.address = address
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
-        )
+        self._http = ClientHttp(MAX_RESPONSE_HEAD_BYTES)
         self._listener: ExchangeListener | None = None
         self._keep_alive: int | None = None
         self._close_after = False
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -8,6 +8,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
+from pondquay_daemon.relay.chunkedhttp import ServerHttp
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
 
@@ -112,9 +113,7 @@
         self._handler = handler
         self._server = server
         limits = handler.limits()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._http = ServerHttp(limits.header_bytes)
         self._timer: IDelayedCall | None = None
         self._head: RequestHead | None = None
         self._body: list[bytes] = []
