--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -8,9 +8,11 @@
 
 from twisted.internet.defer import Deferred
 
+from pondquay.routing.buffers import MAX_COLLECTED_BYTES, BufferPool, Content
 from pondquay.streamevents import EventReader, StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
-from pondquay_daemon.relay.heads import drop_connection_headers
+from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
+from pondquay_daemon.relay.heads import drop_connection_headers, find_body_length
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,6 +20,7 @@
     from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
     from pondquay.addresses import Address
+    from pondquay.routing.buffers import Buffer
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.errors import BrokenExchangeError
@@ -66,6 +69,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PassedOn:
+    """A complete plain response, which was forwarded as it arrived."""
+
+    status: int
+
+
 @dataclass(frozen=True, slots=True)
 class Streamed:
     """A complete stream, which has been forwarded."""
@@ -80,12 +90,15 @@
     :param silent: whether the upstream sent nothing for too long
     :param broken: whether its connection broke
     :param streamed: seconds since the first event, 0 if none arrived
+    :param unread: whether the caller had not read the response for some time, after
+        which an upstream may cut it off
     """
 
     reason: str
     silent: bool = False
     broken: bool = False
     streamed: float = 0.0
+    unread: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +112,7 @@
 
 
 # The lower-case names of these classes are labels of a metric.
-Outcome: TypeAlias = Unsent | NotRun | Answered | Streamed | Lost | Stopped
+Outcome: TypeAlias = Unsent | NotRun | Answered | PassedOn | Streamed | Lost | Stopped
 
 
 @dataclass(slots=True)
@@ -127,6 +140,13 @@
         self.longest_pause = max(self.longest_pause, pause)
         return pause
 
+    def restart_pause(self) -> None:
+        """Measure no pause until the next events.
+
+        Used after the caller has stopped reading, which is no pause of an upstream.
+        """
+        self._last_event_at = None
+
 
 class UpstreamListener(ABC):
     """Observes an upstream while an attempt is in progress there."""
@@ -151,13 +171,18 @@
         """Handle the signals of a response that is certainly from this upstream."""
 
 
-class Attempt(ExchangeListener):
+class Attempt(ExchangeListener, FlowListener):
     """Sends a request to one upstream and waits for the outcome.
 
+    A stream is forwarded as it arrives. A plain response is collected, so that the
+    request can be sent again if it breaks, and forwarded as it arrives once it is too
+    long to be kept. While the caller does not read, the upstream is not read either.
+
     :param attempt: the caller's identifier of its attempt, which the response must echo
     :param response: the caller's response, to which a stream is forwarded
     :param progress: set for routes whose responses are streams
     :param upstream: observer of the upstream
+    :param buffer: accounts for a plain response that is being collected
     """
 
     def __init__(
@@ -168,8 +193,10 @@
         response: CallerResponse,
         progress: StreamProgress | None,
         upstream: UpstreamListener,
+        buffer: Buffer | None = None,
     ) -> None:
         self._upstream = upstream
+        self._buffer = buffer or BufferPool().open_work()
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -181,6 +208,8 @@
         self._not_run: NotRun | None = None
         self._body: list[bytes] = []
         self._streaming = False
+        self._passing_on = False
+        self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
         self._events_before = 0
         self._silence_timer: IDelayedCall | None = None
@@ -221,6 +250,32 @@
         sent = self._exchange is not None and self._exchange.sent
         self._end(Stopped(sent), cancel=True)
 
+    @property
+    def passing_on(self) -> bool:
+        """Whether a plain response is forwarded as it arrives."""
+        return self._passing_on
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether only the caller delays the end of a plain response."""
+        now = self._clock.seconds()
+        return self._passing_on and self._pauses.waits_for_caller(now)
+
+    def on_paused(self) -> None:
+        """Stop reading the upstream, as its caller has stopped."""
+        self._pauses.begin(self._clock.seconds())
+        if self._exchange is not None:
+            self._exchange.pause_reading()
+
+    def on_resumed(self) -> None:
+        """Read the upstream again; the pause was not the upstream's."""
+        self._pauses.end(self._clock.seconds())
+        if self._progress is not None:
+            self._progress.restart_pause()
+        self._restart_silence_timer()
+        if self._exchange is not None:
+            self._exchange.resume_reading()
+
     def on_head(self, head: ResponseHead) -> None:
         """Report the signals of a response, and check that it is valid."""
         self._note_activity()
@@ -239,12 +294,15 @@
         self._upstream.on_response()
         self._head = head
         self._streaming = self._progress is not None and head.status in SUCCESS_STATUSES
+        if self._streaming:
+            self._response.content = Content.STREAM
+            self._follow_caller()
 
     def on_body(self, data: bytes) -> None:
         """Forward complete events of a stream, or keep a part of a plain response."""
         self._note_activity()
         if not self._streaming:
-            self._body.append(data)
+            self._collect(data)
             return
         progress = self._progress
         if progress is None:
@@ -272,12 +330,15 @@
         if self._head is None:
             self._end(Lost("a response without a head"))
             return
+        if self._passing_on:
+            self._end(PassedOn(self._head.status))
+            return
         if not self._streaming:
             self._end(Answered(self._head, b"".join(self._body)))
             return
         progress = self._progress
         if progress is None or progress.reader.partial:
-            self._end(Lost("a stream that ends within an event"))
+            self._end(Lost("a stream that ends within an event", unread=self._unread()))
             return
         if not progress.started:
             self._forward(b"", progress)
@@ -290,7 +351,13 @@
         elif self._not_run is not None:
             self._end(self._not_run)
         else:
-            self._end(Lost(str(error), broken=True, streamed=self._streaming_seconds()))
+            lost = Lost(
+                str(error),
+                broken=True,
+                streamed=self._streaming_seconds(),
+                unread=self._unread(),
+            )
+            self._end(lost)
 
     def _report_signals(self, metadata: ResponseMetadata) -> None:
         # If another upstream has the address, the signals are that upstream's.
@@ -303,6 +370,43 @@
             return 0.0
         return self._clock.seconds() - self._first_event_at
 
+    def _unread(self) -> bool:
+        return self._pauses.was_unread(self._clock.seconds())
+
+    def _collect(self, data: bytes) -> None:
+        """Keep a part of a plain response, or forward it if it is too long."""
+        head = self._head
+        # Responses with these statuses are never forwarded.
+        if head is None or head.status in NOT_RUN_STATUSES:
+            return
+        if self._passing_on:
+            self._response.send(data)
+            return
+        self._body.append(data)
+        size = sum(map(len, self._body))
+        self._buffer.resize(size)
+        if size > MAX_COLLECTED_BYTES:
+            self._pass_on(head)
+
+    def _pass_on(self, head: ResponseHead) -> None:
+        """Forward what was collected, and from now on everything as it arrives."""
+        self._passing_on = True
+        headers = drop_connection_headers(head.headers)
+        length = find_body_length(head.headers)
+        if length is not None:
+            headers.append((b"Content-Length", b"%d" % length))
+        body = b"".join(self._body)
+        self._body.clear()
+        self._buffer.resize(0)
+        self._follow_caller()
+        self._response.begin(head.status, headers, body)
+
+    def _follow_caller(self) -> None:
+        """Read the upstream only while the caller reads."""
+        self._response.flow = self
+        if self._response.paused:
+            self.on_paused()
+
     def _forward(self, events: bytes, progress: StreamProgress) -> None:
         if progress.started:
             self._response.send(events)
@@ -318,6 +422,9 @@
 
     def _note_activity(self) -> None:
         self._upstream.on_data()
+        self._restart_silence_timer()
+
+    def _restart_silence_timer(self) -> None:
         if self._silence_timer is None or not self._silence_timer.active():
             return
         if self._checking_silence:
@@ -342,7 +449,9 @@
             # route's attempts.
             self._end(Unsent("no connection in time"), cancel=True)
             return
-        if self._may_retry is not None and self._may_retry():
+        # Nothing can be sent elsewhere once a part of a plain response was forwarded.
+        may_end = not self._passing_on and self._pauses.paused_at is None
+        if may_end and self._may_retry is not None and self._may_retry():
             lost = Lost("silent", silent=True, streamed=self._streaming_seconds())
             self._end(lost, cancel=True)
             return
@@ -357,5 +466,7 @@
             self._exchange.cancel()
         if self._progress is not None:
             self._progress.reader.discard_partial()
+        self._response.flow = None
+        self._buffer.resize(0)
         if not self._result.called:
             self._result.callback(outcome)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -12,6 +12,7 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.policy import RelayPolicy
+    from pondquay.routing.buffers import BufferPool
     from pondquay.routing.directory import UpstreamDirectory
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.retryshares import RetryShare
@@ -51,3 +52,4 @@
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashMonitor
     permits: PermitBroker
+    buffers: BufferPool
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -8,8 +8,11 @@
 
 import h11
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from zope.interface import implementer
 
+from pondquay.routing.buffers import MAX_UNSENT_BYTES
 from pondquay_daemon.relay.errors import BrokenExchangeError
 from pondquay_daemon.relay.heads import keep_alive_seconds, wants_close
 from pondquay_daemon.relay.messages import ResponseHead
@@ -51,9 +54,12 @@
         """Handle a failure; no complete response will follow."""
 
 
+@implementer(IPushProducer)
 class EgressConnection(Protocol):
     """A connection that carries one exchange after another.
 
+    A body is written only as fast as its upstream reads.
+
     :ivar open: whether the connection is established
     :ivar sent: whether any byte of the current exchange was sent
     :ivar idle_timer: closes the connection once it has been idle for too long
@@ -71,6 +77,10 @@
         self.open = False
         self.sent = False
         self.idle_timer: IDelayedCall | None = None
+        self._unwritten = memoryview(b"")
+        self._is_writing = False
+        self._is_full = False
+        self._is_paused = False
 
     def connectionMade(self) -> None:
         """Mark the connection as open."""
@@ -96,14 +106,57 @@
                 method=method, target=target, headers=headers + framing
             )
             chunks = [self._http.send(request)]
-            if body:
+            if len(body) > MAX_UNSENT_BYTES:
+                self._unwritten = memoryview(body)
+            elif body:
                 chunks.append(self._http.send(h11.Data(data=body)))
-            chunks.append(self._http.send(h11.EndOfMessage()))
+            if not self._unwritten:
+                chunks.append(self._http.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             self._fail(f"invalid request: {error}", sent=False)
             return
         self.sent = True
         cast("Client", self.transport).writeSequence([chunk or b"" for chunk in chunks])
+        if self._unwritten:
+            self._is_writing = True
+            cast("Client", self.transport).registerProducer(self, True)
+            self._write_body()
+
+    def pause_reading(self) -> None:
+        """Stop reading the response; neither its end nor its failure is noticed."""
+        if self.open and not self._is_paused:
+            self._is_paused = True
+            cast("Client", self.transport).pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read the response again."""
+        if self.open and self._is_paused:
+            self._is_paused = False
+            cast("Client", self.transport).resumeProducing()
+
+    def pauseProducing(self) -> None:
+        """Write no more of the body, as the transport is full."""
+        self._is_full = True
+
+    def resumeProducing(self) -> None:
+        """Continue to write the body."""
+        self._is_full = False
+        self._write_body()
+
+    def stopProducing(self) -> None:
+        """Write no more of the body, as the connection is lost."""
+        self._unwritten = memoryview(b"")
+
+    def _write_body(self) -> None:
+        transport = cast("Client", self.transport)
+        while self._unwritten and not self._is_full:
+            piece = bytes(self._unwritten[:MAX_UNSENT_BYTES])
+            self._unwritten = self._unwritten[MAX_UNSENT_BYTES:]
+            transport.write(self._http.send(h11.Data(data=piece)) or b"")
+        if self._is_writing and not self._unwritten:
+            self._is_writing = False
+            transport.unregisterProducer()
+            transport.write(self._http.send(h11.EndOfMessage()) or b"")
 
     def dataReceived(self, data: bytes) -> None:
         """Process bytes of a response; close the connection if none is expected."""
@@ -131,6 +184,8 @@
     def drop(self) -> None:
         """Close the connection immediately, without notifying the listener."""
         self._listener = None
+        self._is_writing = False
+        self._unwritten = memoryview(b"")
         if self.open:
             self.open = False
             cast("Client", self.transport).abortConnection()
@@ -165,6 +220,7 @@
 
     def _finish(self, listener: ExchangeListener) -> None:
         self._listener = None
+        self.resume_reading()
         surplus, closed = self._http.trailing_data
         reusable = (
             self.open
@@ -258,6 +314,16 @@
             error = BrokenExchangeError(message, sent=False, refused=refused)
             self._listener.on_error(error)
 
+    def pause_reading(self) -> None:
+        """Stop reading the response."""
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read the response again."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
     def cancel(self) -> None:
         """Close the exchange's connection, without notifying the listener."""
         self._cancelled = True
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
@@ -46,6 +46,17 @@
     return None
 
 
+def find_body_length(headers: HeaderList) -> int | None:
+    """Return the length that a valid message gives for its body.
+
+    :returns: bytes, ``None`` if the body ends otherwise
+    """
+    length = find_header(headers, b"content-length")
+    if length is None or find_header(headers, b"transfer-encoding") is not None:
+        return None
+    return int(length)
+
+
 def list_values(headers: HeaderList, name: bytes) -> list[bytes]:
     """Return the values of all headers with a name, given in lower case."""
     return [value.strip() for header, value in headers if header.lower() == name]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -8,8 +8,11 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
+from pondquay.routing.buffers import BufferPool, Content
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
+from pondquay_daemon.relay.writing import PausingWriter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +22,7 @@
     from twisted.python.failure import Failure
 
     from pondquay.routes.entities import CallerLimits
+    from pondquay_daemon.relay.flowcontrol import FlowListener
     from pondquay_daemon.relay.messages import HeaderList
 
 BAD_REQUEST = 400
@@ -49,6 +53,8 @@
     :ivar started: whether the head was sent
     :ivar began_at: time at which the head was written, in seconds, ``None`` before
     :ivar on_disconnect: called once if the caller disconnects before the response ends
+    :ivar content: what the response is, which decides when it gives way
+    :ivar flow: is told when the caller stops reading the response, and when it goes on
     """
 
     def __init__(self, connection: IngressConnection, arrived_at: float) -> None:
@@ -58,6 +64,13 @@
         self.started = False
         self.began_at: float | None = None
         self.on_disconnect: Callable[[], None] | None = None
+        self.content = Content.RESPONSE
+        self.flow: FlowListener | None = None
+
+    @property
+    def paused(self) -> bool:
+        """Whether the caller has stopped reading."""
+        return self.open and self._connection.paused
 
     def send_complete(self, status: int, headers: HeaderList, body: bytes) -> None:
         """Send a complete response."""
@@ -94,6 +107,15 @@
             self.open = False
             self._connection.abort()
 
+    def note_flow_change(self) -> None:
+        """Note that the caller has stopped reading, or goes on."""
+        if self.flow is None or not self.open:
+            return
+        if self.paused:
+            self.flow.on_paused()
+        else:
+            self.flow.on_resumed()
+
     def note_disconnected(self) -> None:
         """Note that the caller has disconnected."""
         if self.open:
@@ -123,14 +145,27 @@
         self._response: CallerResponse | None = None
         self._no_body = False
         self._refused = False
+        self._unsent = server.buffers.open(self.break_off)
+        # The body is kept until the response ends, as the request may be sent again.
+        self._request_buffer = server.buffers.open_work()
+        self._writer: PausingWriter | None = None
+        self._waits_for_room = False
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or served."""
-        return self._arrived_at is None and self._response is None
+        return self._arrived_at is None and self._response is None and not self.paused
+
+    @property
+    def paused(self) -> bool:
+        """Whether the caller has stopped reading."""
+        return self._writer is not None and self._writer.paused
 
     def connectionMade(self) -> None:
         """Start to wait for the first request."""
+        self._writer = PausingWriter(
+            self._clock, self.transport, self._unsent, self._on_flow_change
+        )
         self._server.connections.add(self)
         cast("Server", self.transport).setTcpNoDelay(True)
         self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
@@ -139,13 +174,15 @@
         """Process bytes of requests; ignore those after a refused request."""
         if self._refused:
             return
-        if self._arrived_at is None and self._response is None:
+        # The next request is served once the response before it was read.
+        may_read = self._response is None and not self.paused
+        if self._arrived_at is None and may_read:
             self._arrived_at = self._clock.seconds()
             self._start_timer(
                 self._handler.limits().header_timeout, self._on_read_timeout
             )
         self._http.receive_data(data)
-        if self._response is None:
+        if may_read:
             self._read_events()
         elif len(self._http.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
             self.abort()
@@ -154,6 +191,7 @@
         """Note that the caller has disconnected."""
         self._server.connections.discard(self)
         self._stop_timer()
+        self._discard_kept()
         response, self._response = self._response, None
         if response is not None:
             response.note_disconnected()
@@ -161,11 +199,30 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._response = None
+        self._discard_kept()
         cast("Server", self.transport).abortConnection()
 
+    def break_off(self) -> None:
+        """Reset the connection, since its caller does not read."""
+        unread_since, now = self._unsent.unread_since, self._clock.seconds()
+        log_event(
+            "caller-broken-off",
+            Level.WARNING,
+            content=self._unsent.content.name.lower(),
+            kept=self._unsent.size,
+            unread=0 if unread_since is None else round(now - unread_since, 2),
+            total=self._server.buffers.total,
+            limit=self._server.buffers.limit,
+        )
+        response = self._response
+        self.abort()
+        if response is not None:
+            response.note_disconnected()
+
     def close(self) -> None:
         """Close the connection once all written data is sent."""
-        cast("Server", self.transport).loseConnection()
+        if self._writer is not None:
+            self._writer.close()
 
     def write_head(self, status: int, headers: HeaderList, first: bytes) -> float:
         """Write the head of a response.
@@ -179,21 +236,22 @@
         chunks = [head or b""]
         if first:
             chunks.append(self._http.send(h11.Data(data=first)) or b"")
-        cast("Server", self.transport).writeSequence(chunks)
+        if self._response is not None:
+            self._unsent.content = self._response.content
+        self._write(b"".join(chunks))
         return self._clock.seconds()
 
     def write_data(self, data: bytes) -> None:
         """Write a part of a response's body."""
         if not self._no_body:
-            out = self._http.send(h11.Data(data=data))
-            cast("Server", self.transport).write(out or b"")
+            self._write(self._http.send(h11.Data(data=data)))
 
     def finish_response(self) -> None:
         """Write the end of a response, then read the next request or close."""
         out = self._http.send(h11.EndOfMessage())
         self._response = None
-        if out:
-            cast("Server", self.transport).write(out)
+        self._request_buffer.resize(0)
+        self._write(out)
         if self._http.our_state is not h11.DONE or (
             self._http.their_state is not h11.DONE
         ):
@@ -202,10 +260,34 @@
         self._http.start_next_cycle()
         self._arrived_at = None
         self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
-        if self._http.trailing_data[0]:
+        if not self.paused:
+            self._read_waiting()
+
+    def _read_waiting(self) -> None:
+        """Read a request that arrived before the last response was complete."""
+        if self._http.trailing_data[0] and not self._refused:
             self._arrived_at = self._clock.seconds()
             self._clock.callLater(0, self._read_events)
 
+    def _on_flow_change(self) -> None:
+        if self._response is not None:
+            self._response.note_flow_change()
+        elif self._arrived_at is None:
+            self._start_timer(
+                self._handler.limits().idle_timeout, self._on_idle_timeout
+            )
+            if not self.paused:
+                self._read_waiting()
+
+    def _write(self, data: bytes | None) -> None:
+        if data and self._writer is not None:
+            self._writer.write(data)
+
+    def _discard_kept(self) -> None:
+        self._request_buffer.resize(0)
+        if self._writer is not None:
+            self._writer.stop()
+
     def _read_events(self) -> None:
         while self._response is None and not self._refused:
             try:
@@ -241,6 +323,8 @@
                 self._refuse(BODY_TOO_LARGE)
                 return
             self._body.append(bytes(event.data))
+            self._request_buffer.resize(self._body_size)
+            self._wait_for_room()
         elif isinstance(event, h11.EndOfMessage):
             self._begin_response()
 
@@ -259,7 +343,7 @@
             out = self._http.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-            cast("Server", self.transport).write(out or b"")
+            self._write(out)
 
     def _refuse(self, status: int) -> None:
         """Send an error response to an invalid request, and close the connection."""
@@ -268,11 +352,24 @@
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             http_response = h11.Response(status_code=status, headers=headers)
-            out = self._http.send(http_response)
-            cast("Server", self.transport).write(out or b"")
+            self._write(self._http.send(http_response))
         self._response = None
+        self._request_buffer.resize(0)
         self.close()
 
+    def _wait_for_room(self) -> None:
+        """Read no further part of a body until there is room for it."""
+        if self._waits_for_room or self._server.buffers.has_room:
+            return
+        self._waits_for_room = True
+        cast("Server", self.transport).pauseProducing()
+        self._server.buffers.wait_for_room(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        self._waits_for_room = False
+        if self in self._server.connections:
+            cast("Server", self.transport).resumeProducing()
+
     def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
         self._timer = self._clock.callLater(seconds, callback)
@@ -283,20 +380,32 @@
             timer.cancel()
 
     def _on_idle_timeout(self) -> None:
-        self.close()
+        if self.paused:
+            self.break_off()
+        else:
+            self.close()
 
     def _on_read_timeout(self) -> None:
         self._refuse(REQUEST_TIMEOUT)
 
 
 class IngressServer(Factory):
-    """Accepts callers' connections."""
+    """Accepts callers' connections.
+
+    :param buffers: accounts for the bytes that are kept for callers
+    """
 
     noisy = False
 
-    def __init__(self, clock: IReactorTime, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        clock: IReactorTime,
+        handler: RequestHandler,
+        buffers: BufferPool | None = None,
+    ) -> None:
         self._clock = clock
         self._handler = handler
+        self.buffers = buffers or BufferPool()
         self.connections: set[IngressConnection] = set()
         self.stopping = False
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -89,6 +89,16 @@
             "Tokens of ended incarnations that are not known to be spent,"
             " all workspaces",
         )
+        self.kept = self._gauge(
+            "kept_bytes", "Bytes kept for callers, upstreams and peers"
+        )
+        self.unread = self._gauge(
+            "unread_connections", "Connections whose other end has stopped reading"
+        )
+        self.broken_off = self._gauge(
+            "broken_off_connections",
+            "Connections broken off since the start to free memory",
+        )
 
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
         """Count a request that has ended.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -9,6 +9,7 @@
 from twisted.internet.error import CannotListenError
 
 from pondquay.routes.entities import CallerLimits
+from pondquay.routing.buffers import BufferPool, choose_limit
 from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
 from pondquay.routing.issuers import IssuerSelector, LinkedPeers
@@ -177,6 +178,7 @@
                 metrics,
             ),
             permits,
+            BufferPool(choose_limit(settings.memory)),
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -238,7 +240,7 @@
             self._evacuations,
             self._components.crashes,
         )
-        self._caller_server = IngressServer(reactor, self)
+        self._caller_server = IngressServer(reactor, self, self._components.buffers)
         self._readiness_server = IngressServer(
             reactor, ReadinessHandler(border.ready_path, lambda: self.ready)
         )
@@ -318,6 +320,10 @@
         metrics.unaccounted.set(self._accounts.unaccounted())
         metrics.malformed.set(len(self._upstreams.malformed))
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
+        buffers = self._components.buffers
+        metrics.kept.set(buffers.total)
+        metrics.unread.set(buffers.count_unread())
+        metrics.broken_off.set(buffers.discarded)
         return metrics.render()
 
     async def stop(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -19,12 +19,14 @@
     Answered,
     Lost,
     NotRun,
+    PassedOn,
     Stopped,
     Streamed,
     StreamProgress,
     Unsent,
 )
 from pondquay_daemon.relay.crashmonitor import ContentPermit
+from pondquay_daemon.relay.flowcontrol import RECENT_SECONDS
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.reservations import Reservation
 from pondquay_daemon.relay.retrying import RetryPermit
@@ -108,7 +110,7 @@
     async def run(self) -> None:
         """Serve the request or refuse it."""
         self._response.on_disconnect = self._on_disconnect
-        timer = self._start_timer()
+        self._timer = self._start_timer()
         try:
             refusal = self._content_permit.take()
             if refusal is None:
@@ -128,8 +130,8 @@
             self._may_have_run = self._may_have_run or bool(self._sender.sent_to)
             self._refuse(self._make_refusal("internal error"))
         finally:
-            if timer.active():
-                timer.cancel()
+            if self._timer.active():
+                self._timer.cancel()
             self._reservation.settle_all()
             self._log_end()
 
@@ -138,12 +140,18 @@
         return self._components.clock.callLater(seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
+        if self._sender.waits_for_caller:
+            self._timer = self._components.clock.callLater(
+                RECENT_SECONDS, self._on_timeout
+            )
+            return
         self._stop("timeout")
 
     def _on_disconnect(self) -> None:
         # A plain request that may not be repeated is completed once it is being sent.
         streaming, repeatable = self._route.streaming, self._route.repeatable
-        if not self._sender.running or streaming or repeatable:
+        sender = self._sender
+        if not sender.running or streaming or repeatable or sender.passing_on:
             self._stop("caller disconnected")
 
     def _stop(self, reason: str) -> None:
@@ -261,14 +269,14 @@
             )
             if not outcome.refused:
                 self._sender.unreachable_domains.add(upstream.record.domain)
-        elif isinstance(outcome, Lost):
+        elif isinstance(outcome, Lost) and not outcome.unread:
             upstream.circuit.fail(now)
             self._note_possible_crash(upstream, outcome, now)
-        elif isinstance(outcome, Answered | Streamed):
+        elif isinstance(outcome, Answered | PassedOn | Streamed):
             upstream.circuit.succeed()
-            if isinstance(outcome, Streamed) or outcome.head.status < SERVER_ERROR:
+            if is_served(outcome):
                 self._content_permit.note_served()
-        if not isinstance(outcome, Answered | Streamed | Stopped):
+        if not isinstance(outcome, Answered | PassedOn | Streamed | Stopped):
             lost = isinstance(outcome, Lost)
             log_event(
                 "attempt-failed",
@@ -304,6 +312,12 @@
             return True
         if isinstance(outcome, Answered):
             return self._deliver_response(outcome, last=last)
+        if isinstance(outcome, PassedOn):
+            self._may_have_run = True
+            self._outcome = f"passed-on-{outcome.status}"
+            self._status = str(outcome.status)
+            self._response.finish()
+            return True
         if isinstance(outcome, Lost) or (isinstance(outcome, Stopped) and outcome.sent):
             self._may_have_run = True
         return False
@@ -332,6 +346,8 @@
             return None
         if not self._route.repeatable:
             return self._make_refusal("may have run")
+        if self._progress is None and self._response.started:
+            return self._make_refusal("broke after its beginning was forwarded")
         if not isinstance(outcome, Lost | Answered):
             return None
         if isinstance(outcome, Lost):
@@ -358,3 +374,10 @@
         send_refusal(
             self._components.border, self._response, self._metadata.attempt, refusal
         )
+
+
+def is_served(outcome: Answered | PassedOn | Streamed) -> bool:
+    """Return whether an upstream served the request, rather than failed it."""
+    if isinstance(outcome, Answered):
+        return outcome.head.status < SERVER_ERROR
+    return isinstance(outcome, Streamed) or outcome.status < SERVER_ERROR
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -89,6 +89,16 @@
         """Whether an attempt is in progress."""
         return self._attempt is not None
 
+    @property
+    def passing_on(self) -> bool:
+        """Whether a plain response is forwarded as it arrives."""
+        return self._attempt is not None and self._attempt.passing_on
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether only the caller delays the end of a plain response."""
+        return self._attempt is not None and self._attempt.waits_for_caller
+
     def stop(self) -> None:
         """End the attempt in progress."""
         if self._attempt is not None:
@@ -199,6 +209,7 @@
             self._job.response,
             self._progress,
             UpstreamObserver(self._components, upstream, prefill, self._route.pause),
+            self._components.buffers.open_work(),
         )
 
     def _find_source(self, upstream: KnownUpstream) -> KnownUpstream | None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -46,6 +46,7 @@
     :param seeds: ``peers`` addresses of some other instances
     :param bounds: limits agreed on by the operators
     :param reports: address of metrics and state dumps, ``None`` to serve none
+    :param memory: bytes that the process may use, ``None`` if unknown
     :param policy: switches and parameters of the relay's mechanisms
     """
 
@@ -58,4 +59,5 @@
     seeds: tuple[Address, ...] = ()
     bounds: RelayBounds = RelayBounds()
     reports: Address | None = None
+    memory: float | None = None
     policy: RelayPolicy = DEFAULT_POLICY
--- a/packages/pondquay-daemon/tests/border/test_settings.py
+++ b/packages/pondquay-daemon/tests/border/test_settings.py
@@ -75,3 +75,11 @@
         return
     assert 0 <= settings.bounds.configuration < math.inf
     assert 0 <= settings.bounds.retry_extra < math.inf
+
+
+@pytest.mark.parametrize(("limits", "memory"), [({}, None), ({"memory_mb": 160}, 160)])
+def test_the_memory_of_the_instance_is_read(
+    limits: dict[str, int], memory: int | None
+) -> None:
+    settings = read_settings({**make_fields(), "limits": limits}, "local.toml")
+    assert settings.memory == (None if memory is None else memory * 2**20)
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -36,6 +36,8 @@
 class Response:
     """Ignores what is forwarded."""
 
+    paused = False
+
     def begin(self, status: int, headers: HeaderList, body: bytes) -> None:
         pass
 
--- a/packages/pondquay-daemon/tests/relay/test_egress.py
+++ b/packages/pondquay-daemon/tests/relay/test_egress.py
@@ -11,6 +11,8 @@
 from pondquay.addresses import Address
 from pondquay_daemon.relay.egress import EgressPool, Exchange, ExchangeListener
 
+from .slowreading import LIMIT_BYTES, SlowTransport, body_of
+
 if TYPE_CHECKING:
     from pondquay_daemon.relay.errors import BrokenExchangeError
     from pondquay_daemon.relay.messages import ResponseHead
@@ -201,3 +203,51 @@
     )
     assert listener.completed == 1
     assert upstream.transports[0].disconnecting
+
+
+def start_long_upload(upstream: Upstream) -> tuple[Listener, SlowTransport, bytes]:
+    """Return the exchange of a long body, at an upstream that has read nothing."""
+    body = bytes(range(256)) * 4096
+    listener = Listener()
+    exchange = Exchange(listener, b"POST", b"/x", [(b"Host", b"h")], body)
+    upstream.pool.start(ADDRESS, exchange)
+    upstream.protocol = upstream.reactor.tcpClients[-1][2].buildProtocol(None)
+    transport = SlowTransport()
+    upstream.protocol.makeConnection(transport)
+    return listener, transport, body
+
+
+def test_a_body_is_written_only_as_fast_as_its_upstream_reads(
+    upstream: Upstream,
+) -> None:
+    """Load: an upstream that reads a long body slowly."""
+    listener, transport, body = start_long_upload(upstream)
+    other, _ = upstream.send_request()
+    while transport.unsent:
+        assert len(transport.unsent) <= 2 * LIMIT_BYTES + 256
+        transport.read(LIMIT_BYTES)
+    assert body_of(transport) == body
+    upstream.protocol.dataReceived(COMPLETE)
+    assert (other.completed, listener.completed) == (1, 0)
+
+
+def test_a_connection_whose_body_was_not_read_is_not_reused(
+    upstream: Upstream,
+) -> None:
+    listener, transport, body = start_long_upload(upstream)
+    upstream.protocol.dataReceived(COMPLETE)
+    assert listener.completed == 1
+    assert transport.aborted
+    assert len(body_of(transport)) < len(body)
+
+
+def test_a_paused_connection_is_read_again_before_it_is_reused(
+    upstream: Upstream,
+) -> None:
+    _, exchange = upstream.send_request()
+    exchange.pause_reading()
+    assert upstream.transports[0].producerState == "paused"
+    upstream.protocol.dataReceived(COMPLETE)
+    assert upstream.transports[0].producerState == "producing"
+    upstream.send_request()
+    assert len(upstream.transports) == 1
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -6,6 +6,8 @@
 
 from pondquay.routes.entities import CallerLimits
 
+from .slowreading import SlowTransport
+
 if TYPE_CHECKING:
     from .conftest import CallerSide
 
@@ -128,3 +130,56 @@
     caller.clock.advance(caller.handler.bounds.header_timeout + 1)
     caller.send(b"llo")
     assert caller.handler.requests[0][1] == b"hello"
+
+
+def test_bodies_are_read_only_while_there_is_room(caller: CallerSide) -> None:
+    """Load: many callers that send long bodies at once."""
+    caller.server.buffers.limit = 4
+    caller.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nhello")
+    assert caller.transport.producerState == "paused"
+    caller.server.buffers.limit = 8
+    caller.server.buffers.open_work().resize(0)
+    assert caller.transport.producerState == "producing"
+    caller.send(b"!")
+    assert caller.handler.requests[0][1] == b"hello!"
+    assert caller.server.buffers.total == len(b"hello!")
+    caller.handler.requests[0][2].send_complete(200, [], b"")
+    assert caller.server.buffers.total == 0
+
+
+def connect_slow(caller: CallerSide) -> tuple[SlowTransport, bytes]:
+    """Send a request, and a long response that its caller does not read."""
+    transport, body = SlowTransport(), bytes(300_000)
+    protocol = caller.server.buildProtocol(None)
+    protocol.makeConnection(transport)
+    protocol.dataReceived(GET)
+    caller.handler.requests[-1][2].send_complete(200, [], body)
+    return transport, body
+
+
+def test_a_connection_closes_only_once_its_response_was_read(
+    caller: CallerSide,
+) -> None:
+    caller.server.stopping = True
+    transport, body = connect_slow(caller)
+    assert not transport.disconnecting
+    while transport.unsent:
+        transport.read(50_000)
+    assert transport.value().endswith(body)
+    assert transport.disconnecting
+    assert not transport.aborted
+
+
+def test_a_complete_response_that_is_never_read_is_broken_off(
+    caller: CallerSide,
+) -> None:
+    transport, body = connect_slow(caller)
+    transport.read(len(transport.unsent))
+    caller.clock.advance(caller.handler.bounds.idle_timeout - 0.1)
+    transport.read(len(transport.unsent))
+    caller.clock.advance(caller.handler.bounds.idle_timeout - 0.1)
+    assert not transport.aborted
+    caller.clock.advance(0.2)
+    assert transport.aborted
+    assert len(transport.value()) < len(body)
+    assert caller.server.buffers.total == 0
