--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -18,6 +18,7 @@
     from pondquay.routing.retryshares import RetryShare
     from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay_daemon.relay.activitylinks import ActivityLinks
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
@@ -53,3 +54,4 @@
     crashes: CrashMonitor
     permits: PermitBroker
     buffers: BufferPool
+    activity: ActivityLinks
