--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -21,6 +21,7 @@
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.metrics import RelayMetrics
+    from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
     from pondquay_daemon.relay.permits import PermitBroker
     from pondquay_daemon.relay.placement import Placement
 
@@ -51,3 +52,4 @@
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashMonitor
     permits: PermitBroker
+    overload: OverloadMonitor
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -90,6 +90,13 @@
             " all workspaces",
         )
 
+        self.load_level = self._gauge(
+            "load_level", "Load of this instance: 0 idle, 1 busy, 2 overloaded"
+        )
+        self.timer_lag = self._gauge(
+            "timer_lag_seconds", "How late timers run, moving average"
+        )
+
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
         """Count a request that has ended.
 
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -0,0 +1,99 @@
+"""Measurement of this instance's load, and its consequences for upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.routing.overload import LoadLevel, OverloadDetector
+from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.egress import CONNECT_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IReactorTime
+
+    from pondquay.routes.table import RouteTable
+    from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.metrics import RelayMetrics
+
+SAMPLE_SECONDS = 0.1
+
+
+class OverloadMonitor:
+    """Measures how late timers run, and reports changes of the load level.
+
+    :ivar detector: derives the level
+    :ivar on_change: called after each change of the level
+    :ivar running: number of requests that this instance serves
+    """
+
+    def __init__(self, clock: IReactorTime, metrics: RelayMetrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._due_at = 0.0
+        self.detector = OverloadDetector()
+        self.on_change: Callable[[], None] | None = None
+        self.running = 0
+
+    @property
+    def overloaded(self) -> bool:
+        """Whether this instance is overloaded."""
+        return self.detector.level is LoadLevel.OVERLOADED
+
+    def start(self) -> None:
+        """Start to measure."""
+        self._schedule()
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Adapt the thresholds to the objectives of the routes."""
+        objectives = [route.objective for route in table.configuration.routes]
+        if objectives:
+            self.detector.objective = min(objectives)
+
+    def note_connect_failure(self, upstream: KnownUpstream, *, refused: bool) -> bool:
+        """Record a connection that could not be opened.
+
+        :param refused: whether the upstream's host refused it
+        :returns: whether this instance is the likely cause
+        """
+        if refused:
+            return False
+        now = self._clock.seconds()
+        # An upstream that responded while the connection was being opened is reachable.
+        if now - upstream.last_seen_at < CONNECT_SECONDS:
+            record = upstream.record
+            self.detector.note_timed_out(record.name, record.domain, now)
+        return self.overloaded
+
+    def _schedule(self) -> None:
+        self._due_at = self._clock.seconds() + SAMPLE_SECONDS
+        self._clock.callLater(SAMPLE_SECONDS, self._sample)
+
+    def _sample(self) -> None:
+        now = self._clock.seconds()
+        lag = now - self._due_at
+        previous = self.detector.level
+        changed = self.detector.note_lag(lag, SAMPLE_SECONDS, now)
+        self._metrics.load_level.set(int(self.detector.level))
+        self._metrics.timer_lag.set(self.detector.lag)
+        if changed:
+            self._log_change(previous, lag, now)
+            if self.on_change is not None:
+                self.on_change()
+        self._schedule()
+
+    def _log_change(self, previous: LoadLevel, lag: float, now: float) -> None:
+        detector = self.detector
+        log_event(
+            "load-level",
+            Level.WARNING if self.overloaded else Level.INFO,
+            load=detector.level.name.lower(),
+            previous=previous.name.lower(),
+            lag=round(detector.lag, 4),
+            latest=round(lag, 4),
+            objective=detector.objective,
+            timed_out=detector.count_timed_out(now),
+            running=self.running,
+            share=round(detector.share, 2),
+        )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -34,6 +34,7 @@
 from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
+from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -124,6 +125,7 @@
             metrics,
             settings.policy,
         )
+        self._overload = OverloadMonitor(reactor, metrics)
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -177,6 +179,7 @@
                 metrics,
             ),
             permits,
+            self._overload,
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -266,6 +269,7 @@
         for feed in self._feeds:
             feed.start()
         self._stall_monitor.start()
+        self._overload.start()
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
@@ -396,6 +400,7 @@
 
     def _apply_table(self, table: RouteTable) -> None:
         self._accounts.apply_table(table)
+        self._overload.apply_table(table)
         self._peers.announce_version()
 
     def _is_configuration_fresh(self) -> bool:
--- /dev/null
+++ b/packages/pondquay/tests/routing/test_overload.py
@@ -0,0 +1,143 @@
+"""The load level of an instance follows from its own signals.
+
+Load pattern: callers are spread over instances by hashing, so a few instances get half
+of the requests, and some of these have a fraction of a core and of the bandwidth.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from pondquay.routing.overload import (
+    LOOP_PASSES,
+    MAX_ROOM,
+    URGENCIES,
+    LoadLevel,
+    OverloadDetector,
+)
+
+OBJECTIVE_SECONDS = 0.4
+INTERVAL_SECONDS = 0.1
+# Lag at which the loop alone takes an objective from each response.
+WHOLE_LAG_SECONDS = OBJECTIVE_SECONDS / LOOP_PASSES
+
+
+class DetectorRun:
+    """A detector that gets a lag at each interval."""
+
+    def __init__(self) -> None:
+        self.detector = OverloadDetector()
+        self.detector.objective = OBJECTIVE_SECONDS
+        self.now = 0.0
+
+    def add_lags(self, lag: float, seconds: float) -> list[LoadLevel]:
+        """Return the levels after each interval with the same lag."""
+        levels = []
+        for _ in range(round(seconds / INTERVAL_SECONDS)):
+            self.now += INTERVAL_SECONDS
+            self.detector.note_lag(lag, INTERVAL_SECONDS, self.now)
+            levels.append(self.detector.level)
+        return levels
+
+
+@pytest.fixture
+def run() -> DetectorRun:
+    return DetectorRun()
+
+
+@pytest.mark.parametrize(
+    ("lag", "level"),
+    [
+        (0.1 * WHOLE_LAG_SECONDS, LoadLevel.IDLE),
+        (0.3 * WHOLE_LAG_SECONDS, LoadLevel.BUSY),
+        (0.6 * WHOLE_LAG_SECONDS, LoadLevel.OVERLOADED),
+    ],
+)
+def test_the_level_follows_the_lag_within_the_shortest_objective(
+    run: DetectorRun, lag: float, level: LoadLevel
+) -> None:
+    assert run.add_lags(lag, 2.0)[-1] is level
+
+
+def test_overload_is_noticed_within_a_second(run: DetectorRun) -> None:
+    assert LoadLevel.OVERLOADED in run.add_lags(WHOLE_LAG_SECONDS, 1.0)
+
+
+# Guards against instances that forward their requests after a pause of the process.
+def test_a_single_suspension_is_not_overload(run: DetectorRun) -> None:
+    assert run.add_lags(3.0, INTERVAL_SECONDS)[-1] is not LoadLevel.OVERLOADED
+    assert run.add_lags(0.0, 1.0)[-1] is LoadLevel.IDLE
+
+
+def test_lags_around_the_threshold_do_not_change_the_level_back(
+    run: DetectorRun,
+) -> None:
+    run.add_lags(0.6 * WHOLE_LAG_SECONDS, 2.0)
+    levels = set()
+    for _ in range(20):
+        levels |= set(run.add_lags(0.4 * WHOLE_LAG_SECONDS, INTERVAL_SECONDS))
+        levels |= set(run.add_lags(0.6 * WHOLE_LAG_SECONDS, INTERVAL_SECONDS))
+    assert levels == {LoadLevel.OVERLOADED}
+    assert run.add_lags(0.0, 1.0)[-1] is LoadLevel.IDLE
+
+
+def test_connections_that_time_out_to_responsive_upstreams_are_overload(
+    run: DetectorRun,
+) -> None:
+    for number in range(4):
+        run.detector.note_timed_out(f"u{number}", f"d{number % 2}", run.now)
+    assert run.add_lags(0.0, INTERVAL_SECONDS) == [LoadLevel.OVERLOADED]
+    assert run.detector.count_timed_out(run.now) == 4
+    assert run.add_lags(0.0, 2.0)[-1] is LoadLevel.IDLE
+
+
+@pytest.mark.parametrize(("upstreams", "domains"), [(3, 2), (8, 1)])
+def test_timeouts_of_few_upstreams_or_one_domain_are_not_overload(
+    run: DetectorRun, upstreams: int, domains: int
+) -> None:
+    for number in range(upstreams):
+        run.detector.note_timed_out(f"u{number}", f"d{number % domains}", run.now)
+    assert run.add_lags(0.0, INTERVAL_SECONDS) == [LoadLevel.IDLE]
+
+
+def count_forwarded(run: DetectorRun, requests: int = 100) -> int:
+    return sum(run.detector.should_forward() for _ in range(requests))
+
+
+def test_the_forwarded_share_grows_with_overload_and_falls_slowly(
+    run: DetectorRun,
+) -> None:
+    assert count_forwarded(run) == 0
+    run.add_lags(WHOLE_LAG_SECONDS, 2.0)
+    assert count_forwarded(run) == 100
+    # The lag falls since requests are forwarded; at once serving all would overload
+    # the instance again.
+    run.add_lags(0.0, 1.5)
+    assert 80 <= count_forwarded(run) < 100
+    run.add_lags(0.0, 12.0)
+    assert count_forwarded(run) == 0
+
+
+def test_room_is_offered_only_while_idle(run: DetectorRun) -> None:
+    assert run.detector.room == MAX_ROOM
+    run.add_lags(0.15 * WHOLE_LAG_SECONDS, 2.0)
+    assert 0 < run.detector.room < MAX_ROOM
+    run.add_lags(0.4 * WHOLE_LAG_SECONDS, 2.0)
+    assert run.detector.room == 0
+
+
+def test_less_urgent_requests_are_refused_first(run: DetectorRun) -> None:
+    refused = []
+    for lag in (0.0, 0.6, 1.0, 1.6):
+        run.add_lags(lag * WHOLE_LAG_SECONDS, 5.0)
+        refused.append(
+            [
+                urgency
+                for urgency in range(URGENCIES)
+                if run.detector.should_refuse(urgency)
+            ]
+        )
+    assert refused[0] == []
+    assert refused[1] == [9]
+    assert refused[2] == list(range(5, URGENCIES))
+    assert refused[3] == list(range(URGENCIES))
