--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -15,6 +15,8 @@
 from pondquay_daemon.relay.messages import ResponseHead
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.interfaces import IAddress, IDelayedCall
     from twisted.internet.tcp import Client
     from twisted.python.failure import Failure
@@ -197,10 +199,11 @@
         self._pool = pool
         self._address = address
         self._exchange = exchange
+        self._began_at = pool.seconds()
 
     def buildProtocol(self, addr: IAddress | None) -> EgressConnection:
         """Return a connection that starts the waiting exchange."""
-        return _NewConnection(self._pool, self._address, self._exchange)
+        return _NewConnection(self._pool, self._address, self._exchange, self._began_at)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         """Fail the exchange; nothing of it was sent."""
@@ -211,13 +214,17 @@
 class _NewConnection(EgressConnection):
     """A new connection that first carries the exchange that opened it."""
 
-    def __init__(self, pool: EgressPool, address: Address, exchange: Exchange) -> None:
+    def __init__(
+        self, pool: EgressPool, address: Address, exchange: Exchange, began_at: float
+    ) -> None:
         super().__init__(pool, address)
         self._exchange: Exchange | None = exchange
+        self._began_at = began_at
 
     def connectionMade(self) -> None:
         """Start the exchange."""
         super().connectionMade()
+        self._pool.note_connected(self.address, self._began_at)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.start_on(self)
@@ -269,12 +276,25 @@
     """Opens connections, and keeps idle ones by address for reuse.
 
     :ivar opened: number of connections that were opened, including failed attempts
+    :ivar on_connected: called with the address of each new connection and the seconds
+        that it took to open
     """
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._idle: dict[Address, list[EgressConnection]] = defaultdict(list)
         self.opened = 0
+        self.on_connected: Callable[[Address, float], None] | None = None
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+        seconds: float = self._reactor.seconds()
+        return seconds
+
+    def note_connected(self, address: Address, began_at: float) -> None:
+        """Report that a connection has opened."""
+        if self.on_connected is not None:
+            self.on_connected(address, self.seconds() - began_at)
 
     def start(
         self, address: Address, exchange: Exchange, *, fresh: bool = False
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -13,6 +13,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.addresses import Address
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.metrics import RelayMetrics
@@ -25,7 +26,6 @@
 
     :ivar detector: derives the level
     :ivar on_change: called after each change of the level
-    :ivar running: number of requests that this instance serves
     """
 
     def __init__(self, clock: IReactorTime, metrics: RelayMetrics) -> None:
@@ -34,7 +34,6 @@
         self._due_at = 0.0
         self.detector = OverloadDetector()
         self.on_change: Callable[[], None] | None = None
-        self.running = 0
 
     @property
     def overloaded(self) -> bool:
@@ -51,6 +50,10 @@
         if objectives:
             self.detector.objective = min(objectives)
 
+    def note_connected(self, address: Address, seconds: float) -> None:
+        """Record how long a connection to an upstream took to open."""
+        self.detector.connects.note(str(address), seconds, self._clock.seconds())
+
     def note_connect_failure(self, upstream: KnownUpstream, *, refused: bool) -> bool:
         """Record a connection that could not be opened.
 
@@ -62,8 +65,7 @@
         now = self._clock.seconds()
         # An upstream that responded while the connection was being opened is reachable.
         if now - upstream.last_seen_at < CONNECT_SECONDS:
-            record = upstream.record
-            self.detector.note_timed_out(record.name, record.domain, now)
+            self.note_connected(upstream.record.address, CONNECT_SECONDS)
         return self.overloaded
 
     def _schedule(self) -> None:
@@ -74,16 +76,16 @@
         now = self._clock.seconds()
         lag = now - self._due_at
         previous = self.detector.level
-        changed = self.detector.note_lag(lag, SAMPLE_SECONDS, now)
+        changed = self.detector.update(lag, SAMPLE_SECONDS, now)
         self._metrics.load_level.set(int(self.detector.level))
         self._metrics.timer_lag.set(self.detector.lag)
         if changed:
-            self._log_change(previous, lag, now)
+            self._log_change(previous, lag)
             if self.on_change is not None:
                 self.on_change()
         self._schedule()
 
-    def _log_change(self, previous: LoadLevel, lag: float, now: float) -> None:
+    def _log_change(self, previous: LoadLevel, lag: float) -> None:
         detector = self.detector
         log_event(
             "load-level",
@@ -93,7 +95,6 @@
             lag=round(detector.lag, 4),
             latest=round(lag, 4),
             objective=detector.objective,
-            timed_out=detector.count_timed_out(now),
-            running=self.running,
+            connect=round(detector.excess, 4),
             share=round(detector.share, 2),
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -205,7 +205,8 @@
         if crashes := self._listener.crash_reports():
             link.send(UpstreamCrashes.pack(crashes))
         for topic in self._topics:
-            link.send(topic.make_greeting())
+            if (greeting := topic.make_greeting()) is not None:
+                link.send(greeting)
 
     def note_disconnected(self, link: PeerLink) -> None:
         """Remove a link that was closed."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peertopics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peertopics.py
@@ -21,8 +21,8 @@
     MESSAGES: ClassVar[tuple[type[PeerMessage], ...]]
 
     @abstractmethod
-    def make_greeting(self) -> PeerMessage:
-        """Return the message to send on each new link."""
+    def make_greeting(self) -> PeerMessage | None:
+        """Return the message to send on each new link, if there is one."""
 
     @abstractmethod
     def note_supported(self, link: PeerLink) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -31,6 +31,7 @@
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.loadlinks import LoadLinks
 from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
@@ -125,7 +126,9 @@
             metrics,
             settings.policy,
         )
-        self._overload = OverloadMonitor(reactor, metrics)
+        self.overload = OverloadMonitor(reactor, metrics)
+        self._pool.on_connected = self.overload.note_connected
+        self._loads = LoadLinks(reactor, self._peers, self.overload)
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -179,7 +182,7 @@
                 metrics,
             ),
             permits,
-            self._overload,
+            self.overload,
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -269,7 +272,8 @@
         for feed in self._feeds:
             feed.start()
         self._stall_monitor.start()
-        self._overload.start()
+        self.overload.start()
+        self._loads.start()
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
@@ -328,6 +332,8 @@
         """Stop gracefully: finish open requests, then return unspent tokens."""
         self.stopping = True
         self._caller_server.stopping = True
+        self._loads.stopping = True
+        self._loads.announce()
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
@@ -400,7 +406,7 @@
 
     def _apply_table(self, table: RouteTable) -> None:
         self._accounts.apply_table(table)
-        self._overload.apply_table(table)
+        self.overload.apply_table(table)
         self._peers.announce_version()
 
     def _is_configuration_fresh(self) -> bool:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -196,7 +196,7 @@
             outcome = await self._sender.send(upstream, last=last)
             self._record_outcome(upstream, outcome)
             if isinstance(outcome, Unsent):
-                connect_failures += 1
+                connect_failures += self._counts_as_failure(outcome)
                 if self._should_stop_connecting(connect_failures):
                     return self._make_refusal("no connection")
                 continue
@@ -227,6 +227,10 @@
             return self._make_refusal("no retries left")
         return upstream
 
+    def _counts_as_failure(self, unsent: Unsent) -> bool:
+        """Return whether a failed connection is not this instance's own failure."""
+        return unsent.refused or not self._components.overload.overloaded
+
     def _should_stop_connecting(self, connect_failures: int) -> bool:
         """Return whether to give up connecting.
 
@@ -256,11 +260,7 @@
             # An upstream that rejects everything would otherwise seem the least loaded.
             upstream.circuit.fail(now)
         elif isinstance(outcome, Unsent):
-            self._components.placement.note_connect_failure(
-                upstream, refused=outcome.refused
-            )
-            if not outcome.refused:
-                self._sender.unreachable_domains.add(upstream.record.domain)
+            self._record_connect_failure(upstream, refused=outcome.refused)
         elif isinstance(outcome, Lost):
             upstream.circuit.fail(now)
             self._note_possible_crash(upstream, outcome, now)
@@ -279,6 +279,16 @@
                 outcome=outcome,
             )
 
+    def _record_connect_failure(
+        self, upstream: KnownUpstream, *, refused: bool
+    ) -> None:
+        """Record a failed connection, unless this instance is the likely cause."""
+        if self._components.overload.note_connect_failure(upstream, refused=refused):
+            return
+        self._components.placement.note_connect_failure(upstream, refused=refused)
+        if not refused:
+            self._sender.unreachable_domains.add(upstream.record.domain)
+
     def _note_possible_crash(
         self, upstream: KnownUpstream, lost: Lost, now: float
     ) -> None:
--- a/packages/pondquay-lab/src/pondquay_lab/keptforms.py
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -50,6 +50,19 @@
     "age": 0.25,
     "seconds": 1.0,
     "pause": 0.5,
+    "level": 1,
+    "room": 4,
+    "method": b"POST",
+    "target": b"/judge/x",
+    "headers": [(b"Host", b"board.example")],
+    "body": b"{}",
+    "remaining": 1.5,
+    "route": "judge",
+    "service": "judge",
+    "status": 200,
+    "data": b"ok",
+    "ending": 1,
+    "reason": "",
 }
 
 
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -1,37 +1,45 @@
 """Detection of an instance's own overload from the signals that it has itself.
 
-The delay of its event loop is the main signal: a request passes through the loop
-several times, so the delay is added to each response several times over. It is weighed
-against the shortest objective of the routes. An instance with a saturated network may
-still run its timers in time; connections that it cannot open reveal it.
+Two signals tell how much later responses are because of this instance: the lag of its
+timers, which grows with the work in its event loop, and the time to open connections,
+which grows with the bytes that wait on its network link. Their sum is weighed against
+the shortest objective of the routes.
 """
 
 from __future__ import annotations
 
 from enum import IntEnum
+from statistics import median
 
 # Passes through the event loop that a request waits for: to read it, to connect, to
 # send it, and to pass the response on.
 LOOP_PASSES = 4
-# Fractions of the shortest objective that the loop may take from a response.
+# Round trips on the instance's link that a request waits for: one to the upstream and
+# one to the caller.
+LINK_ROUND_TRIPS = 2
+# Fractions of the shortest objective that the instance may take from a response.
 BUSY_FRACTION = 0.2
 OVERLOADED_FRACTION = 0.5
-# A level is left once its signal is below this fraction of its threshold.
+# A level is left once the delay is below this fraction of its threshold.
 LEAVE_FRACTION = 0.5
-# Lags below these occur on an idle instance whose host shares its cores.
-MIN_BUSY_LAG_SECONDS = 0.015
-MIN_OVERLOADED_LAG_SECONDS = 0.025
+# Timers of an idle instance are this late where its host shares the cores.
+TOLERATED_LAG_SECONDS = 0.02
+# Shorter delays are not worth a change, whatever the objective.
+MIN_BUSY_SECONDS = 0.06
+MIN_OVERLOADED_SECONDS = 0.1
 # Weight of the latest lag in the moving average, and the multiple of the overload
 # threshold to which a single lag is cut. Their product is below 1, since a process that
 # was suspended once is not overloaded.
 LAG_WEIGHT = 0.2
 MAX_LAG_THRESHOLDS = 4.0
-# Upstreams whose connections must time out within the window.
-MIN_TIMED_OUT_UPSTREAMS = 4
-MIN_TIMED_OUT_DOMAINS = 2
-TIMED_OUT_WINDOW_SECONDS = 1.0
+# Time for which a connection counts, and the least number of upstreams whose
+# connections must be slow: fewer may be slow themselves.
+CONNECT_WINDOW_SECONDS = 1.0
+MIN_CONNECTED = 3
+# Upstreams whose shortest connection time is kept.
+MAX_BASELINES = 8192
 # The share of requests to forward grows from 0 to 1 within a second of overload, and
-# falls slowly, since the load that it keeps away is not visible in the lag.
+# falls slowly, since the load that it keeps away is not visible in the delay.
 GROWTH_PER_SECOND = 1.0
 DECAY_PER_SECOND = 0.1
 # Further requests that an idle instance takes from a peer at a time.
@@ -53,11 +61,41 @@
     OVERLOADED = 2
 
 
+class ConnectTimes:
+    """How much longer than usual an instance's connections take to open."""
+
+    def __init__(self) -> None:
+        self._shortest: dict[str, float] = {}
+        self._recent: dict[str, tuple[float, float]] = {}
+
+    def note(self, upstream: str, seconds: float, now: float) -> None:
+        """Record the time to open a connection, or until it timed out."""
+        if len(self._shortest) >= MAX_BASELINES:
+            self._shortest.clear()
+        shortest = min(seconds, self._shortest.get(upstream, seconds))
+        self._shortest[upstream] = shortest
+        self._recent[upstream] = (seconds - shortest, now)
+
+    def estimate_excess(self, now: float) -> float:
+        """Return the additional seconds that half of the upstreams take to connect."""
+        if not self._recent:
+            return 0.0
+        self._recent = {
+            upstream: (excess, at)
+            for upstream, (excess, at) in self._recent.items()
+            if now - at <= CONNECT_WINDOW_SECONDS
+        }
+        if len(self._recent) < MIN_CONNECTED:
+            return 0.0
+        return median(excess for excess, _ in self._recent.values())
+
+
 class OverloadDetector:
     """Derives an instance's load level from its own signals.
 
     :ivar level: the present level
-    :ivar lag: moving average of the lag of timers, in seconds
+    :ivar lag: moving average of the lag of timers beyond the tolerated one, in seconds
+    :ivar excess: additional seconds to open a connection
     :ivar share: fraction of the requests to forward
     :ivar objective: shortest objective of the routes, in seconds
     """
@@ -65,39 +103,39 @@
     def __init__(self) -> None:
         self.level = LoadLevel.IDLE
         self.lag = 0.0
+        self.excess = 0.0
         self.share = 0.0
         self.objective = DEFAULT_OBJECTIVE_SECONDS
-        self._timed_out: dict[str, tuple[str, float]] = {}
+        self.connects = ConnectTimes()
         self._pending_share = 0.0
 
-    def note_lag(self, lag: float, interval: float, now: float) -> bool:
-        """Record how late a timer has run.
+    @property
+    def delay(self) -> float:
+        """Estimated seconds that this instance adds to a response."""
+        return LOOP_PASSES * self.lag + LINK_ROUND_TRIPS * self.excess
+
+    def update(self, lag: float, interval: float, now: float) -> bool:
+        """Update the level after a timer has run.
 
         :param lag: seconds after the time for which the timer was set
         :param interval: seconds for which the timer was set
         :returns: whether the level has changed
         """
-        lag = min(max(0.0, lag), MAX_LAG_THRESHOLDS * self._overloaded_lag)
+        max_lag = MAX_LAG_THRESHOLDS * self._overloaded_seconds / LOOP_PASSES
+        lag = min(max(0.0, lag - TOLERATED_LAG_SECONDS), max_lag)
         self.lag += LAG_WEIGHT * (lag - self.lag)
-        previous, self.level = self.level, self._choose_level(now)
+        self.excess = self.connects.estimate_excess(now)
+        previous, self.level = self.level, self._choose_level()
         self._adapt_share(interval)
         return self.level is not previous
 
-    def note_timed_out(self, upstream: str, domain: str, now: float) -> None:
-        """Record a connection that timed out although its upstream is responsive."""
-        self._timed_out[upstream] = (domain, now)
-
     @property
     def room(self) -> int:
         """Number of requests that the instance could take from a peer."""
         if self.level is not LoadLevel.IDLE:
             return 0
-        return max(1, round(MAX_ROOM * (1 - min(1.0, self.lag / self._busy_lag))))
-
-    def count_timed_out(self, now: float) -> int:
-        """Return the number of upstreams to which connections recently timed out."""
-        self._forget_timed_out(now)
-        return len(self._timed_out)
+        used = min(1.0, self.delay / self._busy_seconds)
+        return max(1, round(MAX_ROOM * (1 - used)))
 
     def should_forward(self) -> bool:
         """Return whether to forward the next request, so that the share is met."""
@@ -120,46 +158,28 @@
             return False
         rank = 1 - min(urgency, URGENCIES - 1) / (URGENCIES - 1)
         spread = MAX_REFUSE_THRESHOLDS - MIN_REFUSE_THRESHOLDS
-        return self.lag >= self._overloaded_lag * (
-            MIN_REFUSE_THRESHOLDS + spread * rank
-        )
+        thresholds = MIN_REFUSE_THRESHOLDS + spread * rank
+        return self.delay >= thresholds * self._overloaded_seconds
 
     @property
-    def _busy_lag(self) -> float:
-        return max(MIN_BUSY_LAG_SECONDS, BUSY_FRACTION * self.objective / LOOP_PASSES)
+    def _busy_seconds(self) -> float:
+        return max(MIN_BUSY_SECONDS, BUSY_FRACTION * self.objective)
 
     @property
-    def _overloaded_lag(self) -> float:
-        seconds = OVERLOADED_FRACTION * self.objective / LOOP_PASSES
-        return max(MIN_OVERLOADED_LAG_SECONDS, seconds)
+    def _overloaded_seconds(self) -> float:
+        return max(MIN_OVERLOADED_SECONDS, OVERLOADED_FRACTION * self.objective)
 
-    def _choose_level(self, now: float) -> LoadLevel:
-        if self._is_above(self._overloaded_lag, LoadLevel.OVERLOADED):
+    def _choose_level(self) -> LoadLevel:
+        if self._is_above(self._overloaded_seconds, LoadLevel.OVERLOADED):
             return LoadLevel.OVERLOADED
-        if self._fails_to_connect(now):
-            return LoadLevel.OVERLOADED
-        if self._is_above(self._busy_lag, LoadLevel.BUSY):
+        if self._is_above(self._busy_seconds, LoadLevel.BUSY):
             return LoadLevel.BUSY
         return LoadLevel.IDLE
 
     def _is_above(self, threshold: float, level: LoadLevel) -> bool:
         if self.level >= level:
             threshold *= LEAVE_FRACTION
-        return self.lag >= threshold
-
-    def _fails_to_connect(self, now: float) -> bool:
-        """Return whether the instance cannot open connections to many upstreams."""
-        self._forget_timed_out(now)
-        domains = {domain for domain, _ in self._timed_out.values()}
-        enough = len(self._timed_out) >= MIN_TIMED_OUT_UPSTREAMS
-        return enough and len(domains) >= MIN_TIMED_OUT_DOMAINS
-
-    def _forget_timed_out(self, now: float) -> None:
-        self._timed_out = {
-            upstream: (domain, at)
-            for upstream, (domain, at) in self._timed_out.items()
-            if now - at <= TIMED_OUT_WINDOW_SECONDS
-        }
+        return self.delay >= threshold
 
     def _adapt_share(self, seconds: float) -> None:
         if self.level is LoadLevel.OVERLOADED:
