--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -23,6 +23,7 @@
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.metrics import RelayMetrics
+    from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
     from pondquay_daemon.relay.permits import PermitBroker
     from pondquay_daemon.relay.placement import Placement
 
@@ -55,3 +56,4 @@
     permits: PermitBroker
     buffers: BufferPool
     activity: ActivityLinks
+    overload: OverloadMonitor
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -33,9 +33,11 @@
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.loadlinks import LoadLinks
 from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
+from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -126,6 +128,9 @@
             metrics,
             settings.policy,
         )
+        self.overload = OverloadMonitor(reactor, metrics)
+        self._pool.on_connected = self.overload.note_connected
+        self._loads = LoadLinks(reactor, self._peers, self.overload)
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -189,6 +194,7 @@
             permits,
             BufferPool(choose_limit(settings.memory)),
             activity,
+            self.overload,
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -278,6 +284,8 @@
         for feed in self._feeds:
             feed.start()
         self._stall_monitor.start()
+        self.overload.start()
+        self._loads.start()
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
@@ -340,6 +348,8 @@
         """Stop gracefully: finish open requests, then return unspent tokens."""
         self.stopping = True
         self._caller_server.stopping = True
+        self._loads.stopping = True
+        self._loads.announce()
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
@@ -412,6 +422,7 @@
 
     def _apply_table(self, table: RouteTable) -> None:
         self._accounts.apply_table(table)
+        self.overload.apply_table(table)
         self._peers.announce_version()
 
     def _is_configuration_fresh(self) -> bool:
