--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -9,10 +9,12 @@
 from pondquay.budgets.accounts import Account, RefusalReason
 from pondquay.budgets.allotments import AllotmentRow
 from pondquay.budgets.headroom import plan_headroom, request_tokens
+from pondquay.budgets.holders import should_close
 from pondquay.errors import MalformedRowError
 from pondquay.tables import ABSENT
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.allotmentrows import AllotmentRows
+from pondquay_daemon.relay.demandholders import DemandHolders
 from pondquay_daemon.relay.feeds import TableListener
 from pondquay_daemon.relay.loans import Loans, LoanSearch
 from pondquay_daemon.tasks import Task, sleep, spawn
@@ -73,6 +75,7 @@
         self._policy = policy
         self._loans = Loans(clock, holder, lender, reachable, knows_fleet, policy)
         self._rows = AllotmentRows(clock, store)
+        self._demand_holders = DemandHolders(clock, policy)
         self._reachable = reachable
         self._holder = holder
         self._boot = boot
@@ -128,6 +131,10 @@
         """
         return sum(account.row.unaccounted for account in self._accounts.values())
 
+    def held_by_demand(self) -> int:
+        """Return the number of workspaces held because of the demand here."""
+        return len(self._demand_holders)
+
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the state of each workspace's account, for operators."""
         return {name: account.describe() for name, account in self._accounts.items()}
@@ -145,7 +152,7 @@
         account.demand.note(tokens, self.clock.seconds())
         refused = account.reserve(tokens)
         until = self.clock.seconds() + max_wait_seconds
-        for wait in TABLE_RETRY_WAITS if self._loans.lends(workspace) else ():
+        for wait in TABLE_RETRY_WAITS if self._holds(workspace) else ():
             if refused in (None, RefusalReason.EXHAUSTED) or not self._reachable():
                 break
             if self.clock.seconds() + wait > until:
@@ -157,7 +164,9 @@
         account.requested = 0
         search = LoanSearch()
         if refused is not None:
-            refused = await self._loans.borrow(account, workspace, tokens, search)
+            refused = await self._loans.borrow(
+                account, workspace, tokens, search, holds=self._holds(workspace)
+            )
         if refused is RefusalReason.ELSEWHERE and not self._reachable():
             refused = RefusalReason.OUT_OF_REACH
         self._log_reservation(request, workspace, account, tokens, refused, search)
@@ -328,27 +337,44 @@
             log_event("allotment-malformed", Level.ERROR, workspace=key, error=error)
             return
         account.read(row, version)
+        # The feed delivers all later changes, too.
+        self._unread.discard(key)
         self._schedule_adjustment(key)
 
     def _schedule_adjustment(self, name: str) -> None:
         if name in self._writing or self._closed:
             return
         account = self._accounts[name]
-        lends = self._loans.lends(name)
-        if not lends:
+        holds = self._update_holding(name, account)
+        if not holds:
             self._adjust_loans(name, account)
         if not self._reachable():
             return
         if name in self._unread:
             # A borrower reads the row only after its first request, to compute its
             # headroom from the remaining tokens and the demand of other instances.
-            is_due = lends or account.demand.largest > 0
+            is_due = holds or account.demand.largest > 0
+        elif holds:
+            is_due = self._has_plan(account)
         else:
-            is_due = lends and self._has_plan(account)
+            is_due = should_close(account)
         if is_due:
             self._writing.add(name)
             spawn(self._adjust(name), "AccountBook")
 
+    def _holds(self, name: str) -> bool:
+        """Return whether this instance should hold an allotment of a workspace."""
+        return name in self._demand_holders or self._loans.lends(name)
+
+    def _update_holding(self, name: str, account: Account) -> bool:
+        """Decide anew, while the table can be written, and return the decision."""
+        if self._loans.lends(name):
+            self._demand_holders.discard(name)
+            return True
+        if self._reachable() and name not in self._unread:
+            self._demand_holders.update(name, account)
+        return name in self._demand_holders
+
     def _adjust_loans(self, name: str, account: Account) -> None:
         """Return surplus tokens of a borrower, or borrow more headroom."""
         if account.unspent <= 0 and not account.demand.largest:
@@ -382,14 +408,26 @@
                 if not await self._rows.read(name, account):
                     self._unread.add(name)
                     return
-            writes = self._loans.lends(name) and self._may_claim(account)
-            attempts = WRITE_ATTEMPTS if writes else 0
-            for _ in range(attempts):
-                if await self._rows.write(name, account):
+            for _ in range(WRITE_ATTEMPTS):
+                if await self._write_row(name, account):
                     break
         finally:
             self._writing.discard(name)
 
+    async def _write_row(self, name: str, account: Account) -> bool:
+        """Write or close this instance's entry, if that is due.
+
+        The decision is made anew for each attempt: after a conflict, the row may show
+        that the demand is elsewhere.
+
+        :returns: ``False`` if the row has changed and the write should be retried
+        """
+        if self._update_holding(name, account):
+            return not self._may_claim(account) or await self._rows.write(name, account)
+        if not should_close(account):
+            return True
+        return await self._rows.close(name, account) is not None
+
 
 def _is_unclaimed(account: Account, now: float) -> bool:
     """Return whether no instance holds an allotment and this one has no demand."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
@@ -118,6 +118,8 @@
         if isinstance(reply, Unreachable):
             account.reopen()
             return False
+        if isinstance(reply, Committed):
+            account.confirm_close(row, reply.version)
         log_event("allotment-closed", workspace=name, spent=spent, reply=reply)
         return True
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loans.py
@@ -123,16 +123,26 @@
         return startup_ended and chosen.isdisjoint(self._lender.peers)
 
     async def borrow(
-        self, account: Account, workspace: str, tokens: int, search: LoanSearch
+        self,
+        account: Account,
+        workspace: str,
+        tokens: int,
+        search: LoanSearch,
+        *,
+        holds: bool = False,
     ) -> RefusalReason | None:
         """Borrow the tokens that a request lacks and reserve them.
 
+        An instance that holds an allotment by its demand borrows like a lender while
+        it can claim tokens from the table, otherwise like any other borrower.
+
+        :param holds: whether this instance holds an allotment
         :param search: updated with the demands and the tokens received
         :returns: the reason if they cannot be reserved, ``None`` otherwise
         """
         if not self._policy.borrow:
             return account.reserve(tokens)
-        lends = self.lends(workspace)
+        lends = self.lends(workspace) or (holds and self._reachable())
         headroom = (
             0
             if lends
@@ -237,18 +247,21 @@
     def _rank_lenders(self, account: Account, workspace: str) -> list[str]:
         """Return reachable lenders, those with the most unspent tokens first.
 
-        For a borrower, lenders in its own domain come before all others.
+        For a borrower, lenders in its own domain come before all others. Instances
+        that hold tokens because of their demand come after the chosen lenders.
         """
         chosen = self._choose_lenders(workspace)
-        reachable = [name for name in self._lender.peers if name in chosen]
         others = account.others()
+        reachable = [
+            name for name in self._lender.peers if name in chosen or name in others
+        ]
         domains = self._lender.domains
         lends = self._instance in chosen
 
-        def order(peer: str) -> tuple[bool, int]:
+        def order(peer: str) -> tuple[bool, bool, int]:
             near = lends or domains.get(peer) == domains.get(self._instance)
             entry = others.get(peer)
-            return near, 0 if entry is None else entry.unspent
+            return near, peer in chosen, 0 if entry is None else entry.unspent
 
         return sorted(reachable, key=order, reverse=True)[:MAX_LENDERS]
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -84,6 +84,11 @@
         self.reserved = self._gauge(
             "reserved_tokens", "Tokens reserved for running requests, all workspaces"
         )
+        self.held = self._gauge(
+            "workspaces_held_by_demand",
+            "Workspaces of which this instance holds an allotment because of its"
+            " demand",
+        )
         self.unaccounted = self._gauge(
             "unaccounted_tokens",
             "Tokens of ended incarnations that are not known to be spent,"
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -316,6 +316,7 @@
         metrics.unspent.set(self._accounts.unspent())
         metrics.reserved.set(self._accounts.reserved())
         metrics.unaccounted.set(self._accounts.unaccounted())
+        metrics.held.set(self._accounts.held_by_demand())
         metrics.malformed.set(len(self._upstreams.malformed))
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
         return metrics.render()
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
@@ -0,0 +1,94 @@
+"""Budgets of a large fleet in which most demand reaches one or two instances."""
+
+from __future__ import annotations
+
+from pondquay.budgets.allotments import AllotmentRow
+from pondquay.budgets.lenders import choose_lenders
+from pondquay.policy import DEFAULT_POLICY
+from pondquay_daemon.relay.allotmentrows import row_key
+
+from .budgetfleet import Fleet
+
+WORKSPACE = "archive"
+PREPAID = 12_000_000
+SIZE = 81
+# Tokens of a request, and requests per second at the hot instance.
+TOKENS = 9_000
+RATE = 40
+# A turn of a busy instance's event loop: longer than the time limit of a loan.
+BUSY_TURN_SECONDS = 0.3
+
+
+def find_borrowers(size: int = SIZE) -> list[str]:
+    """Return the instances that are not among the lenders of the workspace."""
+    domains = {f"entry-{number}": f"hall-{number % 3}" for number in range(size)}
+    lenders = choose_lenders(WORKSPACE, domains)
+    return [name for name in domains if name not in lenders]
+
+
+def make_fleet(slow: str = "") -> Fleet:
+    turns = {slow: BUSY_TURN_SECONDS} if slow else {}
+    fleet = Fleet(SIZE, (WORKSPACE,), prepaid=PREPAID, domains=3, slow=turns)
+    fleet.run_until(3.0)
+    return fleet
+
+
+def send_at(fleet: Fleet, name: str, seconds: float, rate: int = RATE) -> None:
+    """Send requests to one instance at a steady rate."""
+    until = fleet.clock.seconds() + seconds
+    while fleet.clock.seconds() < until - 1e-9:
+        fleet.send_request(name, WORKSPACE, TOKENS)
+        fleet.run_until(fleet.clock.seconds() + 1 / rate)
+
+
+def test_a_busy_instance_with_lasting_demand_serves_while_tokens_are_free() -> None:
+    """Guards against refusals at an instance that is too busy to receive loans in time.
+
+    Its lenders have tokens and few callers, and most of the budget is free.
+    """
+    hot = find_borrowers()[0]
+    fleet = make_fleet(slow=hot)
+    send_at(fleet, hot, 10.0)
+    assert fleet.refused <= 0.1 * 10 * RATE
+    assert fleet.books[hot].describe()[WORKSPACE]["ceiling"] > 0
+
+
+def test_an_instance_to_which_the_demand_moves_holds_an_allotment_in_a_second() -> None:
+    """80% of the requests reach one instance, then another one."""
+    first, second, *others = find_borrowers()
+    fleet = make_fleet()
+    for hot in (first, second):
+        for number in range(10):
+            send_at(fleet, hot, 0.1)
+            fleet.send_request(others[number], WORKSPACE, TOKENS)
+        assert hot in fleet.holders(WORKSPACE)
+        send_at(fleet, hot, 9.0)
+    lenders = choose_lenders(WORKSPACE, fleet.domains)
+    assert fleet.holders(WORKSPACE) == lenders | {first, second}
+    assert fleet.refused == 0
+
+
+def test_an_instance_without_callers_gives_its_allotment_back() -> None:
+    hot = find_borrowers()[0]
+    fleet = make_fleet()
+    send_at(fleet, hot, 5.0)
+    assert hot in fleet.holders(WORKSPACE)
+    used = fleet.served
+    fleet.run_until(60.0)
+    assert fleet.holders(WORKSPACE) == choose_lenders(WORKSPACE, fleet.domains)
+    assert fleet.books[hot].held_by_demand() == 0
+    row = AllotmentRow.from_value(fleet.store.rows[row_key(WORKSPACE)].value)
+    assert row.closed_spent + sum(e.spent for e in row.holders.values()) == used
+
+
+def test_even_demand_adds_few_writers_to_a_row() -> None:
+    """Guards against a row that all instances write when the fleet's demand starts."""
+    fleet = make_fleet()
+    names = find_borrowers()
+    for number in range(400):
+        fleet.send_request(names[number % len(names)], WORKSPACE, 100)
+        fleet.run_until(fleet.clock.seconds() + 0.005)
+    added = fleet.holders(WORKSPACE) - choose_lenders(WORKSPACE, fleet.domains)
+    assert len(added) <= DEFAULT_POLICY.most_holders
+    assert fleet.store.rejected == 0
+    assert fleet.refused == 0
--- a/packages/pondquay/src/pondquay/budgets/accounts.py
+++ b/packages/pondquay/src/pondquay/budgets/accounts.py
@@ -55,12 +55,14 @@
 
     largest: int = 0
     _sum: float = 0.0
+    _requests: float = 0.0
     _updated_at: float = 0.0
     _started_at: float | None = None
 
     def note(self, tokens: int, now: float) -> None:
         """Record a request."""
         self.note_lent(tokens, now)
+        self._requests += 1
         self.largest = max(self.largest, tokens)
 
     def note_lent(self, tokens: int, now: float) -> None:
@@ -70,13 +72,17 @@
         """
         if self._started_at is None:
             self._started_at = now
-        self._sum = self._sum_at(now) + tokens
-        self._updated_at = now
+        self._decay(now)
+        self._sum += tokens
 
     def note_returned(self, tokens: int, now: float) -> None:
         """Record that lent tokens were returned unused."""
-        self._sum = max(0.0, self._sum_at(now) - tokens)
-        self._updated_at = now
+        self._decay(now)
+        self._sum = max(0.0, self._sum - tokens)
+
+    def requests(self, now: float) -> float:
+        """Return the requests of the last seconds, as an exponential sum."""
+        return self._requests * exp((self._updated_at - now) / RATE_SECONDS)
 
     def rate(self, now: float) -> float:
         """Return tokens per second, averaged over the time since the first request."""
@@ -89,6 +95,11 @@
         """Return tokens per second, assuming no demand before the first request."""
         return 0.0 if self._started_at is None else self._sum_at(now) / RATE_SECONDS
 
+    def _decay(self, now: float) -> None:
+        self._requests = self.requests(now)
+        self._sum = self._sum_at(now)
+        self._updated_at = now
+
     def _sum_at(self, now: float) -> float:
         return self._sum * exp((self._updated_at - now) / RATE_SECONDS)
 
@@ -104,6 +115,18 @@
     ceiling: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Closing:
+    """A removal of this incarnation's entry that was sent to the table.
+
+    :param spent: tokens that it counts as spent by a closed incarnation
+    :param used: tokens of these that requests used
+    """
+
+    spent: int
+    used: int
+
+
 @dataclass(slots=True)
 class Account:
     """Tokens that one incarnation of an instance may spend, has spent and has reserved.
@@ -137,6 +160,8 @@
     policy: RelayPolicy = DEFAULT_POLICY
     # A lower ceiling whose write has not been confirmed.
     _pending_ceiling: int | None = None
+    # A removal of the entry whose outcome is not known.
+    _closing: _Closing | None = None
 
     @property
     def unspent(self) -> int:
@@ -203,10 +228,14 @@
         """
         if self.version is not None and version < self.version:
             return
+        entry = row.find(self.holder, self.boot)
+        if self._closing is not None and version != self.version:
+            self._end_closing(closed=entry is None)
         self.row = row
         self.version = version
-        entry = row.find(self.holder, self.boot)
         stored = 0 if entry is None else entry.ceiling
+        if self._closing is not None:
+            stored = min(stored, self._closing.spent)
         if self._pending_ceiling is not None:
             stored = min(stored, self._pending_ceiling)
         self.ceiling = max(stored, self.spent + self.reserved)
@@ -236,18 +265,45 @@
         self.version = version
         self.ceiling = change.ceiling
         self._pending_ceiling = None
+        self._closing = None
 
     def close(self) -> AllotmentRow:
-        """Stop reservations; return the row without the entry of this incarnation."""
+        """Stop reservations; return the row without the entry of this incarnation.
+
+        Nothing may be reserved. Until the outcome is known, only tokens that are
+        borrowed later can be reserved.
+        """
         self.ceiling = self.spent
+        self._closing = _Closing(self.spent, self.used)
         return self.row.without(self.holder, self.spent, self.used)
 
+    def confirm_close(self, row: AllotmentRow, version: int) -> None:
+        """Continue without an entry after the row was written without it."""
+        self._end_closing(closed=True)
+        self.row = row
+        self.version = version
+
     def reopen(self) -> None:
         """Resume after a close that was certainly not written."""
+        self._closing = None
         entry = self.row.find(self.holder, self.boot)
         if entry is not None and self._pending_ceiling is None:
             self.ceiling = entry.ceiling
 
+    def _end_closing(self, *, closed: bool) -> None:
+        """Record the outcome of a removal of the entry.
+
+        The row counts the tokens of a removed entry as those of a closed incarnation,
+        so the account continues without them.
+        """
+        closing, self._closing = self._closing, None
+        if not closed or closing is None:
+            return
+        self.ceiling -= closing.spent
+        self.spent -= closing.spent
+        self.used -= closing.used
+        self._pending_ceiling = None
+
     def describe(self) -> dict[str, int]:
         """Return the figures of the account, for operators."""
         others = self.others().values()
@@ -272,8 +328,11 @@
 
     @property
     def has_pending_decrease(self) -> bool:
-        """Whether a lower ceiling is applied that may not be in the row yet."""
-        return self._pending_ceiling is not None
+        """Whether a lower ceiling is applied that may not be in the row yet.
+
+        This includes the removal of the entry.
+        """
+        return self._pending_ceiling is not None or self._closing is not None
 
     @property
     def earlier_incarnation(self) -> Allotment | None:
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -26,6 +26,8 @@
     :param most_holders: maximum number of instances of a fleet in which every instance
         has an allotment of every workspace; in larger fleets only a few instances per
         failure domain have one, which limits the concurrent writers of a row
+    :param hold_by_demand: in larger fleets, also let an instance with a considerable
+        part of a workspace's demand have an allotment of its own
     :param cover_seconds: seconds of the fleet's demand that all instances together hold
         as headroom; it bridges short outages of the table
     :param most_of_left: maximum fraction of a workspace's remaining tokens that all
@@ -69,6 +71,7 @@
     return_surplus: bool = True
     last_part: float = 0.03
     most_holders: int = 16
+    hold_by_demand: bool = True
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
     ahead_seconds: float = 2.0
--- a/packages/pondquay/tests/budgets/test_allotments.py
+++ b/packages/pondquay/tests/budgets/test_allotments.py
@@ -21,6 +21,7 @@
 )
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
 from pondquay.budgets.headroom import plan_headroom
+from pondquay.budgets.holders import should_close
 from pondquay.policy import DEFAULT_POLICY
 
 PREPAID = 300
@@ -196,6 +197,25 @@
             self.store.commit(write)
         self.start(name)
 
+    @rule(name=names, outcome=outcomes, percent=st.integers(0, 100))
+    def stop_holding(self, name: str, outcome: WriteOutcome, percent: int) -> None:
+        """End the requests of an incarnation, then remove its entry."""
+        account = self.accounts[name]
+        while self.running[name]:
+            self.end_request(name, percent)
+        if not should_close(account):
+            return
+        version = account.version or 0
+        write = Write(version, account.close())
+        if outcome is WriteOutcome.DELAYED:
+            self.delayed.append(write)
+        elif outcome is WriteOutcome.NOT_DONE:
+            account.reopen()
+        elif not self.store.commit(write):
+            account.read(self.store.row, self.store.version)
+        elif outcome is WriteOutcome.DONE:
+            account.confirm_close(write.row, self.store.version)
+
     @rule(tokens=st.integers(0, 100))
     def top_up(self, tokens: int) -> None:
         self.prepaid += tokens
@@ -296,3 +316,56 @@
         second.read(store.row, store.version)
     first.read(store.row, store.version)
     assert 0 < store.row.committed <= 300
+
+
+def hold(store: RowStore, account: Account, headroom: int) -> None:
+    """Write an entry with this headroom."""
+    account.read(store.row, store.version)
+    change = account.propose(headroom, 0.0)
+    account.begin_write(change)
+    assert store.commit(Write(account.version or 0, change.row))
+    account.confirm_write(change, store.version)
+
+
+def test_an_instance_that_stopped_holding_spends_only_what_it_borrows() -> None:
+    account, store = Account("a", "1", 100), RowStore()
+    hold(store, account, 60)
+    assert account.reserve(20) is None
+    account.settle(20, 20)
+    row = account.close()
+    assert store.commit(Write(store.version, row))
+    account.confirm_close(row, store.version)
+    assert (store.row.committed, store.row.known_spent) == (20, 20)
+    assert account.unspent == 0
+    account.receive_loan(5)
+    assert account.reserve(5) is None
+    account.settle(5, 5)
+    hold(store, account, 80)
+    assert store.row.committed == 100
+    assert account.unspent == 80
+
+
+def test_tokens_stay_closed_until_the_outcome_of_the_removal_is_known() -> None:
+    """Guards against tokens that are spent after a late removal has freed them."""
+    account, store = Account("a", "1", 100), RowStore()
+    hold(store, account, 60)
+    late = Write(store.version, account.close())
+    account.read(store.row, store.version)
+    assert account.unspent == 0
+    account.receive_loan(7)
+    assert store.commit(late)
+    account.read(store.row, store.version)
+    assert store.row.committed == 0
+    assert (account.ceiling, account.unspent) == (0, 7)
+
+
+def test_a_removal_that_lost_against_another_write_is_void() -> None:
+    first, second, store = Account("a", "1", 100), Account("b", "1", 100), RowStore()
+    hold(store, first, 60)
+    assert first.reserve(20) is None
+    first.settle(20, 20)
+    late = Write(store.version, first.close())
+    hold(store, second, 10)
+    assert not store.commit(late)
+    first.read(store.row, store.version)
+    assert (first.used, first.unspent) == (20, 40)
--- a/packages/pondquay/tests/budgets/test_ledger.py
+++ b/packages/pondquay/tests/budgets/test_ledger.py
@@ -15,6 +15,7 @@
 
 from pondquay.budgets.accounts import Account, RefusalReason
 from pondquay.budgets.allotments import EMPTY_ROW, AllotmentRow
+from pondquay.budgets.holders import should_close
 
 PREPAID = 1_000
 LENDERS = ("a", "b")
@@ -142,6 +143,27 @@
         self.commit(account.close())
         self.end(name)
 
+    @rule(name=names, responded=st.booleans(), percent=st.integers(1, 100))
+    def stop_holding(self, name: str, responded: bool, percent: int) -> None:
+        """End the requests of an incarnation, then remove its entry."""
+        incarnation = self.incarnations[name]
+        account = incarnation.account
+        while incarnation.running:
+            self.end_request(name, percent)
+        account.read(self.row, self.version)
+        if not should_close(account):
+            return
+        used = account.used
+        row = account.close()
+        self.commit(row)
+        if responded:
+            account.confirm_close(row, self.version)
+        else:
+            account.read(self.row, self.version)
+        assert account.used == 0
+        incarnation.used -= used
+        self.used_by_closed += used
+
     @rule(tokens=st.integers(-300, 300))
     def change_prepaid(self, tokens: int) -> None:
         self.prepaid += tokens
