--- a/packages/pondquay-daemon/src/pondquay_daemon/logs.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/logs.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 from enum import IntEnum
-from time import monotonic
+from time import monotonic, time
 from typing import TYPE_CHECKING, Any, TextIO
 
-from eliot import add_destinations, log_message
+from eliot import Logger, add_destinations
 
 from pondquay_daemon.logbudget import LineBudget, LineOutput
 
@@ -16,7 +17,11 @@
     from collections.abc import Callable, Mapping
 
 UNKNOWN = "unknown"
-HIDDEN_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type", "level")
+HIDDEN_FIELDS = frozenset(
+    ("task_uuid", "task_level", "timestamp", "message_type", "level")
+)
+_MUST_QUOTE = re.compile(r'[ "=\n\r\t]')
+_LOGGER = Logger()
 
 
 class Level(IntEnum):
@@ -28,17 +33,23 @@
     ERROR = 40
 
 
+LEVEL_NAMES = {level: level.name.lower() for level in Level}
+
+
 def log_event(event: str, level: Level = Level.INFO, **fields: object) -> None:
     """Log one event; the fields must not contain payloads or secrets."""
-    log_message(message_type=event, level=int(level), **fields)
+    # Written directly, since no event belongs to an action of eliot.
+    _LOGGER.write(
+        {**fields, "timestamp": time(), "message_type": event, "level": int(level)}
+    )
 
 
 def format_event(message: Mapping[str, Any]) -> str:
     """Format an event as one line."""
-    level = Level(message.get("level", Level.INFO)).name.lower()
+    level = message.get("level", Level.INFO)
     pairs = [
         f"time={message.get('timestamp', 0):.3f}",
-        f"level={level}",
+        f"level={LEVEL_NAMES[level]}",
         f"event={message.get('message_type', UNKNOWN)}",
     ]
     pairs += [
@@ -51,7 +62,7 @@
 
 def _quote(value: object) -> str:
     text = str(value)
-    plain = text and not any(character in text for character in ' "=\n\r\t')
+    plain = text and not _MUST_QUOTE.search(text)
     return text if plain else json.dumps(text)
 
 
--- a/packages/pondquay-daemon/tests/test_logs.py
+++ b/packages/pondquay-daemon/tests/test_logs.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import io
+import json
 import os
 from collections import Counter
 from typing import Any
 
 import pytest
+from eliot import add_destinations, remove_destination
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,7 +18,7 @@
     LineBudget,
     LineOutput,
 )
-from pondquay_daemon.logs import Level, LineWriter
+from pondquay_daemon.logs import Level, LineWriter, format_event, log_event
 
 
 class Clock:
@@ -103,3 +105,26 @@
     stream = io.StringIO()
     write(LineWriter(Level.WARNING, stream, Clock()), 1, "event", level)
     assert stream.getvalue().count("event=event") == written
+
+
+@given(st.text())
+def test_a_value_is_quoted_unless_it_is_plain(value: str) -> None:
+    line = format_event(make_event("sent", Level.WARNING, key=value))
+    start, _, text = line.partition(" key=")
+    assert start == "time=1.000 level=warning event=sent"
+    assert not set(line) & set("\n\r\t")
+    assert (json.loads(text) if text.startswith('"') else text) == value
+
+
+def test_a_logged_event_is_written_with_its_time_and_level() -> None:
+    stream = io.StringIO()
+    writer = LineWriter(Level.INFO, stream)
+    add_destinations(writer)
+    try:
+        log_event("started", instance="a", message_type="b")
+        log_event("left-out", Level.DEBUG)
+    finally:
+        remove_destination(writer)
+    (line,) = stream.getvalue().splitlines()
+    assert line.startswith("time=")
+    assert line.endswith(" level=info event=started instance=a")
