--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/feeds.py
@@ -12,7 +12,7 @@
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -77,6 +77,16 @@
             listener.note_disconnected()
 
 
+def list_latest(changes: Iterable[RowChange]) -> tuple[RowChange, ...]:
+    """Return the change of each row that has the highest version."""
+    latest: dict[str, RowChange] = {}
+    for change in changes:
+        known = latest.get(change.key)
+        if known is None or change.version >= known.version:
+            latest[change.key] = change
+    return tuple(latest.values())
+
+
 class TableFeed:
     """Keeps a listener up to date with a table.
 
@@ -85,6 +95,8 @@
         and whose changes are not urgent
     :param rereads: whether the table is reread while reads may be stale; unnecessary
         if every writer of a row receives its latest version
+    :param latest_only: whether only the latest of several changes of a row in one
+        response is applied
     """
 
     def __init__(
@@ -96,9 +108,11 @@
         pause: Callable[[], float] = lambda: 0.0,
         *,
         rereads: bool = True,
+        latest_only: bool = False,
     ) -> None:
         self._clock = clock
         self._rereads = rereads
+        self._latest_only = latest_only
         self._pause = pause
         self._store = store
         self._table = table
@@ -204,7 +218,10 @@
 
     def _apply_changes(self, reply: Changes) -> None:
         self._since = max(self._since or 0, reply.version)
-        for change in reply.changes:
+        changes = reply.changes
+        if self._latest_only:
+            changes = list_latest(changes)
+        for change in changes:
             try:
                 self._listener.apply_change(change)
             except Exception as error:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -222,6 +222,7 @@
                 self._accounts,
                 self._choose_allotments_pause,
                 rereads=False,
+                latest_only=True,
             ),
             TableFeed(
                 reactor,
--- a/packages/pondquay-daemon/tests/relay/test_feeds.py
+++ b/packages/pondquay-daemon/tests/relay/test_feeds.py
@@ -142,3 +142,22 @@
     clock.advance(1.0)
     assert feed.reachable
     assert feed.age() is not None
+
+
+# In a large fleet a poll returns many changes of the same few rows.
+def test_only_the_latest_change_of_each_row_is_applied_if_that_is_enough() -> None:
+    changes = [("a", 4), ("b", 5), ("a", 7), ("bad", 6), ("c", 3), ("b", 2)]
+    reply = Changes(tuple(RowChange(key, version, {}) for key, version in changes), 7)
+    applied: list[tuple[str, int]] = []
+
+    class Listener(RecordingListener):
+        def apply_change(self, change: RowChange) -> None:
+            applied.append((change.key, change.version))
+            super().apply_change(change)
+
+    script = ScriptedStore(reads=[Snapshot((), 1)], polls=[reply])
+    store: Any = script
+    feed = TableFeed(script.clock, store, "budgets", Listener(), latest_only=True)
+    feed.start()
+    assert sorted(applied) == [("a", 7), ("b", 5), ("bad", 6), ("c", 3)]
+    assert script.requests == [None, 1, 7]
