--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -173,7 +173,7 @@
         :param first: first bytes of the body
         :returns: the time of writing, in seconds
         """
-        if self._server.stopping:
+        if self._server.stopping or self._server.closing:
             headers = [*headers, (b"Connection", b"close")]
         head = self._http.send(h11.Response(status_code=status, headers=headers))
         chunks = [head or b""]
@@ -290,7 +290,11 @@
 
 
 class IngressServer(Factory):
-    """Accepts callers' connections."""
+    """Accepts callers' connections.
+
+    :ivar stopping: whether the process is about to stop
+    :ivar closing: whether connections are closed after their next response
+    """
 
     noisy = False
 
@@ -299,6 +303,7 @@
         self._handler = handler
         self.connections: set[IngressConnection] = set()
         self.stopping = False
+        self.closing = False
 
     def buildProtocol(self, addr: IAddress | None) -> IngressConnection:
         """Return the protocol of a new connection."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
@@ -29,20 +29,28 @@
 
     A peer that has announced nothing is idle.
 
+    :param domain: failure domain of this instance
     :ivar stopping: whether this instance takes nothing from peers any more
+    :ivar withdrawn: whether it is withdrawn from the load balancer
     """
 
     MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (InstanceLoad,)
 
     def __init__(
-        self, clock: IReactorTime, mesh: PeerMesh, monitor: OverloadMonitor
+        self,
+        clock: IReactorTime,
+        mesh: PeerMesh,
+        monitor: OverloadMonitor,
+        domain: str,
     ) -> None:
         super().__init__(clock)
         self._mesh = mesh
+        self._domain = domain
         self._detector = monitor.detector
         self._loads: dict[PeerLink, InstanceLoad] = {}
         self._announced = IDLE
         self.stopping = False
+        self.withdrawn = False
         monitor.on_change = self.announce
         mesh.add_topic(self)
 
@@ -61,6 +69,17 @@
         """Return the number of requests for which a peer has room."""
         return self._loads.get(link, IDLE).room
 
+    def list_near_levels(self) -> dict[str, LoadLevel]:
+        """Return the levels of the linked instances of the own domain."""
+        domains = self._mesh.domains
+        levels = {}
+        for peer in self._mesh.peers:
+            link = self._mesh.find_link(peer)
+            if link is not None and domains.get(peer) == self._domain:
+                level = self._loads.get(link, IDLE).level
+                levels[peer] = LoadLevel(min(level, LoadLevel.WITHDRAWN))
+        return levels
+
     def make_greeting(self) -> InstanceLoad | None:
         """Return this instance's load, unless it is idle."""
         load = self._describe()
@@ -85,6 +104,8 @@
     def _describe(self) -> InstanceLoad:
         if self.stopping:
             return InstanceLoad(LoadLevel.OVERLOADED, 0)
+        if self.withdrawn:
+            return InstanceLoad(LoadLevel.WITHDRAWN, 0)
         if self._detector.level is LoadLevel.IDLE:
             return IDLE
         return InstanceLoad(self._detector.level, self._detector.room)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -93,6 +93,9 @@
         self.load_level = self._gauge(
             "load_level", "Load of this instance: 0 idle, 1 busy, 2 overloaded"
         )
+        self.withdrawn = self._gauge(
+            "withdrawn", "1 while withdrawn from the load balancer for overload"
+        )
         self.timer_lag = self._gauge(
             "timer_lag_seconds", "How late timers run, moving average"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -26,6 +26,7 @@
 
     :ivar detector: derives the level
     :ivar on_change: called after each change of the level
+    :ivar on_sample: called after each measurement
     """
 
     def __init__(self, clock: IReactorTime, metrics: RelayMetrics) -> None:
@@ -34,6 +35,7 @@
         self._due_at = 0.0
         self.detector = OverloadDetector()
         self.on_change: Callable[[], None] | None = None
+        self.on_sample: Callable[[], None] | None = None
 
     @property
     def overloaded(self) -> bool:
@@ -83,6 +85,8 @@
             self._log_change(previous, lag)
             if self.on_change is not None:
                 self.on_change()
+        if self.on_sample is not None:
+            self.on_sample()
         self._schedule()
 
     def _log_change(self, previous: LoadLevel, lag: float) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -45,6 +45,7 @@
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.relay.stallmonitor import StallMonitor
+from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
@@ -128,7 +129,15 @@
         )
         self.overload = OverloadMonitor(reactor, metrics)
         self._pool.on_connected = self.overload.note_connected
-        self._loads = LoadLinks(reactor, self._peers, self.overload)
+        self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
+        self._withdrawals = WithdrawalMonitor(
+            reactor,
+            settings.instance,
+            self.overload,
+            self._loads,
+            metrics,
+            enabled=settings.policy.withdraw,
+        )
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -245,6 +254,7 @@
             self._components.crashes,
         )
         self._caller_server = IngressServer(reactor, self)
+        self._withdrawals.connect(self._caller_server)
         self._readiness_server = IngressServer(
             reactor, ReadinessHandler(border.ready_path, lambda: self.ready)
         )
@@ -258,7 +268,8 @@
     def ready(self) -> bool:
         """Whether the load balancer should send connections here."""
         known = self._configuration.table is not None and self._upstreams.known
-        return known and not self.stopping and self._stall_monitor.confirmed
+        available = not self.stopping and not self._withdrawals.active
+        return known and available and self._stall_monitor.confirmed
 
     def start(self) -> None:
         """Start to listen and to read the store."""
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -62,6 +62,8 @@
         it, so that its retries do not crash further upstreams
     :param copy_parts: let an upstream copy the cached state of shared prompt parts from
         another upstream
+    :param withdraw: report to the load balancer that this instance is not ready while
+        it is overloaded, unless a quarter of its failure domain does so already
     """
 
     share_loads: bool = True
@@ -83,6 +85,7 @@
     spare_streams: bool = True
     refuse_crashing: bool = True
     copy_parts: bool = True
+    withdraw: bool = True
 
 
 DEFAULT_POLICY = RelayPolicy()
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -54,11 +54,16 @@
 
 
 class LoadLevel(IntEnum):
-    """The load of an instance; the values are sent to peers."""
+    """The load of an instance; the values are sent to peers.
+
+    A withdrawn instance is overloaded, or was a short time ago, and has asked the load
+    balancer for no further callers.
+    """
 
     IDLE = 0
     BUSY = 1
     OVERLOADED = 2
+    WITHDRAWN = 3
 
 
 class ConnectTimes:
