--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
@@ -69,6 +69,11 @@
         """Return the number of requests for which a peer has room."""
         return self._loads.get(link, IDLE).room
 
+    def has_peer_with_room(self) -> bool:
+        """Return whether any linked peer has room."""
+        links = (self._mesh.find_link(peer) for peer in self._mesh.peers)
+        return any(link is not None and self.find_room(link) > 0 for link in links)
+
     def list_near_levels(self) -> dict[str, LoadLevel]:
         """Return the levels of the linked instances of the own domain."""
         domains = self._mesh.domains
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -93,6 +93,11 @@
         self.load_level = self._gauge(
             "load_level", "Load of this instance: 0 idle, 1 busy, 2 overloaded"
         )
+        self.refused_overload = self._counter(
+            "overload_refusals",
+            "Requests refused since this instance is overloaded, by urgency",
+            "urgency",
+        )
         self.withdrawn = self._gauge(
             "withdrawn", "1 while withdrawn from the load balancer for overload"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -327,58 +327,6 @@
     room: Count
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardedRequest:
-    """Asks a peer to run a request that the sender has admitted.
-
-    :param number: identifies the request on this link; the numbers increase
-    :param headers: the caller's headers
-    :param remaining: seconds until the caller's deadline
-    :param route: name of the route that the sender found
-    :param workspace: owner of the caller's key, ``None`` where no key is needed
-    :param service: name of the service that was chosen from the route
-    """
-
-    CODE: ClassVar[int] = 18
-    number: Count
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    remaining: Age
-    route: str
-    workspace: str | None
-    service: str
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardedResponse:
-    """Returns a part of the response to a forwarded request.
-
-    :param status: status if this part begins the response, otherwise 0
-    :param headers: headers if this part begins the response
-    :param data: part of the body
-    :param ending: value of :class:`~pondquay.routing.forwarding.Ending`
-    :param reason: why the request was not run, for logs
-    """
-
-    CODE: ClassVar[int] = 19
-    number: Count
-    status: Count
-    headers: list[tuple[bytes, bytes]]
-    data: bytes
-    ending: Count
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardedCancel:
-    """Tells a peer that nobody waits for a forwarded request any more."""
-
-    CODE: ClassVar[int] = 20
-    number: Count
-
-
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -396,9 +344,6 @@
     | PermitRequest
     | PermitGrant
     | InstanceLoad
-    | ForwardedRequest
-    | ForwardedResponse
-    | ForwardedCancel
 )
 MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
     kind.CODE: kind
@@ -419,9 +364,6 @@
         PermitRequest,
         PermitGrant,
         InstanceLoad,
-        ForwardedRequest,
-        ForwardedResponse,
-        ForwardedCancel,
     )
 }
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -36,6 +36,7 @@
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
+from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -193,6 +194,13 @@
             permits,
             self.overload,
         )
+        self._overload_refusals = OverloadRefusals(
+            self.overload,
+            self._loads,
+            self._components.random,
+            metrics,
+            enabled=settings.policy.refuse_overload,
+        )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
             border,
@@ -385,22 +393,35 @@
             is_fresh=self._is_configuration_fresh(),
         )
         if isinstance(admitted, Refusal):
-            log_event(
-                "request-refused",
-                Level.WARNING,
-                request=self._border.name_request(head),
-                status=admitted.status,
-                reason=admitted.reason,
-                version=self._configuration.version,
-                age=self._feed.age(),
-            )
-            self._metrics.requests.labels(str(admitted.status)).inc()
-            send_refusal(self._border, response, "", admitted)
+            self._refuse(head, admitted, "", response)
+            return
+        refusal = self._overload_refusals.check(admitted)
+        if refusal is not None:
+            self._refuse(head, refusal, admitted.metadata.attempt, response)
             return
         service = self._configuration.find_service(admitted.service)
         run = RequestRun(self._components, admitted, service, head, body, response)
         spawn(run.run(), "RequestRun")
 
+    def _refuse(
+        self,
+        head: RequestHead,
+        refusal: Refusal,
+        attempt: str,
+        response: CallerResponse,
+    ) -> None:
+        log_event(
+            "request-refused",
+            Level.WARNING,
+            request=self._border.name_request(head),
+            status=refusal.status,
+            reason=refusal.reason,
+            version=self._configuration.version,
+            age=self._feed.age(),
+        )
+        self._metrics.requests.labels(str(refusal.status)).inc()
+        send_refusal(self._border, response, attempt, refusal)
+
     def _choose_allotments_pause(self) -> float:
         all_are_holders = self._members.count <= self._settings.policy.most_holders
         return (
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pondquay.routes.entities import Route, RoutedWorkspace
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome, StreamProgress
@@ -219,10 +220,7 @@
     def _urgency(self) -> int:
         if not self._components.policy.urgency:
             return 0
-        route = min(self._route.priority, ROUTE_PRIORITIES - 1)
-        if self._workspace is None or self._workspace.priority is None:
-            return min(MAX_URGENCY, route)
-        return min(MAX_URGENCY, self._workspace.priority * ROUTE_PRIORITIES + route)
+        return find_urgency(self._route, self._workspace)
 
     def _resume_after(self) -> int | None:
         if self._progress is None or not self._progress.started:
@@ -249,3 +247,11 @@
         if not unresponsive and now - began < BUSY_TIMEOUT_OBJECTIVES * objective:
             return False
         return self._may_retry()
+
+
+def find_urgency(route: Route, workspace: RoutedWorkspace | None) -> int:
+    """Return the urgency of a request, 0 is the most urgent."""
+    priority = min(route.priority, ROUTE_PRIORITIES - 1)
+    if workspace is None or workspace.priority is None:
+        return min(MAX_URGENCY, priority)
+    return min(MAX_URGENCY, workspace.priority * ROUTE_PRIORITIES + priority)
--- a/packages/pondquay-daemon/tests/relay/test_withdrawals.py
+++ b/packages/pondquay-daemon/tests/relay/test_withdrawals.py
@@ -52,6 +52,7 @@
 ) -> None:
     overload(relays[0])
     upstreams.run_for(MIN_OVERLOADED_SECONDS + 0.5)
+    relays[0].relay.overload.detector.share = 0.0
     relays[0].connect_caller("/read/x")
     upstreams.run_for(0.1)
     response = relays[0].responses()[-1]
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -38,18 +38,16 @@
 MIN_CONNECTED = 3
 # Upstreams whose shortest connection time is kept.
 MAX_BASELINES = 8192
-# The share of requests to forward grows from 0 to 1 within a second of overload, and
-# falls slowly, since the load that it keeps away is not visible in the delay.
-GROWTH_PER_SECOND = 1.0
+# The refused share grows to its maximum within two seconds of overload, and falls
+# slowly, since the load that it keeps away is not visible in the delay. Some requests
+# are always served, so that the delay is measured.
+GROWTH_PER_SECOND = 0.5
 DECAY_PER_SECOND = 0.1
+MAX_SHARE = 0.95
 # Further requests that an idle instance takes from a peer at a time.
 MAX_ROOM = 8
 # Number of urgencies of a request, 0 being the highest.
 URGENCIES = 10
-# Delays, in multiples of the overload threshold, from which the least urgent and the
-# most urgent requests are refused.
-MIN_REFUSE_THRESHOLDS = 1.0
-MAX_REFUSE_THRESHOLDS = 3.0
 DEFAULT_OBJECTIVE_SECONDS = 1.0
 
 
@@ -101,7 +99,7 @@
     :ivar level: the present level
     :ivar lag: moving average of the lag of timers beyond the tolerated one, in seconds
     :ivar excess: additional seconds to open a connection
-    :ivar share: fraction of the requests to forward
+    :ivar share: fraction of the requests to refuse
     :ivar objective: shortest objective of the routes, in seconds
     """
 
@@ -112,7 +110,6 @@
         self.share = 0.0
         self.objective = DEFAULT_OBJECTIVE_SECONDS
         self.connects = ConnectTimes()
-        self._pending_share = 0.0
 
     @property
     def delay(self) -> float:
@@ -142,29 +139,16 @@
         used = min(1.0, self.delay / self._busy_seconds)
         return max(1, round(MAX_ROOM * (1 - used)))
 
-    def should_forward(self) -> bool:
-        """Return whether to forward the next request, so that the share is met."""
-        if self.share <= 0:
-            return False
-        self._pending_share += self.share
-        if self._pending_share < 1:
-            return False
-        self._pending_share -= 1
-        return True
+    def should_refuse(self, urgency: int, draw: float) -> bool:
+        """Return whether to refuse a request so that the others are served in time.
 
-    def should_refuse(self, urgency: int) -> bool:
-        """Return whether to refuse a request that cannot be forwarded.
-
-        Refusals of the less urgent make room for the more urgent.
+        While the refused share is below a half, the most urgent are all served.
 
         :param urgency: urgency of the request, 0 is the most urgent
+        :param draw: a random number from 0 to 1
         """
-        if self.level is not LoadLevel.OVERLOADED:
-            return False
         rank = 1 - min(urgency, URGENCIES - 1) / (URGENCIES - 1)
-        spread = MAX_REFUSE_THRESHOLDS - MIN_REFUSE_THRESHOLDS
-        thresholds = MIN_REFUSE_THRESHOLDS + spread * rank
-        return self.delay >= thresholds * self._overloaded_seconds
+        return draw < 2 * self.share - rank
 
     @property
     def _busy_seconds(self) -> float:
@@ -188,6 +172,6 @@
 
     def _adapt_share(self, seconds: float) -> None:
         if self.level is LoadLevel.OVERLOADED:
-            self.share = min(1.0, self.share + GROWTH_PER_SECOND * seconds)
+            self.share = min(MAX_SHARE, self.share + GROWTH_PER_SECOND * seconds)
         elif self.level is LoadLevel.IDLE:
             self.share = max(0.0, self.share - DECAY_PER_SECOND * seconds)
