--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -21,6 +21,7 @@
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.fairqueues import FairQueues
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.permits import PermitBroker
     from pondquay_daemon.relay.placement import Placement
@@ -53,3 +54,4 @@
     crashes: CrashMonitor
     permits: PermitBroker
     buffers: BufferPool
+    queues: FairQueues
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -99,6 +99,20 @@
             "broken_off_connections",
             "Connections broken off since the start to free memory",
         )
+        self.waiting = self._gauge("waiting_requests", "Requests that wait for room")
+        self.short_services = self._gauge(
+            "short_services", "Services whose room is short at this instance"
+        )
+        self.room_waits = Counter(
+            "pondquay_room_wait_seconds",
+            "Seconds for which requests waited for room",
+            registry=self.registry,
+        )
+        self.room_refused = Counter(
+            "pondquay_room_refused",
+            "Requests refused, as there was no room for them in time",
+            registry=self.registry,
+        )
 
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
         """Count a request that has ended.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -29,6 +29,7 @@
 from pondquay_daemon.relay.crashrows import CrashRows
 from pondquay_daemon.relay.egress import EgressPool
 from pondquay_daemon.relay.evacuationview import EvacuationView
+from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
@@ -179,6 +180,7 @@
             ),
             permits,
             BufferPool(choose_limit(settings.memory)),
+            FairQueues(reactor, metrics),
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -324,6 +326,8 @@
         metrics.kept.set(buffers.total)
         metrics.unread.set(buffers.count_unread())
         metrics.broken_off.set(buffers.discarded)
+        metrics.waiting.set(self._components.queues.count_waiting())
+        metrics.short_services.set(self._components.queues.count_short())
         return metrics.render()
 
     async def stop(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -103,6 +103,7 @@
         self._retry_permit = RetryPermit(
             components, admission.service, admission.metadata.attempt
         )
+        self._place = components.queues.make_place(admission, self._deadline)
         self._sender = RequestSender(
             components, job, self._progress, self._reserve_retry
         )
@@ -113,6 +114,10 @@
         self._timer = self._start_timer()
         try:
             refusal = self._content_permit.take()
+            if refusal is None:
+                refusal = await self._place.enter()
+            if self._stop_reason:
+                refusal = self._make_refusal(self._stop_reason)
             if refusal is None:
                 refusal = await self._reservation.reserve(self._metadata.max_tokens)
             if refusal is None:
@@ -132,6 +137,7 @@
         finally:
             if self._timer.active():
                 self._timer.cancel()
+            self._place.leave()
             self._reservation.settle_all()
             self._log_end()
 
@@ -156,6 +162,7 @@
 
     def _stop(self, reason: str) -> None:
         self._stop_reason = self._stop_reason or reason
+        self._place.cancel()
         self._sender.stop()
 
     def _log_end(self) -> None:
@@ -257,12 +264,8 @@
         if isinstance(outcome, Stopped):
             # Without an earlier reason, too little time was left for the attempt.
             self._stop_reason = self._stop_reason or "timeout"
-        elif isinstance(outcome, NotRun) and outcome.misdirected:
-            record = upstream.record
-            self._components.directory.note_leaving(record.name, record.born)
         elif isinstance(outcome, NotRun):
-            # An upstream that rejects everything would otherwise seem the least loaded.
-            upstream.circuit.fail(now)
+            self._record_rejection(upstream, outcome, now)
         elif isinstance(outcome, Unsent):
             self._components.placement.note_connect_failure(
                 upstream, refused=outcome.refused
@@ -275,6 +278,7 @@
         elif isinstance(outcome, Answered | PassedOn | Streamed):
             upstream.circuit.succeed()
             if is_served(outcome):
+                self._place.note_served()
                 self._content_permit.note_served()
         if not isinstance(outcome, Answered | PassedOn | Streamed | Stopped):
             lost = isinstance(outcome, Lost)
@@ -287,6 +291,18 @@
                 outcome=outcome,
             )
 
+    def _record_rejection(
+        self, upstream: KnownUpstream, outcome: NotRun, now: float
+    ) -> None:
+        if outcome.misdirected:
+            record = upstream.record
+            self._components.directory.note_leaving(record.name, record.born)
+            return
+        # An upstream that rejects everything would otherwise seem the least loaded.
+        upstream.circuit.fail(now)
+        if is_full(upstream, now):
+            self._place.note_rejected()
+
     def _note_possible_crash(
         self, upstream: KnownUpstream, lost: Lost, now: float
     ) -> None:
@@ -381,3 +397,10 @@
     if isinstance(outcome, Answered):
         return outcome.head.status < SERVER_ERROR
     return isinstance(outcome, Streamed) or outcome.status < SERVER_ERROR
+
+
+def is_full(upstream: KnownUpstream, now: float) -> bool:
+    """Return whether an upstream that rejects a request gives no other reason."""
+    if upstream.has_departed(now) or upstream.in_backoff(now):
+        return False
+    return not upstream.is_limited() and now >= upstream.cold_until
