--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -18,11 +18,13 @@
     from pondquay.routing.retryshares import RetryShare
     from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay_daemon.relay.activitylinks import ActivityLinks
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.fairqueues import FairQueues
     from pondquay_daemon.relay.metrics import RelayMetrics
+    from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
     from pondquay_daemon.relay.permits import PermitBroker
     from pondquay_daemon.relay.placement import Placement
 
@@ -54,4 +56,6 @@
     crashes: CrashMonitor
     permits: PermitBroker
     buffers: BufferPool
+    activity: ActivityLinks
+    overload: OverloadMonitor
     queues: FairQueues
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -39,6 +39,11 @@
         )
         self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
         self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
+        self.placements = self._counter(
+            "placements",
+            "Chosen upstreams, by what spoke against the first in rank",
+            "reason",
+        )
         self.suppressed_lines = Gauge(
             "pondquay_log_lines_left_out",
             "Log lines that were not written since the start",
@@ -114,6 +119,13 @@
             registry=self.registry,
         )
 
+        self.load_level = self._gauge(
+            "load_level", "Load of this instance: 0 idle, 1 busy, 2 overloaded"
+        )
+        self.timer_lag = self._gauge(
+            "timer_lag_seconds", "How late timers run, moving average"
+        )
+
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
         """Count a request that has ended.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -17,6 +17,7 @@
 from pondquay.routing.retryshares import RetryShare
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.accounts import AccountBook
+from pondquay_daemon.relay.activitylinks import ActivityLinks
 from pondquay_daemon.relay.admission import (
     UNAVAILABLE,
     Refusal,
@@ -33,9 +34,11 @@
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
+from pondquay_daemon.relay.loadlinks import LoadLinks
 from pondquay_daemon.relay.member import Member
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
+from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -126,6 +129,9 @@
             metrics,
             settings.policy,
         )
+        self.overload = OverloadMonitor(reactor, metrics)
+        self._pool.on_connected = self.overload.note_connected
+        self._loads = LoadLinks(reactor, self._peers, self.overload)
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -140,6 +146,13 @@
             PermitLinks(reactor, self._peers, linked),
             metrics,
         )
+        activity = ActivityLinks(
+            reactor,
+            self._peers,
+            directory,
+            settings.domain,
+            shares=settings.policy.share_loads,
+        )
         self._components = RelayComponents(
             reactor,
             border,
@@ -156,6 +169,7 @@
                     lambda service: self._configuration.cold_rate(service),
                 ),
                 permits,
+                activity,
             ),
             self._accounts,
             RetryShare(
@@ -180,6 +194,8 @@
             ),
             permits,
             BufferPool(choose_limit(settings.memory)),
+            activity,
+            self.overload,
             FairQueues(reactor, metrics),
         )
         self._configuration = ConfigurationView(border, self._apply_table)
@@ -270,6 +286,8 @@
         for feed in self._feeds:
             feed.start()
         self._stall_monitor.start()
+        self.overload.start()
+        self._loads.start()
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
@@ -334,6 +352,8 @@
         """Stop gracefully: finish open requests, then return unspent tokens."""
         self.stopping = True
         self._caller_server.stopping = True
+        self._loads.stopping = True
+        self._loads.announce()
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
@@ -406,6 +426,7 @@
 
     def _apply_table(self, table: RouteTable) -> None:
         self._accounts.apply_table(table)
+        self.overload.apply_table(table)
         self._peers.announce_version()
 
     def _is_configuration_fresh(self) -> bool:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -211,7 +211,7 @@
             outcome = await self._sender.send(upstream, last=last)
             self._record_outcome(upstream, outcome)
             if isinstance(outcome, Unsent):
-                connect_failures += 1
+                connect_failures += self._counts_as_failure(outcome)
                 if self._should_stop_connecting(connect_failures):
                     return self._make_refusal("no connection")
                 continue
@@ -242,6 +242,10 @@
             return self._make_refusal("no retries left")
         return upstream
 
+    def _counts_as_failure(self, unsent: Unsent) -> bool:
+        """Return whether a failed connection is not this instance's own failure."""
+        return unsent.refused or not self._components.overload.overloaded
+
     def _should_stop_connecting(self, connect_failures: int) -> bool:
         """Return whether to give up connecting.
 
@@ -267,11 +271,7 @@
         elif isinstance(outcome, NotRun):
             self._record_rejection(upstream, outcome, now)
         elif isinstance(outcome, Unsent):
-            self._components.placement.note_connect_failure(
-                upstream, refused=outcome.refused
-            )
-            if not outcome.refused:
-                self._sender.unreachable_domains.add(upstream.record.domain)
+            self._record_connect_failure(upstream, refused=outcome.refused)
         elif isinstance(outcome, Lost) and not outcome.unread:
             upstream.circuit.fail(now)
             self._note_possible_crash(upstream, outcome, now)
@@ -303,6 +303,16 @@
         if is_full(upstream, now):
             self._place.note_rejected()
 
+    def _record_connect_failure(
+        self, upstream: KnownUpstream, *, refused: bool
+    ) -> None:
+        """Record a failed connection, unless this instance is the likely cause."""
+        if self._components.overload.note_connect_failure(upstream, refused=refused):
+            return
+        self._components.placement.note_connect_failure(upstream, refused=refused)
+        if not refused:
+            self._sender.unreachable_domains.add(upstream.record.domain)
+
     def _note_possible_crash(
         self, upstream: KnownUpstream, lost: Lost, now: float
     ) -> None:
