--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -220,6 +220,10 @@
 
     def close(self) -> None:
         """Close the connection once all written data is sent."""
+        if self.paused:
+            self._start_timer(
+                self._handler.limits().idle_timeout, self._on_idle_timeout
+            )
         if self._writer is not None:
             self._writer.close()
 
@@ -271,12 +275,10 @@
     def _on_flow_change(self) -> None:
         if self._response is not None:
             self._response.note_flow_change()
-        elif self._arrived_at is None:
-            self._start_timer(
-                self._handler.limits().idle_timeout, self._on_idle_timeout
-            )
-            if not self.paused:
-                self._read_waiting()
+            return
+        self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        if self._arrived_at is None and not self.paused:
+            self._read_waiting()
 
     def _write(self, data: bytes | None) -> None:
         if data and self._writer is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/writing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/writing.py
@@ -53,6 +53,9 @@
         """Write data, or keep it while the transport is full."""
         if self._stopped or not data:
             return
+        if not self.paused and len(data) <= MAX_UNSENT_BYTES:
+            self._transport.write(data)
+            return
         self._keep(data)
         if not self.paused:
             self._flush()
