--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -22,6 +22,7 @@
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
+    from pondquay_daemon.relay.fairqueues import FairQueues
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
     from pondquay_daemon.relay.permits import PermitBroker
@@ -57,3 +58,4 @@
     buffers: BufferPool
     activity: ActivityLinks
     overload: OverloadMonitor
+    queues: FairQueues
