--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -413,6 +413,8 @@
                     break
         finally:
             self._writing.discard(name)
+        if account.requested > account.unspent:
+            self._schedule_adjustment(name)
 
     async def _write_row(self, name: str, account: Account) -> bool:
         """Write or close this instance's entry, if that is due.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/allotmentrows.py
@@ -67,6 +67,7 @@
         headroom = plan_headroom(account, now)
         if headroom is None:
             return True
+        planned_for = account.requested
         change = account.propose(headroom, now)
         account.begin_write(change)
         transaction = make_transaction(name, account.version or ABSENT, change.row)
@@ -87,7 +88,9 @@
         del self._failures[name]
         _log_closed(name, account.earlier_incarnation)
         account.confirm_write(change, reply.version)
-        account.requested = 0
+        # A larger request that came during the write still waits for its tokens.
+        if account.requested == planned_for:
+            account.requested = 0
         log_event(
             "allotment-written",
             workspace=name,
--- a/packages/pondquay-daemon/tests/relay/test_accounts.py
+++ b/packages/pondquay-daemon/tests/relay/test_accounts.py
@@ -36,12 +36,16 @@
     clock: Any
     rejecting: bool = True
     commits: list[float] = field(default_factory=list)
+    # Delays all responses until it fires, if set.
+    held: Deferred[None] | None = None
 
     async def read_row(self, key: str) -> None:
         return None
 
     async def commit(self, transaction: Transaction) -> Committed | Unreachable:
         self.commits.append(self.clock.seconds())
+        if self.held is not None:
+            await self.held
         return Unreachable() if self.rejecting else Committed(len(self.commits))
 
 
@@ -130,6 +134,22 @@
     assert count_writes(instance, 10.0) < 70
 
 
+# Guards against a write that was planned before a request and discards its need.
+def test_tokens_requested_during_a_write_are_claimed_by_the_next_one() -> None:
+    instance = Instance()
+    instance.store.rejecting = False
+    instance.advance(2.0)
+    unspent = instance.accounts._accounts[WORKSPACES[0]].unspent
+    held: Deferred[None] = Deferred()
+    instance.store.held = held
+    # Uses up the headroom, so that a refill is written.
+    instance.obtain(unspent)
+    assert instance.accounts.lend(WORKSPACES[0], 30_000, 1) == 0
+    instance.store.held = None
+    held.callback(None)
+    assert instance.accounts.lend(WORKSPACES[0], 30_000, 1) >= 30_000
+
+
 def test_no_allotment_is_claimed_before_the_instance_list_is_read() -> None:
     instance = Instance()
     instance.store.rejecting = False
