--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/command.py
@@ -97,5 +97,5 @@
     signal(SIGINT, begin_stop)
     signal(SIGHUP, note_reload)
     relay.start()
-    gc.collect()
+    # Not preceded by a collection: imports leave next to nothing to collect.
     gc.freeze()
