--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -337,8 +337,6 @@
             log_event("allotment-malformed", Level.ERROR, workspace=key, error=error)
             return
         account.read(row, version)
-        # The feed delivers all later changes, too.
-        self._unread.discard(key)
         self._schedule_adjustment(key)
 
     def _schedule_adjustment(self, name: str) -> None:
@@ -371,7 +369,7 @@
         if self._loans.lends(name):
             self._demand_holders.discard(name)
             return True
-        if self._reachable() and name not in self._unread:
+        if self._reachable() and account.version is not None:
             self._demand_holders.update(name, account)
         return name in self._demand_holders
 
