--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -9,7 +9,7 @@
 from pondquay.budgets.accounts import Account, RefusalReason
 from pondquay.budgets.allotments import AllotmentRow
 from pondquay.budgets.headroom import plan_headroom, request_tokens
-from pondquay.budgets.holders import should_close
+from pondquay.budgets.holders import has_idle_entry
 from pondquay.errors import MalformedRowError
 from pondquay.tables import ABSENT
 from pondquay_daemon.logs import Level, log_event
@@ -355,7 +355,7 @@
         elif holds:
             is_due = self._has_plan(account)
         else:
-            is_due = should_close(account)
+            is_due = has_idle_entry(account)
         if is_due:
             self._writing.add(name)
             spawn(self._adjust(name), "AccountBook")
@@ -422,8 +422,10 @@
         """
         if self._update_holding(name, account):
             return not self._may_claim(account) or await self._rows.write(name, account)
-        if not should_close(account):
+        if not has_idle_entry(account):
             return True
+        if account.has_pending_decrease:
+            return await self._rows.write(name, account)
         return await self._rows.close(name, account) is not None
 
 
--- a/packages/pondquay-daemon/tests/relay/test_loans.py
+++ b/packages/pondquay-daemon/tests/relay/test_loans.py
@@ -190,6 +190,35 @@
     assert (instance.search.asked, instance.search.received) == (0, 0)
 
 
+def test_further_holders_are_asked_after_the_lenders_of_a_domain() -> None:
+    """Guards against tokens of holders by demand that nobody asks for."""
+    instance = Instance(40, lends=False)
+    near = [name for name in instance.others.peers if instance.is_near(name)]
+    further = next(name for name in near if name not in instance.chosen)
+    holders = {further: Allotment("1", 900), "elsewhere": Allotment("1", 900)}
+    instance.account.read(AllotmentRow(0, 0, holders), 1)
+    instance.others.tokens[further] = 100
+    assert instance.borrow(80) == [None]
+    asked = [peer for peer, _ in instance.others.requests]
+    lenders = {name for name in instance.chosen if instance.is_near(name)}
+    assert set(asked[:-1]) == lenders
+    assert asked[-1] == further
+
+
+def test_a_holder_by_demand_borrows_like_a_borrower_without_the_store() -> None:
+    """Its lenders then ask on for it, since it cannot claim tokens."""
+    instance = Instance(40, lends=False)
+    borrow = instance.loans.borrow
+    for store_is_up in (True, False):
+        instance.store_is_up = store_is_up
+        instance.others.requests.clear()
+        search = LoanSearch()
+        borrowing = borrow(instance.account, WORKSPACE, 80, search, holds=True)
+        Deferred.fromCoroutine(borrowing)
+        asked_on = {headroom > 0 for _, headroom in instance.others.requests}
+        assert asked_on == {not store_is_up}
+
+
 def test_a_surplus_is_returned_to_a_near_lender() -> None:
     instance = Instance(40, lends=False)
     instance.account.receive_loan(300)
--- a/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
+++ b/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
@@ -81,6 +81,37 @@
     assert row.closed_spent + sum(e.spent for e in row.holders.values()) == used
 
 
+def test_an_entry_is_removed_although_the_reply_to_its_removal_is_lost() -> None:
+    """Guards against tokens that are spent after the row has counted them as free."""
+    hot = find_borrowers()[0]
+    fleet = make_fleet()
+    send_at(fleet, hot, 5.0)
+    fleet.run_until(30.0)
+    fleet.store.loses_replies = True
+    fleet.run_until(70.0)
+    fleet.store.loses_replies = False
+    fleet.run_until(80.0)
+    assert fleet.holders(WORKSPACE) == choose_lenders(WORKSPACE, fleet.domains)
+    assert fleet.books[hot].describe()[WORKSPACE]["unspent"] <= 0
+    send_at(fleet, hot, 2.0)
+    assert hot in fleet.holders(WORKSPACE)
+    row = AllotmentRow.from_value(fleet.store.rows[row_key(WORKSPACE)].value)
+    assert fleet.served <= row.committed <= PREPAID
+
+
+def test_a_holder_by_demand_bridges_a_cut_of_all_instances() -> None:
+    """Each instance reaches neither the table nor another instance for 3 s."""
+    hot = find_borrowers()[0]
+    fleet = make_fleet()
+    send_at(fleet, hot, 8.0)
+    refused = fleet.refused
+    fleet.store_is_up = False
+    fleet.all_cut_off = True
+    send_at(fleet, hot, 3.0)
+    fleet.run_until(fleet.clock.seconds() + 1.0)
+    assert fleet.refused - refused <= 0.1 * 3 * RATE
+
+
 def test_even_demand_adds_few_writers_to_a_row() -> None:
     """Guards against a row that all instances write when the fleet's demand starts."""
     fleet = make_fleet()
--- a/packages/pondquay/src/pondquay/budgets/holders.py
+++ b/packages/pondquay/src/pondquay/budgets/holders.py
@@ -63,11 +63,19 @@
     return HoldingDecision(claims, requests, int(rate), share, len(others))
 
 
-def should_close(account: Account) -> bool:
-    """Return whether an instance that no longer holds can remove its entry.
+def has_idle_entry(account: Account) -> bool:
+    """Return whether an instance that no longer holds should deal with its entry.
 
     Running requests keep the entry, since their tokens are reserved from its ceiling.
     """
-    if account.reserved or account.has_pending_decrease:
+    if account.reserved:
         return False
     return account.row.find(account.holder, account.boot) is not None
+
+
+def should_close(account: Account) -> bool:
+    """Return whether an instance that no longer holds can remove its entry.
+
+    An earlier write whose outcome is unknown has to be superseded by another one first.
+    """
+    return has_idle_entry(account) and not account.has_pending_decrease
