--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -58,6 +58,8 @@
         with prompt parts are not affected
     :param spare_streams: send no long prompts to upstreams whose running streams they
         would delay, as long as other upstreams are available
+    :param weigh_pace: place prompts by the load and pace of upstreams that are known of
+        the fleet; if off, only by this instance's load and the prompts that wait
     :param refuse_crashing: refuse a request after three upstreams crashed while running
         it, so that its retries do not crash further upstreams
     :param copy_parts: let an upstream copy the cached state of shared prompt parts from
@@ -81,6 +83,7 @@
     urgency: bool = True
     crowded_part: float = 0.5
     spare_streams: bool = True
+    weigh_pace: bool = True
     refuse_crashing: bool = True
     copy_parts: bool = True
 
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -336,6 +336,11 @@
         for known in self._known.values():
             known.prompts.receive(instance, 0)
 
+    def forget_activity(self, instance: str) -> None:
+        """Discard the activity that a now unreachable instance has reported."""
+        for known in self._known.values():
+            known.activity.forget(instance)
+
     def candidates(self, service: str) -> list[KnownUpstream]:
         """Return the upstreams of a service that may get new requests.
 
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from pondquay.routing.activity import Activity
 from pondquay.routing.circuits import Circuit
+from pondquay.routing.pace import Pace
 from pondquay.routing.pauses import PauseRecord
 from pondquay.routing.permitcache import PermitCache
 from pondquay.routing.promptload import PromptLoad
@@ -31,6 +33,8 @@
     :param running: requests of this instance that run there
     :param prompts: its cached prompt parts and the tokens that wait for prefill
     :param pauses: pauses of its streams during prefills
+    :param activity: what all instances run there
+    :param pace: how fast it processes prompts and sends events
     :param last_seen_at: when anything was last received from it
     :param last_sent_at: when this instance last chose it for a request
     :param cold_until: time until which it may be cold
@@ -47,6 +51,7 @@
     :param permits: permits to send there while it is limited
     :param circuit: its circuit breaker
     :param issuer: issues the permits while this instance is the issuer
+    :ivar name: the name of this incarnation
     """
 
     record: UpstreamRecord
@@ -57,6 +62,8 @@
     running: int = 0
     prompts: PromptLoad = field(default_factory=PromptLoad)
     pauses: PauseRecord = field(default_factory=PauseRecord)
+    activity: Activity = field(default_factory=Activity)
+    pace: Pace = field(default_factory=Pace)
     last_seen_at: float = 0.0
     last_sent_at: float | None = None
     cold_until: float = 0.0
@@ -69,11 +76,11 @@
     circuit: Circuit = field(default_factory=Circuit)
     permits: PermitCache = field(default_factory=PermitCache)
     issuer: PermitIssuer = field(default_factory=PermitIssuer)
+    name: str = field(init=False)
 
-    @property
-    def name(self) -> str:
-        """The name of this incarnation."""
-        return self.record.incarnation
+    def __post_init__(self) -> None:
+        """Keep the name, which is the same in all records of an incarnation."""
+        self.name = self.record.incarnation
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Record that it may be cold for some more seconds.
--- a/packages/pondquay/src/pondquay/routing/rendezvous.py
+++ b/packages/pondquay/src/pondquay/routing/rendezvous.py
@@ -13,7 +13,7 @@
 from pondquay.routing.prompts import list_shared
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
@@ -51,17 +51,7 @@
     :param spare_streams: whether to avoid upstreams where a long prompt would disturb
         running streams, as long as there are others
     """
-    shared = list_shared(prefix)[-1]
-    undisturbed = [
-        upstream
-        for upstream in candidates
-        if not (spare_streams and _would_disturb(upstream, prefix, now))
-    ]
-    ranked = sorted(
-        undisturbed or candidates,
-        key=lambda upstream: score_pair(shared, upstream.name),
-        reverse=True,
-    )
+    ranked = rank_by_prompt(candidates, prefix, now, spare_streams=spare_streams)
     available = [
         upstream for upstream in ranked if upstream.running < MAX_RUNNING_BY_PREFIX
     ]
@@ -75,6 +65,47 @@
     )
 
 
+def rank_by_prompt(
+    candidates: Sequence[KnownUpstream],
+    prefix: tuple[PromptPart, ...],
+    now: float,
+    *,
+    spare_streams: bool = True,
+    weigh: Callable[[KnownUpstream], float] | None = None,
+) -> list[KnownUpstream]:
+    """Return upstreams in the order that all instances use for a prompt's prefix.
+
+    :param spare_streams: whether to omit upstreams where a long prompt would disturb
+        running streams, as long as there are others
+    :param weigh: returns the relative share of prefixes for which an upstream is the
+        first; without it, all shares are equal. Equal weights do not change the order
+    """
+    shared = list_shared(prefix)[-1]
+    undisturbed = [
+        upstream
+        for upstream in candidates
+        if not (spare_streams and _would_disturb(upstream, prefix, now))
+    ]
+    remaining = undisturbed or candidates
+    if weigh is None:
+        return sorted(
+            remaining,
+            key=lambda upstream: score_pair(shared, upstream.name),
+            reverse=True,
+        )
+    return sorted(
+        remaining,
+        key=lambda upstream: _score_weighted(shared, upstream.name, weigh(upstream)),
+        reverse=True,
+    )
+
+
+def _score_weighted(key: str, node: str, weight: float) -> float:
+    """Return the rendezvous weight of a node that has a share of the keys."""
+    uniform = (int.from_bytes(score_pair(key, node), "big") + 1) / 2**64
+    return math.log(uniform) / weight
+
+
 def _would_disturb(
     upstream: KnownUpstream, prefix: tuple[PromptPart, ...], now: float
 ) -> bool:
