--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -17,6 +17,7 @@
     from pondquay.routing.retryshares import RetryShare
     from pondquay.routing.upstreamrecords import Departure
     from pondquay_daemon.relay.accounts import AccountBook
+    from pondquay_daemon.relay.activitylinks import ActivityLinks
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.egress import EgressPool
@@ -51,3 +52,4 @@
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashMonitor
     permits: PermitBroker
+    activity: ActivityLinks
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -39,6 +39,11 @@
         )
         self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
         self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
+        self.placements = self._counter(
+            "placements",
+            "Chosen upstreams, by what spoke against the first in rank",
+            "reason",
+        )
         self.suppressed_lines = Gauge(
             "pondquay_log_lines_left_out",
             "Log lines that were not written since the start",
@@ -67,6 +72,13 @@
         )
         # The names on the wire call evacuated domains emptied.
         self.evacuated = self._gauge("emptied_domains", "Evacuated domains")
+        self.busiest = self._gauge(
+            "busiest_upstream_requests",
+            "Estimated requests of all instances at the busiest upstream",
+        )
+        self.slow_upstreams = self._gauge(
+            "slow_upstreams", "Upstreams that get fewer prompts as they are slow"
+        )
         self.evacuations_version = self._gauge(
             "emptied_domains_version",
             "Table version of the last known change of evacuated domains",
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from pondquay.routing.pace import normalize_interval
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.attempts import UpstreamListener
@@ -18,6 +19,9 @@
 
 # Source of a departure, for the logs.
 FROM_RESPONSE = "answer"
+# Intervals between events of which the median is one observation of the pace, so that a
+# prefill or a slow moment between two of them does not show in it.
+OBSERVED_INTERVALS = 8
 
 
 class UpstreamObserver(UpstreamListener):
@@ -41,6 +45,7 @@
         self._prefill = prefill
         self._max_pause = max_pause
         self._sent_at = components.clock.seconds()
+        self._intervals: list[float] = []
 
     def on_data(self) -> None:
         """Note that the upstream is reachable."""
@@ -55,6 +60,17 @@
         if self._max_pause is not None:
             now = self._components.clock.seconds()
             self._upstream.pauses.note(seconds, self._max_pause, now)
+        self._intervals.append(seconds)
+        if len(self._intervals) == OBSERVED_INTERVALS:
+            self._note_interval()
+
+    def _note_interval(self) -> None:
+        activity = self._components.activity
+        running = activity.count_running(self._upstream)
+        median = sorted(self._intervals)[OBSERVED_INTERVALS // 2]
+        pace = normalize_interval(median, running)
+        self._intervals.clear()
+        activity.note_interval(self._upstream, pace)
 
     def on_signals(self, signals: UpstreamSignals) -> None:
         """Apply the upstream's cold time, back-off, rate limit and departure."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -314,6 +314,24 @@
     age: Age | None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamActivity:
+    """Announces what the sender runs at upstreams, and the pace that it observes.
+
+    Upstreams are identified by a number; see ``number_upstream``.
+
+    :param running: for each upstream at which it changed, the running requests and
+        their prompt tokens in thousands
+    :param paces: for each upstream with observations since the last message, the
+        nanoseconds to the first event per prompt token, and the microseconds between
+        events per running request; 0 if not observed
+    """
+
+    CODE: ClassVar[int] = 21
+    running: list[tuple[Count, Count, Count]]
+    paces: list[tuple[Count, Count, Count]]
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -330,6 +348,7 @@
     | UpstreamLimits
     | PermitRequest
     | PermitGrant
+    | UpstreamActivity
 )
 MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
     kind.CODE: kind
@@ -349,6 +368,7 @@
         UpstreamLimits,
         PermitRequest,
         PermitGrant,
+        UpstreamActivity,
     )
 }
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -10,7 +10,9 @@
     choose_source,
     count_missing_tokens,
 )
+from pondquay.routing.expected import Choice, Reason, choose_expected
 from pondquay.routing.rendezvous import choose_by_prompt, choose_nearest
+from pondquay.routing.servicepaces import PaceTable
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -20,8 +22,10 @@
     from pondquay.policy import RelayPolicy
     from pondquay.routing.coldshares import ColdShares
     from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.expected import Target
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay.routing.prompts import PromptPart
+    from pondquay_daemon.relay.activitylinks import ActivityLinks
     from pondquay_daemon.relay.permits import PermitBroker
 
 
@@ -51,7 +55,10 @@
         policy: RelayPolicy,
         cold_shares: ColdShares,
         permits: PermitBroker,
+        activity: ActivityLinks,
     ) -> None:
+        self._activity = activity
+        self._paces = PaceTable()
         self._permits = permits
         self._cold_shares = cold_shares
         self._policy = policy
@@ -63,11 +70,15 @@
         self,
         service: str,
         prefix: tuple[PromptPart, ...],
+        target: Target,
         tried: Collection[str],
         unreachable_domains: Collection[str] = (),
-    ) -> KnownUpstream | None:
+        *,
+        copies: bool = False,
+    ) -> Choice | None:
         """Return an upstream that was not tried yet, ``None`` if there is none.
 
+        :param copies: whether upstreams may copy cached parts of the prompt
         :param tried: names of the upstreams that were tried
         :param unreachable_domains: domains in which the request could not connect;
             upstreams of other domains are preferred
@@ -84,9 +95,11 @@
             for upstream in healthy
             if upstream.record.domain not in unreachable_domains
         ]
-        chosen = self._choose_from(reachable or healthy or candidates, prefix, now)
-        chosen.last_sent_at = now
-        return chosen
+        choice = self._choose_from(
+            reachable or healthy or candidates, prefix, target, now, copies=copies
+        )
+        choice.upstream.last_sent_at = now
+        return choice
 
     def note_connect_failure(self, upstream: KnownUpstream, *, refused: bool) -> None:
         """Record that no connection to an upstream could be established.
@@ -141,15 +154,47 @@
         self,
         candidates: list[KnownUpstream],
         prefix: tuple[PromptPart, ...],
+        target: Target,
         now: float,
-    ) -> KnownUpstream:
+        *,
+        copies: bool,
+    ) -> Choice:
         if prefix:
-            spare = self._policy.spare_streams
-            return choose_by_prompt(candidates, prefix, now, spare_streams=spare)
+            return self._choose_by_prompt(
+                candidates, prefix, target, now, copies=copies
+            )
         max_running = max(
             1, int(self._policy.crowded_part * candidates[0].record.slots)
         )
-        return choose_nearest(candidates, self._domain, max_running)
+        nearest = choose_nearest(candidates, self._domain, max_running)
+        return Choice(nearest, Reason.NEAREST)
+
+    def _choose_by_prompt(
+        self,
+        candidates: list[KnownUpstream],
+        prefix: tuple[PromptPart, ...],
+        target: Target,
+        now: float,
+        *,
+        copies: bool,
+    ) -> Choice:
+        spare = self._policy.spare_streams
+        pace = None
+        if self._policy.weigh_pace:
+            pace = self._paces.measure(candidates, now)
+        if pace is None:
+            chosen = choose_by_prompt(candidates, prefix, now, spare_streams=spare)
+            return Choice(chosen)
+        return choose_expected(
+            candidates,
+            prefix,
+            target,
+            pace,
+            now,
+            scale=self._activity.scale,
+            spare_streams=spare,
+            copies=copies and self._policy.copy_parts,
+        )
 
     def find_copy_source(
         self, target: KnownUpstream, prefix: tuple[PromptPart, ...]
@@ -170,6 +215,10 @@
         ]
         return choose_source(target, healthy, prefix)
 
+    def count_slow(self) -> int:
+        """Return the number of upstreams that get fewer prompts as they are slow."""
+        return self._paces.count_slow()
+
     def has_alternative(self, service: str, tried: Collection[str]) -> bool:
         """Return whether another healthy upstream can be tried."""
         now = self._clock.seconds()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -16,6 +16,7 @@
 from pondquay.routing.retryshares import RetryShare
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.accounts import AccountBook
+from pondquay_daemon.relay.activitylinks import ActivityLinks
 from pondquay_daemon.relay.admission import (
     UNAVAILABLE,
     Refusal,
@@ -138,6 +139,13 @@
             PermitLinks(reactor, self._peers, linked),
             metrics,
         )
+        activity = ActivityLinks(
+            reactor,
+            self._peers,
+            directory,
+            settings.domain,
+            shares=settings.policy.share_loads,
+        )
         self._components = RelayComponents(
             reactor,
             border,
@@ -154,6 +162,7 @@
                     lambda service: self._configuration.cold_rate(service),
                 ),
                 permits,
+                activity,
             ),
             self._accounts,
             RetryShare(
@@ -177,6 +186,7 @@
                 metrics,
             ),
             permits,
+            activity,
         )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
@@ -310,6 +320,8 @@
         metrics.upstreams.set(self._components.directory.count_present())
         metrics.backoff.set(self._components.directory.count_backing_off())
         metrics.limited.set(self._components.directory.count_limited())
+        metrics.busiest.set(self._components.activity.find_busiest())
+        metrics.slow_upstreams.set(self._components.placement.count_slow())
         evacuations = self._components.directory.evacuations
         metrics.evacuated.set(len(evacuations.evacuated))
         metrics.evacuations_version.set(evacuations.version)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pondquay.routing.expected import Target
 from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.attempts import Attempt, Stopped
 from pondquay_daemon.relay.heads import drop_connection_headers
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pondquay.routing.expected import Choice
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome, StreamProgress
@@ -100,31 +102,41 @@
         without_permit: set[str] = set()
         wait_until = components.clock.seconds() + PERMIT_WAIT_SECONDS
         while True:
-            chosen = components.placement.choose(
+            choice = components.placement.choose(
                 service,
                 self._metadata.prefix,
+                Target(self._route.objective, self._route.pause),
                 self.tried | without_permit,
                 self.unreachable_domains,
+                copies=self._job.shares_prompts,
             )
-            if chosen is None:
+            if choice is None:
                 return None
+            chosen = choice.upstream
             if await components.permits.take(chosen, wait_until):
-                self._log_chosen(chosen)
+                components.metrics.placements.labels(choice.reason.value).inc()
+                self._log_chosen(choice)
                 return chosen
             without_permit.add(chosen.name)
 
-    def _log_chosen(self, chosen: KnownUpstream) -> None:
+    def _log_chosen(self, choice: Choice) -> None:
+        chosen = choice.upstream
         components, service = self._components, self._job.admission.service
         age = components.list_age()
         missing_since = chosen.missing_since
         # reading: prompt tokens of this instance that wait for prefill; waiting: those
-        # of all instances; gone: seconds since the row went missing, -1 if listed.
+        # of all instances; gone: seconds since the row went missing, -1 if listed;
+        # fleet_running: estimated requests of all instances; pace: 1 is usual, more is
+        # slower.
         log_event(
             "upstream-chosen",
             request=self._metadata.attempt,
             upstream=chosen.name,
             service=service,
             running=chosen.running,
+            fleet_running=round(components.activity.count_running(chosen), 1),
+            pace=round(choice.slowness, 2),
+            why=choice.reason.value,
             reading=chosen.prompts.own,
             waiting=chosen.prompts.waiting,
             failures=chosen.circuit.failures,
--- a/packages/pondquay-lab/src/pondquay_lab/keptforms.py
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -50,6 +50,8 @@
     "age": 0.25,
     "seconds": 1.0,
     "pause": 0.5,
+    "running": [(3_000_000_000, 2, 12)],
+    "paces": [(3_000_000_000, 11_000, 0), (4, 0, 900)],
 }
 
 
