--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/activitylinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/activitylinks.py
@@ -92,20 +92,23 @@
 
     def note_changed(self, upstream: KnownUpstream) -> None:
         """Schedule an announcement of what this instance runs at an upstream."""
-        self._changed[upstream.name] = upstream
-        self._schedule()
+        if self._shares:
+            self._changed[upstream.name] = upstream
+            self._schedule()
 
     def note_reading(self, upstream: KnownUpstream, pace: float) -> None:
         """Record and announce an observed time per prompt token, in seconds."""
         upstream.pace.reading.note(pace, self._clock.seconds())
-        self._readings.setdefault(upstream.name, []).append(pace)
-        self._schedule()
+        if self._shares:
+            self._readings.setdefault(upstream.name, []).append(pace)
+            self._schedule()
 
     def note_interval(self, upstream: KnownUpstream, pace: float) -> None:
         """Record and announce an observed interval between events per request."""
         upstream.pace.events.note(pace, self._clock.seconds())
-        self._intervals.setdefault(upstream.name, []).append(pace)
-        self._schedule()
+        if self._shares:
+            self._intervals.setdefault(upstream.name, []).append(pace)
+            self._schedule()
 
     def count_running(self, upstream: KnownUpstream) -> float:
         """Return the estimated requests of all instances at an upstream."""
@@ -187,7 +190,7 @@
         return self._near if is_large else self._near | self._far
 
     def _schedule(self) -> None:
-        if self._timer is not None or not self._shares:
+        if self._timer is not None:
             return
         wait = max(MIN_INTERVAL_SECONDS, self._next_at - self._clock.seconds())
         self._timer = self._clock.callLater(wait, self._announce)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -144,7 +144,7 @@
             self._peers,
             directory,
             settings.domain,
-            shares=settings.policy.share_loads,
+            shares=settings.policy.share_loads and settings.policy.weigh_pace,
         )
         self._components = RelayComponents(
             reactor,
--- a/packages/pondquay/src/pondquay/routing/expected.py
+++ b/packages/pondquay/src/pondquay/routing/expected.py
@@ -31,6 +31,9 @@
 # Fraction of the objective within which the first event is expected; the rest is for
 # the caller's connection, what peers have not reported yet and a slow moment.
 MAX_FIRST_FRACTION = 0.75
+# A request counts as late only from this multiple of the time that it takes at an idle
+# upstream. Where all are slow, or this instance itself is, moving prompts helps little.
+MIN_LATE_RATIO = 2.0
 # An upstream may have this multiple of the mean load relative to its pace.
 MAX_LOAD_RATIO = 1.25
 # Upstreams in rank among which a prompt moves, so that the prompts with the same shared
@@ -100,6 +103,10 @@
         self._scale = scale
         self._copies = copies
         self._copied_tokens: int | None = None
+        idle = (START_TOKENS + prefix[-1].tokens) * pace.usual.seconds_per_token
+        self._max_first = max(
+            MAX_FIRST_FRACTION * target.objective, MIN_LATE_RATIO * idle
+        )
         running = sum(map(self.count_running, upstreams))
         tokens = sum(map(self._count_tokens, upstreams))
         self._request_tokens = tokens / running if running else 0.0
@@ -116,7 +123,7 @@
 
     def find_obstacle(self, upstream: KnownUpstream) -> Reason | None:
         """Return what speaks against an upstream, ``None`` if it fits."""
-        if self.expect_first(upstream) > MAX_FIRST_FRACTION * self._target.objective:
+        if self.expect_first(upstream) > self._max_first:
             return Reason.LATE
         if self._measure_load(upstream) >= self._max_load:
             return Reason.LOADED
--- a/packages/pondquay/src/pondquay/routing/servicepaces.py
+++ b/packages/pondquay/src/pondquay/routing/servicepaces.py
@@ -20,6 +20,9 @@
 SHARE_STEPS = 2
 # An upstream that differs from the usual share by fewer steps has the usual share.
 MIN_SHARE_STEPS = 2
+# Minimum time that an upstream is assumed to take, relative to the usual one. A wrong
+# observation that makes an upstream seem quick must not draw much of the load there.
+MIN_RATIO = 0.7
 # Interval after which the pace of a service is measured again, as each choice of an
 # upstream would take several times as long with a new measurement.
 REFRESH_SECONDS = 0.25
@@ -48,30 +51,32 @@
     """The pace of the upstreams of one service, as of one time.
 
     :param paces: observations of each upstream, by its name; some are known
+    :ivar usual: what is expected of an upstream that was not observed
     """
 
     def __init__(self, paces: Mapping[str, Pace], now: float) -> None:
         reading = _find_median(pace.reading for pace in paces.values())
         events = _find_median(pace.events for pace in paces.values())
         self.measured_at = now
-        self._usual = RelativePace(exp(reading), 1.0, 1.0)
+        self.usual = RelativePace(exp(reading), 1.0, 1.0)
         self._relative: dict[str, RelativePace] = {}
         for name, pace in paces.items():
-            seconds = pace.reading.estimate(reading, now)
+            reading_ratio = _estimate_ratio(pace.reading, reading, now)
             # Many intervals between events are observed, and prompts that wait
             # elsewhere in the fleet do not change them.
             slowness = (
-                pace.events.estimate(events, now) / exp(events)
+                _estimate_ratio(pace.events, events, now)
                 if pace.events.is_known()
-                else seconds / exp(reading)
+                else reading_ratio
             )
+            seconds = reading_ratio * exp(reading)
             self._relative[name] = RelativePace(
                 seconds, slowness, _choose_share(slowness)
             )
 
     def find(self, name: str) -> RelativePace:
         """Return what is expected of an upstream, the usual if it was not observed."""
-        return self._relative.get(name, self._usual)
+        return self._relative.get(name, self.usual)
 
     def count_slow(self) -> int:
         """Return the number of upstreams that get a smaller share of the prefixes."""
@@ -107,6 +112,11 @@
         return sum(service.count_slow() for service in self._by_service.values())
 
 
+def _estimate_ratio(average: RobustAverage, usual: float, now: float) -> float:
+    """Return the ratio of an average to the usual one, whose logarithm is given."""
+    return max(MIN_RATIO, average.estimate(usual, now) / exp(usual))
+
+
 def _choose_share(slowness: float) -> float:
     """Return the share of an upstream, in steps that noise does not cross often."""
     steps = round(SHARE_STEPS * 2 * log2(slowness))
--- a/packages/pondquay/tests/routing/test_servicepaces.py
+++ b/packages/pondquay/tests/routing/test_servicepaces.py
@@ -7,7 +7,12 @@
 from pondquay.addresses import Address
 from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.pace import Pace, RobustAverage
-from pondquay.routing.servicepaces import REFRESH_SECONDS, PaceTable, ServicePace
+from pondquay.routing.servicepaces import (
+    MIN_RATIO,
+    REFRESH_SECONDS,
+    PaceTable,
+    ServicePace,
+)
 from pondquay.routing.upstreamrecords import UpstreamRecord
 
 USUAL = 1e-5
@@ -64,3 +69,16 @@
     second = table.measure([upstream], REFRESH_SECONDS)
     assert second is not None
     assert second.find("u1").seconds_per_token > first.find("u1").seconds_per_token
+
+
+# An instance that read its events late took an upstream for thirty times as quick.
+def test_an_upstream_that_seems_very_quick_draws_little_more() -> None:
+    paces = {str(number): Pace() for number in range(3)}
+    for pace in paces.values():
+        observe(pace.reading, USUAL, 0.0, 10.0)
+        observe(pace.events, USUAL, 0.0, 10.0)
+    observe(paces["1"].reading, USUAL / 100, 10.0, 60.0)
+    observe(paces["1"].events, USUAL / 100, 10.0, 60.0)
+    quick = ServicePace(paces, 70.0).find("1")
+    assert (quick.slowness, quick.share) == (MIN_RATIO, 2.0)
+    assert quick.seconds_per_token == pytest.approx(MIN_RATIO * USUAL)
