--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
@@ -52,6 +52,13 @@
     workspace: RoutedWorkspace | None
     service: str
 
+    @property
+    def seconds(self) -> float:
+        """The seconds from the request's arrival within which it must be served."""
+        deadline = self.metadata.deadline
+        timeout = self.route.timeout
+        return timeout if deadline is None else min(timeout, deadline)
+
 
 def admit_request(
     head: RequestHead,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -78,7 +78,7 @@
         now = self._clock.seconds()
         lag = now - self._due_at
         previous = self.detector.level
-        changed = self.detector.update(lag, SAMPLE_SECONDS, now)
+        changed = self.detector.update(lag, now)
         self._metrics.load_level.set(int(self.detector.level))
         self._metrics.timer_lag.set(self.detector.lag)
         if changed:
@@ -100,5 +100,4 @@
             latest=round(lag, 4),
             objective=detector.objective,
             connect=round(detector.excess, 4),
-            share=round(detector.share, 2),
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -395,7 +395,8 @@
         if isinstance(admitted, Refusal):
             self._refuse(head, admitted, "", response)
             return
-        refusal = self._overload_refusals.check(admitted)
+        remaining = response.arrived_at + admitted.seconds - self._reactor.seconds()
+        refusal = self._overload_refusals.check(admitted, remaining)
         if refusal is not None:
             self._refuse(head, refusal, admitted.metadata.attempt, response)
             return
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -86,10 +86,7 @@
         if self._route.streaming:
             reader = EventReader(last=self._metadata.last_event)
             self._progress = StreamProgress(reader)
-        seconds = self._route.timeout
-        if self._metadata.deadline is not None:
-            seconds = min(seconds, self._metadata.deadline)
-        self._deadline = response.arrived_at + seconds
+        self._deadline = response.arrived_at + admission.seconds
         shares_prompts = service is not None and service.shares_prompts
         job = RequestJob(
             admission, head, body, response, shares_prompts, self._deadline
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -64,9 +64,9 @@
         another upstream
     :param withdraw: report to the load balancer that this instance is not ready while
         it is overloaded, unless a quarter of its failure domain does so already
-    :param refuse_overload: while this instance is overloaded, refuse a growing share of
-        its requests at once, the less urgent first, so that their callers retry at
-        other instances in time
+    :param refuse_overload: while this instance is overloaded, refuse requests at once
+        that would lose about half of their time here, the less urgent first, so that
+        their callers retry at other instances in time
     """
 
     share_loads: bool = True
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -38,12 +38,10 @@
 MIN_CONNECTED = 3
 # Upstreams whose shortest connection time is kept.
 MAX_BASELINES = 8192
-# The refused share grows to its maximum within two seconds of overload, and falls
-# slowly, since the load that it keeps away is not visible in the delay. Some requests
-# are always served, so that the delay is measured.
-GROWTH_PER_SECOND = 0.5
-DECAY_PER_SECOND = 0.1
-MAX_SHARE = 0.95
+# Fractions of its remaining time that a request may lose here, for the least urgent and
+# the most urgent. Callers of refused requests need the rest to be served elsewhere.
+MIN_TAKEN_FRACTION = 0.4
+MAX_TAKEN_FRACTION = 0.6
 # Further requests that an idle instance takes from a peer at a time.
 MAX_ROOM = 8
 # Number of urgencies of a request, 0 being the highest.
@@ -99,7 +97,6 @@
     :ivar level: the present level
     :ivar lag: moving average of the lag of timers beyond the tolerated one, in seconds
     :ivar excess: additional seconds to open a connection
-    :ivar share: fraction of the requests to refuse
     :ivar objective: shortest objective of the routes, in seconds
     """
 
@@ -107,7 +104,6 @@
         self.level = LoadLevel.IDLE
         self.lag = 0.0
         self.excess = 0.0
-        self.share = 0.0
         self.objective = DEFAULT_OBJECTIVE_SECONDS
         self.connects = ConnectTimes()
 
@@ -116,11 +112,10 @@
         """Estimated seconds that this instance adds to a response."""
         return LOOP_PASSES * self.lag + LINK_ROUND_TRIPS * self.excess
 
-    def update(self, lag: float, interval: float, now: float) -> bool:
+    def update(self, lag: float, now: float) -> bool:
         """Update the level after a timer has run.
 
         :param lag: seconds after the time for which the timer was set
-        :param interval: seconds for which the timer was set
         :returns: whether the level has changed
         """
         max_lag = MAX_LAG_THRESHOLDS * self._overloaded_seconds / LOOP_PASSES
@@ -128,7 +123,6 @@
         self.lag += LAG_WEIGHT * (lag - self.lag)
         self.excess = self.connects.estimate_excess(now)
         previous, self.level = self.level, self._choose_level()
-        self._adapt_share(interval)
         return self.level is not previous
 
     @property
@@ -139,16 +133,20 @@
         used = min(1.0, self.delay / self._busy_seconds)
         return max(1, round(MAX_ROOM * (1 - used)))
 
-    def should_refuse(self, urgency: int, draw: float) -> bool:
-        """Return whether to refuse a request so that the others are served in time.
+    def should_refuse(self, remaining: float, urgency: int) -> bool:
+        """Return whether a request would lose too much of its time here.
 
-        While the refused share is below a half, the most urgent are all served.
+        Its caller can then be served elsewhere in time, and the bytes of its response
+        make room for others, the more urgent ones first.
 
+        :param remaining: seconds until the caller's deadline
         :param urgency: urgency of the request, 0 is the most urgent
-        :param draw: a random number from 0 to 1
         """
+        if self.level is not LoadLevel.OVERLOADED:
+            return False
         rank = 1 - min(urgency, URGENCIES - 1) / (URGENCIES - 1)
-        return draw < 2 * self.share - rank
+        spread = MAX_TAKEN_FRACTION - MIN_TAKEN_FRACTION
+        return self.delay >= remaining * (MIN_TAKEN_FRACTION + spread * rank)
 
     @property
     def _busy_seconds(self) -> float:
@@ -169,9 +167,3 @@
         if self.level >= level:
             threshold *= LEAVE_FRACTION
         return self.delay >= threshold
-
-    def _adapt_share(self, seconds: float) -> None:
-        if self.level is LoadLevel.OVERLOADED:
-            self.share = min(MAX_SHARE, self.share + GROWTH_PER_SECOND * seconds)
-        elif self.level is LoadLevel.IDLE:
-            self.share = max(0.0, self.share - DECAY_PER_SECOND * seconds)
