--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -16,9 +16,16 @@
     from pondquay.addresses import Address
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.metrics import RelayMetrics
 
 SAMPLE_SECONDS = 0.1
+# Timeout of new connections while this instance is overloaded. To connect to another
+# upstream takes as long, and the bytes spent so far would be lost.
+OVERLOADED_CONNECT_SECONDS = 2.0
+# An upstream that sent nothing for longer may be unreachable, also while this instance
+# is overloaded.
+MAX_SILENT_SECONDS = 2 * OVERLOADED_CONNECT_SECONDS
 
 
 class OverloadMonitor:
@@ -29,8 +36,12 @@
     :ivar on_sample: called after each measurement
     """
 
-    def __init__(self, clock: IReactorTime, metrics: RelayMetrics) -> None:
+    def __init__(
+        self, clock: IReactorTime, pool: EgressPool, metrics: RelayMetrics
+    ) -> None:
         self._clock = clock
+        self._pool = pool
+        pool.on_connected = self.note_connected
         self._metrics = metrics
         self._due_at = 0.0
         self.detector = OverloadDetector()
@@ -66,9 +77,10 @@
             return False
         now = self._clock.seconds()
         # An upstream that responded while the connection was being opened is reachable.
-        if now - upstream.last_seen_at < CONNECT_SECONDS:
+        silent_seconds = now - upstream.last_seen_at
+        if silent_seconds < CONNECT_SECONDS:
             self.note_connected(upstream.record.address, CONNECT_SECONDS)
-        return self.overloaded
+        return self.overloaded and silent_seconds < MAX_SILENT_SECONDS
 
     def _schedule(self) -> None:
         self._due_at = self._clock.seconds() + SAMPLE_SECONDS
@@ -82,6 +94,9 @@
         self._metrics.load_level.set(int(self.detector.level))
         self._metrics.timer_lag.set(self.detector.lag)
         if changed:
+            self._pool.connect_seconds = (
+                OVERLOADED_CONNECT_SECONDS if self.overloaded else CONNECT_SECONDS
+            )
             self._log_change(previous, lag)
             if self.on_change is not None:
                 self.on_change()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -128,8 +128,7 @@
             metrics,
             settings.policy,
         )
-        self.overload = OverloadMonitor(reactor, metrics)
-        self._pool.on_connected = self.overload.note_connected
+        self.overload = OverloadMonitor(reactor, self._pool, metrics)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
         self._withdrawals = WithdrawalMonitor(
             reactor,
