--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from statistics import median
 
 # Passes through the event loop that a request waits for: to read it, to connect, to
 # send it, and to pass the response on.
@@ -32,10 +31,13 @@
 # was suspended once is not overloaded.
 LAG_WEIGHT = 0.2
 MAX_LAG_THRESHOLDS = 4.0
-# Time for which a connection counts, and the least number of upstreams whose
-# connections must be slow: fewer may be slow themselves.
+# Time for which a connection counts.
 CONNECT_WINDOW_SECONDS = 1.0
-MIN_CONNECTED = 3
+# Least number of upstreams by which a link is judged, and the fraction of them that may
+# have fast connections although the link is slow. All upstreams of a small service may
+# be slow to accept connections at the same time.
+MIN_CONNECTED = 5
+FAST_FRACTION = 0.25
 # Upstreams whose shortest connection time is kept.
 MAX_BASELINES = 8192
 # Fractions of its remaining time that a request may lose here, for the least urgent and
@@ -78,7 +80,7 @@
         self._recent[upstream] = (seconds - shortest, now)
 
     def estimate_excess(self, now: float) -> float:
-        """Return the additional seconds that half of the upstreams take to connect."""
+        """Return the additional seconds that most upstreams take to connect."""
         if not self._recent:
             return 0.0
         self._recent = {
@@ -88,7 +90,8 @@
         }
         if len(self._recent) < MIN_CONNECTED:
             return 0.0
-        return median(excess for excess, _ in self._recent.values())
+        ranked = sorted(excess for excess, _ in self._recent.values())
+        return ranked[int(FAST_FRACTION * len(ranked))]
 
 
 class OverloadDetector:
