--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -131,8 +131,7 @@
             metrics,
             settings.policy,
         )
-        self.overload = OverloadMonitor(reactor, metrics)
-        self._pool.on_connected = self.overload.note_connected
+        self.overload = OverloadMonitor(reactor, self._pool, metrics)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
         self._withdrawals = WithdrawalMonitor(
             reactor,
@@ -419,7 +418,8 @@
         if isinstance(admitted, Refusal):
             self._refuse(head, admitted, "", response)
             return
-        refusal = self._overload_refusals.check(admitted)
+        remaining = response.arrived_at + admitted.seconds - self._reactor.seconds()
+        refusal = self._overload_refusals.check(admitted, remaining)
         if refusal is not None:
             self._refuse(head, refusal, admitted.metadata.attempt, response)
             return
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from statistics import median
 
 # Passes through the event loop that a request waits for: to read it, to connect, to
 # send it, and to pass the response on.
@@ -32,18 +31,19 @@
 # was suspended once is not overloaded.
 LAG_WEIGHT = 0.2
 MAX_LAG_THRESHOLDS = 4.0
-# Time for which a connection counts, and the least number of upstreams whose
-# connections must be slow: fewer may be slow themselves.
+# Time for which a connection counts.
 CONNECT_WINDOW_SECONDS = 1.0
-MIN_CONNECTED = 3
+# Least number of upstreams by which a link is judged, and the fraction of them that may
+# have fast connections although the link is slow. All upstreams of a small service may
+# be slow to accept connections at the same time.
+MIN_CONNECTED = 5
+FAST_FRACTION = 0.25
 # Upstreams whose shortest connection time is kept.
 MAX_BASELINES = 8192
-# The refused share grows to its maximum within two seconds of overload, and falls
-# slowly, since the load that it keeps away is not visible in the delay. Some requests
-# are always served, so that the delay is measured.
-GROWTH_PER_SECOND = 0.5
-DECAY_PER_SECOND = 0.1
-MAX_SHARE = 0.95
+# Fractions of its remaining time that a request may lose here, for the least urgent and
+# the most urgent. Callers of refused requests need the rest to be served elsewhere.
+MIN_TAKEN_FRACTION = 0.4
+MAX_TAKEN_FRACTION = 0.6
 # Further requests that an idle instance takes from a peer at a time.
 MAX_ROOM = 8
 # Number of urgencies of a request, 0 being the highest.
@@ -80,7 +80,7 @@
         self._recent[upstream] = (seconds - shortest, now)
 
     def estimate_excess(self, now: float) -> float:
-        """Return the additional seconds that half of the upstreams take to connect."""
+        """Return the additional seconds that most upstreams take to connect."""
         if not self._recent:
             return 0.0
         self._recent = {
@@ -90,7 +90,8 @@
         }
         if len(self._recent) < MIN_CONNECTED:
             return 0.0
-        return median(excess for excess, _ in self._recent.values())
+        ranked = sorted(excess for excess, _ in self._recent.values())
+        return ranked[int(FAST_FRACTION * len(ranked))]
 
 
 class OverloadDetector:
@@ -99,7 +100,6 @@
     :ivar level: the present level
     :ivar lag: moving average of the lag of timers beyond the tolerated one, in seconds
     :ivar excess: additional seconds to open a connection
-    :ivar share: fraction of the requests to refuse
     :ivar objective: shortest objective of the routes, in seconds
     """
 
@@ -107,7 +107,6 @@
         self.level = LoadLevel.IDLE
         self.lag = 0.0
         self.excess = 0.0
-        self.share = 0.0
         self.objective = DEFAULT_OBJECTIVE_SECONDS
         self.connects = ConnectTimes()
 
@@ -116,11 +115,10 @@
         """Estimated seconds that this instance adds to a response."""
         return LOOP_PASSES * self.lag + LINK_ROUND_TRIPS * self.excess
 
-    def update(self, lag: float, interval: float, now: float) -> bool:
+    def update(self, lag: float, now: float) -> bool:
         """Update the level after a timer has run.
 
         :param lag: seconds after the time for which the timer was set
-        :param interval: seconds for which the timer was set
         :returns: whether the level has changed
         """
         max_lag = MAX_LAG_THRESHOLDS * self._overloaded_seconds / LOOP_PASSES
@@ -128,7 +126,6 @@
         self.lag += LAG_WEIGHT * (lag - self.lag)
         self.excess = self.connects.estimate_excess(now)
         previous, self.level = self.level, self._choose_level()
-        self._adapt_share(interval)
         return self.level is not previous
 
     @property
@@ -139,16 +136,20 @@
         used = min(1.0, self.delay / self._busy_seconds)
         return max(1, round(MAX_ROOM * (1 - used)))
 
-    def should_refuse(self, urgency: int, draw: float) -> bool:
-        """Return whether to refuse a request so that the others are served in time.
+    def should_refuse(self, remaining: float, urgency: int) -> bool:
+        """Return whether a request would lose too much of its time here.
 
-        While the refused share is below a half, the most urgent are all served.
+        Its caller can then be served elsewhere in time, and the bytes of its response
+        make room for others, the more urgent ones first.
 
+        :param remaining: seconds until the caller's deadline
         :param urgency: urgency of the request, 0 is the most urgent
-        :param draw: a random number from 0 to 1
         """
+        if self.level is not LoadLevel.OVERLOADED:
+            return False
         rank = 1 - min(urgency, URGENCIES - 1) / (URGENCIES - 1)
-        return draw < 2 * self.share - rank
+        spread = MAX_TAKEN_FRACTION - MIN_TAKEN_FRACTION
+        return self.delay >= remaining * (MIN_TAKEN_FRACTION + spread * rank)
 
     @property
     def _busy_seconds(self) -> float:
@@ -169,9 +170,3 @@
         if self.level >= level:
             threshold *= LEAVE_FRACTION
         return self.delay >= threshold
-
-    def _adapt_share(self, seconds: float) -> None:
-        if self.level is LoadLevel.OVERLOADED:
-            self.share = min(MAX_SHARE, self.share + GROWTH_PER_SECOND * seconds)
-        elif self.level is LoadLevel.IDLE:
-            self.share = max(0.0, self.share - DECAY_PER_SECOND * seconds)
