--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -8,11 +8,12 @@
 
 from twisted.internet.defer import Deferred
 
-from pondquay.routing.buffers import MAX_COLLECTED_BYTES, BufferPool, Content
+from pondquay.routing.buffers import BufferPool, Content
 from pondquay.streamevents import EventReader, StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
-from pondquay_daemon.relay.heads import drop_connection_headers, find_body_length
+from pondquay_daemon.relay.heads import drop_connection_headers
+from pondquay_daemon.relay.plainresponses import PlainResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -196,7 +197,7 @@
         buffer: Buffer | None = None,
     ) -> None:
         self._upstream = upstream
-        self._buffer = buffer or BufferPool().open_work()
+        self._plain = PlainResponse(response, buffer or BufferPool().open_work())
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -206,9 +207,7 @@
         self._result: Deferred[Outcome] = Deferred()
         self._head: ResponseHead | None = None
         self._not_run: NotRun | None = None
-        self._body: list[bytes] = []
         self._streaming = False
-        self._passing_on = False
         self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
         self._events_before = 0
@@ -253,13 +252,13 @@
     @property
     def passing_on(self) -> bool:
         """Whether a plain response is forwarded as it arrives."""
-        return self._passing_on
+        return self._plain.forwarding
 
     @property
     def waits_for_caller(self) -> bool:
         """Whether only the caller delays the end of a plain response."""
         now = self._clock.seconds()
-        return self._passing_on and self._pauses.waits_for_caller(now)
+        return self.passing_on and self._pauses.waits_for_caller(now)
 
     def on_paused(self) -> None:
         """Stop reading the upstream, as its caller has stopped."""
@@ -330,11 +329,11 @@
         if self._head is None:
             self._end(Lost("a response without a head"))
             return
-        if self._passing_on:
+        if self.passing_on:
             self._end(PassedOn(self._head.status))
             return
         if not self._streaming:
-            self._end(Answered(self._head, b"".join(self._body)))
+            self._end(Answered(self._head, self._plain.take()))
             return
         progress = self._progress
         if progress is None or progress.reader.partial:
@@ -379,27 +378,9 @@
         # Responses with these statuses are never forwarded.
         if head is None or head.status in NOT_RUN_STATUSES:
             return
-        if self._passing_on:
-            self._response.send(data)
-            return
-        self._body.append(data)
-        size = sum(map(len, self._body))
-        self._buffer.resize(size)
-        if size > MAX_COLLECTED_BYTES:
-            self._pass_on(head)
-
-    def _pass_on(self, head: ResponseHead) -> None:
-        """Forward what was collected, and from now on everything as it arrives."""
-        self._passing_on = True
-        headers = drop_connection_headers(head.headers)
-        length = find_body_length(head.headers)
-        if length is not None:
-            headers.append((b"Content-Length", b"%d" % length))
-        body = b"".join(self._body)
-        self._body.clear()
-        self._buffer.resize(0)
-        self._follow_caller()
-        self._response.begin(head.status, headers, body)
+        if self._plain.add(data):
+            self._follow_caller()
+            self._plain.forward(head)
 
     def _follow_caller(self) -> None:
         """Read the upstream only while the caller reads."""
@@ -450,7 +431,7 @@
             self._end(Unsent("no connection in time"), cancel=True)
             return
         # Nothing can be sent elsewhere once a part of a plain response was forwarded.
-        may_end = not self._passing_on and self._pauses.paused_at is None
+        may_end = not self.passing_on and self._pauses.paused_at is None
         if may_end and self._may_retry is not None and self._may_retry():
             lost = Lost("silent", silent=True, streamed=self._streaming_seconds())
             self._end(lost, cancel=True)
@@ -467,6 +448,6 @@
         if self._progress is not None:
             self._progress.reader.discard_partial()
         self._response.flow = None
-        self._buffer.resize(0)
+        self._plain.discard()
         if not self._result.called:
             self._result.callback(outcome)
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -76,6 +76,7 @@
 
 ROUTES = (
     make_route("read", RequestKind.REPEATABLE),
+    make_route("once", RequestKind.ONCE),
     make_route("stream", RequestKind.STREAMING),
     make_route("paid", RequestKind.STREAMING, ENGINE),
 )
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -128,6 +128,20 @@
     assert pauses == [0.5]
 
 
+def test_a_caller_that_does_not_read_makes_no_pause_of_its_upstream() -> None:
+    stream = Stream()
+    pauses: list[float] = []
+    attempt = stream.attempt(pauses)
+    stream.send_event(attempt, 0.5)
+    attempt.on_paused()
+    stream.clock.advance(3.0)
+    attempt.on_resumed()
+    stream.send_event(attempt, 0.0)
+    stream.send_event(attempt, 0.25)
+    assert pauses == [0.25]
+    assert stream.progress.longest_pause == 0.25
+
+
 @pytest.mark.parametrize(
     ("metadata", "expected"),
     [
