--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fairqueues.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fairqueues.py
@@ -7,8 +7,9 @@
 
 from twisted.internet.defer import Deferred
 
-from pondquay.routing.fairness import Claim, FairQueue, Rank, UsualDemand
+from pondquay.routing.fairness import Claim, FairQueue, Rank
 from pondquay.routing.serviceroom import ServiceRoom
+from pondquay.routing.tokenrates import TokenRates
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import RETRY_SOON_SECONDS, UNAVAILABLE, Refusal
 
@@ -40,7 +41,7 @@
         self,
         clock: IReactorTime,
         service: str,
-        usual: UsualDemand,
+        usual: TokenRates,
         rooms: Sequence[Room],
     ) -> None:
         self._clock = clock
@@ -164,14 +165,13 @@
         self._clock = clock
         self._metrics = metrics
         self._rooms = rooms
-        self._usual: dict[str, UsualDemand] = {}
         self._queues: dict[str, ServiceQueue] = {}
 
     def find(self, service: str) -> ServiceQueue:
         """Return the queue of a service."""
         queue = self._queues.get(service)
         if queue is None:
-            queue = ServiceQueue(self._clock, service, UsualDemand(), self._rooms)
+            queue = ServiceQueue(self._clock, service, TokenRates(), self._rooms)
             self._queues[service] = queue
         return queue
 
--- a/packages/pondquay/src/pondquay/routing/fairness.py
+++ b/packages/pondquay/src/pondquay/routing/fairness.py
@@ -9,23 +9,19 @@
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from pondquay.routing.tokenrates import MAX_WORKSPACES
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from pondquay.routing.tokenrates import TokenRates
+
 # Waiting requests of one service at an instance.
 MAX_WAITING = 256
-# Workspaces whose demand is known; the least recent are forgotten.
-MAX_WORKSPACES = 4096
-# Time in which the usual demand forgets half of the past.
-USUAL_HALF_LIFE_SECONDS = 60.0
-# Fraction of the mean usual demand that a workspace counts with at least, so that a new
-# one is served.
-MIN_WEIGHT_FRACTION = 0.25
 # Weight of the latest interval in the moving average of the pace.
 PACE_WEIGHT = 0.2
 
@@ -57,42 +53,6 @@
     until: float
 
 
-class UsualDemand:
-    """The tokens per second that each workspace usually gets.
-
-    What it asks for beyond that does not count, so callers that repeat while room is
-    short do not raise the share of their workspace.
-    """
-
-    def __init__(self) -> None:
-        # Rate and the time to which it applies; the least recent is the first.
-        self._rates: dict[str, tuple[float, float]] = {}
-        self._total = (0.0, 0.0)
-
-    def note(self, workspace: str, tokens: int, now: float) -> None:
-        """Record a request that has got room."""
-        added = math.log(2) / USUAL_HALF_LIFE_SECONDS * max(1, tokens)
-        rate = _decay(self._rates.pop(workspace, (0.0, now)), now)
-        self._rates[workspace] = (rate + added, now)
-        self._total = (_decay(self._total, now) + added, now)
-        if len(self._rates) > MAX_WORKSPACES:
-            first = self._rates.pop(next(iter(self._rates)))
-            self._total = (self._total[0] - _decay(first, now), now)
-
-    def weigh(self, workspace: str, now: float) -> float:
-        """Return the usual demand of a workspace, relative to the mean of all."""
-        mean = _decay(self._total, now) / max(1, len(self._rates))
-        if mean <= 0:
-            return 1.0
-        own = _decay(self._rates.get(workspace, (0.0, now)), now)
-        return max(MIN_WEIGHT_FRACTION, own / mean)
-
-
-def _decay(rate: tuple[float, float], now: float) -> float:
-    value, at = rate
-    return value * math.exp2((at - now) / USUAL_HALF_LIFE_SECONDS)
-
-
 @dataclass(slots=True)
 class _Line:
     """The waiting requests of one rank, by workspace."""
@@ -112,9 +72,14 @@
 
 
 class FairQueue:
-    """The waiting requests of one service at an instance."""
+    """The waiting requests of one service at an instance.
+
+    :param usual: what each workspace usually gets. What it asks for beyond that must
+        not count, so that callers which repeat while room is short do not raise the
+        share of their workspace
+    """
 
-    def __init__(self, usual: UsualDemand) -> None:
+    def __init__(self, usual: TokenRates) -> None:
         self._usual = usual
         self._lines: dict[Rank, _Line] = {}
         self._counters: dict[str, float] = defaultdict(float)
