--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -233,7 +233,7 @@
         :param first: first bytes of the body
         :returns: the time of writing, in seconds
         """
-        if self._server.stopping:
+        if self._server.stopping or self._server.closing:
             headers = [*headers, (b"Connection", b"close")]
         head = self._http.send(h11.Response(status_code=status, headers=headers))
         chunks = [head or b""]
@@ -394,6 +394,8 @@
     """Accepts callers' connections.
 
     :param buffers: accounts for the bytes that are kept for callers
+    :ivar stopping: whether the process is about to stop
+    :ivar closing: whether connections are closed after their next response
     """
 
     noisy = False
@@ -409,6 +411,7 @@
         self.buffers = buffers or BufferPool()
         self.connections: set[IngressConnection] = set()
         self.stopping = False
+        self.closing = False
 
     def buildProtocol(self, addr: IAddress | None) -> IngressConnection:
         """Return the protocol of a new connection."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -89,6 +89,11 @@
         self.reserved = self._gauge(
             "reserved_tokens", "Tokens reserved for running requests, all workspaces"
         )
+        self.held = self._gauge(
+            "workspaces_held_by_demand",
+            "Workspaces of which this instance holds an allotment because of its"
+            " demand",
+        )
         self.unaccounted = self._gauge(
             "unaccounted_tokens",
             "Tokens of ended incarnations that are not known to be spent,"
@@ -122,6 +127,14 @@
         self.load_level = self._gauge(
             "load_level", "Load of this instance: 0 idle, 1 busy, 2 overloaded"
         )
+        self.refused_overload = self._counter(
+            "overload_refusals",
+            "Requests refused since this instance is overloaded, by urgency",
+            "urgency",
+        )
+        self.withdrawn = self._gauge(
+            "withdrawn", "1 while withdrawn from the load balancer for overload"
+        )
         self.timer_lag = self._gauge(
             "timer_lag_seconds", "How late timers run, moving average"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -39,6 +39,7 @@
 from pondquay_daemon.relay.members import TABLE as MEMBERS
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
+from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -48,6 +49,7 @@
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.relay.stallmonitor import StallMonitor
+from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
@@ -131,7 +133,15 @@
         )
         self.overload = OverloadMonitor(reactor, metrics)
         self._pool.on_connected = self.overload.note_connected
-        self._loads = LoadLinks(reactor, self._peers, self.overload)
+        self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
+        self._withdrawals = WithdrawalMonitor(
+            reactor,
+            settings.instance,
+            self.overload,
+            self._loads,
+            metrics,
+            enabled=settings.policy.withdraw,
+        )
         linked = LinkedPeers(reactor.seconds)
         permits = PermitBroker(
             reactor,
@@ -198,6 +208,13 @@
             self.overload,
             FairQueues(reactor, metrics),
         )
+        self._overload_refusals = OverloadRefusals(
+            self.overload,
+            self._loads,
+            self._components.random,
+            metrics,
+            enabled=settings.policy.refuse_overload,
+        )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
             border,
@@ -242,6 +259,7 @@
                 self._accounts,
                 self._choose_allotments_pause,
                 rereads=False,
+                latest_only=True,
             ),
             TableFeed(
                 reactor,
@@ -259,6 +277,7 @@
             self._components.crashes,
         )
         self._caller_server = IngressServer(reactor, self, self._components.buffers)
+        self._withdrawals.connect(self._caller_server)
         self._readiness_server = IngressServer(
             reactor, ReadinessHandler(border.ready_path, lambda: self.ready)
         )
@@ -272,7 +291,8 @@
     def ready(self) -> bool:
         """Whether the load balancer should send connections here."""
         known = self._configuration.table is not None and self._upstreams.known
-        return known and not self.stopping and self._stall_monitor.confirmed
+        available = not self.stopping and not self._withdrawals.active
+        return known and available and self._stall_monitor.confirmed
 
     def start(self) -> None:
         """Start to listen and to read the store."""
@@ -338,6 +358,7 @@
         metrics.unspent.set(self._accounts.unspent())
         metrics.reserved.set(self._accounts.reserved())
         metrics.unaccounted.set(self._accounts.unaccounted())
+        metrics.held.set(self._accounts.held_by_demand())
         metrics.malformed.set(len(self._upstreams.malformed))
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
         buffers = self._components.buffers
@@ -394,22 +415,35 @@
             is_fresh=self._is_configuration_fresh(),
         )
         if isinstance(admitted, Refusal):
-            log_event(
-                "request-refused",
-                Level.WARNING,
-                request=self._border.name_request(head),
-                status=admitted.status,
-                reason=admitted.reason,
-                version=self._configuration.version,
-                age=self._feed.age(),
-            )
-            self._metrics.requests.labels(str(admitted.status)).inc()
-            send_refusal(self._border, response, "", admitted)
+            self._refuse(head, admitted, "", response)
+            return
+        refusal = self._overload_refusals.check(admitted)
+        if refusal is not None:
+            self._refuse(head, refusal, admitted.metadata.attempt, response)
             return
         service = self._configuration.find_service(admitted.service)
         run = RequestRun(self._components, admitted, service, head, body, response)
         spawn(run.run(), "RequestRun")
 
+    def _refuse(
+        self,
+        head: RequestHead,
+        refusal: Refusal,
+        attempt: str,
+        response: CallerResponse,
+    ) -> None:
+        log_event(
+            "request-refused",
+            Level.WARNING,
+            request=self._border.name_request(head),
+            status=refusal.status,
+            reason=refusal.reason,
+            version=self._configuration.version,
+            age=self._feed.age(),
+        )
+        self._metrics.requests.labels(str(refusal.status)).inc()
+        send_refusal(self._border, response, attempt, refusal)
+
     def _choose_allotments_pause(self) -> float:
         all_are_holders = self._members.count <= self._settings.policy.most_holders
         return (
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -26,6 +26,8 @@
     :param most_holders: maximum number of instances of a fleet in which every instance
         has an allotment of every workspace; in larger fleets only a few instances per
         failure domain have one, which limits the concurrent writers of a row
+    :param hold_by_demand: in larger fleets, also let an instance with a considerable
+        part of a workspace's demand have an allotment of its own
     :param cover_seconds: seconds of the fleet's demand that all instances together hold
         as headroom; it bridges short outages of the table
     :param most_of_left: maximum fraction of a workspace's remaining tokens that all
@@ -64,6 +66,11 @@
         it, so that its retries do not crash further upstreams
     :param copy_parts: let an upstream copy the cached state of shared prompt parts from
         another upstream
+    :param withdraw: report to the load balancer that this instance is not ready while
+        it is overloaded, unless a quarter of its failure domain does so already
+    :param refuse_overload: while this instance is overloaded, refuse a growing share of
+        its requests at once, the less urgent first, so that their callers retry at
+        other instances in time
     """
 
     share_loads: bool = True
@@ -71,6 +78,7 @@
     return_surplus: bool = True
     last_part: float = 0.03
     most_holders: int = 16
+    hold_by_demand: bool = True
     cover_seconds: float = 8.0
     most_of_left: float = 0.2
     ahead_seconds: float = 2.0
@@ -86,6 +94,8 @@
     weigh_pace: bool = True
     refuse_crashing: bool = True
     copy_parts: bool = True
+    withdraw: bool = True
+    refuse_overload: bool = True
 
 
 DEFAULT_POLICY = RelayPolicy()
