--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -209,6 +209,7 @@
             FairQueues(reactor, metrics),
         )
         self._overload_refusals = OverloadRefusals(
+            reactor,
             self.overload,
             self._loads,
             self._components.random,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pondquay.routing.expected import Choice
     from pondquay.routes.entities import Route, RoutedWorkspace
+    from pondquay.routing.expected import Choice
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.attempts import Outcome, StreamProgress
--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -139,16 +139,15 @@
         used = min(1.0, self.delay / self._busy_seconds)
         return max(1, round(MAX_ROOM * (1 - used)))
 
-    def should_refuse(self, urgency: int, draw: float) -> bool:
-        """Return whether to refuse a request so that the others are served in time.
+    def find_refused(self, urgency: int) -> float:
+        """Return the fraction to refuse so that the others are served in time.
 
         While the refused share is below a half, the most urgent are all served.
 
-        :param urgency: urgency of the request, 0 is the most urgent
-        :param draw: a random number from 0 to 1
+        :param urgency: urgency of the requests, 0 is the most urgent
         """
         rank = 1 - min(urgency, URGENCIES - 1) / (URGENCIES - 1)
-        return draw < 2 * self.share - rank
+        return min(1.0, max(0.0, 2 * self.share - rank))
 
     @property
     def _busy_seconds(self) -> float:
