--- a/packages/pondquay/src/pondquay/routing/overload.py
+++ b/packages/pondquay/src/pondquay/routing/overload.py
@@ -31,8 +31,8 @@
 # was suspended once is not overloaded.
 LAG_WEIGHT = 0.2
 MAX_LAG_THRESHOLDS = 4.0
-# Time for which a connection counts.
-CONNECT_WINDOW_SECONDS = 1.0
+# Time for which a connection counts. An instance with a slow link opens few.
+CONNECT_WINDOW_SECONDS = 2.0
 # Least number of upstreams by which a link is judged, and the fraction of them that may
 # have fast connections although the link is slow. All upstreams of a small service may
 # be slow to accept connections at the same time.
