--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -101,8 +101,8 @@
         self.withdrawn = self._gauge(
             "withdrawn", "1 while withdrawn from the load balancer for overload"
         )
-        self.timer_lag = self._gauge(
-            "timer_lag_seconds", "How late timers run, moving average"
+        self.added_delay = self._gauge(
+            "added_delay_seconds", "Time that this instance adds to a response"
         )
 
     def note_end(self, status: str, seconds: float, first: float | None) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -17,7 +17,6 @@
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.egress import EgressPool
-    from pondquay_daemon.relay.metrics import RelayMetrics
 
 SAMPLE_SECONDS = 0.1
 # Timeout of new connections while this instance is overloaded. To connect to another
@@ -36,13 +35,10 @@
     :ivar on_sample: called after each measurement
     """
 
-    def __init__(
-        self, clock: IReactorTime, pool: EgressPool, metrics: RelayMetrics
-    ) -> None:
+    def __init__(self, clock: IReactorTime, pool: EgressPool) -> None:
         self._clock = clock
         self._pool = pool
         pool.on_connected = self.note_connected
-        self._metrics = metrics
         self._due_at = 0.0
         self.detector = OverloadDetector()
         self.on_change: Callable[[], None] | None = None
@@ -91,8 +87,6 @@
         lag = now - self._due_at
         previous = self.detector.level
         changed = self.detector.update(lag, now)
-        self._metrics.load_level.set(int(self.detector.level))
-        self._metrics.timer_lag.set(self.detector.lag)
         if changed:
             self._pool.connect_seconds = (
                 OVERLOADED_CONNECT_SECONDS if self.overloaded else CONNECT_SECONDS
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -128,7 +128,7 @@
             metrics,
             settings.policy,
         )
-        self.overload = OverloadMonitor(reactor, self._pool, metrics)
+        self.overload = OverloadMonitor(reactor, self._pool)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
         self._withdrawals = WithdrawalMonitor(
             reactor,
@@ -343,6 +343,8 @@
         metrics.reserved.set(self._accounts.reserved())
         metrics.unaccounted.set(self._accounts.unaccounted())
         metrics.malformed.set(len(self._upstreams.malformed))
+        metrics.load_level.set(int(self.overload.detector.level))
+        metrics.added_delay.set(self.overload.detector.delay)
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
         return metrics.render()
 
