--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -276,7 +276,6 @@
     """Opens connections, and keeps idle ones by address for reuse.
 
     :ivar opened: number of connections that were opened, including failed attempts
-    :ivar connect_seconds: timeout of new connections
     :ivar on_connected: called with the address of each new connection and the seconds
         that it took to open
     """
@@ -285,7 +284,6 @@
         self._reactor = reactor
         self._idle: dict[Address, list[EgressConnection]] = defaultdict(list)
         self.opened = 0
-        self.connect_seconds = CONNECT_SECONDS
         self.on_connected: Callable[[Address, float], None] | None = None
 
     def seconds(self) -> float:
@@ -317,7 +315,7 @@
             address.host,
             address.port,
             _ConnectionFactory(self, address, exchange),
-            timeout=self.connect_seconds,
+            timeout=CONNECT_SECONDS,
         )
 
     def keep_idle(self, connection: EgressConnection, seconds: int | None) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -19,12 +19,9 @@
     from pondquay_daemon.relay.egress import EgressPool
 
 SAMPLE_SECONDS = 0.1
-# Timeout of new connections while this instance is overloaded. To connect to another
-# upstream takes as long, and the bytes spent so far would be lost.
-OVERLOADED_CONNECT_SECONDS = 2.0
 # An upstream that sent nothing for longer may be unreachable, also while this instance
 # is overloaded.
-MAX_SILENT_SECONDS = 2 * OVERLOADED_CONNECT_SECONDS
+MAX_SILENT_SECONDS = 4.0
 
 
 class OverloadMonitor:
@@ -37,7 +34,6 @@
 
     def __init__(self, clock: IReactorTime, pool: EgressPool) -> None:
         self._clock = clock
-        self._pool = pool
         pool.on_connected = self.note_connected
         self._due_at = 0.0
         self.detector = OverloadDetector()
@@ -88,9 +84,6 @@
         previous = self.detector.level
         changed = self.detector.update(lag, now)
         if changed:
-            self._pool.connect_seconds = (
-                OVERLOADED_CONNECT_SECONDS if self.overloaded else CONNECT_SECONDS
-            )
             self._log_change(previous, lag)
             if self.on_change is not None:
                 self.on_change()
