--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -131,7 +131,7 @@
             metrics,
             settings.policy,
         )
-        self.overload = OverloadMonitor(reactor, self._pool, metrics)
+        self.overload = OverloadMonitor(reactor, self._pool)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
         self._withdrawals = WithdrawalMonitor(
             reactor,
@@ -361,6 +361,8 @@
         metrics.unaccounted.set(self._accounts.unaccounted())
         metrics.held.set(self._accounts.held_by_demand())
         metrics.malformed.set(len(self._upstreams.malformed))
+        metrics.load_level.set(int(self.overload.detector.level))
+        metrics.added_delay.set(self.overload.detector.delay)
         metrics.blocked.set(len(self._components.crashes.history.blocked()))
         buffers = self._components.buffers
         metrics.kept.set(buffers.total)
