--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import uniform
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -41,6 +42,9 @@
 # Retry delay of callers that are refused while the table is unreachable.
 OUTAGE_RETRY_SECONDS = 2.0
 RETURN_UNSPENT_ATTEMPTS = 4
+# Period over which instances that no longer hold allotments remove their entries. After
+# a failure of links, these are many instances at once.
+REMOVAL_SPREAD_SECONDS = 5.0
 # Several lenders may write a row at the same time, of which one succeeds per round.
 WRITE_ATTEMPTS = 10
 
@@ -83,6 +87,7 @@
         self._writing: set[str] = set()
         self._unread: set[str] = set()
         self._refilling: set[str] = set()
+        self._removal_at: dict[str, float] = {}
         self._closed = False
         self._startup_ends_at = 0.0
 
@@ -355,7 +360,7 @@
         elif holds:
             is_due = self._has_plan(account)
         else:
-            is_due = has_idle_entry(account)
+            is_due = self._is_removal_due(name, account)
         if is_due:
             self._writing.add(name)
             spawn(self._adjust(name), "AccountBook")
@@ -373,6 +378,18 @@
             self._demand_holders.update(name, account)
         return name in self._demand_holders
 
+    def _is_removal_due(self, name: str, account: Account) -> bool:
+        """Return whether to remove this instance's entry, which it no longer needs."""
+        if not has_idle_entry(account):
+            self._removal_at.pop(name, None)
+            return False
+        now = self.clock.seconds()
+        latest = now + REMOVAL_SPREAD_SECONDS
+        if now < self._removal_at.setdefault(name, uniform(now, latest)):
+            return False
+        del self._removal_at[name]
+        return True
+
     def _adjust_loans(self, name: str, account: Account) -> None:
         """Return surplus tokens of a borrower, or borrow more headroom."""
         if account.unspent <= 0 and not account.demand.largest:
--- a/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
+++ b/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
@@ -7,7 +7,7 @@
 from pondquay.policy import DEFAULT_POLICY
 from pondquay_daemon.relay.allotmentrows import row_key
 
-from .budgetfleet import Fleet
+from .budgetfleet import WRITES_PER_SECOND, Fleet
 
 WORKSPACE = "archive"
 PREPAID = 12_000_000
@@ -112,6 +112,24 @@
     assert fleet.refused - refused <= 0.1 * 3 * RATE
 
 
+def test_after_a_failure_of_links_entries_are_removed_without_a_burst() -> None:
+    """Most instances held allotments while they reached the table and no lender.
+
+    Guards against a table that refuses writes because all entries are removed at once.
+    """
+    fleet = make_fleet()
+    fleet.all_cut_off = True
+    fleet.run_until(12.0)
+    assert len(fleet.holders(WORKSPACE)) > SIZE // 2
+    fleet.all_cut_off = False
+    rejected, written = fleet.store.rejected, fleet.store.written
+    fleet.run_until(13.0)
+    assert fleet.store.written - written <= WRITES_PER_SECOND / 2
+    fleet.run_until(30.0)
+    assert fleet.holders(WORKSPACE) == choose_lenders(WORKSPACE, fleet.domains)
+    assert fleet.store.rejected == rejected
+
+
 def test_even_demand_adds_few_writers_to_a_row() -> None:
     """Guards against a row that all instances write when the fleet's demand starts."""
     fleet = make_fleet()
