--- a/packages/pondquay/src/pondquay/routing/servicepaces.py
+++ b/packages/pondquay/src/pondquay/routing/servicepaces.py
@@ -118,9 +118,13 @@
 
 
 def _choose_share(slowness: float) -> float:
-    """Return the share of an upstream, in steps that noise does not cross often."""
+    """Return the share of an upstream, in steps that noise does not cross often.
+
+    A quick one has the usual share: among alike upstreams of a small fleet, moments in
+    which one seems quick would move prefixes away from their cached parts.
+    """
     steps = round(SHARE_STEPS * 2 * log2(slowness))
-    return 1.0 if abs(steps) < MIN_SHARE_STEPS else float(2.0 ** (-steps / SHARE_STEPS))
+    return 1.0 if steps < MIN_SHARE_STEPS else float(2.0 ** (-steps / SHARE_STEPS))
 
 
 def _find_median(averages: Iterable[RobustAverage]) -> float:
