--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -32,6 +32,7 @@
 from pondquay_daemon.relay.evacuationview import EvacuationView
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
+from pondquay_daemon.relay.gauges import update_gauges
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
 from pondquay_daemon.relay.loadlinks import LoadLinks
@@ -141,20 +142,7 @@
             metrics,
             enabled=settings.policy.withdraw,
         )
-        linked = LinkedPeers(reactor.seconds)
-        permits = PermitBroker(
-            reactor,
-            settings.instance,
-            directory,
-            IssuerSelector(
-                settings.instance,
-                settings.domain,
-                lambda: self._peers.domains,
-                linked,
-            ),
-            PermitLinks(reactor, self._peers, linked),
-            metrics,
-        )
+        permits = self._make_permits(directory)
         activity = ActivityLinks(
             reactor,
             self._peers,
@@ -167,19 +155,7 @@
             border,
             self._pool,
             directory,
-            Placement(
-                reactor,
-                directory,
-                settings.domain,
-                settings.policy,
-                ColdShares(
-                    settings.instance,
-                    lambda: self._peers.domains,
-                    lambda service: self._configuration.cold_rate(service),
-                ),
-                permits,
-                activity,
-            ),
+            self._make_placement(directory, permits, activity),
             self._accounts,
             RetryShare(
                 bounds.retry_ratio,
@@ -193,14 +169,7 @@
             lambda: self._upstream_feed.age(),
             self._peers.announce_departure,
             self._announce_load,
-            CrashMonitor(
-                reactor,
-                settings.instance,
-                lambda: self._peers.domains,
-                self._peers.announce_crashes,
-                lambda report: self._crash_rows.schedule_write(report),
-                metrics,
-            ),
+            self._make_crash_monitor(),
             permits,
             BufferPool(choose_limit(settings.memory)),
             activity,
@@ -248,26 +217,7 @@
             lambda: choose_upstreams_pause(bounds.departure),
         )
         self._stall_monitor = StallMonitor(reactor, (self._feed, self._upstream_feed))
-        self._feeds = [
-            self._feed,
-            self._upstream_feed,
-            TableFeed(
-                reactor,
-                self._store,
-                ALLOTMENTS,
-                self._accounts,
-                self._choose_allotments_pause,
-                rereads=False,
-                latest_only=True,
-            ),
-            TableFeed(
-                reactor,
-                self._store,
-                MEMBERS,
-                self._members,
-                lambda: MEMBERS_POLL_SECONDS,
-            ),
-        ]
+        self._feeds = [self._feed, self._upstream_feed, *self._make_slow_feeds()]
         self.peer_dispatcher.connect(
             self._feed,
             self._configuration,
@@ -286,6 +236,73 @@
         self.stopping = False
         self._refusing = False
 
+    def _make_permits(self, directory: UpstreamDirectory) -> PermitBroker:
+        settings, linked = self._settings, LinkedPeers(self._reactor.seconds)
+        selector = IssuerSelector(
+            settings.instance, settings.domain, lambda: self._peers.domains, linked
+        )
+        return PermitBroker(
+            self._reactor,
+            settings.instance,
+            directory,
+            selector,
+            PermitLinks(self._reactor, self._peers, linked),
+            self._metrics,
+        )
+
+    def _make_placement(
+        self,
+        directory: UpstreamDirectory,
+        permits: PermitBroker,
+        activity: ActivityLinks,
+    ) -> Placement:
+        settings = self._settings
+        cold_shares = ColdShares(
+            settings.instance,
+            lambda: self._peers.domains,
+            lambda service: self._configuration.cold_rate(service),
+        )
+        return Placement(
+            self._reactor,
+            directory,
+            settings.domain,
+            settings.policy,
+            cold_shares,
+            permits,
+            activity,
+        )
+
+    def _make_crash_monitor(self) -> CrashMonitor:
+        return CrashMonitor(
+            self._reactor,
+            self._settings.instance,
+            lambda: self._peers.domains,
+            self._peers.announce_crashes,
+            lambda report: self._crash_rows.schedule_write(report),
+            self._metrics,
+        )
+
+    def _make_slow_feeds(self) -> list[TableFeed]:
+        """Return the feeds of tables whose changes are not urgent."""
+        return [
+            TableFeed(
+                self._reactor,
+                self._store,
+                ALLOTMENTS,
+                self._accounts,
+                self._choose_allotments_pause,
+                rereads=False,
+                latest_only=True,
+            ),
+            TableFeed(
+                self._reactor,
+                self._store,
+                MEMBERS,
+                self._members,
+                lambda: MEMBERS_POLL_SECONDS,
+            ),
+        ]
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send connections here."""
@@ -348,28 +365,8 @@
         metrics.version.set(self._configuration.version)
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
-        metrics.upstreams.set(self._components.directory.count_present())
-        metrics.backoff.set(self._components.directory.count_backing_off())
-        metrics.limited.set(self._components.directory.count_limited())
-        metrics.busiest.set(self._components.activity.find_busiest())
-        metrics.slow_upstreams.set(self._components.placement.count_slow())
-        evacuations = self._components.directory.evacuations
-        metrics.evacuated.set(len(evacuations.evacuated))
-        metrics.evacuations_version.set(evacuations.version)
-        metrics.unspent.set(self._accounts.unspent())
-        metrics.reserved.set(self._accounts.reserved())
-        metrics.unaccounted.set(self._accounts.unaccounted())
-        metrics.held.set(self._accounts.held_by_demand())
         metrics.malformed.set(len(self._upstreams.malformed))
-        metrics.load_level.set(int(self.overload.detector.level))
-        metrics.added_delay.set(self.overload.detector.delay)
-        metrics.blocked.set(len(self._components.crashes.history.blocked()))
-        buffers = self._components.buffers
-        metrics.kept.set(buffers.total)
-        metrics.unread.set(buffers.count_unread())
-        metrics.broken_off.set(buffers.discarded)
-        metrics.waiting.set(self._components.queues.count_waiting())
-        metrics.short_services.set(self._components.queues.count_short())
+        update_gauges(self._components)
         return metrics.render()
 
     async def stop(self) -> None:
