--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -39,12 +39,13 @@
 # and its listening port one after another.
 CHECK_DELAY_SECONDS = 0.05
 # Time after a broken connection in which the removal of the row indicates a crash. It
-# covers the missed heartbeats and the delay of the list.
+# covers three missed heartbeats of 1.2 s and the delay of the list.
 ROW_REMOVAL_SECONDS = 8.0
 # Longest time that a request waits for a check.
 MAX_CHECK_WAIT_SECONDS = CHECK_DELAY_SECONDS + CONNECT_SECONDS + MIN_OPEN_SECONDS
 # Requests that have streamed events for this long are not suspected, since a request
-# that crashes its upstream does so when it begins to run.
+# that crashes its upstream does so when it begins to run. So fewer streams are refused
+# when upstreams crash for other reasons.
 SUSPECT_STREAM_SECONDS = 1.0
 # Maximum number of contents of lost requests that are recorded per upstream.
 MAX_PENDING_CONTENTS = 1024
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -21,7 +21,8 @@
     from pondquay_daemon.relay.store import RowChange, Snapshot
 
 
-# Maximum number of malformed rows that are recorded; others are logged on each read.
+# Maximum number of malformed rows that are recorded, with about 200 bytes each; others
+# are logged on each read.
 MAX_MALFORMED = 1024
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/linkplans.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/linkplans.py
@@ -19,9 +19,11 @@
 # peer receives something at least once a second.
 MAX_SILENT_INTERVALS = 2
 # Of two instances, the one whose name sorts first opens the link. The other opens it
-# only after this delay, so that they do not open two links when the fleet starts.
+# only after this delay, so that they do not open two links when the fleet starts. The
+# first may not have noticed yet that the link was lost.
 FALLBACK_OPEN_SECONDS = HEARTBEAT_SECONDS
 # Maximum number of links to instances in the same domain, some of which lend tokens.
+# Borrowers ask the lenders of their own domain first.
 MAX_NEAR_LINKS = 64
 # Maximum number of links to co-lenders in other domains.
 MAX_CO_LENDER_LINKS = 24
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loandemands.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loandemands.py
@@ -17,7 +17,8 @@
     from pondquay_daemon.relay.peerlinks import PeerLink
     from pondquay_daemon.relay.peermessages import Loan
 
-# Time after which a request for a loan is overdue.
+# Time after which a request for a loan is overdue. A loan takes a few milliseconds, and
+# as many again at a busy lender.
 LOAN_SECONDS = 0.04
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -58,7 +58,8 @@
 
 LINK_TIMEOUT_SECONDS = 2.0
 CONNECT_SECONDS = 0.5
-# Maximum number of departures that are sent on a new link, the latest ones.
+# Maximum number of departures that are sent on a new link, the latest ones. The list of
+# upstreams has dropped earlier ones for all instances.
 MAX_ANNOUNCED_DEPARTURES = 256
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
@@ -27,7 +27,8 @@
     from pondquay_daemon.relay.peermessages import PermitRequest
     from pondquay_daemon.relay.permitlinks import PermitLinks
 
-# Time that a request waits for a permit before another upstream is chosen.
+# Time that a request waits for a permit before another upstream is chosen: a few round
+# trips between failure domains.
 PERMIT_WAIT_SECONDS = 0.05
 # Delay before an instance without a reachable issuer asks again.
 NO_ISSUER_RETRY_SECONDS = 0.25
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -80,7 +80,8 @@
 ALLOTMENTS_POLL_SECONDS = 0.3
 LARGE_FLEET_ALLOTMENTS_POLL_SECONDS = 3.0
 # Minimum pause between polls of the upstreams, as a fraction of the departure bound.
-# Each heartbeat changes a row and ends a poll, so longer pauses need fewer polls.
+# Each heartbeat changes a row and ends a poll, so longer pauses need fewer polls: one
+# that lasts a heartbeat brings the row of each upstream once.
 UPSTREAMS_POLL_FRACTION = 0.125
 # Time for a slow or repeated poll.
 SLOW_POLL_SECONDS = 1.0
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -47,7 +47,7 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 # Connections that may fail before a request is refused, unless a healthy upstream is
-# left to try.
+# left to try. Nothing was sent on them, so they do not count as attempts.
 MAX_CONNECT_FAILURES = 3
 # Outcomes of requests that end without a plain response, as metric labels.
 NO_RESPONSE = "none"
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/stallmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/stallmonitor.py
@@ -20,7 +20,8 @@
     from pondquay_daemon.relay.feeds import TableFeed
 
 TICK_SECONDS = 0.25
-# A longer time between two ticks counts as a stall.
+# A longer time between two ticks counts as a stall. A poll of the store takes about as
+# long, so updates may be this late without a stall as well.
 STALL_SECONDS = 1.5
 
 
--- a/packages/pondquay/src/pondquay/budgets/headroom.py
+++ b/packages/pondquay/src/pondquay/budgets/headroom.py
@@ -206,6 +206,8 @@
     large_request_limit = max_large_request_headroom(account)
     if account.earlier_incarnation is not None:
         # Any write closes the earlier incarnation, even if no tokens are available.
+        # Until then, the tokens that it held count as remaining, and large requests
+        # would use those that are reserved for small ones.
         return min(large_request_limit, target)
     if account.has_pending_decrease:
         return min(limit, max(unspent, target))
@@ -216,7 +218,9 @@
         return max(min(large_request_limit, target), account.requested)
     if unspent < available < account.requested <= available + lendable_tokens(account):
         # Neither the row nor the lenders alone have enough tokens for the request, so
-        # this instance takes what the row has and can borrow the rest.
+        # this instance takes what the row has and can borrow the rest. Otherwise a
+        # request that the remaining tokens cover might be refused forever, with some
+        # of them in the row and some at each instance.
         return available
     if unspent < REFILL_FRACTION * target and large_request_limit > unspent:
         return min(large_request_limit, target)
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -33,10 +33,12 @@
 MIN_RETRY_SECONDS = 1.0
 # Retry delay for callers whose content gets no more trials.
 BLOCKED_RETRY_SECONDS = 600.0
-# Crashes further apart than this count as unrelated.
+# Crashes further apart than this count as unrelated. It also bounds for how long
+# completed runs are compared with suspected contents.
 CRASH_WINDOW_SECONDS = 600.0
 # Reported crashes that are older than this are ignored if they are not yet known,
-# unless the report is of a refused content.
+# unless the report is of a refused content. A peer that was cut off for longer reports
+# nothing that concerns present callers.
 MAX_REPORT_AGE_SECONDS = 2 * CRASH_WINDOW_SECONDS
 # A crash is kept for as long as related crashes may still be reported.
 RETENTION_SECONDS = MAX_REPORT_AGE_SECONDS + CRASH_WINDOW_SECONDS
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -18,7 +18,8 @@
     from pondquay.routing.upstreamrecords import UpstreamRecord
 
 # Maximum departures and removed rows that are remembered, for late updates from a
-# lagging list or, after a partition, from a peer.
+# lagging list or, after a partition, from a peer. It is more than a day of releases in
+# a large fleet.
 MAX_DEPARTURES = 4096
 # Age up to which the rate limit of a departed upstream is kept. A row that expired in
 # an outage of the store returns sooner.
--- a/packages/pondquay/src/pondquay/routing/domainreach.py
+++ b/packages/pondquay/src/pondquay/routing/domainreach.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 # Number of failed upstreams, without a response from the domain in between, from which
-# the domain counts as unreachable. A single failure is often just a crash.
+# the domain counts as unreachable. A single failure is often just a crash:
+# a sixth of a service's upstreams may be down at once in an ordinary fault.
 UNREACHABLE_UPSTREAMS = 2
-# Delay after the last failure before an unreachable domain is tried again.
+# Delay after the last failure before an unreachable domain is tried again. A trial that
+# fails delays one or two callers by the time-out of a connection.
 UNREACHABLE_SECONDS = 1.0
 
 
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -19,7 +19,8 @@
 # Fraction of the configured ratio that is used, as a request and its retry may fall
 # into different windows.
 SAFETY_FACTOR = 0.75
-# Minimum number of shares into which the fixed number is divided.
+# Minimum number of shares into which the fixed number is divided, since instances may
+# be added or replaced before this one knows of them.
 MIN_SHARES = 16
 # Shares per known instance, since instances may be added or replaced.
 SPARE_RATIO = 1.25
