--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -263,6 +263,7 @@
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         """Fail the exchange; nothing of it was sent."""
         refused = reason.check(ConnectionRefusedError) is not None
+        self._pool.note_connect_failed(self._address, refused=refused)
         self._exchange.fail_connect(reason.getErrorMessage(), refused=refused)
 
 
@@ -343,6 +344,8 @@
     :ivar opened: number of connections that were opened, including failed attempts
     :ivar on_connected: called with the address of each new connection and the seconds
         that it took to open
+    :ivar on_connect_failed: called with the address of each connection that failed and
+        whether the host refused it
     """
 
     def __init__(self, reactor: Any) -> None:
@@ -350,6 +353,7 @@
         self._idle: dict[Address, list[EgressConnection]] = defaultdict(list)
         self.opened = 0
         self.on_connected: Callable[[Address, float], None] | None = None
+        self.on_connect_failed: Callable[[Address, bool], None] | None = None
 
     def seconds(self) -> float:
         """Return the time in seconds."""
@@ -361,6 +365,11 @@
         if self.on_connected is not None:
             self.on_connected(address, self.seconds() - began_at)
 
+    def note_connect_failed(self, address: Address, *, refused: bool) -> None:
+        """Report that a connection could not be opened."""
+        if self.on_connect_failed is not None:
+            self.on_connect_failed(address, refused)
+
     def start(
         self, address: Address, exchange: Exchange, *, fresh: bool = False
     ) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -34,6 +34,13 @@
             "Upstreams whose connections broke, by whether they still accept new ones",
             "listens",
         )
+        self.connections = self._counter(
+            "upstream_connections", "Connections to upstreams by outcome", "end"
+        )
+        self.paths_down = self._gauge(
+            "upstream_paths_down",
+            "Upstreams to which the last connection of this instance failed",
+        )
         self.retries = self._counter(
             "retries", "Retries requested, by whether they were granted", "granted"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -41,6 +41,7 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
+from pondquay_daemon.relay.pathmonitor import PathMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -134,6 +135,7 @@
             settings.policy,
         )
         self.overload = OverloadMonitor(reactor, self._pool)
+        PathMonitor(reactor, self._pool, self.overload, metrics)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
         self._withdrawals = WithdrawalMonitor(
             reactor,
