--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -7,29 +7,29 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import h11
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from zope.interface import implementer
 
 from pondquay.routing.buffers import MAX_UNSENT_BYTES
 from pondquay_daemon.relay.chunkedhttp import ClientHttp
+from pondquay_daemon.relay.dialing import DirectDialer
 from pondquay_daemon.relay.errors import BrokenExchangeError
 from pondquay_daemon.relay.heads import keep_alive_seconds, wants_close
 from pondquay_daemon.relay.messages import ResponseHead
+from pondquay_daemon.relay.tunnels import TunnelTransport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from twisted.internet.interfaces import IAddress, IDelayedCall
+    from twisted.internet.interfaces import IDelayedCall
     from twisted.internet.tcp import Client
     from twisted.python.failure import Failure
 
     from pondquay.addresses import Address
+    from pondquay_daemon.relay.dialing import Dialer, DialFailure
     from pondquay_daemon.relay.messages import HeaderList
 
 MAX_RESPONSE_HEAD_BYTES = 65536
-CONNECT_SECONDS = 0.5
 # Upper limit of the idle time of a connection, whatever its peer allows.
 MAX_IDLE_SECONDS = 4.0
 # Subtracted from the peer's keep-alive time, so that the peer does not close a
@@ -64,6 +64,7 @@
     A body is written only as fast as its upstream reads.
 
     :ivar open: whether the connection is established
+    :ivar gateway: name of the peer through which it passes, empty if it is direct
     :ivar sent: whether any byte of the current exchange was sent
     :ivar idle_timer: closes the connection once it has been idle for too long
     """
@@ -76,6 +77,7 @@
         self._keep_alive: int | None = None
         self._close_after = False
         self.open = False
+        self.gateway = ""
         self.sent = False
         self.idle_timer: IDelayedCall | None = None
         self._unwritten = memoryview(b"")
@@ -86,8 +88,9 @@
     def connectionMade(self) -> None:
         """Mark the connection as open."""
         self.open = True
-        transport = cast("Client", self.transport)
-        transport.setTcpNoDelay(True)
+        if isinstance(self.transport, TunnelTransport):
+            self.gateway = self.transport.gateway
+        cast("Client", self.transport).setTcpNoDelay(True)
 
     def begin(
         self,
@@ -245,42 +248,16 @@
             listener.on_error(BrokenExchangeError(message, sent=sent))
 
 
-class _ConnectionFactory(ClientFactory):
-    """Opens one connection for an exchange."""
-
-    noisy = False
-
-    def __init__(self, pool: EgressPool, address: Address, exchange: Exchange) -> None:
-        self._pool = pool
-        self._address = address
-        self._exchange = exchange
-        self._began_at = pool.seconds()
-
-    def buildProtocol(self, addr: IAddress | None) -> EgressConnection:
-        """Return a connection that starts the waiting exchange."""
-        return _NewConnection(self._pool, self._address, self._exchange, self._began_at)
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Fail the exchange; nothing of it was sent."""
-        refused = reason.check(ConnectionRefusedError) is not None
-        self._pool.note_connect_failed(self._address, refused=refused)
-        self._exchange.fail_connect(reason.getErrorMessage(), refused=refused)
-
-
 class _NewConnection(EgressConnection):
     """A new connection that first carries the exchange that opened it."""
 
-    def __init__(
-        self, pool: EgressPool, address: Address, exchange: Exchange, began_at: float
-    ) -> None:
+    def __init__(self, pool: EgressPool, address: Address, exchange: Exchange) -> None:
         super().__init__(pool, address)
         self._exchange: Exchange | None = exchange
-        self._began_at = began_at
 
     def connectionMade(self) -> None:
         """Start the exchange."""
         super().connectionMade()
-        self._pool.note_connected(self.address, self._began_at)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.start_on(self)
@@ -315,10 +292,12 @@
         self._connection = connection
         connection.begin(self._listener, *self._request)
 
-    def fail_connect(self, message: str, *, refused: bool) -> None:
+    def fail_connect(self, failure: DialFailure) -> None:
         """Report that no connection could be established."""
         if not self._cancelled:
-            error = BrokenExchangeError(message, sent=False, refused=refused)
+            error = BrokenExchangeError(
+                failure.reason, sent=False, refused=failure.refused
+            )
             self._listener.on_error(error)
 
     def pause_reading(self) -> None:
@@ -341,34 +320,15 @@
 class EgressPool:
     """Opens connections, and keeps idle ones by address for reuse.
 
+    :param dialer: opens the connections; by default, directly
     :ivar opened: number of connections that were opened, including failed attempts
-    :ivar on_connected: called with the address of each new connection and the seconds
-        that it took to open
-    :ivar on_connect_failed: called with the address of each connection that failed and
-        whether the host refused it
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, dialer: Dialer | None = None) -> None:
         self._reactor = reactor
+        self._dialer = dialer or DirectDialer(reactor)
         self._idle: dict[Address, list[EgressConnection]] = defaultdict(list)
         self.opened = 0
-        self.on_connected: Callable[[Address, float], None] | None = None
-        self.on_connect_failed: Callable[[Address, bool], None] | None = None
-
-    def seconds(self) -> float:
-        """Return the time in seconds."""
-        seconds: float = self._reactor.seconds()
-        return seconds
-
-    def note_connected(self, address: Address, began_at: float) -> None:
-        """Report that a connection has opened."""
-        if self.on_connected is not None:
-            self.on_connected(address, self.seconds() - began_at)
-
-    def note_connect_failed(self, address: Address, *, refused: bool) -> None:
-        """Report that a connection could not be opened."""
-        if self.on_connect_failed is not None:
-            self.on_connect_failed(address, refused)
 
     def start(
         self, address: Address, exchange: Exchange, *, fresh: bool = False
@@ -377,20 +337,39 @@
 
         :param fresh: open a new connection even if one is idle
         """
+        idle = None if fresh else self._take_idle(address)
+        if idle is not None:
+            exchange.start_on(idle)
+            return
+        self.opened += 1
+        self._dialer.dial(
+            address,
+            lambda: _NewConnection(self, address, exchange),
+            exchange.fail_connect,
+        )
+
+    def _take_idle(self, address: Address) -> EgressConnection | None:
+        """Return an idle connection that can be used, ``None`` if there is none."""
         idle = self._idle[address]
-        while idle and not fresh:
+        while idle:
             connection = idle.pop()
             self._stop_idle_timer(connection)
-            if connection.open:
-                exchange.start_on(connection)
-                return
-        self.opened += 1
-        self._reactor.connectTCP(
-            address.host,
-            address.port,
-            _ConnectionFactory(self, address, exchange),
-            timeout=CONNECT_SECONDS,
-        )
+            if not connection.open:
+                continue
+            if not self._dialer.trusts(address, connection.gateway):
+                connection.drop()
+                continue
+            if connection.gateway:
+                self._dialer.refresh(address)
+            return connection
+        return None
+
+    def drop_gateway(self, gateway: str) -> None:
+        """Close all idle connections that pass through a gateway."""
+        for idle in list(self._idle.values()):
+            for connection in list(idle):
+                if connection.gateway == gateway:
+                    connection.drop()
 
     def keep_idle(self, connection: EgressConnection, seconds: int | None) -> None:
         """Keep an idle connection for reuse, or close it if its peer soon will.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/loadlinks.py
@@ -71,8 +71,12 @@
 
     def has_peer_with_room(self) -> bool:
         """Return whether any linked peer has room."""
-        links = (self._mesh.find_link(peer) for peer in self._mesh.peers)
-        return any(link is not None and self.find_room(link) > 0 for link in links)
+        return any(self.has_peer_room(peer) for peer in self._mesh.peers)
+
+    def has_peer_room(self, peer: str) -> bool:
+        """Return whether a linked peer has room."""
+        link = self._mesh.find_link(peer)
+        return link is not None and self.find_room(link) > 0
 
     def list_near_levels(self) -> dict[str, LoadLevel]:
         """Return the levels of the linked instances of the own domain."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -37,6 +37,16 @@
         self.connections = self._counter(
             "upstream_connections", "Connections to upstreams by outcome", "end"
         )
+        self.tunnels_served = self._counter(
+            "tunnels_served", "Tunnels that peers requested, by outcome", "end"
+        )
+        self.tunnels_open = self._gauge(
+            "tunnels_open", "Tunnels that this instance carries for peers"
+        )
+        self.paths_lost = self._gauge(
+            "upstream_paths_lost",
+            "Upstreams that peers reach and this instance does not",
+        )
         self.paths_down = self._gauge(
             "upstream_paths_down",
             "Upstreams to which the last connection of this instance failed",
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/overloadmonitor.py
@@ -6,7 +6,7 @@
 
 from pondquay.routing.overload import LoadLevel, OverloadDetector
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.egress import CONNECT_SECONDS
+from pondquay_daemon.relay.dialing import CONNECT_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,6 @@
     from pondquay.addresses import Address
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
-    from pondquay_daemon.relay.egress import EgressPool
 
 SAMPLE_SECONDS = 0.1
 # An upstream that sent nothing for longer may be unreachable, also while this instance
@@ -32,9 +31,8 @@
     :ivar on_sample: called after each measurement
     """
 
-    def __init__(self, clock: IReactorTime, pool: EgressPool) -> None:
+    def __init__(self, clock: IReactorTime) -> None:
         self._clock = clock
-        pool.on_connected = self.note_connected
         self._due_at = 0.0
         self.detector = OverloadDetector()
         self.on_change: Callable[[], None] | None = None
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
@@ -0,0 +1,242 @@
+"""Opening of connections to upstreams, directly or through a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+from twisted.internet.protocol import Protocol
+
+from pondquay.routing.gateways import ANY_UPSTREAM
+from pondquay_daemon.relay.dialing import (
+    CONNECT_SECONDS,
+    Dialer,
+    DialFailure,
+    DirectDialer,
+)
+from pondquay_daemon.relay.tunnelmessages import OpenTunnel, TunnelOutcome
+from pondquay_daemon.relay.tunnels import open_tunnel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IDelayedCall
+    from twisted.internet.tcp import Connection
+
+    from pondquay.addresses import Address
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.gateways import Gateway, GatewayTable
+    from pondquay.routing.upstreamrecords import UpstreamRecord
+    from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
+    from pondquay_daemon.relay.pathmonitor import PathMonitor
+
+# Time after which a further gateway is asked while one has not responded.
+NEXT_GATEWAY_SECONDS = 0.15
+
+
+class PathDialer(Dialer):
+    """Connects to upstreams, through a gateway where the own path seems to be lost.
+
+    :param instance: name of this instance
+    :param enabled: whether gateways are used
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        instance: str,
+        directory: UpstreamDirectory,
+        monitor: PathMonitor,
+        overload: OverloadMonitor,
+        gateways: GatewayTable,
+        *,
+        enabled: bool = True,
+    ) -> None:
+        self._enabled = enabled
+        self.reactor = reactor
+        self.instance = instance
+        self.monitor = monitor
+        self.gateways = gateways
+        self.direct = DirectDialer(reactor)
+        self._directory = directory
+        self._overload = overload
+        monitor.watch(self.direct)
+
+    def dial(
+        self,
+        address: Address,
+        build: Callable[[], Protocol],
+        on_failed: Callable[[DialFailure], None],
+    ) -> None:
+        """Open a connection."""
+        record = self._directory.find_at(address)
+        if record is None or not self._enabled:
+            self.direct.dial(address, build, on_failed)
+            return
+        plan = self.monitor.plan(record)
+        tunnel_after = plan.tunnel_after
+        # An overloaded instance opens connections late, and tunnels would add to it.
+        if self._overload.overloaded and tunnel_after != 0.0:
+            tunnel_after = None
+        race = _Race(self, record, build, on_failed)
+        race.start(direct=plan.direct, tunnel_after=tunnel_after)
+
+    def trusts(self, address: Address, gateway: str) -> bool:
+        """Return whether an idle connection takes the path that is in use."""
+        return bool(gateway) == self.monitor.is_lost(address)
+
+    def refresh(self, address: Address) -> None:
+        """Check whether a lost path works again."""
+        now = self.reactor.seconds()
+        if self.monitor.is_lost(address) and self.monitor.paths.take_retry(
+            address, now
+        ):
+            self.direct.dial(address, _UnusedConnection, _ignore_failure)
+
+
+class _Race:
+    """Opens a connection in several ways at once; the first that opens is used."""
+
+    def __init__(
+        self,
+        dialer: PathDialer,
+        record: UpstreamRecord,
+        build: Callable[[], Protocol],
+        on_failed: Callable[[DialFailure], None],
+    ) -> None:
+        self._dialer = dialer
+        self._record = record
+        self._build = build
+        self._on_failed = on_failed
+        self._pending = 0
+        self._is_done = False
+        self._may_tunnel = False
+        self._failure = DialFailure("no path to the upstream")
+        self._tried: list[Gateway] = []
+        self._next_tunnel: IDelayedCall | None = None
+        self._timeout: IDelayedCall | None = None
+
+    def start(self, *, direct: bool, tunnel_after: float | None) -> None:
+        """Begin.
+
+        :param tunnel_after: seconds after which a gateway is asked, ``None`` for never
+        """
+        self._may_tunnel = tunnel_after is not None
+        if direct:
+            self._pending += 1
+            address = self._record.address
+            self._dialer.direct.dial(address, self._open_direct, self._fail_direct)
+        if self._is_done or tunnel_after is None:
+            if not direct:
+                self._check_failed()
+            return
+        clock = self._dialer.reactor
+        self._timeout = clock.callLater(CONNECT_SECONDS, self._on_timeout)
+        if tunnel_after > 0.0:
+            self._next_tunnel = clock.callLater(tunnel_after, self._try_tunnel)
+        elif not self._tried:
+            self._try_tunnel()
+
+    def _open_direct(self) -> Protocol:
+        return _UnusedConnection() if self._is_done else self._win()
+
+    def _fail_direct(self, failure: DialFailure) -> None:
+        self._pending -= 1
+        self._failure = failure
+        if not self._is_done and self._may_tunnel and not self._tried:
+            self._try_tunnel()
+        self._check_failed()
+
+    def _try_tunnel(self) -> None:
+        """Ask a gateway, and another one if it does not respond soon."""
+        self._cancel(self._next_tunnel)
+        dialer, record = self._dialer, self._record
+        now = dialer.reactor.seconds()
+        gateway = dialer.gateways.choose(
+            (str(record.address), record.service), record.domain, self._tried, now
+        )
+        if self._is_done or gateway is None:
+            self._may_tunnel = False
+            self._check_failed()
+            return
+        self._tried.append(gateway)
+        self._pending += 1
+        self._next_tunnel = dialer.reactor.callLater(
+            NEXT_GATEWAY_SECONDS, self._try_tunnel
+        )
+        open_tunnel(
+            dialer.reactor,
+            gateway,
+            OpenTunnel(dialer.instance, record.incarnation, str(record.address)),
+            lambda: self._open_tunnel(gateway),
+            lambda outcome: self._fail_tunnel(gateway, outcome),
+            lambda: dialer.gateways.note_tunnel(gateway.name, -1),
+        )
+
+    def _open_tunnel(self, gateway: Gateway) -> Protocol:
+        self._dialer.gateways.note_tunnel(gateway.name, 1)
+        if self._is_done:
+            return _UnusedConnection()
+        self._dialer.monitor.note_tunnelled(self._record, gateway.name)
+        return self._win()
+
+    def _fail_tunnel(self, gateway: Gateway, outcome: TunnelOutcome) -> None:
+        self._pending -= 1
+        dialer, record = self._dialer, self._record
+        scope = {
+            TunnelOutcome.BUSY: ANY_UPSTREAM,
+            TunnelOutcome.CUT_OFF: record.service,
+        }.get(outcome, str(record.address))
+        now = dialer.reactor.seconds()
+        dialer.gateways.note_failed(gateway.name, scope, now)
+        if outcome is TunnelOutcome.REFUSED:
+            # The upstream's host responds, so no other gateway will do better.
+            dialer.monitor.note_unreachable(record)
+            self._failure = DialFailure("refused at a gateway", refused=True)
+            self._may_tunnel = False
+        elif outcome is TunnelOutcome.UNREACHABLE and len(self._tried) > 1:
+            dialer.monitor.note_unreachable(record)
+        if not self._is_done and self._may_tunnel:
+            self._try_tunnel()
+        self._check_failed()
+
+    def _on_timeout(self) -> None:
+        for gateway in self._tried:
+            self._dialer.gateways.note_failed(
+                gateway.name, str(self._record.address), self._dialer.reactor.seconds()
+            )
+        self._pending = 0
+        self._may_tunnel = False
+        self._check_failed()
+
+    def _win(self) -> Protocol:
+        self._finish()
+        return self._build()
+
+    def _check_failed(self) -> None:
+        """Fail if there is no way left."""
+        waits = self._next_tunnel is not None and self._next_tunnel.active()
+        if self._is_done or self._pending or (waits and self._may_tunnel):
+            return
+        self._finish()
+        self._on_failed(self._failure)
+
+    def _finish(self) -> None:
+        self._is_done = True
+        self._cancel(self._next_tunnel)
+        self._cancel(self._timeout)
+
+    def _cancel(self, timer: IDelayedCall | None) -> None:
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+class _UnusedConnection(Protocol):
+    """A connection that opened although it is not needed any more."""
+
+    def connectionMade(self) -> None:
+        """Close it."""
+        cast("Connection", self.transport).abortConnection()
+
+
+def _ignore_failure(failure: DialFailure) -> None:
+    """Do nothing, since the failure has been recorded."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
@@ -11,60 +11,103 @@
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.addresses import Address
-    from pondquay_daemon.relay.egress import EgressPool
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.paths import ConnectPlan
+    from pondquay.routing.upstreamrecords import UpstreamRecord
+    from pondquay_daemon.relay.dialing import DirectDialer
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 
 
 class PathMonitor:
-    """Records the outcome of each connection that a pool opens to an upstream.
+    """Records the outcome of each connection to an upstream, direct or tunnelled.
 
-    :param overload: is told how long connections take to open
+    :param overload: is told how long direct connections take to open
     """
 
     def __init__(
         self,
         clock: IReactorTime,
-        pool: EgressPool,
+        directory: UpstreamDirectory,
         overload: OverloadMonitor,
         metrics: RelayMetrics,
     ) -> None:
         self._clock = clock
+        self._directory = directory
         self._overload = overload
         self._metrics = metrics
         self.paths = DirectPaths()
-        pool.on_connected = self._note_opened
-        pool.on_connect_failed = self._note_failed
+
+    def watch(self, dialer: DirectDialer) -> None:
+        """Record the outcomes of a dialer's connections."""
+        dialer.on_opened = self._note_opened
+        dialer.on_failed = self._note_failed
+
+    def plan(self, record: UpstreamRecord) -> ConnectPlan:
+        """Return how to open a connection to an upstream, which is done now."""
+        return self.paths.plan(record.address, record.service, self._clock.seconds())
+
+    def avoids(self, record: UpstreamRecord) -> bool:
+        """Return whether a direct connection to an upstream is unlikely to open.
+
+        One attempt is allowed from time to time.
+        """
+        paths = self.paths
+        is_lost = paths.is_lost(record.address, record.service)
+        if not is_lost and not paths.seems_cut_off(record.service):
+            return False
+        return not paths.take_retry(record.address, self._clock.seconds())
+
+    def is_lost(self, address: Address) -> bool:
+        """Return whether peers reach an upstream that this instance does not reach."""
+        if not self.paths.has_failures:
+            return False
+        record = self._directory.find_at(address)
+        return record is not None and self.paths.is_lost(address, record.service)
+
+    def note_tunnelled(self, record: UpstreamRecord, gateway: str) -> None:
+        """Record that a gateway reaches an upstream."""
+        self._metrics.connections.labels("tunnelled").inc()
+        if self.paths.note_tunnelled(record.address, record.service):
+            self._log_change(record.address, Level.WARNING, "lost", gateway=gateway)
+
+    def note_unreachable(self, record: UpstreamRecord) -> None:
+        """Record that a gateway cannot reach an upstream either."""
+        self.paths.note_unreachable(record.address, self._clock.seconds())
 
     def _note_opened(self, address: Address, seconds: float) -> None:
         self._overload.note_connected(address, seconds)
         self._metrics.connections.labels("opened").inc()
-        if self.paths.note_opened(address, self._clock.seconds()):
+        now = self._clock.seconds()
+        if self.paths.note_opened(address, self._find_service(address), now):
             self._log_change(address, Level.INFO, "up")
 
     def _note_failed(self, address: Address, refused: bool) -> None:
         self._metrics.connections.labels("refused" if refused else "failed").inc()
-        now = self._clock.seconds()
-        last_opened = self.paths.seconds_since_opened(now)
-        if self.paths.note_failed(address, now):
-            self._log_change(address, Level.WARNING, "down", refused, last_opened)
+        self.paths.retain({known.record.address for known in self._directory.all()})
+        if self.paths.note_failed(address, self._find_service(address)):
+            self._log_change(address, Level.WARNING, "down", refused=refused)
+
+    def _find_service(self, address: Address) -> str:
+        """Return the service of an upstream, empty if it is not needed or unknown."""
+        record = self._directory.find_at(address)
+        return "" if record is None else record.service
 
     def _log_change(
-        self,
-        address: Address,
-        level: Level,
-        state: str,
-        refused: bool = False,
-        last_opened: float | None = None,
+        self, address: Address, level: Level, state: str, **fields: object
     ) -> None:
-        self._metrics.paths_down.set(self.paths.count_down())
+        paths = self.paths
+        self._metrics.paths_down.set(paths.count_down())
+        self._metrics.paths_lost.set(paths.count_lost())
         # last_opened: seconds since this instance opened a connection to any upstream.
+        opened = paths.seconds_since_opened(self._clock.seconds())
         log_event(
             "upstream-path",
             level,
             address=address,
             state=state,
-            refused=refused,
-            down=self.paths.count_down(),
-            last_opened=-1 if last_opened is None else round(last_opened, 2),
+            down=paths.count_down(),
+            lost=paths.count_lost(),
+            last_opened=-1 if opened is None else round(opened, 2),
+            **fields,
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -11,11 +11,9 @@
 
 import zlib
 from dataclasses import dataclass
-from dataclasses import fields as dataclass_fields
-from typing import TYPE_CHECKING, Annotated, Any, ClassVar, TypeAlias
+from typing import TYPE_CHECKING, Annotated, Any, ClassVar, TypeAlias, get_args
 
 import msgpack
-import msgspec
 from msgspec import Meta
 
 from pondquay.requests.contents import CONTENT_BYTES
@@ -23,13 +21,11 @@
 from pondquay.routing.evacuations import Evacuation
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.messagecodec import MessageCodec, StreamReader
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MAX_MESSAGE_BYTES = 16 << 20
-# The buffer of a link grows from this size to that of its longest messages.
-INITIAL_BUFFER_BYTES = 4096
 # The fastest level, since configurations are repetitive and compress well.
 COMPRESSION_LEVEL = 1
 # Maximum of counts and versions; floats represent integers exactly up to it.
@@ -347,6 +343,19 @@
     room: Count
 
 
+@dataclass(frozen=True, slots=True)
+class TunnelOffer:
+    """Offers tunnels to upstreams, or withdraws the offer.
+
+    :param address: address at which the sender accepts tunnels
+    :param accepting: whether it accepts new tunnels
+    """
+
+    CODE: ClassVar[int] = 26
+    address: str
+    accepting: bool
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -365,47 +374,15 @@
     | PermitGrant
     | UpstreamActivity
     | InstanceLoad
+    | TunnelOffer
 )
-MESSAGE_TYPES: dict[int, type[PeerMessage]] = {
-    kind.CODE: kind
-    for kind in (
-        Hello,
-        SupportedMessages,
-        Heartbeat,
-        FetchConfiguration,
-        ConfigurationValue,
-        UpstreamDepartures,
-        DomainEvacuations,
-        UpstreamCrashes,
-        UndatedCrashes,
-        LoanRequest,
-        Loan,
-        UpstreamLoads,
-        UpstreamLimits,
-        PermitRequest,
-        PermitGrant,
-        UpstreamActivity,
-        InstanceLoad,
-    )
-}
-
-
-# Reused, since a packer allocates its buffer when it is created.
-_PACKER = msgpack.Packer()
-
-
-# Names of the fields of each kind, in the order in which they are sent.
-_FIELD_NAMES = {
-    kind: tuple(field.name for field in dataclass_fields(kind))
-    for kind in MESSAGE_TYPES.values()
-}
+CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
+MESSAGE_TYPES = CODEC.kinds
 
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return the encoded message."""
-    values = [getattr(message, name) for name in _FIELD_NAMES[type(message)]]
-    packed: bytes = _PACKER.pack([message.CODE, *values])
-    return packed
+    return CODEC.encode(message)
 
 
 def make_earlier_form(message: PeerMessage) -> PeerMessage | None:
@@ -423,43 +400,8 @@
     )
 
 
-class MessageReader:
-    """Decodes messages from a stream of bytes."""
+class MessageReader(StreamReader[PeerMessage]):
+    """Decodes the messages of a link from a stream of bytes."""
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_MESSAGE_BYTES, read_size=INITIAL_BUFFER_BYTES
-        )
-
-    def feed(self, data: bytes) -> list[PeerMessage]:
-        """Return the messages that are complete after adding some bytes.
-
-        :raises MalformedValueError: if the bytes are malformed
-        """
-        try:
-            self._unpacker.feed(data)
-            read = [_read_message(fields) for fields in self._unpacker]
-        except (
-            msgpack.UnpackException,
-            msgspec.ValidationError,
-            RecursionError,
-            ValueError,
-            TypeError,
-        ) as error:
-            raise MalformedValueError(f"peer message: {error!r}") from error
-        return [message for message in read if message is not None]
-
-
-def _read_message(fields: Any) -> PeerMessage | None:
-    """Return a message, ``None`` if its code is unknown.
-
-    :raises MalformedValueError: if it is malformed
-    """
-    if not isinstance(fields, list) or not fields or not isinstance(fields[0], int):
-        raise MalformedValueError("peer message: has no code")
-    code, *values = fields
-    message_type = MESSAGE_TYPES.get(code)
-    if message_type is None:
-        return None
-    names = _FIELD_NAMES[message_type]
-    return msgspec.convert(dict(zip(names, values, strict=False)), message_type)
+        super().__init__(CODEC)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -12,6 +12,7 @@
 from pondquay.routing.buffers import BufferPool, choose_limit
 from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
+from pondquay.routing.gateways import GatewayTable
 from pondquay.routing.issuers import IssuerSelector, LinkedPeers
 from pondquay.routing.listwatch import MISSING_GRACE_SECONDS
 from pondquay.routing.retryshares import RetryShare
@@ -32,6 +33,7 @@
 from pondquay_daemon.relay.evacuationview import EvacuationView
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
+from pondquay_daemon.relay.gatewaylinks import GatewayLinks
 from pondquay_daemon.relay.gauges import update_gauges
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
@@ -41,6 +43,7 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
+from pondquay_daemon.relay.pathdialing import PathDialer
 from pondquay_daemon.relay.pathmonitor import PathMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
@@ -51,6 +54,7 @@
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.relay.stallmonitor import StallMonitor
+from pondquay_daemon.relay.tunnelserver import TunnelServer
 from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
 from pondquay_daemon.tasks import sleep, spawn
 
@@ -105,7 +109,6 @@
         self._border = border
         self._settings = settings
         self._metrics = metrics
-        self._pool = EgressPool(reactor)
         # A partition takes only a few hundred writes per second, and all instances may
         # start at the same time, so each allotment row has its own partition.
         self._store = border.open_store(settings, reactor, frozenset({ALLOTMENTS}))
@@ -134,9 +137,20 @@
             metrics,
             settings.policy,
         )
-        self.overload = OverloadMonitor(reactor, self._pool)
-        PathMonitor(reactor, self._pool, self.overload, metrics)
+        self.overload = OverloadMonitor(reactor)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
+        self._paths = PathMonitor(reactor, directory, self.overload, metrics)
+        self._tunnel_server = TunnelServer(
+            reactor, directory, self._paths, self.overload, metrics
+        )
+        gateways = GatewayTable(settings.domain, Random(), self._loads.has_peer_room)
+        self._gateway_links = GatewayLinks(
+            self._peers,
+            gateways,
+            settings.tunnels if settings.policy.use_gateways else None,
+        )
+        self._pool = self._make_pool(directory, gateways)
+        self._gateway_links.on_removed = self._pool.drop_gateway
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -239,6 +253,20 @@
         self.stopping = False
         self._refusing = False
 
+    def _make_pool(
+        self, directory: UpstreamDirectory, gateways: GatewayTable
+    ) -> EgressPool:
+        dialer = PathDialer(
+            self._reactor,
+            self._settings.instance,
+            directory,
+            self._paths,
+            self.overload,
+            gateways,
+            enabled=self._settings.policy.use_gateways,
+        )
+        return EgressPool(self._reactor, dialer)
+
     def _make_permits(self, directory: UpstreamDirectory) -> PermitBroker:
         settings, linked = self._settings, LinkedPeers(self._reactor.seconds)
         selector = IssuerSelector(
@@ -321,6 +349,10 @@
             (settings.readiness, self._readiness_server),
         ):
             self._reactor.listenTCP(address.port, server, 512, address.host)
+        if settings.tunnels is not None:
+            self._reactor.listenTCP(
+                settings.tunnels.port, self._tunnel_server, 64, settings.tunnels.host
+            )
         self._listen_reports()
         for feed in self._feeds:
             feed.start()
@@ -368,6 +400,7 @@
         metrics.version.set(self._configuration.version)
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
+        metrics.tunnels_open.set(len(self._tunnel_server))
         metrics.malformed.set(len(self._upstreams.malformed))
         update_gauges(self._components)
         return metrics.render()
@@ -378,6 +411,8 @@
         self._caller_server.stopping = True
         self._loads.stopping = True
         self._loads.announce()
+        self._tunnel_server.stopping = True
+        self._gateway_links.withdraw_offer()
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
@@ -385,7 +420,7 @@
         until = began + self._settings.bounds.stop - RETURN_UNSPENT_SECONDS
         while self._reactor.seconds() < until:
             self._caller_server.close_idle()
-            if not self._caller_server.connections:
+            if not self._caller_server.connections and not self._tunnel_server:
                 break
             await sleep(STOP_STEP_SECONDS, self._reactor)
         await self._accounts.return_unspent()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -46,6 +46,8 @@
     :param seeds: ``peers`` addresses of some other instances
     :param bounds: limits agreed on by the operators
     :param reports: address of metrics and state dumps, ``None`` to serve none
+    :param tunnels: address at which tunnels of peers to upstreams are accepted,
+        ``None`` to accept none
     :param memory: bytes that the process may use, ``None`` if unknown
     :param policy: switches and parameters of the relay's mechanisms
     """
@@ -60,4 +62,5 @@
     bounds: RelayBounds = RelayBounds()
     reports: Address | None = None
     memory: float | None = None
+    tunnels: Address | None = None
     policy: RelayPolicy = DEFAULT_POLICY
--- a/packages/pondquay-daemon/tests/relay/links.py
+++ b/packages/pondquay-daemon/tests/relay/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
+from unittest.mock import Mock
 
 from twisted.test.iosim import FakeTransport, IOPump
 
@@ -18,6 +19,12 @@
     def setTcpNoDelay(self, enabled: bool) -> None:
         pass
 
+    def setTcpKeepAlive(self, enabled: bool) -> None:
+        pass
+
+    def getHandle(self) -> Mock:
+        return Mock()
+
 
 class RelayLinks:
     """All links between relays.
--- a/packages/pondquay-lab/src/pondquay_lab/keptforms.py
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -54,6 +54,8 @@
     "paces": [(3_000_000_000, 11_000, 0), (4, 0, 900)],
     "level": 1,
     "room": 4,
+    "address": "10.0.0.1:7340",
+    "accepting": True,
 }
 
 
--- a/packages/pondquay/src/pondquay/policy.py
+++ b/packages/pondquay/src/pondquay/policy.py
@@ -71,6 +71,7 @@
     :param refuse_overload: while this instance is overloaded, refuse requests at once
         that would lose about half of their time here, the less urgent first, so that
         their callers retry at other instances in time
+    :param use_gateways: connect to an upstream through a peer if this instance cannot
     """
 
     share_loads: bool = True
@@ -96,6 +97,7 @@
     copy_parts: bool = True
     withdraw: bool = True
     refuse_overload: bool = True
+    use_gateways: bool = True
 
 
 DEFAULT_POLICY = RelayPolicy()
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from pondquay.addresses import Address
     from pondquay.routing.ratelimits import RateLimit
     from pondquay.routing.upstreamrecords import UpstreamRecord
 
@@ -103,6 +104,16 @@
         """Return an upstream by the name of its incarnation."""
         return self._known.get(name)
 
+    def find_at(self, address: Address) -> UpstreamRecord | None:
+        """Return the record of the upstream at an address, the newest if it moved."""
+        found = [
+            upstream
+            for upstream in self._known.values()
+            if upstream.record.address == address
+        ]
+        newest = max(found, key=lambda upstream: upstream.version, default=None)
+        return None if newest is None else newest.record
+
     def find_listed(self, row: str) -> KnownUpstream | None:
         """Return the incarnation last known to be in a row, ``None`` if unknown."""
         incarnation = self._listed.get(row)
--- a/packages/pondquay/src/pondquay/routing/paths.py
+++ b/packages/pondquay/src/pondquay/routing/paths.py
@@ -1,38 +1,154 @@
-"""Direct paths to upstreams, by the outcome of the connections that are opened."""
+"""Whose loss a failed connection is: the upstream's or this instance's own.
+
+An instance that cannot connect to an upstream does not know whether the upstream is
+down or its own path there is lost. A peer that can connect shows the latter. The path
+then counts as lost until a connection of this instance opens again, and requests go
+through a peer meanwhile.
+"""
 
 from __future__ import annotations
 
+from collections import defaultdict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from pondquay.addresses import Address
 
+# A connection that has not opened by then has probably lost a packet, which would be
+# sent again only after a second.
+SLOW_CONNECT_SECONDS = 0.1
+# Interval between attempts to use a lost path again.
+RETRY_PATH_SECONDS = 1.0
+# Time for which peers are not asked again about an upstream that they cannot reach.
+UNREACHABLE_SECONDS = 1.0
+# Upstreams of a service that fail, without one that opens in between, from which all
+# its upstreams are assumed to fail. A single one may simply have crashed.
+MIN_FAILED_UPSTREAMS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectPlan:
+    """How to open a connection to an upstream.
+
+    :param direct: whether this instance connects itself
+    :param tunnel_after: seconds after which a peer is asked to connect, ``None`` for
+        never; it is also asked once the direct connection has failed
+    """
+
+    direct: bool
+    tunnel_after: float | None
+
 
 class DirectPaths:
-    """Tracks to which upstreams this instance can open connections.
+    """Tracks to which upstreams this instance itself can open connections.
 
-    A path is down from the first connection that fails until the next one that opens.
+    All times are in seconds of this instance's clock.
     """
 
     def __init__(self) -> None:
-        self._down_since: dict[Address, float] = {}
+        self._down: set[Address] = set()
+        self._lost: set[Address] = set()
+        self._unreachable_until: dict[Address, float] = {}
+        self._tried_at: dict[Address, float] = {}
+        # The upstreams of each service that failed directly, and those of them that a
+        # peer could reach, since a direct connection to the service last opened.
+        self._down_in: defaultdict[str, set[Address]] = defaultdict(set)
+        self._lost_in: defaultdict[str, set[Address]] = defaultdict(set)
         self._opened_at: float | None = None
 
-    def note_opened(self, address: Address, now: float) -> bool:
-        """Record a connection that has opened; return whether the path was down."""
+    @property
+    def has_failures(self) -> bool:
+        """Whether any path is down or lost."""
+        return bool(self._down or self._lost)
+
+    def plan(self, address: Address, service: str, now: float) -> ConnectPlan:
+        """Return how to open a connection, and note that it is opened."""
+        if self.is_lost(address, service):
+            return ConnectPlan(self.take_retry(address, now), 0.0)
+        if now < self._unreachable_until.get(address, 0.0):
+            direct = self.take_retry(address, now) or not self.seems_cut_off(service)
+            return ConnectPlan(direct, None)
+        if self.seems_cut_off(service):
+            return ConnectPlan(self.take_retry(address, now), 0.0)
+        self._tried_at[address] = now
+        return ConnectPlan(True, SLOW_CONNECT_SECONDS)
+
+    def take_retry(self, address: Address, now: float) -> bool:
+        """Return whether a failed path should be tried again now, and note it."""
+        if now - self._tried_at.get(address, -RETRY_PATH_SECONDS) < RETRY_PATH_SECONDS:
+            return False
+        self._tried_at[address] = now
+        return True
+
+    def is_lost(self, address: Address, service: str) -> bool:
+        """Return whether peers reach an upstream that this instance does not reach."""
+        lost_in_service = len(self._lost_in.get(service, ()))
+        return address in self._lost or lost_in_service >= MIN_FAILED_UPSTREAMS
+
+    def seems_cut_off(self, service: str) -> bool:
+        """Return whether no upstream of a service seems to be reachable."""
+        return len(self._down_in.get(service, ())) >= MIN_FAILED_UPSTREAMS
+
+    def note_opened(self, address: Address, service: str, now: float) -> bool:
+        """Record a direct connection that opened; return whether the path was down."""
         self._opened_at = now
-        return self._down_since.pop(address, None) is not None
+        self._tried_at.pop(address, None)
+        if not self.has_failures:
+            return False
+        was_down = address in self._down or address in self._lost
+        self._down.discard(address)
+        self._lost.discard(address)
+        self._unreachable_until.pop(address, None)
+        self._down_in.pop(service, None)
+        self._lost_in.pop(service, None)
+        return was_down
+
+    def note_failed(self, address: Address, service: str) -> bool:
+        """Record a direct connection that failed; return whether the path was up."""
+        self._down_in[service].add(address)
+        if address in self._down:
+            return False
+        self._down.add(address)
+        return True
+
+    def note_tunnelled(self, address: Address, service: str) -> bool:
+        """Record that a peer reaches an upstream that this instance has not reached.
 
-    def note_failed(self, address: Address, now: float) -> bool:
-        """Record a connection that has failed; return whether the path was up."""
-        if address in self._down_since:
+        :returns: whether the path was not known to be lost
+        """
+        self._lost_in[service].add(address)
+        if address in self._lost:
             return False
-        self._down_since[address] = now
+        self._lost.add(address)
         return True
 
+    def note_unreachable(self, address: Address, now: float) -> None:
+        """Record that peers cannot reach an upstream either."""
+        self._unreachable_until[address] = now + UNREACHABLE_SECONDS
+
+    def retain(self, addresses: Container[Address]) -> None:
+        """Forget all upstreams but those at some addresses."""
+        self._down = {address for address in self._down if address in addresses}
+        self._lost = {address for address in self._lost if address in addresses}
+        for times in (self._unreachable_until, self._tried_at):
+            for address in [known for known in times if known not in addresses]:
+                del times[address]
+        for groups in (self._down_in, self._lost_in):
+            for service, members in list(groups.items()):
+                members.intersection_update(self._down | self._lost)
+                if not members:
+                    del groups[service]
+
     def count_down(self) -> int:
-        """Return the number of paths that are down."""
-        return len(self._down_since)
+        """Return the number of upstreams to which the last connection failed."""
+        return len(self._down)
+
+    def count_lost(self) -> int:
+        """Return the number of upstreams that only peers have reached lately."""
+        return len(self._lost)
 
     def seconds_since_opened(self, now: float) -> float | None:
         """Return the age of the last connection to any upstream that has opened.
