--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
@@ -56,8 +56,8 @@
         self.instance = instance
         self.monitor = monitor
         self.gateways = gateways
+        self.directory = directory
         self.direct = DirectDialer(reactor)
-        self._directory = directory
         self._overload = overload
         monitor.watch(self.direct)
 
@@ -68,16 +68,15 @@
         on_failed: Callable[[DialFailure], None],
     ) -> None:
         """Open a connection."""
-        record = self._directory.find_at(address)
-        if record is None or not self._enabled:
+        if not self._enabled:
             self.direct.dial(address, build, on_failed)
             return
-        plan = self.monitor.plan(record)
+        plan = self.monitor.plan(address)
         tunnel_after = plan.tunnel_after
         # An overloaded instance opens connections late, and tunnels would add to it.
         if self._overload.overloaded and tunnel_after != 0.0:
             tunnel_after = None
-        race = _Race(self, record, build, on_failed)
+        race = _Race(self, address, build, on_failed)
         race.start(direct=plan.direct, tunnel_after=tunnel_after)
 
     def trusts(self, address: Address, gateway: str) -> bool:
@@ -86,10 +85,8 @@
 
     def refresh(self, address: Address) -> None:
         """Check whether a lost path works again."""
-        now = self.reactor.seconds()
-        if self.monitor.is_lost(address) and self.monitor.paths.take_retry(
-            address, now
-        ):
+        record = self.directory.find_at(address)
+        if record is not None and self.monitor.take_retry(record):
             self.direct.dial(address, _UnusedConnection, _ignore_failure)
 
 
@@ -99,12 +96,12 @@
     def __init__(
         self,
         dialer: PathDialer,
-        record: UpstreamRecord,
+        address: Address,
         build: Callable[[], Protocol],
         on_failed: Callable[[DialFailure], None],
     ) -> None:
         self._dialer = dialer
-        self._record = record
+        self._address = address
         self._build = build
         self._on_failed = on_failed
         self._pending = 0
@@ -114,6 +111,7 @@
         self._tried: list[Gateway] = []
         self._next_tunnel: IDelayedCall | None = None
         self._timeout: IDelayedCall | None = None
+        self._began_at = dialer.reactor.seconds()
 
     def start(self, *, direct: bool, tunnel_after: float | None) -> None:
         """Begin.
@@ -123,18 +121,17 @@
         self._may_tunnel = tunnel_after is not None
         if direct:
             self._pending += 1
-            address = self._record.address
-            self._dialer.direct.dial(address, self._open_direct, self._fail_direct)
-        if self._is_done or tunnel_after is None:
-            if not direct:
-                self._check_failed()
-            return
-        clock = self._dialer.reactor
-        self._timeout = clock.callLater(CONNECT_SECONDS, self._on_timeout)
-        if tunnel_after > 0.0:
-            self._next_tunnel = clock.callLater(tunnel_after, self._try_tunnel)
-        elif not self._tried:
+            self._dialer.direct.dial(
+                self._address, self._open_direct, self._fail_direct
+            )
+        if tunnel_after:
+            self._next_tunnel = self._dialer.reactor.callLater(
+                tunnel_after, self._try_tunnel
+            )
+        elif self._may_tunnel and not self._tried:
             self._try_tunnel()
+        else:
+            self._check_failed()
 
     def _open_direct(self) -> Protocol:
         return _UnusedConnection() if self._is_done else self._win()
@@ -149,39 +146,51 @@
     def _try_tunnel(self) -> None:
         """Ask a gateway, and another one if it does not respond soon."""
         self._cancel(self._next_tunnel)
-        dialer, record = self._dialer, self._record
-        now = dialer.reactor.seconds()
-        gateway = dialer.gateways.choose(
-            (str(record.address), record.service), record.domain, self._tried, now
-        )
-        if self._is_done or gateway is None:
+        record = self._dialer.directory.find_at(self._address)
+        gateway = None if record is None else self._choose_gateway(record)
+        if self._is_done or record is None or gateway is None:
             self._may_tunnel = False
             self._check_failed()
             return
+        self._ask(gateway, record)
+
+    def _choose_gateway(self, record: UpstreamRecord) -> Gateway | None:
+        return self._dialer.gateways.choose(
+            (str(record.address), record.service),
+            record.domain,
+            self._tried,
+            self._dialer.reactor.seconds(),
+        )
+
+    def _ask(self, gateway: Gateway, record: UpstreamRecord) -> None:
+        dialer, clock = self._dialer, self._dialer.reactor
+        if not self._tried:
+            remaining = self._began_at + CONNECT_SECONDS - clock.seconds()
+            self._timeout = clock.callLater(max(0.0, remaining), self._on_timeout)
         self._tried.append(gateway)
         self._pending += 1
-        self._next_tunnel = dialer.reactor.callLater(
-            NEXT_GATEWAY_SECONDS, self._try_tunnel
-        )
+        self._next_tunnel = clock.callLater(NEXT_GATEWAY_SECONDS, self._try_tunnel)
         open_tunnel(
-            dialer.reactor,
+            clock,
             gateway,
             OpenTunnel(dialer.instance, record.incarnation, str(record.address)),
-            lambda: self._open_tunnel(gateway),
-            lambda outcome: self._fail_tunnel(gateway, outcome),
+            lambda: self._open_tunnel(gateway, record),
+            lambda outcome: self._fail_tunnel(gateway, record, outcome),
             lambda: dialer.gateways.note_tunnel(gateway.name, -1),
         )
 
-    def _open_tunnel(self, gateway: Gateway) -> Protocol:
+    def _open_tunnel(self, gateway: Gateway, record: UpstreamRecord) -> Protocol:
         self._dialer.gateways.note_tunnel(gateway.name, 1)
         if self._is_done:
             return _UnusedConnection()
-        self._dialer.monitor.note_tunnelled(self._record, gateway.name)
+        self._dialer.monitor.note_tunnelled(record, gateway.name)
         return self._win()
 
-    def _fail_tunnel(self, gateway: Gateway, outcome: TunnelOutcome) -> None:
+    def _fail_tunnel(
+        self, gateway: Gateway, record: UpstreamRecord, outcome: TunnelOutcome
+    ) -> None:
         self._pending -= 1
-        dialer, record = self._dialer, self._record
+        dialer = self._dialer
         scope = {
             TunnelOutcome.BUSY: ANY_UPSTREAM,
             TunnelOutcome.CUT_OFF: record.service,
@@ -190,11 +199,11 @@
         dialer.gateways.note_failed(gateway.name, scope, now)
         if outcome is TunnelOutcome.REFUSED:
             # The upstream's host responds, so no other gateway will do better.
-            dialer.monitor.note_unreachable(record)
+            dialer.monitor.note_unreachable(record.address)
             self._failure = DialFailure("refused at a gateway", refused=True)
             self._may_tunnel = False
         elif outcome is TunnelOutcome.UNREACHABLE and len(self._tried) > 1:
-            dialer.monitor.note_unreachable(record)
+            dialer.monitor.note_unreachable(record.address)
         if not self._is_done and self._may_tunnel:
             self._try_tunnel()
         self._check_failed()
@@ -202,7 +211,7 @@
     def _on_timeout(self) -> None:
         for gateway in self._tried:
             self._dialer.gateways.note_failed(
-                gateway.name, str(self._record.address), self._dialer.reactor.seconds()
+                gateway.name, str(self._address), self._dialer.reactor.seconds()
             )
         self._pending = 0
         self._may_tunnel = False
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
@@ -43,9 +43,10 @@
         dialer.on_opened = self._note_opened
         dialer.on_failed = self._note_failed
 
-    def plan(self, record: UpstreamRecord) -> ConnectPlan:
+    def plan(self, address: Address) -> ConnectPlan:
         """Return how to open a connection to an upstream, which is done now."""
-        return self.paths.plan(record.address, record.service, self._clock.seconds())
+        service = self._find_service(address) if self.paths.has_failures else ""
+        return self.paths.plan(address, service, self._clock.seconds())
 
     def avoids(self, record: UpstreamRecord) -> bool:
         """Return whether a direct connection to an upstream is unlikely to open.
@@ -56,7 +57,12 @@
         is_lost = paths.is_lost(record.address, record.service)
         if not is_lost and not paths.seems_cut_off(record.service):
             return False
-        return not paths.take_retry(record.address, self._clock.seconds())
+        return not self.take_retry(record)
+
+    def take_retry(self, record: UpstreamRecord) -> bool:
+        """Return whether a failed path should be tried again now, and note it."""
+        now = self._clock.seconds()
+        return self.paths.take_retry(record.address, record.service, now)
 
     def is_lost(self, address: Address) -> bool:
         """Return whether peers reach an upstream that this instance does not reach."""
@@ -71,15 +77,15 @@
         if self.paths.note_tunnelled(record.address, record.service):
             self._log_change(record.address, Level.WARNING, "lost", gateway=gateway)
 
-    def note_unreachable(self, record: UpstreamRecord) -> None:
+    def note_unreachable(self, address: Address) -> None:
         """Record that a gateway cannot reach an upstream either."""
-        self.paths.note_unreachable(record.address, self._clock.seconds())
+        self.paths.note_unreachable(address, self._clock.seconds())
 
     def _note_opened(self, address: Address, seconds: float) -> None:
         self._overload.note_connected(address, seconds)
         self._metrics.connections.labels("opened").inc()
-        now = self._clock.seconds()
-        if self.paths.note_opened(address, self._find_service(address), now):
+        service = self._find_service(address) if self.paths.has_failures else ""
+        if self.paths.note_opened(address, service, self._clock.seconds()):
             self._log_change(address, Level.INFO, "up")
 
     def _note_failed(self, address: Address, refused: bool) -> None:
@@ -89,7 +95,7 @@
             self._log_change(address, Level.WARNING, "down", refused=refused)
 
     def _find_service(self, address: Address) -> str:
-        """Return the service of an upstream, empty if it is not needed or unknown."""
+        """Return the service of an upstream, empty if it is unknown."""
         record = self._directory.find_at(address)
         return "" if record is None else record.service
 
--- a/packages/pondquay/src/pondquay/routing/paths.py
+++ b/packages/pondquay/src/pondquay/routing/paths.py
@@ -52,7 +52,8 @@
         self._down: set[Address] = set()
         self._lost: set[Address] = set()
         self._unreachable_until: dict[Address, float] = {}
-        self._tried_at: dict[Address, float] = {}
+        # By address, or by service while all upstreams of the service fail.
+        self._tried_at: dict[Address | str, float] = {}
         # The upstreams of each service that failed directly, and those of them that a
         # peer could reach, since a direct connection to the service last opened.
         self._down_in: defaultdict[str, set[Address]] = defaultdict(set)
@@ -66,27 +67,31 @@
 
     def plan(self, address: Address, service: str, now: float) -> ConnectPlan:
         """Return how to open a connection, and note that it is opened."""
-        if self.is_lost(address, service):
-            return ConnectPlan(self.take_retry(address, now), 0.0)
-        if now < self._unreachable_until.get(address, 0.0):
-            direct = self.take_retry(address, now) or not self.seems_cut_off(service)
-            return ConnectPlan(direct, None)
-        if self.seems_cut_off(service):
-            return ConnectPlan(self.take_retry(address, now), 0.0)
+        is_lost = self.is_lost(address, service)
+        if is_lost or self.seems_cut_off(service):
+            direct = self.take_retry(address, service, now)
+            asks_peers = is_lost or now >= self._unreachable_until.get(address, now)
+            return ConnectPlan(direct, 0.0 if asks_peers else None)
         self._tried_at[address] = now
+        if now < self._unreachable_until.get(address, now):
+            return ConnectPlan(True, None)
         return ConnectPlan(True, SLOW_CONNECT_SECONDS)
 
-    def take_retry(self, address: Address, now: float) -> bool:
-        """Return whether a failed path should be tried again now, and note it."""
-        if now - self._tried_at.get(address, -RETRY_PATH_SECONDS) < RETRY_PATH_SECONDS:
+    def take_retry(self, address: Address, service: str, now: float) -> bool:
+        """Return whether a failed path should be tried again now, and note it.
+
+        While all upstreams of a service fail, one of them is tried at a time.
+        """
+        fails_as_whole = self.seems_cut_off(service) or self._is_lost_in(service)
+        key = service if fails_as_whole else address
+        if now - self._tried_at.get(key, -RETRY_PATH_SECONDS) < RETRY_PATH_SECONDS:
             return False
-        self._tried_at[address] = now
+        self._tried_at[key] = now
         return True
 
     def is_lost(self, address: Address, service: str) -> bool:
         """Return whether peers reach an upstream that this instance does not reach."""
-        lost_in_service = len(self._lost_in.get(service, ()))
-        return address in self._lost or lost_in_service >= MIN_FAILED_UPSTREAMS
+        return address in self._lost or self._is_lost_in(service)
 
     def seems_cut_off(self, service: str) -> bool:
         """Return whether no upstream of a service seems to be reachable."""
@@ -96,6 +101,7 @@
         """Record a direct connection that opened; return whether the path was down."""
         self._opened_at = now
         self._tried_at.pop(address, None)
+        self._tried_at.pop(service, None)
         if not self.has_failures:
             return False
         was_down = address in self._down or address in self._lost
@@ -133,15 +139,25 @@
         """Forget all upstreams but those at some addresses."""
         self._down = {address for address in self._down if address in addresses}
         self._lost = {address for address in self._lost if address in addresses}
-        for times in (self._unreachable_until, self._tried_at):
-            for address in [known for known in times if known not in addresses]:
-                del times[address]
+        self._unreachable_until = {
+            address: until
+            for address, until in self._unreachable_until.items()
+            if address in addresses
+        }
+        self._tried_at = {
+            key: tried_at
+            for key, tried_at in self._tried_at.items()
+            if isinstance(key, str) or key in addresses
+        }
         for groups in (self._down_in, self._lost_in):
             for service, members in list(groups.items()):
                 members.intersection_update(self._down | self._lost)
                 if not members:
                     del groups[service]
 
+    def _is_lost_in(self, service: str) -> bool:
+        return len(self._lost_in.get(service, ())) >= MIN_FAILED_UPSTREAMS
+
     def count_down(self) -> int:
         """Return the number of upstreams to which the last connection failed."""
         return len(self._down)
