--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -93,6 +93,7 @@
     :param streamed: seconds since the first event, 0 if none arrived
     :param unread: whether the caller had not read the response for some time, after
         which an upstream may cut it off
+    :param by_gateway: whether the connection broke at a gateway
     """
 
     reason: str
@@ -100,6 +101,12 @@
     broken: bool = False
     streamed: float = 0.0
     unread: bool = False
+    by_gateway: bool = False
+
+    @property
+    def is_of_upstream(self) -> bool:
+        """Whether the upstream is the likely cause."""
+        return not self.unread and not self.by_gateway
 
 
 @dataclass(frozen=True, slots=True)
@@ -355,6 +362,7 @@
                 broken=True,
                 streamed=self._streaming_seconds(),
                 unread=self._unread(),
+                by_gateway=error.by_gateway,
             )
             self._end(lost)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/connectioncheck.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/connectioncheck.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
-from twisted.internet.error import ConnectionRefusedError
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IAddress, IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IDelayedCall, IReactorTime
     from twisted.internet.tcp import Client
     from twisted.python.failure import Failure
 
     from pondquay.addresses import Address
+    from pondquay_daemon.relay.dialing import Dialer, DialFailure
 
-CONNECT_SECONDS = 0.5
 # A connection that stays open this long shows that a process listens. An earlier close
 # is inconclusive: the process may be ending, a gateway may have accepted in its place,
 # or a busy upstream may reject excess connections.
@@ -60,33 +59,18 @@
         self._on_result(Listening.YES)
 
 
-class ConnectionCheck(ClientFactory):
-    """Checks an address by opening a connection and closing it.
+def check_connection(
+    clock: IReactorTime,
+    dialer: Dialer,
+    address: Address,
+    on_result: Callable[[Listening], None],
+) -> None:
+    """Check an address by opening a connection and closing it.
 
     :param on_result: called once with the result
     """
 
-    noisy = False
+    def fail(failure: DialFailure) -> None:
+        on_result(Listening.NO if failure.refused else Listening.UNKNOWN)
 
-    def __init__(
-        self, clock: IReactorTime, on_result: Callable[[Listening], None]
-    ) -> None:
-        self._clock = clock
-        self._on_result = on_result
-
-    @classmethod
-    def start(
-        cls, reactor: Any, address: Address, on_result: Callable[[Listening], None]
-    ) -> None:
-        """Start to check an address."""
-        check = cls(reactor, on_result)
-        reactor.connectTCP(address.host, address.port, check, timeout=CONNECT_SECONDS)
-
-    def buildProtocol(self, addr: IAddress | None) -> Protocol:
-        """Return the protocol of the connection."""
-        return _Connection(self._clock, self._on_result)
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Report a refused connection as not listening, other failures as unknown."""
-        refused = reason.check(ConnectionRefusedError)
-        self._on_result(Listening.NO if refused else Listening.UNKNOWN)
+    dialer.dial(address, lambda: _Connection(clock, on_result), fail)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -19,11 +19,11 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import UNAVAILABLE, Refusal
 from pondquay_daemon.relay.connectioncheck import (
-    CONNECT_SECONDS,
     MIN_OPEN_SECONDS,
-    ConnectionCheck,
     Listening,
+    check_connection,
 )
+from pondquay_daemon.relay.dialing import CONNECT_SECONDS
 from pondquay_daemon.tasks import wait_at_most
 
 if TYPE_CHECKING:
@@ -32,6 +32,7 @@
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.dialing import Dialer
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.metrics import RelayMetrics
 
@@ -70,6 +71,7 @@
 class CrashMonitor:
     """Detects crashes of upstreams and shares them with peers and the table.
 
+    :param dialer: opens the connections that check addresses
     :param instance: name of this instance
     :param domains: returns the domain of each known instance
     :param announce: sends reports to all peers
@@ -79,6 +81,7 @@
     def __init__(
         self,
         reactor: Any,
+        dialer: Dialer,
         instance: str,
         domains: Callable[[], Mapping[str, str]],
         announce: Callable[[Iterable[CrashReport]], None],
@@ -86,6 +89,7 @@
         metrics: RelayMetrics,
     ) -> None:
         self._reactor = reactor
+        self._dialer = dialer
         self._instance = instance
         self._domains = domains
         self._announce = announce
@@ -202,8 +206,9 @@
         ]
 
     def _check(self, upstream: str, address: Address) -> None:
-        ConnectionCheck.start(
+        check_connection(
             self._reactor,
+            self._dialer,
             address,
             lambda result: self._receive_check_result(upstream, result),
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/errors.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/errors.py
@@ -18,9 +18,18 @@
 
     :param sent: whether any byte of the request was sent
     :param refused: whether the host refused the connection
+    :param by_gateway: whether the tunnel broke, which says nothing about the upstream
     """
 
-    def __init__(self, message: str, *, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        refused: bool = False,
+        by_gateway: bool = False,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
         self.refused = refused
+        self.by_gateway = by_gateway
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -149,7 +149,16 @@
             gateways,
             settings.tunnels if settings.policy.use_gateways else None,
         )
-        self._pool = self._make_pool(directory, gateways)
+        self._dialer = PathDialer(
+            reactor,
+            settings.instance,
+            directory,
+            self._paths,
+            self.overload,
+            gateways,
+            enabled=settings.policy.use_gateways,
+        )
+        self._pool = EgressPool(reactor, self._dialer)
         self._gateway_links.on_removed = self._pool.drop_gateway
         self._withdrawals = WithdrawalMonitor(
             reactor,
@@ -253,20 +262,6 @@
         self.stopping = False
         self._refusing = False
 
-    def _make_pool(
-        self, directory: UpstreamDirectory, gateways: GatewayTable
-    ) -> EgressPool:
-        dialer = PathDialer(
-            self._reactor,
-            self._settings.instance,
-            directory,
-            self._paths,
-            self.overload,
-            gateways,
-            enabled=self._settings.policy.use_gateways,
-        )
-        return EgressPool(self._reactor, dialer)
-
     def _make_permits(self, directory: UpstreamDirectory) -> PermitBroker:
         settings, linked = self._settings, LinkedPeers(self._reactor.seconds)
         selector = IssuerSelector(
@@ -306,6 +301,7 @@
     def _make_crash_monitor(self) -> CrashMonitor:
         return CrashMonitor(
             self._reactor,
+            self._dialer,
             self._settings.instance,
             lambda: self._peers.domains,
             self._peers.announce_crashes,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -269,7 +269,7 @@
             self._record_rejection(upstream, outcome, now)
         elif isinstance(outcome, Unsent):
             self._record_connect_failure(upstream, refused=outcome.refused)
-        elif isinstance(outcome, Lost) and not outcome.unread:
+        elif isinstance(outcome, Lost) and outcome.is_of_upstream:
             upstream.circuit.fail(now)
             self._note_possible_crash(upstream, outcome, now)
         elif isinstance(outcome, Answered | PassedOn | Streamed):
--- a/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
@@ -21,6 +21,7 @@
     ROW_REMOVAL_SECONDS,
     CrashMonitor,
 )
+from pondquay_daemon.relay.dialing import DirectDialer
 from pondquay_daemon.relay.metrics import RelayMetrics
 
 from .conftest import UpstreamEnd
@@ -43,6 +44,7 @@
         self.stored: list[CrashReport] = []
         self.monitor = CrashMonitor(
             self.clock,
+            DirectDialer(self.clock),
             "r1",
             lambda: {"r1": "a"},
             self.announced.extend,
--- a/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
+++ b/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
@@ -83,6 +83,29 @@
     return fleet, fleet.relays[0]
 
 
+def count_blocked(relay: RelaySide) -> int:
+    return len(relay.relay.describe()["crashes"])
+
+
+# Guards against an instance that takes the reset of its own connections for crashes of
+# the upstreams, and has the whole fleet refuse the requests that were lost.
+def test_a_cut_blocks_no_request() -> None:
+    fleet = PartitionedFleet.start(("a", "a", "b"))
+    cut = fleet.relays[0]
+    for _ in range(len(HOSTS)):
+        cut.connect_caller(HELD_PATH)
+        fleet.run_for(0.1)
+    fleet.cut(Cut.RESET, cut)
+    fleet.run_for(RECOVERY_SECONDS)
+    fleet.holds = False
+    fleet.run_for(RECOVERY_SECONDS)
+    assert [count_blocked(relay) for relay in fleet.relays] == [0, 0, 0]
+    for relay in fleet.relays:
+        relay.connect_caller(HELD_PATH)
+    fleet.run_for(1.0)
+    assert all(relay.responses()[-1].startswith(SERVED) for relay in fleet.relays)
+
+
 # Guards against requests that keep a detour after the direct path works again.
 @pytest.mark.parametrize("how", list(Cut))
 def test_a_path_that_works_again_is_used(how: Cut) -> None:
