--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import Protocol
 
 from pondquay.routing.gateways import ANY_UPSTREAM
+from pondquay.routing.paths import Direct
 from pondquay_daemon.relay.dialing import (
     CONNECT_SECONDS,
     Dialer,
@@ -31,6 +32,8 @@
 
 # Time after which a further gateway is asked while one has not responded.
 NEXT_GATEWAY_SECONDS = 0.15
+# Gateways that an upstream's host has to refuse before the upstream counts as down.
+MIN_REFUSALS = 2
 
 
 class PathDialer(Dialer):
@@ -77,7 +80,7 @@
         if self._overload.overloaded and tunnel_after != 0.0:
             tunnel_after = None
         race = _Race(self, address, build, on_failed)
-        race.start(direct=plan.direct, tunnel_after=tunnel_after)
+        race.start(plan.direct, tunnel_after)
 
     def trusts(self, address: Address, gateway: str) -> bool:
         """Return whether an idle connection takes the path that is in use."""
@@ -107,20 +110,23 @@
         self._pending = 0
         self._is_done = False
         self._may_tunnel = False
+        self._awaits_direct = False
+        self._refusals = 0
         self._failure = DialFailure("no path to the upstream")
         self._tried: list[Gateway] = []
         self._next_tunnel: IDelayedCall | None = None
         self._timeout: IDelayedCall | None = None
         self._began_at = dialer.reactor.seconds()
 
-    def start(self, *, direct: bool, tunnel_after: float | None) -> None:
+    def start(self, direct: Direct, tunnel_after: float | None) -> None:
         """Begin.
 
         :param tunnel_after: seconds after which a gateway is asked, ``None`` for never
         """
         self._may_tunnel = tunnel_after is not None
-        if direct:
-            self._pending += 1
+        if direct is not Direct.NO:
+            self._awaits_direct = direct is Direct.YES
+            self._pending += self._awaits_direct
             self._dialer.direct.dial(
                 self._address, self._open_direct, self._fail_direct
             )
@@ -137,7 +143,7 @@
         return _UnusedConnection() if self._is_done else self._win()
 
     def _fail_direct(self, failure: DialFailure) -> None:
-        self._pending -= 1
+        self._pending -= self._awaits_direct
         self._failure = failure
         if not self._is_done and self._may_tunnel and not self._tried:
             self._try_tunnel()
@@ -198,16 +204,21 @@
         now = dialer.reactor.seconds()
         dialer.gateways.note_failed(gateway.name, scope, now)
         if outcome is TunnelOutcome.REFUSED:
-            # The upstream's host responds, so no other gateway will do better.
-            dialer.monitor.note_unreachable(record.address)
-            self._failure = DialFailure("refused at a gateway", refused=True)
-            self._may_tunnel = False
+            self._note_refused(record)
         elif outcome is TunnelOutcome.UNREACHABLE and len(self._tried) > 1:
             dialer.monitor.note_unreachable(record.address)
         if not self._is_done and self._may_tunnel:
             self._try_tunnel()
         self._check_failed()
 
+    def _note_refused(self, record: UpstreamRecord) -> None:
+        """Give up if several gateways are refused, since one may be cut off itself."""
+        self._refusals += 1
+        self._failure = DialFailure("refused at a gateway", refused=True)
+        if self._refusals >= MIN_REFUSALS:
+            self._dialer.monitor.note_unreachable(record.address)
+            self._may_tunnel = False
+
     def _on_timeout(self) -> None:
         for gateway in self._tried:
             self._dialer.gateways.note_failed(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
@@ -90,8 +90,11 @@
 
     def _note_failed(self, address: Address, refused: bool) -> None:
         self._metrics.connections.labels("refused" if refused else "failed").inc()
+        if self._overload.overloaded and not refused:
+            return
         self.paths.retain({known.record.address for known in self._directory.all()})
-        if self.paths.note_failed(address, self._find_service(address)):
+        service = self._find_service(address)
+        if self.paths.note_failed(address, service, refused=refused):
             self._log_change(address, Level.WARNING, "down", refused=refused)
 
     def _find_service(self, address: Address) -> str:
--- a/packages/pondquay/src/pondquay/routing/paths.py
+++ b/packages/pondquay/src/pondquay/routing/paths.py
@@ -10,6 +10,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -29,6 +30,18 @@
 MIN_FAILED_UPSTREAMS = 2
 
 
+class Direct(Enum):
+    """Whether an instance connects to an upstream itself.
+
+    ``UNAWAITED``: it does, to learn whether the path works again, but no request waits
+    for the connection.
+    """
+
+    YES = "yes"
+    UNAWAITED = "unawaited"
+    NO = "no"
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectPlan:
     """How to open a connection to an upstream.
@@ -38,7 +51,7 @@
         never; it is also asked once the direct connection has failed
     """
 
-    direct: bool
+    direct: Direct
     tunnel_after: float | None
 
 
@@ -52,10 +65,10 @@
         self._down: set[Address] = set()
         self._lost: set[Address] = set()
         self._unreachable_until: dict[Address, float] = {}
-        # By address, or by service while all upstreams of the service fail.
+        # By address, or by service while only peers reach the service.
         self._tried_at: dict[Address | str, float] = {}
-        # The upstreams of each service that failed directly, and those of them that a
-        # peer could reach, since a direct connection to the service last opened.
+        # The upstreams of each service that did not respond, and those that a peer
+        # could reach, since a direct connection to the service last opened.
         self._down_in: defaultdict[str, set[Address]] = defaultdict(set)
         self._lost_in: defaultdict[str, set[Address]] = defaultdict(set)
         self._opened_at: float | None = None
@@ -68,22 +81,21 @@
     def plan(self, address: Address, service: str, now: float) -> ConnectPlan:
         """Return how to open a connection, and note that it is opened."""
         is_lost = self.is_lost(address, service)
-        if is_lost or self.seems_cut_off(service):
-            direct = self.take_retry(address, service, now)
-            asks_peers = is_lost or now >= self._unreachable_until.get(address, now)
+        asks_peers = is_lost or now >= self._unreachable_until.get(address, now)
+        if is_lost or (address in self._down and self.seems_cut_off(service)):
+            retries = self.take_retry(address, service, now)
+            direct = Direct.UNAWAITED if retries else Direct.NO
             return ConnectPlan(direct, 0.0 if asks_peers else None)
         self._tried_at[address] = now
-        if now < self._unreachable_until.get(address, now):
-            return ConnectPlan(True, None)
-        return ConnectPlan(True, SLOW_CONNECT_SECONDS)
+        return ConnectPlan(Direct.YES, SLOW_CONNECT_SECONDS if asks_peers else None)
 
     def take_retry(self, address: Address, service: str, now: float) -> bool:
         """Return whether a failed path should be tried again now, and note it.
 
-        While all upstreams of a service fail, one of them is tried at a time.
+        While peers reach a service and this instance does not, one of its upstreams is
+        tried at a time.
         """
-        fails_as_whole = self.seems_cut_off(service) or self._is_lost_in(service)
-        key = service if fails_as_whole else address
+        key = service if self._is_lost_in(service) else address
         if now - self._tried_at.get(key, -RETRY_PATH_SECONDS) < RETRY_PATH_SECONDS:
             return False
         self._tried_at[key] = now
@@ -94,7 +106,7 @@
         return address in self._lost or self._is_lost_in(service)
 
     def seems_cut_off(self, service: str) -> bool:
-        """Return whether no upstream of a service seems to be reachable."""
+        """Return whether upstreams of a service fail to respond and none responds."""
         return len(self._down_in.get(service, ())) >= MIN_FAILED_UPSTREAMS
 
     def note_opened(self, address: Address, service: str, now: float) -> bool:
@@ -112,9 +124,13 @@
         self._lost_in.pop(service, None)
         return was_down
 
-    def note_failed(self, address: Address, service: str) -> bool:
-        """Record a direct connection that failed; return whether the path was up."""
-        self._down_in[service].add(address)
+    def note_failed(self, address: Address, service: str, *, refused: bool) -> bool:
+        """Record a direct connection that failed; return whether the path was up.
+
+        :param refused: whether the upstream's host refused it
+        """
+        if not refused:
+            self._down_in[service].add(address)
         if address in self._down:
             return False
         self._down.add(address)
