--- a/packages/pondquay-daemon/tests/border/test_settings.py
+++ b/packages/pondquay-daemon/tests/border/test_settings.py
@@ -83,3 +83,18 @@
 ) -> None:
     settings = read_settings({**make_fields(), "limits": limits}, "local.toml")
     assert settings.memory == (None if memory is None else memory * 2**20)
+
+
+def test_tunnels_are_accepted_at_the_first_free_port() -> None:
+    fields = make_fields()
+    assert read_settings(fields, "local.toml").tunnels is None
+    fields["port_range"] = [7340, 7355]
+    settings = read_settings(fields, "local.toml")
+    assert settings.tunnels == Address("10.1.0.40", 7340)
+
+
+@pytest.mark.parametrize("ports", [[], 7340, ["x"], [True], [0], [1 << 16], {}])
+def test_malformed_port_ranges_are_reported(ports: Any) -> None:
+    with pytest.raises(InvalidInputError) as raised:
+        read_settings({**make_fields(), "port_range": ports}, "local.toml")
+    assert [finding.subject for finding in raised.value.findings] == ["port_range"]
--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -49,6 +49,7 @@
     SLOW_READERS = "slow-readers"
     SLOW_REPLICA = "slow-replica"
     SURGE = "surge"
+    PARTITION = "partition"
     UPGRADE = "upgrade"
     DOWNGRADE = "take-back"
 
@@ -71,6 +72,7 @@
     FaultKind.SLOW_REPLICA,
     FaultKind.SURGE,
 )
+PARTITION_KINDS = (FaultKind.PARTITION,)
 # Planned at fixed times, not at random ones.
 REPLACEMENT_KINDS = (FaultKind.UPGRADE, FaultKind.DOWNGRADE)
 BASE_KINDS = tuple(
@@ -82,6 +84,7 @@
         *UPSTREAM_SIGNAL_KINDS,
         *LIMIT_KINDS,
         *LOAD_KINDS,
+        *PARTITION_KINDS,
         *REPLACEMENT_KINDS,
     )
 )
@@ -97,6 +100,8 @@
 LIMIT_INTERVAL_SECONDS = 4.0
 LOAD_SEED_OFFSET = 4_000_000
 LOAD_INTERVAL_SECONDS = 3.0
+PARTITION_SEED_OFFSET = 5_000_000
+PARTITION_INTERVAL_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +143,7 @@
         ),
         (LIMIT_KINDS, seed + LIMIT_SEED_OFFSET, LIMIT_INTERVAL_SECONDS),
         (LOAD_KINDS, seed + LOAD_SEED_OFFSET, LOAD_INTERVAL_SECONDS),
+        (PARTITION_KINDS, seed + PARTITION_SEED_OFFSET, PARTITION_INTERVAL_SECONDS),
     ):
         random = Random(group_seed)
         at = random.uniform(0.2, 1.0)
