--- a/packages/pondquay-daemon/tests/relay/partitions.py
+++ b/packages/pondquay-daemon/tests/relay/partitions.py
@@ -78,6 +78,7 @@
     :ivar cuts: how a relay is cut off from upstreams, by its host
     :ivar cut_hosts: the upstreams that are cut off
     :ivar stopped: upstreams that refuse all connections
+    :ivar silent: upstreams that accept connections and send nothing
     :ivar killed: hosts of relays that were killed
     :ivar holds: whether requests to ``HELD_PATH`` are held
     :ivar arrivals: time, source and host of each request
@@ -87,6 +88,7 @@
     cuts: dict[str, Cut] = field(default_factory=dict)
     cut_hosts: set[str] = field(default_factory=lambda: set(HOSTS))
     stopped: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
     killed: set[str] = field(default_factory=set)
     holds: bool = True
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
@@ -171,6 +173,8 @@
         self._accept_all()
 
     def _is_held(self, connection: Connection) -> bool:
+        if connection.host in self.silent:
+            return True
         cut = self.cuts.get(connection.source)
         return cut is Cut.HANG and connection.host in self.cut_hosts
 
