--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -35,6 +35,7 @@
 
     :param list_age: returns the seconds since the list of upstreams was confirmed,
         ``None`` if it never was
+    :param count_instances: returns the number of known instances
     :param announce_departure: announces to peers that an upstream is leaving
     :param announce_load: announces to peers this instance's load at an upstream, and
         the shared prompt parts that the upstream has prefilled
@@ -51,6 +52,7 @@
     metrics: RelayMetrics
     policy: RelayPolicy
     list_age: Callable[[], float | None]
+    count_instances: Callable[[], int]
     announce_departure: Callable[[Departure], None]
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashMonitor
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -103,6 +103,8 @@
         ``None`` if the response has no valid limit
     :param tells_limit: whether ``limit`` is known; ``False`` if the response has a
         malformed limit
+    :param rejection_bound: requests per second that it can reject from all instances
+        together without failing, ``None`` if any number
     """
 
     leaving: bool = False
@@ -110,6 +112,7 @@
     backoff: float = 0.0
     limit: float | None = None
     tells_limit: bool = True
+    rejection_bound: float | None = None
 
 
 NO_SIGNALS = UpstreamSignals()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
@@ -95,9 +95,19 @@
             )
         else:
             log_event("limit-malformed", Level.WARNING, upstream=self._upstream.name)
+        if signals.rejection_bound != self._upstream.rejection_bound:
+            self._note_rejection_bound(signals.rejection_bound)
         if signals.leaving:
             self._note_leaving(self._latest_delivery(now))
 
+    def _note_rejection_bound(self, bound: float | None) -> None:
+        self._upstream.rejection_bound = bound
+        log_event(
+            "upstream-rejection-bound",
+            upstream=self._upstream.name,
+            bound="none" if bound is None else bound,
+        )
+
     def _latest_delivery(self, now: float) -> float:
         """Return the latest time, in seconds, at which the request can have arrived."""
         return min(now, self._sent_at + CONNECT_SECONDS)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -130,6 +130,8 @@
         retry_after = self._permits.plan_retry(remaining)
         if retry_after is not None:
             return NoUpstream("no upstream below its limit", retry_after)
+        if any(map(self._must_not_fill, remaining)):
+            return NoUpstream("no upstream with room")
         if remaining:
             return NoUpstream("no upstream that is warm")
         return NoUpstream("no upstream")
@@ -148,8 +150,15 @@
             if upstream.name not in tried
             and not upstream.in_backoff(now)
             and self._cold_shares.allows(upstream, now)
+            and not self._must_not_fill(upstream)
         ]
 
+    def _must_not_fill(self, upstream: KnownUpstream) -> bool:
+        """Return whether an upstream that must reject little probably has no room."""
+        if upstream.rejection_bound is None:
+            return False
+        return self._activity.count_running(upstream) >= upstream.record.slots
+
     def _choose_from(
         self,
         candidates: list[KnownUpstream],
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -193,6 +193,7 @@
             metrics,
             settings.policy,
             lambda: self._upstream_feed.age(),
+            lambda: len(self._peers.domains),
             self._peers.announce_departure,
             self._announce_load,
             self._make_crash_monitor(),
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -5,6 +5,7 @@
 from traceback import format_exc
 from typing import TYPE_CHECKING
 
+from pondquay.routing.rejections import draw_pause
 from pondquay.streamevents import EventReader
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import (
@@ -299,6 +300,18 @@
         upstream.circuit.fail(now)
         if is_full(upstream, now):
             self._place.note_rejected()
+            self._spare_upstream(upstream, now)
+
+    def _spare_upstream(self, upstream: KnownUpstream, now: float) -> None:
+        """Send an upstream nothing for a while if it must not reject many requests."""
+        if upstream.rejection_bound is None:
+            return
+        components = self._components
+        pause = draw_pause(
+            upstream.rejection_bound, components.count_instances(), components.random
+        )
+        upstream.note_backoff(pause, now)
+        log_event("upstream-spared", upstream=upstream.name, seconds=round(pause, 2))
 
     def _record_connect_failure(
         self, upstream: KnownUpstream, *, refused: bool
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -209,6 +209,7 @@
             backoff=0.0 if backoff is None else float(backoff),
             limit=read_rate_limit(limits),
             tells_limit=not limits or read_rate_limit(limits) is not None,
+            rejection_bound=read_rate_limit(list_values(head.headers, b"bound")),
         )
         return ResponseMetadata(
             "attempt",
--- a/packages/pondquay/src/pondquay/routing/knownupstreams.py
+++ b/packages/pondquay/src/pondquay/routing/knownupstreams.py
@@ -40,6 +40,8 @@
     :param cold_until: time until which it may be cold
     :param backoff_until: time until which this instance sends it no requests
     :param limit: its rate limit for all instances together, as last reported
+    :param rejection_bound: requests per second that it can reject from all instances
+        together, as its latest response says; ``None`` if any number
     :param written_after: latest time after which this incarnation is known to have
         written its row
     :param delivered_at: latest time at which a request can have been delivered whose
@@ -69,6 +71,7 @@
     cold_until: float = 0.0
     backoff_until: float = 0.0
     limit: RateLimit = NEVER_REPORTED
+    rejection_bound: float | None = None
     written_after: float = -math.inf
     delivered_at: float = -math.inf
     announced_leaving_at: float = -math.inf
