--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from twisted.internet.interfaces import IAddress
+    from twisted.internet.tcp import Connection
     from twisted.python.failure import Failure
 
     from pondquay.addresses import Address
@@ -58,6 +59,14 @@
         """Check whether a direct connection opens again, as a gateway is in use."""
 
 
+class UnusedConnection(Protocol):
+    """A connection that is not needed any more once it has opened."""
+
+    def connectionMade(self) -> None:
+        """Close it."""
+        cast("Connection", self.transport).abortConnection()
+
+
 class DirectDialer(Dialer):
     """Opens connections from this instance.
 
@@ -100,6 +109,10 @@
             timeout=self._timeout,
         )
 
+    def check(self, address: Address) -> None:
+        """Open a connection only to learn whether it opens."""
+        self.dial(address, UnusedConnection, lambda failure: None)
+
     def trusts(self, address: Address, gateway: str) -> bool:
         """Return whether an idle connection should be used, which is always so."""
         return True
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
-from twisted.internet.protocol import Protocol
-
-from pondquay.routing.gateways import ANY_UPSTREAM
+from pondquay.routing.gateways import ANY_UPSTREAM, CUT_OFF_BACKOFF_SECONDS
 from pondquay.routing.paths import Direct
 from pondquay_daemon.relay.dialing import (
     CONNECT_SECONDS,
     Dialer,
     DialFailure,
     DirectDialer,
+    UnusedConnection,
 )
 from pondquay_daemon.relay.tunnelmessages import OpenTunnel, TunnelOutcome
 from pondquay_daemon.relay.tunnels import open_tunnel
@@ -21,7 +20,7 @@
     from collections.abc import Callable
 
     from twisted.internet.interfaces import IDelayedCall
-    from twisted.internet.tcp import Connection
+    from twisted.internet.protocol import Protocol
 
     from pondquay.addresses import Address
     from pondquay.routing.directory import UpstreamDirectory
@@ -90,7 +89,7 @@
         """Check whether a lost path works again."""
         record = self.directory.find_at(address)
         if record is not None and self.monitor.take_retry(record):
-            self.direct.dial(address, _UnusedConnection, _ignore_failure)
+            self.direct.check(address)
 
 
 class _Race:
@@ -140,7 +139,7 @@
             self._check_failed()
 
     def _open_direct(self) -> Protocol:
-        return _UnusedConnection() if self._is_done else self._win()
+        return UnusedConnection() if self._is_done else self._win()
 
     def _fail_direct(self, failure: DialFailure) -> None:
         self._pending -= self._awaits_direct
@@ -188,7 +187,7 @@
     def _open_tunnel(self, gateway: Gateway, record: UpstreamRecord) -> Protocol:
         self._dialer.gateways.note_tunnel(gateway.name, 1)
         if self._is_done:
-            return _UnusedConnection()
+            return UnusedConnection()
         self._dialer.monitor.note_tunnelled(record, gateway.name)
         return self._win()
 
@@ -197,12 +196,15 @@
     ) -> None:
         self._pending -= 1
         dialer = self._dialer
-        scope = {
-            TunnelOutcome.BUSY: ANY_UPSTREAM,
-            TunnelOutcome.CUT_OFF: record.service,
-        }.get(outcome, str(record.address))
         now = dialer.reactor.seconds()
-        dialer.gateways.note_failed(gateway.name, scope, now)
+        if outcome is TunnelOutcome.CUT_OFF:
+            dialer.gateways.note_failed(
+                gateway.name, record.service, now, CUT_OFF_BACKOFF_SECONDS
+            )
+        else:
+            is_busy = outcome is TunnelOutcome.BUSY
+            scope = ANY_UPSTREAM if is_busy else str(record.address)
+            dialer.gateways.note_failed(gateway.name, scope, now)
         if outcome is TunnelOutcome.REFUSED:
             self._note_refused(record)
         elif outcome is TunnelOutcome.UNREACHABLE and len(self._tried) > 1:
@@ -248,15 +250,3 @@
     def _cancel(self, timer: IDelayedCall | None) -> None:
         if timer is not None and timer.active():
             timer.cancel()
-
-
-class _UnusedConnection(Protocol):
-    """A connection that opened although it is not needed any more."""
-
-    def connectionMade(self) -> None:
-        """Close it."""
-        cast("Connection", self.transport).abortConnection()
-
-
-def _ignore_failure(failure: DialFailure) -> None:
-    """Do nothing, since the failure has been recorded."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathmonitor.py
@@ -49,15 +49,9 @@
         return self.paths.plan(address, service, self._clock.seconds())
 
     def avoids(self, record: UpstreamRecord) -> bool:
-        """Return whether a direct connection to an upstream is unlikely to open.
-
-        One attempt is allowed from time to time.
-        """
-        paths = self.paths
-        is_lost = paths.is_lost(record.address, record.service)
-        if not is_lost and not paths.seems_cut_off(record.service):
-            return False
-        return not self.take_retry(record)
+        """Return whether a direct connection to an upstream is unlikely to open."""
+        is_lost = self.paths.is_lost(record.address, record.service)
+        return is_lost or self.paths.seems_cut_off(record.service)
 
     def take_retry(self, record: UpstreamRecord) -> bool:
         """Return whether a failed path should be tried again now, and note it."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -12,7 +12,6 @@
 from pondquay.routing.buffers import BufferPool, choose_limit
 from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
-from pondquay.routing.gateways import GatewayTable
 from pondquay.routing.issuers import IssuerSelector, LinkedPeers
 from pondquay.routing.listwatch import MISSING_GRACE_SECONDS
 from pondquay.routing.retryshares import RetryShare
@@ -29,11 +28,9 @@
 from pondquay_daemon.relay.components import RelayComponents
 from pondquay_daemon.relay.crashmonitor import CrashMonitor
 from pondquay_daemon.relay.crashrows import CrashRows
-from pondquay_daemon.relay.egress import EgressPool
 from pondquay_daemon.relay.evacuationview import EvacuationView
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
-from pondquay_daemon.relay.gatewaylinks import GatewayLinks
 from pondquay_daemon.relay.gauges import update_gauges
 from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
@@ -43,8 +40,6 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
-from pondquay_daemon.relay.pathdialing import PathDialer
-from pondquay_daemon.relay.pathmonitor import PathMonitor
 from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -54,7 +49,7 @@
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.relay.stallmonitor import StallMonitor
-from pondquay_daemon.relay.tunnelserver import TunnelServer
+from pondquay_daemon.relay.upstreampaths import UpstreamPaths
 from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
 from pondquay_daemon.tasks import sleep, spawn
 
@@ -139,27 +134,15 @@
         )
         self.overload = OverloadMonitor(reactor)
         self._loads = LoadLinks(reactor, self._peers, self.overload, settings.domain)
-        self._paths = PathMonitor(reactor, directory, self.overload, metrics)
-        self._tunnel_server = TunnelServer(
-            reactor, directory, self._paths, self.overload, metrics
-        )
-        gateways = GatewayTable(settings.domain, Random(), self._loads.has_peer_room)
-        self._gateway_links = GatewayLinks(
-            self._peers,
-            gateways,
-            settings.tunnels if settings.policy.use_gateways else None,
-        )
-        self._dialer = PathDialer(
+        self._paths = UpstreamPaths(
             reactor,
-            settings.instance,
+            settings,
             directory,
-            self._paths,
             self.overload,
-            gateways,
-            enabled=settings.policy.use_gateways,
+            self._peers,
+            self._loads,
+            metrics,
         )
-        self._pool = EgressPool(reactor, self._dialer)
-        self._gateway_links.on_removed = self._pool.drop_gateway
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -179,7 +162,7 @@
         self._components = RelayComponents(
             reactor,
             border,
-            self._pool,
+            self._paths.pool,
             directory,
             self._make_placement(directory, permits, activity),
             self._accounts,
@@ -302,7 +285,7 @@
     def _make_crash_monitor(self) -> CrashMonitor:
         return CrashMonitor(
             self._reactor,
-            self._dialer,
+            self._paths.dialer,
             self._settings.instance,
             lambda: self._peers.domains,
             self._peers.announce_crashes,
@@ -346,10 +329,7 @@
             (settings.readiness, self._readiness_server),
         ):
             self._reactor.listenTCP(address.port, server, 512, address.host)
-        if settings.tunnels is not None:
-            self._reactor.listenTCP(
-                settings.tunnels.port, self._tunnel_server, 64, settings.tunnels.host
-            )
+        self._paths.start()
         self._listen_reports()
         for feed in self._feeds:
             feed.start()
@@ -397,7 +377,7 @@
         metrics.version.set(self._configuration.version)
         metrics.store_up.set(1 if self._feed.reachable else 0)
         metrics.peers.set(len(self._peers.peers))
-        metrics.tunnels_open.set(len(self._tunnel_server))
+        metrics.tunnels_open.set(len(self._paths.server))
         metrics.malformed.set(len(self._upstreams.malformed))
         update_gauges(self._components)
         return metrics.render()
@@ -408,8 +388,7 @@
         self._caller_server.stopping = True
         self._loads.stopping = True
         self._loads.announce()
-        self._tunnel_server.stopping = True
-        self._gateway_links.withdraw_offer()
+        self._paths.begin_stop()
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
@@ -417,7 +396,7 @@
         until = began + self._settings.bounds.stop - RETURN_UNSPENT_SECONDS
         while self._reactor.seconds() < until:
             self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._tunnel_server:
+            if not self._caller_server.connections and not self._paths.server:
                 break
             await sleep(STOP_STEP_SECONDS, self._reactor)
         await self._accounts.return_unspent()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnelserver.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnelserver.py
@@ -117,6 +117,8 @@
         if upstream.has_departed(self._clock.seconds()):
             return TunnelOutcome.UNKNOWN
         if self._monitor.avoids(upstream.record):
+            if self._monitor.take_retry(upstream.record):
+                self._dialer.check(upstream.record.address)
             return TunnelOutcome.CUT_OFF
         return None
 
--- a/packages/pondquay/src/pondquay/routing/gateways.py
+++ b/packages/pondquay/src/pondquay/routing/gateways.py
@@ -13,6 +13,11 @@
 
 # Time for which a gateway that could not help is not asked again for the same.
 BACKOFF_SECONDS = 1.0
+# The same for a gateway that is cut off itself: where most of a fleet is, the others
+# are found sooner.
+CUT_OFF_BACKOFF_SECONDS = 3.0
+# Gateways that are asked for one connection.
+MAX_TRIED = 8
 # Further tunnels that a gateway in the own domain carries before one elsewhere is
 # asked: traffic between domains is expensive, but one peer cannot serve a domain.
 NEAR_PREFERENCE_TUNNELS = 8
@@ -82,6 +87,8 @@
         :param target_domain: failure domain of the upstream
         :param tried: gateways that were asked for the same connection
         """
+        if len(tried) >= MAX_TRIED:
+            return None
         names = {gateway.name for gateway in tried}
         domains = {gateway.domain for gateway in tried}
         candidates = [
@@ -101,12 +108,15 @@
             default=None,
         )
 
-    def note_failed(self, name: str, scope: str, now: float) -> None:
+    def note_failed(
+        self, name: str, scope: str, now: float, seconds: float = BACKOFF_SECONDS
+    ) -> None:
         """Record that a gateway could not help.
 
         :param scope: the address or service that it cannot reach, or ``ANY_UPSTREAM``
+        :param seconds: time for which it is not asked again
         """
-        self._backoff_until[name, scope] = now + BACKOFF_SECONDS
+        self._backoff_until[name, scope] = now + seconds
 
     def note_tunnel(self, name: str, change: int) -> None:
         """Count a tunnel that was opened (1) or closed (-1)."""
--- a/packages/pondquay/tests/routing/test_gateways.py
+++ b/packages/pondquay/tests/routing/test_gateways.py
@@ -10,6 +10,8 @@
 from pondquay.routing.gateways import (
     ANY_UPSTREAM,
     BACKOFF_SECONDS,
+    CUT_OFF_BACKOFF_SECONDS,
+    MAX_TRIED,
     NEAR_PREFERENCE_TUNNELS,
     Gateway,
     GatewayTable,
@@ -108,3 +110,29 @@
     table.note_tunnel("r0", 1)
     table.put("r0", "a", Address("10.0.0.9", 7))
     assert choose(table).name == "r1"
+
+
+# Guards against a connection for which every instance of a large fleet is asked.
+def test_few_gateways_are_asked_for_one_connection() -> None:
+    table = make_table(*["a"] * (2 * MAX_TRIED))
+    tried: list[Gateway] = []
+    while gateway := table.choose(SCOPES, "c", tried, 0.0):
+        tried.append(gateway)
+    assert len(tried) == MAX_TRIED
+
+
+# Guards against a fleet where the only instance that reaches upstreams is not found.
+def test_the_only_gateway_that_is_not_cut_off_is_found() -> None:
+    size = 80
+    table = make_table(*["a", "b"] * (size // 2))
+    helper = "r79"
+    now = 0.0
+    while now < CUT_OFF_BACKOFF_SECONDS:
+        tried: list[Gateway] = []
+        while gateway := table.choose(SCOPES, "c", tried, now):
+            if gateway.name == helper:
+                return
+            tried.append(gateway)
+            table.note_failed(gateway.name, SERVICE, now, CUT_OFF_BACKOFF_SECONDS)
+        now += 0.25
+    raise AssertionError("not found")
