--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnels.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnels.py
@@ -8,20 +8,17 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.dialing import CONNECT_SECONDS
-from pondquay_daemon.relay.errors import MalformedValueError
-from pondquay_daemon.relay.keepalive import enable_keep_alive
 from pondquay_daemon.relay.tunnelmessages import (
     CODEC,
     OpenTunnel,
     TunnelData,
     TunnelEnd,
     TunnelOutcome,
-    TunnelReader,
     TunnelResult,
     read_outcome,
 )
+from pondquay_daemon.relay.tunnelprotocol import TunnelProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -80,7 +77,7 @@
         self._connection.unregisterProducer()
 
 
-class Tunnel(Protocol):
+class Tunnel(TunnelProtocol):
     """A tunnel to an upstream.
 
     :param build: returns the protocol of the connection to the upstream
@@ -96,37 +93,18 @@
         on_failed: Callable[[TunnelOutcome], None],
         on_closed: Callable[[], None],
     ) -> None:
+        super().__init__(gateway.name)
         self._request = request
-        self._gateway = gateway
         self._build = build
         self._on_failed = on_failed
         self._on_closed = on_closed
-        self._reader = TunnelReader()
         self._inner: Protocol | None = None
         self._is_settled = False
 
-    @property
-    def _connection(self) -> Connection:
-        return cast("Connection", self.transport)
-
     def connectionMade(self) -> None:
         """Request the connection to the upstream."""
-        self._connection.setTcpNoDelay(True)
-        enable_keep_alive(self._connection)
-        self._connection.write(CODEC.encode(self._request))
-
-    def dataReceived(self, data: bytes) -> None:
-        """Process messages of the gateway."""
-        try:
-            messages = self._reader.feed(data)
-        except MalformedValueError as error:
-            log_event(
-                "peer-malformed", Level.WARNING, peer=self._gateway.name, error=error
-            )
-            self._connection.abortConnection()
-            return
-        for message in messages:
-            self._receive(message)
+        super().connectionMade()
+        self.send(self._request)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the connection to the upstream as broken, unless it has ended."""
@@ -136,7 +114,8 @@
         if inner is not None:
             self._end(inner, Failure(GatewayLost("gateway lost")))
 
-    def _receive(self, message: TunnelMessage) -> None:
+    def receive(self, message: TunnelMessage) -> None:
+        """Process a message of the gateway."""
         inner = self._inner
         if isinstance(message, TunnelResult):
             self._receive_result(read_outcome(message.outcome))
@@ -144,18 +123,18 @@
             inner.dataReceived(message.data)
         elif isinstance(message, TunnelEnd) and inner is not None:
             self._end(inner, Failure(ConnectionDone()))
-            self._connection.loseConnection()
+            self.connection.loseConnection()
 
     def _receive_result(self, outcome: TunnelOutcome) -> None:
         if self._is_settled:
             return
         if outcome is not TunnelOutcome.OPENED:
             self._fail(outcome)
-            self._connection.abortConnection()
+            self.connection.abortConnection()
             return
         self._is_settled = True
         self._inner = self._build()
-        transport = TunnelTransport(self._connection, self._gateway.name)
+        transport = TunnelTransport(self.connection, self.peer)
         self._inner.makeConnection(cast("Any", transport))
 
     def _fail(self, outcome: TunnelOutcome) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnelserver.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/tunnelserver.py
@@ -7,19 +7,16 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
-from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.logs import log_event
 from pondquay_daemon.relay.dialing import DirectDialer
-from pondquay_daemon.relay.errors import MalformedValueError
-from pondquay_daemon.relay.keepalive import enable_keep_alive
 from pondquay_daemon.relay.tunnelmessages import (
-    CODEC,
     OpenTunnel,
     TunnelData,
     TunnelEnd,
     TunnelOutcome,
-    TunnelReader,
     TunnelResult,
 )
+from pondquay_daemon.relay.tunnelprotocol import TunnelProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -136,37 +133,20 @@
         end.report(outcome)
 
 
-class PeerEnd(Protocol):
+class PeerEnd(TunnelProtocol):
     """The connection to the peer."""
 
     def __init__(self, server: TunnelServer) -> None:
+        super().__init__("")
         self._server = server
-        self._reader = TunnelReader()
         self._requested = False
         self._is_lost = False
         self.upstream: UpstreamEnd | None = None
 
-    @property
-    def connection(self) -> Connection:
-        """The transport."""
-        return cast("Connection", self.transport)
-
     def connectionMade(self) -> None:
         """Register the tunnel."""
+        super().connectionMade()
         self._server.add(self)
-        self.connection.setTcpNoDelay(True)
-        enable_keep_alive(self.connection)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Process messages of the peer."""
-        try:
-            messages = self._reader.feed(data)
-        except MalformedValueError as error:
-            log_event("peer-malformed", Level.WARNING, peer="tunnel", error=error)
-            self.connection.abortConnection()
-            return
-        for message in messages:
-            self._receive(message)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Reset the connection to the upstream, which then stops its work."""
@@ -181,7 +161,7 @@
         """Tell the peer whether the tunnel is open; close it if not."""
         if self._is_lost:
             return
-        self.connection.write(CODEC.encode(TunnelResult(outcome.value)))
+        self.send(TunnelResult(outcome.value))
         if outcome is not TunnelOutcome.OPENED:
             self.connection.loseConnection()
 
@@ -200,7 +180,7 @@
 
     def forward(self, data: bytes) -> None:
         """Send bytes of the upstream to the peer."""
-        self.connection.write(CODEC.encode(TunnelData(data)))
+        self.send(TunnelData(data))
 
     def end(self, *, orderly: bool) -> None:
         """End the tunnel, since the connection to the upstream has ended."""
@@ -211,12 +191,14 @@
         if not orderly:
             self.connection.abortConnection()
             return
-        self.connection.write(CODEC.encode(TunnelEnd()))
+        self.send(TunnelEnd())
         self.connection.loseConnection()
 
-    def _receive(self, message: TunnelMessage) -> None:
+    def receive(self, message: TunnelMessage) -> None:
+        """Process a message of the peer."""
         if isinstance(message, OpenTunnel) and not self._requested:
             self._requested = True
+            self.peer = message.instance
             self._server.open(self, message)
         elif isinstance(message, TunnelData) and self.upstream is not None:
             self.upstream.connection.write(message.data)
