--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -175,8 +175,11 @@
         """
 
     @abstractmethod
-    def on_signals(self, signals: UpstreamSignals) -> None:
-        """Handle the signals of a response that is certainly from this upstream."""
+    def on_signals(self, signals: UpstreamSignals, *, tunnelled: bool) -> None:
+        """Handle the signals of a response that is certainly from this upstream.
+
+        :param tunnelled: whether the response came through a peer
+        """
 
 
 class Attempt(ExchangeListener, FlowListener):
@@ -369,7 +372,9 @@
     def _report_signals(self, metadata: ResponseMetadata) -> None:
         # If another upstream has the address, the signals are that upstream's.
         if not metadata.misdirected:
-            self._upstream.on_signals(metadata.signals)
+            exchange = self._exchange
+            tunnelled = exchange is not None and bool(exchange.gateway)
+            self._upstream.on_signals(metadata.signals, tunnelled=tunnelled)
 
     def _streaming_seconds(self) -> float:
         """Return the seconds since the first event, 0 if none has arrived."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -37,6 +37,8 @@
         ``None`` if it never was
     :param count_instances: returns the number of known instances
     :param announce_departure: announces to peers that an upstream is leaving
+    :param announce_backoff: announces to peers that an upstream asked for a back-off
+        in a response through a tunnel
     :param announce_load: announces to peers this instance's load at an upstream, and
         the shared prompt parts that the upstream has prefilled
     """
@@ -54,6 +56,7 @@
     list_age: Callable[[], float | None]
     count_instances: Callable[[], int]
     announce_departure: Callable[[Departure], None]
+    announce_backoff: Callable[[str, float], None]
     announce_load: Callable[[KnownUpstream, Iterable[str]], None]
     crashes: CrashMonitor
     permits: PermitBroker
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -289,6 +289,11 @@
         """Whether the request was handed to a connection."""
         return self._connection is not None
 
+    @property
+    def gateway(self) -> str:
+        """Name of the peer through which it passes, empty if none."""
+        return "" if self._connection is None else self._connection.gateway
+
     def start_on(self, connection: EgressConnection) -> None:
         """Send the request on a connection."""
         if self._cancelled:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
@@ -74,7 +74,7 @@
         self._streamed, self._intervals = 0.0, 0
         activity.note_interval(self._upstream, pace)
 
-    def on_signals(self, signals: UpstreamSignals) -> None:
+    def on_signals(self, signals: UpstreamSignals, *, tunnelled: bool) -> None:
         """Apply the upstream's cold time, back-off, rate limit and departure."""
         now = self._components.clock.seconds()
         if signals.cold:
@@ -89,6 +89,8 @@
                 upstream=self._upstream.name,
                 seconds=signals.backoff,
             )
+            if tunnelled:
+                self._components.announce_backoff(self._upstream.name, signals.backoff)
         if signals.tells_limit:
             self._components.permits.note_response_limit(
                 self._upstream, signals.limit, self._sent_at, self._latest_delivery(now)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -356,6 +356,19 @@
     accepting: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamBackoff:
+    """Reports that an upstream asked for a back-off in a response through a tunnel.
+
+    :param upstream: name of the upstream's incarnation
+    :param seconds: time for which it accepts no request
+    """
+
+    CODE: ClassVar[int] = 27
+    upstream: str
+    seconds: Age
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -375,6 +388,7 @@
     | UpstreamActivity
     | InstanceLoad
     | TunnelOffer
+    | UpstreamBackoff
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -178,6 +178,7 @@
             lambda: self._upstream_feed.age(),
             lambda: len(self._peers.domains),
             self._peers.announce_departure,
+            self._paths.announce_backoff,
             self._announce_load,
             self._make_crash_monitor(),
             permits,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/upstreampaths.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/upstreampaths.py
@@ -29,6 +29,8 @@
     :ivar dialer: opens the connections
     :ivar pool: keeps those that are idle
     :ivar server: accepts tunnels of peers
+    :ivar announce_backoff: tells peers that an upstream asked for a back-off through a
+        tunnel
     """
 
     def __init__(
@@ -56,8 +58,9 @@
         )
         self.pool = EgressPool(reactor, self.dialer)
         self.server = TunnelServer(reactor, directory, monitor, overload, metrics)
-        self._links = GatewayLinks(mesh, gateways, self._address)
+        self._links = GatewayLinks(mesh, directory, gateways, self._address)
         self._links.on_removed = self.pool.drop_gateway
+        self.announce_backoff = self._links.announce_backoff
 
     def start(self) -> None:
         """Start to accept tunnels."""
--- a/packages/pondquay-daemon/tests/relay/partitions.py
+++ b/packages/pondquay-daemon/tests/relay/partitions.py
@@ -24,6 +24,8 @@
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n"
 )
+BACKOFF_SECONDS = 3.0
+BACKOFF = b"HTTP/1.1 503 No\r\nnot-run: 1\r\nbackoff: 3\r\nContent-Length: 0\r\n\r\n"
 # Path of requests that upstreams hold until the test releases them.
 HELD_PATH = "/read/held"
 # Time in which instances that start together open links to each other.
@@ -78,6 +80,7 @@
     :ivar cuts: how a relay is cut off from upstreams, by its host
     :ivar cut_hosts: the upstreams that are cut off
     :ivar stopped: upstreams that refuse all connections
+    :ivar backing_off: upstreams that reject requests and ask for a back-off
     :ivar silent: upstreams that accept connections and send nothing
     :ivar killed: hosts of relays that were killed
     :ivar holds: whether requests to ``HELD_PATH`` are held
@@ -88,6 +91,7 @@
     cuts: dict[str, Cut] = field(default_factory=dict)
     cut_hosts: set[str] = field(default_factory=lambda: set(HOSTS))
     stopped: set[str] = field(default_factory=set)
+    backing_off: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
     killed: set[str] = field(default_factory=set)
     holds: bool = True
@@ -187,6 +191,8 @@
         if not connection.held or (self.holds and b"/held" in connection.held):
             return
         response = STREAM if b"/stream/" in connection.held else RESPONSE
+        if connection.host in self.backing_off:
+            response = BACKOFF
         connection.held = b""
         connection.protocol.dataReceived(response)
 
--- a/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
+++ b/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
@@ -18,6 +18,7 @@
 from .conftest import TUNNELS_PORT
 from .links import LinkTransport
 from .partitions import (
+    BACKOFF_SECONDS,
     HELD_PATH,
     HOSTS,
     SERVED,
@@ -225,6 +226,24 @@
     return end, transport
 
 
+# Guards against requests of a gateway to an upstream that asked it for a back-off, in a
+# response that the gateway carried and did not read.
+def test_a_backoff_that_is_asked_for_through_a_gateway_holds_for_it() -> None:
+    fleet, cut = start_cut(Cut.HANG)
+    resting = HOSTS[0]
+    fleet.backing_off = {resting}
+    fleet.arrivals.clear()
+    while resting not in {host for _, _, host in fleet.arrivals}:
+        cut.connect_caller("/read/x")
+        fleet.run_for(0.1)
+    fleet.run_for(0.2)
+    began = fleet.clock.seconds()
+    fleet.arrivals.clear()
+    fleet.send_requests(BACKOFF_SECONDS / 3, *PATHS)
+    assert fleet.clock.seconds() < began + BACKOFF_SECONDS - 0.5
+    assert resting not in {host for _, _, host in fleet.arrivals}
+
+
 # Guards against tunnels to any address that a peer names.
 def test_a_gateway_connects_to_known_upstreams_only() -> None:
     fleet = PartitionedFleet.start(("a", "a"))
