--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from pondquay.routing.buffers import BufferPool, Content
-from pondquay.streamevents import EventReader, StreamOrderError
+from pondquay.streamevents import StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
 from pondquay_daemon.relay.heads import drop_connection_headers
@@ -32,6 +32,7 @@
         ResponseMetadata,
         UpstreamSignals,
     )
+    from pondquay_daemon.relay.streamprogress import StreamProgress
 
 SUCCESS_STATUSES = range(200, 300)
 # Statuses that a caller may take as proof that its request did not run. They are not
@@ -123,39 +124,6 @@
 Outcome: TypeAlias = Unsent | NotRun | Answered | PassedOn | Streamed | Lost | Stopped
 
 
-@dataclass(slots=True)
-class StreamProgress:
-    """What a caller has received of a stream, over all attempts.
-
-    :ivar started: whether the response's head was sent
-    :ivar longest_pause: longest time between two events so far, in seconds
-    """
-
-    reader: EventReader
-    started: bool = False
-    longest_pause: float = 0.0
-    _last_event_at: float | None = None
-
-    def note_events(self, now: float) -> float | None:
-        """Record the arrival of events.
-
-        :returns: seconds since the previous ones, ``None`` if these are the first
-        """
-        previous, self._last_event_at = self._last_event_at, now
-        if previous is None:
-            return None
-        pause = now - previous
-        self.longest_pause = max(self.longest_pause, pause)
-        return pause
-
-    def restart_pause(self) -> None:
-        """Measure no pause until the next events.
-
-        Used after the caller has stopped reading, which is no pause of an upstream.
-        """
-        self._last_event_at = None
-
-
 class UpstreamListener(ABC):
     """Observes an upstream while an attempt is in progress there."""
 
@@ -220,7 +188,6 @@
         self._streaming = False
         self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
-        self._events_before = 0
         self._silence_timer: IDelayedCall | None = None
         self._checking_silence = False
         self._silence_seconds = 0.0
@@ -237,8 +204,6 @@
         :param request: method, target, headers and body
         :returns: fires once, with the outcome
         """
-        if self._progress is not None:
-            self._events_before = self._progress.reader.count
         method, target, headers, body = request
         self._exchange = Exchange(self, method, target, headers, body)
         pool.start(address, self._exchange)
@@ -317,7 +282,7 @@
         if progress is None:
             return
         try:
-            events = progress.reader.feed(data)
+            events = progress.read(data)
         except StreamOrderError as error:
             self._fail(f"events out of order: {error}")
             return
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/knowledge.py
@@ -172,6 +172,7 @@
                 "upstream": upstream.record.name,
                 "born": upstream.record.born,
                 "service": upstream.record.service,
+                "software": upstream.record.software,
                 "address": str(upstream.record.address),
                 "leaving": upstream.leaving,
                 "vanished": upstream.missing_since is not None,
@@ -232,6 +233,7 @@
             event,
             upstream=upstream.name,
             service=upstream.record.service,
+            software=upstream.record.software,
             leaving=upstream.leaving,
             version=upstream.version,
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/messages.py
@@ -45,6 +45,8 @@
     :param prefix: parts of the prompt in order; other prompts may share all but the
         last, and also the last if it is the only part
     :param last_event: number of the last event that the caller has received
+    :param first_attempt: the attempt that brought the first event of the stream that
+        the caller takes up again, empty if unknown or if it begins a new one
     """
 
     attempt: str
@@ -55,6 +57,7 @@
     output_tokens: int = 0
     prefix: tuple[PromptPart, ...] = ()
     last_event: int = 0
+    first_attempt: str = ""
 
     @property
     def max_tokens(self) -> int:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -54,6 +54,13 @@
         self.retries = self._counter(
             "retries", "Retries requested, by whether they were granted", "granted"
         )
+        self.streams_resumed = Counter(
+            "pondquay_streams_resumed",
+            "Streams that went on, by who took them up and by whether the version of"
+            " the upstream's software is the one that began them",
+            ["by", "version"],
+            registry=self.registry,
+        )
         self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
         self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
         self.placements = self._counter(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from traceback import format_exc
 from typing import TYPE_CHECKING
 
@@ -23,7 +24,6 @@
     PassedOn,
     Stopped,
     Streamed,
-    StreamProgress,
     Unsent,
 )
 from pondquay_daemon.relay.crashmonitor import ContentPermit
@@ -32,6 +32,7 @@
 from pondquay_daemon.relay.reservations import Reservation
 from pondquay_daemon.relay.retrying import RetryPermit
 from pondquay_daemon.relay.sending import RequestJob, RequestSender
+from pondquay_daemon.relay.streamprogress import StreamProgress
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IDelayedCall
@@ -173,6 +174,7 @@
             else response.began_at - response.arrived_at
         )
         self._components.metrics.note_end(self._status, seconds, first)
+        self._count_resumed()
         log_event(
             "request-ended",
             Level.INFO if self._status in SERVED else Level.WARNING,
@@ -185,9 +187,23 @@
             bound=self._metadata.max_tokens,
             first=-1 if first is None else round(first, 3),
             pause=0 if progress is None else round(progress.longest_pause, 3),
+            first_attempt=self._metadata.first_attempt,
+            after=self._metadata.last_event,
+            parts="" if progress is None else progress.describe_parts(),
             seconds=round(seconds, 3),
         )
 
+    def _count_resumed(self) -> None:
+        """Count how often its stream went on, and at which version."""
+        if self._progress is None or not self._progress.parts:
+            return
+        resumed = self._components.metrics.streams_resumed
+        if self._metadata.last_event:
+            resumed.labels("caller", "unknown").inc()
+        for before, after in pairwise(self._progress.parts):
+            is_same = before.software == after.software
+            resumed.labels("relay", "same" if is_same else "other").inc()
+
     async def _try_upstreams(self) -> Refusal | None:
         """Send the request until it is served or no further attempt is allowed.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -21,11 +21,12 @@
     from pondquay.routing.expected import Choice
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
-    from pondquay_daemon.relay.attempts import Outcome, StreamProgress
+    from pondquay_daemon.relay.attempts import Outcome
     from pondquay_daemon.relay.components import RelayComponents
     from pondquay_daemon.relay.ingress import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.placement import NoUpstream
+    from pondquay_daemon.relay.streamprogress import StreamProgress
 
 # Multiple of a route's objective after which a silent upstream is abandoned if the
 # request is repeatable.
@@ -144,6 +145,7 @@
             request=self._metadata.attempt,
             upstream=chosen.name,
             service=service,
+            software=chosen.record.software,
             running=chosen.running,
             fleet_running=round(components.activity.count_running(chosen), 1),
             pace=round(choice.slowness, 2),
@@ -184,6 +186,8 @@
         headers = self._write_headers(upstream, remaining, source)
         self.tried.add(upstream.name)
         self.sent_to.append(upstream.name)
+        if self._progress is not None:
+            self._progress.begin_attempt(upstream.record.software)
         prefill = Prefill(components, upstream, self._metadata.prefix, source)
         attempt = self._make_attempt(upstream, prefill)
         abandons_silent = components.policy.leave_silent
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamprogress.py
@@ -0,0 +1,81 @@
+"""What a caller has received of a stream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pondquay.streamevents import EventReader
+
+
+@dataclass(slots=True)
+class StreamPart:
+    """The events of a stream that one attempt brought.
+
+    :param software: version of the upstream's software
+    :param events: number of numbered events
+    """
+
+    software: str
+    events: int = 0
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """What a caller has received of a stream, over all attempts.
+
+    :ivar started: whether the response's head was sent
+    :ivar longest_pause: longest time between two events so far, in seconds
+    :ivar parts: what each attempt brought, without those that brought nothing
+    """
+
+    reader: EventReader
+    started: bool = False
+    longest_pause: float = 0.0
+    parts: list[StreamPart] = field(default_factory=list)
+    _last_event_at: float | None = None
+    _next_part: StreamPart = field(default_factory=lambda: StreamPart(""))
+
+    def begin_attempt(self, software: str) -> None:
+        """Count further events as those of another upstream.
+
+        :param software: version of its software
+        """
+        self._next_part = StreamPart(software)
+
+    def read(self, data: bytes) -> bytes:
+        """Return the events that are complete now, and count them.
+
+        :raises StreamOrderError: if an event does not follow the previous event
+        """
+        before = self.reader.count
+        events = self.reader.feed(data)
+        if events:
+            if not self.parts or self.parts[-1] is not self._next_part:
+                self.parts.append(self._next_part)
+            self._next_part.events += self.reader.count - before
+        return events
+
+    def note_events(self, now: float) -> float | None:
+        """Record the arrival of events.
+
+        :returns: seconds since the previous ones, ``None`` if these are the first
+        """
+        previous, self._last_event_at = self._last_event_at, now
+        if previous is None:
+            return None
+        pause = now - previous
+        self.longest_pause = max(self.longest_pause, pause)
+        return pause
+
+    def restart_pause(self) -> None:
+        """Measure no pause until the next events.
+
+        Used after the caller has stopped reading, which is no pause of an upstream.
+        """
+        self._last_event_at = None
+
+    def describe_parts(self) -> str:
+        """Return the version and number of events of each part, for the log."""
+        return ",".join(f"{part.software}:{part.events}" for part in self.parts)
--- a/packages/pondquay-daemon/tests/border/test_configuration.py
+++ b/packages/pondquay-daemon/tests/border/test_configuration.py
@@ -122,6 +122,10 @@
     assert read_upstream("i-1", make_row(state="draining")).leaving
 
 
+def test_upstream_row_holds_the_version_of_its_software() -> None:
+    assert read_upstream("i-1", make_row(version="v1.2")).software == "v1.2"
+
+
 def test_incarnations_of_an_upstream_are_distinguished() -> None:
     incarnations = {
         read_upstream("i-1", make_row(born=born)).incarnation for born in (1, 2, None)
--- a/packages/pondquay-daemon/tests/border/test_headers.py
+++ b/packages/pondquay-daemon/tests/border/test_headers.py
@@ -35,6 +35,7 @@
     (b"X-Pondquay-Tenant", b"forged"),
     (b"X-Pondquay-Expect-Replica", b"forged"),
     (b"Last-Event-Id", b"12"),
+    (b"resumes", b"17aa0d3c2f9b4e81"),
 ]
 
 
@@ -50,12 +51,14 @@
     assert (metadata.prompt_tokens, metadata.output_tokens) == (1460, 80)
     assert metadata.prefix[1] == PromptPart("91bd3f06", 410)
     assert metadata.last_event == 12
+    assert metadata.first_attempt == "17aa0d3c2f9b4e81"
 
 
 def test_request_without_metadata_gets_defaults() -> None:
     metadata = read_request(make_head((b"Host", b"h")))
     assert (metadata.attempt, metadata.key, metadata.deadline) == ("", None, None)
     assert (metadata.max_tokens, metadata.prefix, metadata.last_event) == (0, (), 0)
+    assert metadata.first_attempt == ""
 
 
 @pytest.mark.parametrize(
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -7,13 +7,14 @@
 from twisted.internet.task import Clock
 
 from pondquay.streamevents import EventReader
-from pondquay_daemon.relay.attempts import Attempt, StreamProgress, UpstreamListener
+from pondquay_daemon.relay.attempts import Attempt, UpstreamListener
 from pondquay_daemon.relay.messages import (
     NO_SIGNALS,
     ResponseHead,
     ResponseMetadata,
     UpstreamSignals,
 )
+from pondquay_daemon.relay.streamprogress import StreamProgress
 
 if TYPE_CHECKING:
     from pondquay_daemon.relay.messages import HeaderList
--- a/packages/pondquay/src/pondquay/routing/upstreamrecords.py
+++ b/packages/pondquay/src/pondquay/routing/upstreamrecords.py
@@ -31,6 +31,7 @@
     :param born: start time of this incarnation by the clock of its host, ``None`` if
         unknown. It only distinguishes incarnations and does not order them, since that
         clock may jump back
+    :param software: version of its software, which is not the version of its model
     """
 
     name: str
@@ -41,6 +42,7 @@
     leaving: bool = False
     cold: float = 0.0
     born: int | None = None
+    software: str = ""
 
     @property
     def incarnation(self) -> str:
