--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -74,6 +74,7 @@
         tried: Collection[str],
         unreachable_domains: Collection[str] = (),
         *,
+        software: str | None = None,
         copies: bool = False,
     ) -> Choice | None:
         """Return an upstream that was not tried yet, ``None`` if there is none.
@@ -82,9 +83,10 @@
         :param tried: names of the upstreams that were tried
         :param unreachable_domains: domains in which the request could not connect;
             upstreams of other domains are preferred
+        :param software: the only version of their software, ``None`` for any
         """
         now = self._clock.seconds()
-        candidates = self._list_usable(service, tried, now)
+        candidates = self._list_usable(service, software, tried, now)
         if not candidates:
             return None
         healthy = [
@@ -113,10 +115,17 @@
             reach = self._directory.reach
             reach.note_failed(upstream.record.domain, upstream.name, now)
 
-    def explain_no_upstream(self, service: str, tried: Collection[str]) -> NoUpstream:
-        """Return why there is no upstream for a request."""
+    def explain_no_upstream(
+        self, service: str, software: str | None, tried: Collection[str]
+    ) -> NoUpstream:
+        """Return why there is no upstream for a request.
+
+        :param software: the only version of their software, ``None`` for any
+        """
         now = self._clock.seconds()
-        candidates = self._directory.candidates(service)
+        candidates = self._directory.candidates(service, software)
+        if not candidates and self._directory.candidates(service):
+            return NoUpstream("no upstream with the version that began the stream")
         if candidates and all(upstream.in_backoff(now) for upstream in candidates):
             first = min(upstream.backoff_until for upstream in candidates)
             return NoUpstream("all upstreams asked to back off", first - now)
@@ -137,7 +146,11 @@
         return NoUpstream("no upstream")
 
     def _list_usable(
-        self, service: str, tried: Collection[str], now: float
+        self,
+        service: str,
+        software: str | None,
+        tried: Collection[str],
+        now: float,
     ) -> list[KnownUpstream]:
         """Return the upstreams that may receive the request, healthy or not.
 
@@ -146,7 +159,7 @@
         """
         return [
             upstream
-            for upstream in self._directory.candidates(service)
+            for upstream in self._directory.candidates(service, software)
             if upstream.name not in tried
             and not upstream.in_backoff(now)
             and self._cold_shares.allows(upstream, now)
@@ -231,12 +244,17 @@
         """Return the number of upstreams that get fewer prompts as they are slow."""
         return self._paces.count_slow()
 
-    def has_alternative(self, service: str, tried: Collection[str]) -> bool:
-        """Return whether another healthy upstream can be tried."""
+    def has_alternative(
+        self, service: str, software: str | None, tried: Collection[str]
+    ) -> bool:
+        """Return whether another healthy upstream can be tried.
+
+        :param software: the only version of its software, ``None`` for any
+        """
         now = self._clock.seconds()
         return any(
             self._is_healthy(upstream, now) and self._permits.can_supply(upstream)
-            for upstream in self._list_usable(service, tried, now)
+            for upstream in self._list_usable(service, software, tried, now)
         )
 
     def _is_healthy(self, upstream: KnownUpstream, now: float) -> bool:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -273,7 +273,7 @@
 
     def _reserve_retry(self) -> bool:
         """Reserve a retry if another upstream may serve the request."""
-        return self._retry_permit.reserve_for_alternative(self._sender.tried)
+        return self._sender.has_alternative() and self._retry_permit.reserve()
 
     def _record_outcome(self, upstream: KnownUpstream, outcome: Outcome) -> None:
         """Record the outcome of an attempt."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -7,8 +7,6 @@
 from pondquay_daemon.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from pondquay_daemon.relay.components import RelayComponents
 
 
@@ -37,14 +35,8 @@
             return True
         return self._spend()
 
-    def reserve_for_alternative(self, tried: Collection[str]) -> bool:
-        """Reserve a retry if another upstream may serve the request.
-
-        :param tried: names of the upstreams that were tried
-        :returns: whether a retry is reserved
-        """
-        if not self._components.placement.has_alternative(self._service, tried):
-            return False
+    def reserve(self) -> bool:
+        """Reserve a retry; return whether one is reserved."""
         self._reserved = self._reserved or self.take()
         return self._reserved
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -120,6 +120,7 @@
                 Target(self._route.objective, self._route.pause),
                 self.tried | without_permit,
                 self.unreachable_domains,
+                software=self._software,
                 copies=self._job.shares_prompts,
             )
             if choice is None:
@@ -166,12 +167,21 @@
     def has_alternative(self) -> bool:
         """Return whether another healthy upstream can be tried."""
         service = self._job.admission.service
-        return self._components.placement.has_alternative(service, self.tried)
+        return self._components.placement.has_alternative(
+            service, self._software, self.tried
+        )
 
     def explain_no_upstream(self) -> NoUpstream:
         """Return why there is no upstream to try."""
         service = self._job.admission.service
-        return self._components.placement.explain_no_upstream(service, self.tried)
+        return self._components.placement.explain_no_upstream(
+            service, self._software, self.tried
+        )
+
+    @property
+    def _software(self) -> str | None:
+        """The only software version at which its stream may go on, or ``None``."""
+        return None if self._progress is None else self._progress.software
 
     async def send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
         """Send the request and return the outcome.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamprogress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamprogress.py
@@ -37,6 +37,14 @@
     _last_event_at: float | None = None
     _next_part: StreamPart = field(default_factory=lambda: StreamPart(""))
 
+    @property
+    def software(self) -> str | None:
+        """The only software version at which it may go on, ``None`` if it has no event.
+
+        What different versions generate for a request does not fit together.
+        """
+        return self.parts[0].software if self.parts else None
+
     def begin_attempt(self, software: str) -> None:
         """Count further events as those of another upstream.
 
--- a/packages/pondquay-daemon/tests/relay/versions.py
+++ b/packages/pondquay-daemon/tests/relay/versions.py
@@ -135,6 +135,13 @@
             if caller.relay is relay and not caller.completed:
                 caller.transport.aborted = True
 
+    def stop_upstreams(self, *hosts: str) -> None:
+        """Reset the connections to upstreams, and refuse new ones."""
+        self.stopped.update(hosts)
+        for connection in self.connections:
+            if connection.host in hosts:
+                connection.lose()
+
     def _name_attempt(self) -> str:
         return f"attempt-{next(self._attempts)}"
 
--- a/packages/pondquay/src/pondquay/routes/entities.py
+++ b/packages/pondquay/src/pondquay/routes/entities.py
@@ -64,7 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service that is provided by interchangeable upstreams.
+    """A service whose upstreams are interchangeable for new requests.
+
+    A stream that has begun goes on only at upstreams with the same software version.
 
     :param max_connections: maximum number of connections that an upstream accepts
         from all instances together
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -353,13 +353,17 @@
         for known in self._known.values():
             known.activity.forget(instance)
 
-    def candidates(self, service: str) -> list[KnownUpstream]:
+    def candidates(
+        self, service: str, software: str | None = None
+    ) -> list[KnownUpstream]:
         """Return the upstreams of a service that may get new requests.
 
         Departed upstreams and upstreams in evacuated domains are excluded. A row is
         missing after an upstream left without announcing it, but also after an outage
         of the list's store. So upstreams with missing rows are returned only if there
         are no others.
+
+        :param software: the only version of their software, ``None`` for any
         """
         now = self._clock()
         evacuated = self.evacuations.evacuated
@@ -367,6 +371,7 @@
             upstream
             for upstream in self._known.values()
             if upstream.record.service == service
+            and software in (None, upstream.record.software)
             and upstream.record.domain not in evacuated
             and not upstream.has_departed(now)
         ]
--- a/packages/pondquay/tests/routing/test_directory.py
+++ b/packages/pondquay/tests/routing/test_directory.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pondquay.addresses import Address
@@ -53,6 +54,17 @@
     assert list_candidates(directory) == ["u2"]
 
 
+# Guards against streams that break off while the only upstreams of their version have
+# lost their rows in an outage of the list's store.
+def test_an_upstream_with_a_missing_row_is_used_for_streams_of_its_version() -> None:
+    directory = UpstreamDirectory(lambda: now[0])
+    directory.put(replace(make_record("u1"), software="v1"), 1)
+    directory.put(replace(make_record("u2"), software="v2"), 2)
+    directory.remove("u1", 3)
+    found = [upstream.name for upstream in directory.candidates("judge", "v1")]
+    assert found == ["u1"]
+
+
 def make_synced(time: list[float], *upstreams: str) -> UpstreamDirectory:
     """Return a directory whose list has been synced for a long time."""
     directory = UpstreamDirectory(lambda: time[0])
