--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
@@ -45,12 +45,15 @@
 
     :param workspace: owner of the caller's key, ``None`` where no key is needed
     :param service: name of the service that was chosen from the route
+    :param software: the only version of the service's software at which a stream that
+        the caller takes up may go on, ``None`` for any
     """
 
     metadata: RequestMetadata
     route: Route
     workspace: RoutedWorkspace | None
     service: str
+    software: str | None = None
 
     @property
     def seconds(self) -> float:
@@ -59,6 +62,11 @@
         timeout = self.route.timeout
         return timeout if deadline is None else min(timeout, deadline)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller takes up a stream of which it has some events."""
+        return self.route.streaming and self.metadata.last_event > 0
+
 
 def admit_request(
     head: RequestHead,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/components.py
@@ -27,6 +27,7 @@
     from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
     from pondquay_daemon.relay.permits import PermitBroker
     from pondquay_daemon.relay.placement import Placement
+    from pondquay_daemon.relay.streamlinks import StreamLinks
 
 
 @dataclass(slots=True)
@@ -64,3 +65,4 @@
     activity: ActivityLinks
     overload: OverloadMonitor
     queues: FairQueues
+    streams: StreamLinks
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -54,12 +54,19 @@
         self.retries = self._counter(
             "retries", "Retries requested, by whether they were granted", "granted"
         )
-        self.streams_resumed = Counter(
-            "pondquay_streams_resumed",
-            "Streams that went on, by who took them up and by whether the version of"
-            " the upstream's software is the one that began them",
-            ["by", "version"],
-            registry=self.registry,
+        self.streams_continued = self._counter(
+            "streams_continued",
+            "Streams that went on at another upstream within an answer, by whether the"
+            " version of its software is the one that began them",
+            "version",
+        )
+        self.streams_taken_up = self._counter(
+            "streams_taken_up",
+            "Streams that callers took up again, by what is known of their origin",
+            "origin",
+        )
+        self.stream_origins = self._gauge(
+            "stream_origins", "Streams of which this instance keeps the origin"
         )
         self.tokens = self._counter("tokens", "Tokens reserved and used", "kind")
         self.loans = self._counter("loan_tokens", "Tokens lent and borrowed", "way")
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -19,6 +19,7 @@
 from pondquay.requests.contents import CONTENT_BYTES
 from pondquay.routing.crashes import CrashReport
 from pondquay.routing.evacuations import Evacuation
+from pondquay.routing.streamorigins import KEY_BYTES
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.relay.errors import MalformedValueError
 from pondquay_daemon.relay.messagecodec import MessageCodec, StreamReader
@@ -39,6 +40,7 @@
 
 Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 Content = Annotated[bytes, Meta(min_length=CONTENT_BYTES, max_length=CONTENT_BYTES)]
+StreamKey = Annotated[bytes, Meta(min_length=KEY_BYTES, max_length=KEY_BYTES)]
 # Incarnations of upstreams. The alias keeps its name, which the recorded forms of
 # messages contain.
 Lives = Annotated[list[str], Meta(max_length=MAX_CRASHED)]
@@ -369,6 +371,46 @@
     seconds: Age
 
 
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    """Announces where a stream began.
+
+    :param key: result of :func:`~pondquay.routing.streamorigins.digest_attempt`
+    :param software: version of the software of the upstream that began it
+    """
+
+    CODE: ClassVar[int] = 28
+    key: StreamKey
+    service: str
+    software: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamQuery:
+    """Asks where a stream began.
+
+    :param key: result of :func:`~pondquay.routing.streamorigins.digest_attempt`
+    """
+
+    CODE: ClassVar[int] = 29
+    number: Count
+    key: StreamKey
+
+
+@dataclass(frozen=True, slots=True)
+class StreamReply:
+    """Responds to a question where a stream began.
+
+    :param service: the service that began it, empty if unknown
+    :param software: version of the upstream's software, ``None`` if unknown
+    """
+
+    CODE: ClassVar[int] = 30
+    number: Count
+    service: str
+    software: str | None
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -389,6 +431,9 @@
     | InstanceLoad
     | TunnelOffer
     | UpstreamBackoff
+    | StreamStarted
+    | StreamQuery
+    | StreamReply
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -48,7 +48,9 @@
 from pondquay_daemon.relay.readiness import ReadinessHandler
 from pondquay_daemon.relay.reports import ReportHandler
 from pondquay_daemon.relay.requests import RequestRun
+from pondquay_daemon.relay.resuming import StreamResumer
 from pondquay_daemon.relay.stallmonitor import StallMonitor
+from pondquay_daemon.relay.streamlinks import StreamLinks
 from pondquay_daemon.relay.upstreampaths import UpstreamPaths
 from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
 from pondquay_daemon.tasks import sleep, spawn
@@ -59,6 +61,7 @@
 
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.ingress import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
@@ -143,6 +146,8 @@
             self._loads,
             metrics,
         )
+        streams = StreamLinks(reactor, self._peers, settings.domain)
+        self._resumer = StreamResumer(directory, streams, metrics)
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -186,6 +191,7 @@
             activity,
             self.overload,
             FairQueues(reactor, metrics),
+            streams,
         )
         self._overload_refusals = OverloadRefusals(
             self.overload,
@@ -437,6 +443,34 @@
         if refusal is not None:
             self._refuse(head, refusal, admitted.metadata.attempt, response)
             return
+        if admitted.takes_up_stream:
+            spawn(self._resume(admitted, head, body, response), "StreamResumer")
+        else:
+            self._run(admitted, head, body, response)
+
+    async def _resume(
+        self,
+        admitted: Admission,
+        head: RequestHead,
+        body: bytes,
+        response: CallerResponse,
+    ) -> None:
+        """Serve a request that takes a stream up, where the stream can go on."""
+        resumed = await self._resumer.resume(admitted)
+        if not response.open:
+            return
+        if isinstance(resumed, Refusal):
+            self._refuse(head, resumed, admitted.metadata.attempt, response)
+        else:
+            self._run(resumed, head, body, response)
+
+    def _run(
+        self,
+        admitted: Admission,
+        head: RequestHead,
+        body: bytes,
+        response: CallerResponse,
+    ) -> None:
         service = self._configuration.find_service(admitted.service)
         run = RequestRun(self._components, admitted, service, head, body, response)
         spawn(run.run(), "RequestRun")
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routing.rejections import draw_pause
+from pondquay.routing.streamorigins import StreamOrigin
 from pondquay.streamevents import EventReader
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import (
@@ -73,6 +74,7 @@
         self._components = components
         self._metadata = admission.metadata
         self._route = admission.route
+        self._service = admission.service
         self._workspace = admission.workspace
         self._response = response
         self._stop_reason = ""
@@ -89,7 +91,9 @@
         self._progress: StreamProgress | None = None
         if self._route.streaming:
             reader = EventReader(last=self._metadata.last_event)
-            self._progress = StreamProgress(reader)
+            self._progress = StreamProgress(
+                reader, admission.software, self._note_stream_begun
+            )
         self._deadline = response.arrived_at + admission.seconds
         shares_prompts = service is not None and service.shares_prompts
         job = RequestJob(
@@ -174,7 +178,7 @@
             else response.began_at - response.arrived_at
         )
         self._components.metrics.note_end(self._status, seconds, first)
-        self._count_resumed()
+        self._count_continued()
         log_event(
             "request-ended",
             Level.INFO if self._status in SERVED else Level.WARNING,
@@ -193,16 +197,21 @@
             seconds=round(seconds, 3),
         )
 
-    def _count_resumed(self) -> None:
-        """Count how often its stream went on, and at which version."""
-        if self._progress is None or not self._progress.parts:
+    def _note_stream_begun(self, software: str) -> None:
+        """Let the fleet know at which version its stream goes on if it breaks."""
+        attempt = self._metadata.first_attempt or self._metadata.attempt
+        if self._route.resumable and attempt:
+            origin = StreamOrigin(self._service, software)
+            self._components.streams.note_started(attempt, origin)
+
+    def _count_continued(self) -> None:
+        """Count how often its stream went on at another upstream."""
+        if self._progress is None:
             return
-        resumed = self._components.metrics.streams_resumed
-        if self._metadata.last_event:
-            resumed.labels("caller", "unknown").inc()
+        continued = self._components.metrics.streams_continued
         for before, after in pairwise(self._progress.parts):
             is_same = before.software == after.software
-            resumed.labels("relay", "same" if is_same else "other").inc()
+            continued.labels("same" if is_same else "other").inc()
 
     async def _try_upstreams(self) -> Refusal | None:
         """Send the request until it is served or no further attempt is allowed.
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
@@ -0,0 +1,100 @@
+"""Decides where a stream that a caller takes up again can go on."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from pondquay_daemon.logs import log_event
+from pondquay_daemon.relay.admission import RETRY_SOON_SECONDS, UNAVAILABLE, Refusal
+
+if TYPE_CHECKING:
+    from pondquay.routing.directory import UpstreamDirectory
+    from pondquay.routing.streamorigins import StreamOrigin
+    from pondquay_daemon.relay.admission import Admission
+    from pondquay_daemon.relay.metrics import RelayMetrics
+    from pondquay_daemon.relay.streamlinks import StreamLinks
+
+# Results, as labels of a metric: the origin is known; it is unknown and the service has
+# a single version; it is unknown and could be one of several; the service or its
+# version serves no more.
+KNOWN = "known"
+ASSUMED = "assumed"
+UNKNOWN = "unknown"
+GONE = "gone"
+
+
+class StreamResumer:
+    """Chooses the service and the software version at which a stream goes on.
+
+    A stream that cannot go on is refused at once. The service's only version is taken
+    for the one that began a stream if no instance knows it, as after a loss of all.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        links: StreamLinks,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._directory = directory
+        self._links = links
+        self._metrics = metrics
+
+    async def resume(self, admission: Admission) -> Admission | Refusal:
+        """Return the admission to the service and version, or a refusal."""
+        attempt = admission.metadata.first_attempt
+        origin = await self._links.find(attempt) if attempt else None
+        if origin is None:
+            return self._assume_version(admission)
+        if not self._leads_to(admission, origin):
+            reason = "the service that began the stream has no part of the route"
+            return self._refuse(admission, GONE, reason, None)
+        if not self._directory.candidates(origin.service, origin.software):
+            reason = "no upstream with the version that began the stream"
+            return self._refuse(admission, GONE, reason, None)
+        return self._admit(admission, KNOWN, origin.service, origin.software)
+
+    @staticmethod
+    def _leads_to(admission: Admission, origin: StreamOrigin) -> bool:
+        """Return whether the route leads to the service that began the stream."""
+        return any(
+            weighted.service == origin.service and weighted.weight > 0
+            for weighted in admission.route.services
+        )
+
+    def _assume_version(self, admission: Admission) -> Admission | Refusal:
+        versions = self._directory.list_software(admission.service)
+        if len(versions) > 1:
+            reason = "the version that began the stream is unknown"
+            return self._refuse(admission, UNKNOWN, reason, RETRY_SOON_SECONDS)
+        software = versions[0] if versions else None
+        return self._admit(admission, ASSUMED, admission.service, software)
+
+    def _admit(
+        self, admission: Admission, result: str, service: str, software: str | None
+    ) -> Admission:
+        self._report(admission, result, software or "")
+        return replace(admission, service=service, software=software)
+
+    def _refuse(
+        self,
+        admission: Admission,
+        result: str,
+        reason: str,
+        retry_after: float | None,
+    ) -> Refusal:
+        self._report(admission, result, "")
+        return Refusal(UNAVAILABLE, reason, retry_after)
+
+    def _report(self, admission: Admission, result: str, software: str) -> None:
+        self._metrics.streams_taken_up.labels(result).inc()
+        metadata = admission.metadata
+        log_event(
+            "stream-taken-up",
+            request=metadata.attempt,
+            first_attempt=metadata.first_attempt,
+            after=metadata.last_event,
+            origin=result,
+            software=software,
+        )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamprogress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamprogress.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pondquay.streamevents import EventReader
 
 
@@ -25,12 +27,18 @@
 class StreamProgress:
     """What a caller has received of a stream, over all attempts.
 
+    :param begun_at: software version at which a stream began that the caller takes up,
+        ``None`` if it begins now
+    :param on_begun: called with the software version before the first event of the
+        response is forwarded
     :ivar started: whether the response's head was sent
     :ivar longest_pause: longest time between two events so far, in seconds
     :ivar parts: what each attempt brought, without those that brought nothing
     """
 
     reader: EventReader
+    begun_at: str | None = None
+    on_begun: Callable[[str], None] | None = None
     started: bool = False
     longest_pause: float = 0.0
     parts: list[StreamPart] = field(default_factory=list)
@@ -43,7 +51,9 @@
 
         What different versions generate for a request does not fit together.
         """
-        return self.parts[0].software if self.parts else None
+        if self.begun_at is None and self.parts:
+            return self.parts[0].software
+        return self.begun_at
 
     def begin_attempt(self, software: str) -> None:
         """Count further events as those of another upstream.
@@ -60,11 +70,17 @@
         before = self.reader.count
         events = self.reader.feed(data)
         if events:
-            if not self.parts or self.parts[-1] is not self._next_part:
-                self.parts.append(self._next_part)
             self._next_part.events += self.reader.count - before
+            self._note_part(self._next_part)
         return events
 
+    def _note_part(self, part: StreamPart) -> None:
+        if self.parts and self.parts[-1] is part:
+            return
+        self.parts.append(part)
+        if len(self.parts) == 1 and self.on_begun is not None:
+            self.on_begun(part.software)
+
     def note_events(self, now: float) -> float | None:
         """Record the arrival of events.
 
--- a/packages/pondquay-lab/src/pondquay_lab/keptforms.py
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -56,6 +56,9 @@
     "room": 4,
     "address": "10.0.0.1:7340",
     "accepting": True,
+    "key": bytes(range(8)),
+    "service": "judge",
+    "software": "v1.2",
 }
 
 
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -9,6 +9,7 @@
 from pondquay.routing.evacuations import Evacuations
 from pondquay.routing.knownupstreams import KnownUpstream
 from pondquay.routing.listwatch import MISSING_GRACE_SECONDS, ListWatch
+from pondquay.routing.softwarehistory import SoftwareHistory
 from pondquay.routing.upstreamrecords import Departure
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
         # Keyed by the name of the row: the incarnation last known to be in it, and the
         # newest version at which the row is known to have been missing.
         self._listed: dict[str, str] = {}
+        self._software = SoftwareHistory()
         self._removed: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -134,6 +136,7 @@
         :returns: the upstream, ``None`` if nothing changed, as with most heartbeats
         """
         name, incarnation = record.name, record.incarnation
+        self._software.note_listed(record.service, record.software, self._clock())
         if record.leaving:
             self.note_leaving(name, record.born)
         listed = self.find_listed(name)
@@ -380,6 +383,14 @@
         ]
         return present or of_service
 
+    def list_software(self, service: str) -> list[str]:
+        """Return the versions of a service's software that serve or served lately."""
+        now = self._clock()
+        for known in self._known.values():
+            record = known.record
+            self._software.note_listed(record.service, record.software, now)
+        return self._software.list_recent(service, now)
+
     def note_restored(self, domain: str, cold: Callable[[str], float]) -> None:
         """Record that an evacuated domain gets requests again.
 
--- /dev/null
+++ b/packages/pondquay/src/pondquay/routing/streamorigins.py
@@ -0,0 +1,83 @@
+"""Where streams began, which tells where they can go on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+from pondquay.routing.rendezvous import score_pair
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+KEY_BYTES = 8
+# Maximum number of streams whose origins an instance keeps, the latest ones.
+MAX_ORIGINS = 8192
+# Peers of the own domain that are told of a stream, and other domains of which one peer
+# each is told. Callers come back in their domain, or in another if theirs is lost.
+NEAR_KEEPERS = 2
+FAR_DOMAINS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The service that began a stream.
+
+    :param software: version of the software of the upstream that began it
+    """
+
+    service: str
+    software: str
+
+
+def digest_attempt(attempt: str) -> bytes:
+    """Return the key of a stream.
+
+    :param attempt: the caller's identifier of the attempt that brought the first event
+    :returns: ``KEY_BYTES`` bytes
+    """
+    return blake2b(attempt.encode(), digest_size=KEY_BYTES).digest()
+
+
+class OriginTable:
+    """The origins of the latest streams of which an instance knows.
+
+    :param max_entries: number of streams above which the oldest one is dropped
+    """
+
+    def __init__(self, max_entries: int = MAX_ORIGINS) -> None:
+        self._max_entries = max_entries
+        self._origins: dict[bytes, StreamOrigin] = {}
+
+    def __len__(self) -> int:
+        return len(self._origins)
+
+    def note(self, key: bytes, origin: StreamOrigin) -> None:
+        """Record where a stream began.
+
+        :param key: result of :func:`digest_attempt`
+        """
+        self._origins.pop(key, None)
+        self._origins[key] = origin
+        if len(self._origins) > self._max_entries:
+            del self._origins[next(iter(self._origins))]
+
+    def find(self, key: bytes) -> StreamOrigin | None:
+        """Return where a stream began, ``None`` if unknown."""
+        return self._origins.get(key)
+
+
+def choose_keepers(key: bytes, peers: Mapping[str, str], domain: str) -> list[str]:
+    """Return the peers that are told where a stream began.
+
+    :param peers: the domain of each peer, by name
+    :param domain: failure domain of this instance
+    """
+    ranked = sorted(peers, key=lambda peer: score_pair(key.hex(), peer))
+    near = [peer for peer in ranked if peers[peer] == domain]
+    far: dict[str, str] = {}
+    for peer in ranked:
+        if peers[peer] != domain:
+            far.setdefault(peers[peer], peer)
+    return near[:NEAR_KEEPERS] + list(far.values())[:FAR_DOMAINS]
--- /dev/null
+++ b/packages/pondquay/tests/routing/test_streamorigins.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondquay.routing.streamorigins import (
+    FAR_DOMAINS,
+    KEY_BYTES,
+    NEAR_KEEPERS,
+    OriginTable,
+    StreamOrigin,
+    choose_keepers,
+    digest_attempt,
+)
+
+ORIGIN = StreamOrigin("judge", "v1")
+PEERS = st.dictionaries(st.text(max_size=3), st.sampled_from("abcd"), max_size=12)
+
+
+def test_the_oldest_origin_is_dropped() -> None:
+    table = OriginTable(max_entries=2)
+    keys = [digest_attempt(f"attempt-{number}") for number in range(3)]
+    table.note(keys[0], ORIGIN)
+    table.note(keys[1], ORIGIN)
+    table.note(keys[0], ORIGIN)
+    table.note(keys[2], ORIGIN)
+    assert [table.find(key) for key in keys] == [ORIGIN, None, ORIGIN]
+    assert len(table) == 2
+
+
+@given(PEERS, st.binary(min_size=KEY_BYTES, max_size=KEY_BYTES))
+def test_keepers_are_in_the_own_domain_and_in_others(
+    peers: dict[str, str], key: bytes
+) -> None:
+    keepers = choose_keepers(key, peers, "a")
+    domains = Counter(peers[keeper] for keeper in keepers)
+    available = Counter(peers.values())
+    assert len(set(keepers)) == len(keepers)
+    assert domains["a"] == min(NEAR_KEEPERS, available["a"])
+    others = available.keys() - {"a"}
+    assert domains.keys() - {"a"} <= others
+    assert sum(domains[other] for other in others) == min(FAR_DOMAINS, len(others))
+    assert all(domains[other] <= 1 for other in others)
+
+
+def test_streams_are_spread_over_keepers() -> None:
+    peers = {f"r{number}": "a" for number in range(10)}
+    told = Counter(
+        keeper
+        for number in range(500)
+        for keeper in choose_keepers(digest_attempt(str(number)), peers, "a")
+    )
+    assert len(told) == len(peers)
+    assert max(told.values()) < 2 * min(told.values())
