--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -146,7 +146,7 @@
             self._loads,
             metrics,
         )
-        streams = StreamLinks(reactor, self._peers, settings.domain)
+        streams = StreamLinks(reactor, self._peers, settings.instance, settings.domain)
         self._resumer = StreamResumer(directory, streams, metrics)
         self._withdrawals = WithdrawalMonitor(
             reactor,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -73,6 +73,9 @@
     ) -> None:
         self._components = components
         self._metadata = admission.metadata
+        self._first_attempt = (
+            admission.metadata.first_attempt or admission.metadata.attempt
+        )
         self._route = admission.route
         self._service = admission.service
         self._workspace = admission.workspace
@@ -142,6 +145,7 @@
                 self._timer.cancel()
             self._place.leave()
             self._reservation.settle_all()
+            self._components.streams.note_ended(self._first_attempt)
             self._log_end()
 
     def _start_timer(self) -> IDelayedCall:
@@ -199,10 +203,9 @@
 
     def _note_stream_begun(self, software: str) -> None:
         """Let the fleet know at which version its stream goes on if it breaks."""
-        attempt = self._metadata.first_attempt or self._metadata.attempt
-        if self._route.resumable and attempt:
+        if self._route.resumable and self._first_attempt:
             origin = StreamOrigin(self._service, software)
-            self._components.streams.note_started(attempt, origin)
+            self._components.streams.note_started(self._first_attempt, origin)
 
     def _count_continued(self) -> None:
         """Count how often its stream went on at another upstream."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -31,26 +31,28 @@
     from pondquay_daemon.relay.peermessages import PeerMessage
     from pondquay_daemon.relay.peers import PeerMesh
 
-# Time for peers to answer. A caller that takes a stream up waits meanwhile.
-QUERY_SECONDS = 0.5
+# Time for peers to answer, and for links to them to open again. A caller that takes a
+# stream up waits meanwhile.
+QUERY_SECONDS = 1.0
 
 
 @dataclass(slots=True)
 class PendingQuery:
     """A question for the origin of a stream.
 
-    :param waiting: links of the peers that have not answered
+    :param query: the message that is sent to each peer
+    :ivar waiting: links of the peers that have not answered
     :ivar answer: fires with the origin, or with ``None`` once no peer can know it
     """
 
-    waiting: set[PeerLink]
+    query: StreamQuery
+    waiting: set[PeerLink] = field(default_factory=set)
     answer: Deferred[StreamOrigin | None] = field(default_factory=Deferred)
 
-    def note_unknown(self, link: PeerLink) -> None:
-        """Record that a peer does not know the origin or is unreachable."""
-        self.waiting.discard(link)
-        if not self.waiting:
-            self.resolve(None)
+    def ask(self, link: PeerLink) -> None:
+        """Send the question to a peer."""
+        self.waiting.add(link)
+        link.send(self.query)
 
     def resolve(self, origin: StreamOrigin | None) -> None:
         """End the question."""
@@ -62,9 +64,12 @@
     """Keeps where streams began, also on behalf of peers, and asks peers for it.
 
     An instance tells a few peers of each stream before it forwards the first event, so
-    that a caller can take its stream up elsewhere once the instance has ended. Whoever
-    needs the origin asks all linked peers, so no peer has to be known as its keeper.
+    that a caller can take its stream up elsewhere once the instance has ended. While
+    the stream is open, a peer that is linked again, as after a restart, is told once
+    more. Whoever needs the origin asks all linked peers, so no peer has to be known as
+    its keeper.
 
+    :param instance: name of this instance
     :param domain: failure domain of this instance
     """
 
@@ -74,11 +79,15 @@
         StreamReply,
     )
 
-    def __init__(self, clock: IReactorTime, mesh: PeerMesh, domain: str) -> None:
+    def __init__(
+        self, clock: IReactorTime, mesh: PeerMesh, instance: str, domain: str
+    ) -> None:
         self._clock = clock
         self._mesh = mesh
+        self._instance = instance
         self._domain = domain
         self._table = OriginTable()
+        self._open: dict[bytes, StreamOrigin] = {}
         self._numbers = count(1)
         self._pending: dict[int, PendingQuery] = {}
         mesh.add_topic(self)
@@ -93,12 +102,14 @@
         """
         key = digest_attempt(attempt)
         self._table.note(key, origin)
-        links = {link.instance: link for link in self._list_links()}
-        domains = self._mesh.domains
-        peers = {peer: domains.get(peer, "") for peer in links}
-        message = StreamStarted(key, origin.service, origin.software)
+        self._open[key] = origin
+        peers = self._list_domains()
         for keeper in choose_keepers(key, peers, self._domain):
-            links[keeper].send(message)
+            self._tell(keeper, key, origin)
+
+    def note_ended(self, attempt: str) -> None:
+        """Tell no further peers of a stream whose response has ended."""
+        self._open.pop(digest_attempt(attempt), None)
 
     async def find(self, attempt: str) -> StreamOrigin | None:
         """Return where a stream began.
@@ -108,13 +119,13 @@
         """
         key = digest_attempt(attempt)
         known = self._table.find(key)
-        links = self._list_links()
-        if known is not None or not links:
+        if known is not None:
             return known
         number = next(self._numbers)
-        pending = self._pending[number] = PendingQuery(set(links))
-        for link in links:
-            link.send(StreamQuery(number, key))
+        pending = self._pending[number] = PendingQuery(StreamQuery(number, key))
+        for link in self._list_links():
+            pending.ask(link)
+        self._end_if_unknown(pending)
         try:
             found = await wait_at_most(pending.answer, QUERY_SECONDS, self._clock, None)
         finally:
@@ -127,7 +138,15 @@
         """Return no message: origins are told when a stream begins, or on request."""
 
     def note_supported(self, link: PeerLink) -> None:
-        """Do nothing: what a peer supports is looked up at its link."""
+        """Tell a new peer of open streams, and ask it for those that are taken up."""
+        if not link.supports(StreamQuery):
+            return
+        for pending in self._pending.values():
+            pending.ask(link)
+        peers = self._list_domains()
+        for key, origin in self._open.items():
+            if link.instance in choose_keepers(key, peers, self._domain):
+                self._tell(link.instance, key, origin)
 
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Process a message."""
@@ -142,8 +161,8 @@
     def note_disconnected(self, link: PeerLink) -> None:
         """Wait no longer for a peer that is unreachable."""
         for pending in list(self._pending.values()):
-            if link in pending.waiting:
-                pending.note_unknown(link)
+            pending.waiting.discard(link)
+            self._end_if_unknown(pending)
 
     def list_requested(self) -> Collection[str]:
         """Return no instances, since existing links suffice."""
@@ -159,11 +178,38 @@
         pending = self._pending.get(reply.number)
         if pending is None:
             return
+        pending.waiting.discard(link)
         if reply.software is None:
-            pending.note_unknown(link)
+            self._end_if_unknown(pending)
         else:
             pending.resolve(StreamOrigin(reply.service, reply.software))
 
+    def _end_if_unknown(self, pending: PendingQuery) -> None:
+        """End a question that no peer is left to answer.
+
+        Instances of the own domain without a link may know it and link again soon.
+        """
+        linked = {self._instance, *self._mesh.peers}
+        near = [
+            instance
+            for instance, domain in self._mesh.domains.items()
+            if domain == self._domain
+        ]
+        if not pending.waiting and linked.issuperset(near):
+            pending.resolve(None)
+
+    def _tell(self, peer: str, key: bytes, origin: StreamOrigin) -> None:
+        link = self._mesh.find_link(peer)
+        if link is not None:
+            link.send(StreamStarted(key, origin.service, origin.software))
+
+    def _list_domains(self) -> dict[str, str]:
+        """Return the domain of each peer that supports these messages, by name."""
+        domains = self._mesh.domains
+        return {
+            link.instance: domains.get(link.instance, "") for link in self._list_links()
+        }
+
     def _list_links(self) -> list[PeerLink]:
         """Return the links to peers that support these messages."""
         links = map(self._mesh.find_link, self._mesh.peers)
--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -10,7 +10,14 @@
 
 from .conftest import STEP_SECONDS
 from .partitions import HOSTS
-from .versions import NEW, OLD, VERSIONS, VersionedFleet, list_mixed
+from .versions import (
+    NEW,
+    OLD,
+    TRY_SECONDS,
+    VERSIONS,
+    VersionedFleet,
+    list_mixed,
+)
 
 DOMAINS = ("a", "a", "b", "b", "c")
 STREAMS_PER_RELAY = 7
@@ -151,3 +158,20 @@
     fleet.links.cut = False
     fleet.run_for(1.0)
     assert len(fleet.arrivals) == arrived
+
+
+# Guards against streams that nobody can place while links between instances are opened
+# again, after connections of all instances were reset at the same time.
+def test_a_stream_goes_on_after_all_connections_were_reset(
+    fleet: VersionedFleet,
+) -> None:
+    fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays)
+    fleet.run_for(BREAK_SECONDS)
+    for relay in fleet.relays:
+        fleet.links.drop(relay.host)
+    fleet.links.pump()
+    fleet.break_callers()
+    fleet.take_up(fleet.relays)
+    fleet.run_for(TRY_SECONDS)
+    assert list_mixed(fleet) == []
+    assert count_completed(fleet) >= MIN_CONTINUED_FRACTION * len(fleet.callers)
--- /dev/null
+++ b/packages/pondquay-daemon/tests/relay/test_streamlinks.py
@@ -0,0 +1,178 @@
+"""What instances tell each other about where streams began."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from pondquay.routing.streamorigins import StreamOrigin, digest_attempt
+from pondquay_daemon.relay.peermessages import (
+    MESSAGE_TYPES,
+    Heartbeat,
+    StreamQuery,
+    StreamReply,
+    StreamStarted,
+)
+from pondquay_daemon.relay.streamlinks import QUERY_SECONDS, StreamLinks
+
+if TYPE_CHECKING:
+    from pondquay_daemon.relay.peermessages import PeerMessage
+
+ORIGIN = StreamOrigin("judge", "v1")
+OWN, NEAR, NEXT, FAR = "r1", "r2", "r3", "r4"
+DOMAINS = {OWN: "a", NEAR: "a", NEXT: "a", FAR: "b"}
+
+
+class Link:
+    """A link that records what is sent to the peer."""
+
+    def __init__(self, instance: str, codes: frozenset[int]) -> None:
+        self.instance = instance
+        self.codes = codes
+        self.sent: list[PeerMessage] = []
+
+    def supports(self, kind: type[PeerMessage]) -> bool:
+        return kind.CODE in self.codes
+
+    def send(self, message: PeerMessage) -> None:
+        self.sent.append(message)
+
+    def take_query(self) -> StreamQuery:
+        message = self.sent.pop()
+        assert isinstance(message, StreamQuery)
+        return message
+
+
+class Mesh:
+    """The links of one instance."""
+
+    def __init__(self) -> None:
+        self.domains = dict(DOMAINS)
+        self.links: dict[str, Link] = {}
+
+    @property
+    def peers(self) -> list[str]:
+        return list(self.links)
+
+    def find_link(self, peer: str) -> Link | None:
+        return self.links.get(peer)
+
+    def add_topic(self, topic: StreamLinks) -> None:
+        pass
+
+
+class Instance:
+    """The part of an instance that knows where streams began."""
+
+    def __init__(self) -> None:
+        self.clock: Any = Clock()
+        self.mesh: Any = Mesh()
+        self.streams = StreamLinks(self.clock, self.mesh, OWN, DOMAINS[OWN])
+
+    def link(self, peer: str, codes: frozenset[int] = frozenset(MESSAGE_TYPES)) -> Link:
+        link: Any = Link(peer, codes)
+        self.mesh.links[peer] = link
+        self.streams.note_supported(link)
+        return link
+
+    def unlink(self, peer: str) -> None:
+        self.streams.note_disconnected(self.mesh.links.pop(peer))
+
+    def find(self, attempt: str) -> Deferred[StreamOrigin | None]:
+        return ensureDeferred(self.streams.find(attempt))
+
+    def reply(self, link: Any, origin: StreamOrigin | None) -> None:
+        number = link.take_query().number
+        service, software = ("", None)
+        if origin is not None:
+            service, software = origin.service, origin.software
+        self.streams.receive(link, StreamReply(number, service, software))
+
+
+@pytest.fixture
+def instance() -> Instance:
+    return Instance()
+
+
+def read_result(search: Deferred[StreamOrigin | None]) -> StreamOrigin | None:
+    assert search.called
+    found = search.result
+    assert found is None or isinstance(found, StreamOrigin)
+    return found
+
+
+def test_peers_are_told_where_a_stream_began(instance: Instance) -> None:
+    links = [instance.link(peer) for peer in (NEAR, NEXT, FAR)]
+    instance.streams.note_started("a1", ORIGIN)
+    message = StreamStarted(digest_attempt("a1"), "judge", "v1")
+    assert [link.sent for link in links] == [[message]] * 3
+    assert read_result(instance.find("a1")) == ORIGIN
+
+
+def test_a_peer_answers_with_what_it_was_told(instance: Instance) -> None:
+    link: Any = instance.link(NEAR)
+    key = digest_attempt("a1")
+    instance.streams.receive(link, StreamQuery(7, key))
+    instance.streams.receive(link, StreamStarted(key, "judge", "v1"))
+    instance.streams.receive(link, StreamQuery(8, key))
+    assert link.sent == [StreamReply(7, "", None), StreamReply(8, "judge", "v1")]
+
+
+def test_the_first_peer_that_knows_ends_a_search(instance: Instance) -> None:
+    near, far = instance.link(NEAR), instance.link(FAR)
+    search = instance.find("a1")
+    instance.reply(far, ORIGIN)
+    assert read_result(search) == ORIGIN
+    instance.reply(near, None)
+    assert read_result(instance.find("a1")) == ORIGIN
+
+
+def test_a_search_ends_once_all_peers_have_answered(instance: Instance) -> None:
+    links = [instance.link(peer) for peer in (NEAR, NEXT, FAR)]
+    search = instance.find("a1")
+    for link in links[:2]:
+        instance.reply(link, None)
+    assert not search.called
+    instance.unlink(FAR)
+    assert read_result(search) is None
+
+
+def test_a_search_waits_for_links_within_the_domain(instance: Instance) -> None:
+    far = instance.link(FAR)
+    search = instance.find("a1")
+    instance.reply(far, None)
+    assert not search.called
+    instance.reply(instance.link(NEAR), ORIGIN)
+    assert read_result(search) == ORIGIN
+
+
+def test_a_search_ends_in_time(instance: Instance) -> None:
+    instance.link(NEAR)
+    search = instance.find("a1")
+    instance.clock.advance(QUERY_SECONDS)
+    assert read_result(search) is None
+
+
+# Guards against questions to builds that do not know them and never answer.
+def test_an_earlier_build_is_neither_told_nor_asked(instance: Instance) -> None:
+    earlier = [
+        instance.link(peer, frozenset({Heartbeat.CODE})) for peer in (NEAR, NEXT, FAR)
+    ]
+    instance.streams.note_started("a1", ORIGIN)
+    assert read_result(instance.find("a2")) is None
+    assert all(link.sent == [] for link in earlier)
+
+
+# Guards against open streams that are forgotten as the peers that knew them restart.
+def test_a_peer_that_links_again_is_told_of_open_streams(instance: Instance) -> None:
+    for peer in (NEAR, NEXT, FAR):
+        instance.link(peer)
+    instance.streams.note_started("a1", ORIGIN)
+    instance.streams.note_started("a2", ORIGIN)
+    instance.streams.note_ended("a2")
+    instance.unlink(NEAR)
+    link = instance.link(NEAR)
+    assert link.sent == [StreamStarted(digest_attempt("a1"), "judge", "v1")]
