--- a/packages/pondquay/src/pondquay/streamevents.py
+++ b/packages/pondquay/src/pondquay/streamevents.py
@@ -44,6 +44,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return all events that are complete now; buffer an incomplete event.
 
+        If one is invalid, none of them is returned or counted.
+
         :raises StreamOrderError: if an event does not follow the previous event, or if
             more than ``MAX_PENDING_BYTES`` contain no complete event
         """
@@ -56,19 +58,23 @@
             return b""
         complete = pending[: end + len(EVENT_END)]
         self._pending = pending[end + len(EVENT_END) :]
-        for event in complete.split(EVENT_END)[:-1]:
-            self._check_order(event)
+        numbers = self._read_numbers(complete)
+        self.last += len(numbers)
+        self.count += len(numbers)
         return complete
 
     def discard_partial(self) -> None:
         """Discard an incomplete event after its stream was interrupted."""
         self._pending = b""
 
-    def _check_order(self, event: bytes) -> None:
-        number = read_event_id(event)
-        if number is None:
-            return
-        if number != self.last + 1:
-            raise StreamOrderError(f"event {number} follows event {self.last}")
-        self.last = number
-        self.count += 1
+    def _read_numbers(self, events: bytes) -> list[int]:
+        """Return the numbers of complete events, which follow the last event.
+
+        :raises StreamOrderError: if an event does not follow the previous event
+        """
+        read = map(read_event_id, events.split(EVENT_END)[:-1])
+        numbers = [number for number in read if number is not None]
+        for expected, number in enumerate(numbers, self.last + 1):
+            if number != expected:
+                raise StreamOrderError(f"event {number} follows event {expected - 1}")
+        return numbers
--- a/packages/pondquay/tests/test_streamevents.py
+++ b/packages/pondquay/tests/test_streamevents.py
@@ -42,3 +42,14 @@
 def test_event_id_may_follow_other_lines() -> None:
     data = b"x-versions: 2\nid: 1\ndata: a\n\n"
     assert EventReader().feed(data) == data
+
+
+# Guards against streams that go on after an event that their caller has not received.
+def test_events_that_arrive_with_an_invalid_one_do_not_count() -> None:
+    reader = EventReader()
+    assert reader.feed(event(1)) == event(1)
+    with pytest.raises(StreamOrderError):
+        reader.feed(event(2) + event(3) + event(9))
+    assert (reader.last, reader.count) == (1, 1)
+    reader.discard_partial()
+    assert reader.feed(event(2)) == event(2)
