--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -26,10 +26,19 @@
 SLOW_RESPONSE_DELAY_SECONDS = 0.75
 # Byte with which a plain response is padded to a requested length.
 PADDING = b"."
+DEFAULT_SOFTWARE = "v1"
 # A request whose path contains this crashes the replica that starts to run it.
 CRASH_PATH_MARKER = "crashing"
 
 
+def format_event(number: int, software: str) -> bytes:
+    """Return an event of a stream.
+
+    :param software: version of the replica's software, the type of the event
+    """
+    return f"id: {number}\nevent: {software}\ndata: piece {number}\n\n".encode()
+
+
 class ReplicaFault(StrEnum):
     """A fault of a replica.
 
@@ -109,6 +118,7 @@
     """An incarnation of a replica.
 
     :ivar born: start time, in milliseconds of the wall clock
+    :ivar software: version of its software, which each event of a stream names
     :ivar sequence: number of times that the replica's row was written
     :ivar leaving: whether all responses announce that the replica leaves
     :ivar backoff: seconds of ``Retry-After`` with which all requests are rejected, 0 to
@@ -123,6 +133,7 @@
     zone: str
     fault: ReplicaFault = ReplicaFault.NONE
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    software: str = DEFAULT_SOFTWARE
     sequence: int = 0
     leaving: bool = False
     backoff: int = 0
@@ -303,7 +314,7 @@
             self._write(self._http.send(h11.Data(data=b"id: 9")))
             cast("Any", self.transport).abortConnection()
             return
-        data = f"id: {number}\ndata: piece {number}\n\n".encode()
+        data = format_event(number, self._replica.software)
         self._write(self._http.send(h11.Data(data=data)))
         run.events += 1
         self._timer = reactor.callLater(
--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay_standins.processes import HOST, Process, call_http, pick_port, wait_until
-from pondquay_standins.replicas import Arrival
+from pondquay_standins.replicas import DEFAULT_SOFTWARE, Arrival
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -188,8 +188,13 @@
             if any(event in line for event in INTERNAL_ERROR_EVENTS)
         ]
 
-    def start_replicas(self, service: str, *names: str) -> None:
-        """Start replicas of a service and add their rows to the store."""
+    def start_replicas(
+        self, service: str, *names: str, software: str = DEFAULT_SOFTWARE
+    ) -> None:
+        """Start replicas of a service and add their rows to the store.
+
+        :param software: version of their software
+        """
         for name in names:
             self.replica_ports[name] = pick_port()
             self.control(
@@ -198,6 +203,7 @@
                 service=service,
                 zone="a",
                 port=self.replica_ports[name],
+                software=software,
             )
 
     def configure(self, configuration: dict[str, Any]) -> None:
--- a/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
@@ -15,7 +15,12 @@
 from klein import Klein
 from twisted.web.server import Site
 
-from pondquay_standins.replicas import Replica, ReplicaFactory, ReplicaFault
+from pondquay_standins.replicas import (
+    DEFAULT_SOFTWARE,
+    Replica,
+    ReplicaFactory,
+    ReplicaFault,
+)
 from pondquay_standins.rowstore import RowStore, StoreApi, StoreFault
 from pondquay_standins.web import reactor, read_body, write_body
 
@@ -69,7 +74,10 @@
     def start_replica(self, description: dict[str, Any]) -> None:
         """Start a replica and write its row."""
         replica = Replica(
-            description["name"], description["service"], description["zone"]
+            description["name"],
+            description["service"],
+            description["zone"],
+            software=description.get("software", DEFAULT_SOFTWARE),
         )
         self._ports[replica.name] = description["port"]
         self._start_incarnation(replica)
@@ -93,6 +101,7 @@
                 previous.service,
                 previous.zone,
                 previous.fault,
+                software=previous.software,
                 leaving=previous.leaving,
                 backoff=previous.backoff,
                 runs=previous.runs,
@@ -120,7 +129,7 @@
             "service": replica.service,
             "address": f"{HOST}:{port}",
             "zone": replica.zone,
-            "version": "v1",
+            "version": replica.software,
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/builds.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/builds.py
@@ -29,12 +29,14 @@
     :param environment: extra environment variables of a relay that runs this build
     :param follows_signals: whether relays follow the signals in upstreams' responses
     :param shares_limits: whether relays share an upstream's rate limit among themselves
+    :param keeps_versions: whether streams go on at one software version only
     """
 
     name: str
     environment: dict[str, str]
     follows_signals: bool = True
     shares_limits: bool = True
+    keeps_versions: bool = True
 
 
 CURRENT_BUILD = Build("current", {})
@@ -62,6 +64,7 @@
             {"PYTHONPATH": os.pathsep.join(paths)},
             follows_signals=(routing / "knownupstreams.py").exists(),
             shares_limits=(routing / "ratelimits.py").exists(),
+            keeps_versions=(routing / "streamorigins.py").exists(),
         )
 
     def __exit__(
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -32,11 +32,16 @@
     "e1": ENGINE_SERVICE,
     "e2": ENGINE_SERVICE,
     "e3": ENGINE_SERVICE,
+    "e4": ENGINE_SERVICE,
     "p1": PLAIN_SERVICE,
     "p2": PLAIN_SERVICE,
 }
 INITIAL_PREPAID_TOKENS = 30_000
 TOP_UP_TOKENS = 4_000
+# The replicas that faults affect. Another target would change the faults of all seeds.
+FAULT_TARGETS = ("e1", "e2", "e3", "p1", "p2")
+# Version of each replica's software.
+SOFTWARE = {"e1": "v1", "e2": "v2", "e3": "v1", "e4": "v2", "p1": "v1", "p2": "v1"}
 # Less than the callers' timeout and the time limit of a planned stop.
 REVIEW_TIMEOUT_SECONDS = 3
 RETRY_DELAY_SECONDS = 0.2
@@ -74,7 +79,7 @@
 
 
 class SoakFleet(RoutedFleet):
-    """Three relays, and a store and five replicas behind a proxy.
+    """Three relays, and a store and six replicas behind a proxy.
 
     :ivar states: the state of each relay
     :ivar preferred: relay that all callers choose while it is up, empty for any
@@ -110,7 +115,7 @@
     def start(self) -> None:
         """Start the replicas, the proxy and the relays."""
         for name, service in REPLICAS.items():
-            self.start_replicas(service, name)
+            self.start_replicas(service, name, software=SOFTWARE[name])
         targets = {self._store_proxy_ports[name]: self.store_port for name in RELAYS}
         for name, port in self._replica_proxy_ports.items():
             targets[port] = self.replica_ports[name]
