--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
@@ -24,7 +24,7 @@
     metrics.evacuations_version.set(directory.evacuations.version)
     metrics.busiest.set(components.activity.find_busiest())
     metrics.slow_upstreams.set(components.placement.count_slow())
-    metrics.stream_origins.set(len(components.streams))
+    metrics.stream_origins.set(components.streams.origin_count)
     metrics.blocked.set(len(components.crashes.history.blocked()))
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -240,7 +240,7 @@
             self._receive_configuration(link, message)
         elif isinstance(message, LoanRequest | Loan):
             self._receive_loan_message(link, message)
-        elif topic := self._topics_by_message.get(type(message)):
+        elif (topic := self._topics_by_message.get(type(message))) is not None:
             topic.receive(link, message)
         else:
             self._receive_announcement(link, message)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -92,7 +92,9 @@
         self._pending: dict[int, PendingQuery] = {}
         mesh.add_topic(self)
 
-    def __len__(self) -> int:
+    @property
+    def origin_count(self) -> int:
+        """Number of streams of which this instance keeps the origin."""
         return len(self._table)
 
     def note_started(self, attempt: str, origin: StreamOrigin) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -175,3 +175,15 @@
     fleet.run_for(TRY_SECONDS)
     assert list_mixed(fleet) == []
     assert count_completed(fleet) >= MIN_CONTINUED_FRACTION * len(fleet.callers)
+
+
+# Guards against streams that go on elsewhere the second time they are taken up.
+def test_a_stream_goes_on_at_its_version_each_time(fleet: VersionedFleet) -> None:
+    fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays[:1])
+    for number in range(3):
+        fleet.run_for(2 * STEP_SECONDS)
+        fleet.kill(fleet.relays[number])
+        fleet.take_up(fleet.relays[number + 1 : number + 2])
+    fleet.run_for(TRY_SECONDS)
+    assert list_mixed(fleet) == []
+    assert count_completed(fleet) == STREAMS_PER_RELAY
