--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routes.table import choose_service
+from pondquay.routing.streamorigins import digest_attempt
 from pondquay_daemon.relay.errors import MalformedValueError
 
 if TYPE_CHECKING:
@@ -67,6 +68,15 @@
         """Whether the caller takes up a stream of which it has some events."""
         return self.route.streaming and self.metadata.last_event > 0
 
+    @property
+    def stream(self) -> bytes:
+        """The key of its stream, by the attempt that began or begins it."""
+        attempt = self.metadata.attempt
+        if self.takes_up_stream:
+            attempt = self.metadata.first_attempt or attempt
+        owner = "" if self.workspace is None else self.workspace.name
+        return digest_attempt(owner, attempt)
+
 
 def admit_request(
     head: RequestHead,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -73,9 +73,7 @@
     ) -> None:
         self._components = components
         self._metadata = admission.metadata
-        self._first_attempt = (
-            admission.metadata.first_attempt or admission.metadata.attempt
-        )
+        self._stream = admission.stream
         self._route = admission.route
         self._service = admission.service
         self._workspace = admission.workspace
@@ -145,7 +143,7 @@
                 self._timer.cancel()
             self._place.leave()
             self._reservation.settle_all()
-            self._components.streams.note_ended(self._first_attempt)
+            self._components.streams.note_ended(self._stream)
             self._log_end()
 
     def _start_timer(self) -> IDelayedCall:
@@ -203,9 +201,9 @@
 
     def _note_stream_begun(self, software: str) -> None:
         """Let the fleet know at which version its stream goes on if it breaks."""
-        if self._route.resumable and self._first_attempt:
+        if self._route.resumable:
             origin = StreamOrigin(self._service, software)
-            self._components.streams.note_started(self._first_attempt, origin)
+            self._components.streams.note_started(self._stream, origin)
 
     def _count_continued(self) -> None:
         """Count how often its stream went on at another upstream."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
@@ -43,8 +43,8 @@
 
     async def resume(self, admission: Admission) -> Admission | Refusal:
         """Return the admission to the service and version, or a refusal."""
-        attempt = admission.metadata.first_attempt
-        origin = await self._links.find(attempt) if attempt else None
+        is_named = bool(admission.metadata.first_attempt)
+        origin = await self._links.find(admission.stream) if is_named else None
         if origin is None:
             return self._assume_version(admission)
         if not self._leads_to(admission, origin):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -12,7 +12,6 @@
     OriginTable,
     StreamOrigin,
     choose_keepers,
-    digest_attempt,
 )
 from pondquay_daemon.relay.peermessages import (
     StreamQuery,
@@ -97,29 +96,26 @@
         """Number of streams of which this instance keeps the origin."""
         return len(self._table)
 
-    def note_started(self, attempt: str, origin: StreamOrigin) -> None:
+    def note_started(self, key: bytes, origin: StreamOrigin) -> None:
         """Keep where a stream began, and tell some peers.
 
-        :param attempt: the caller's attempt that brings the first event
+        :param key: result of :func:`~pondquay.routing.streamorigins.digest_attempt`
         """
-        key = digest_attempt(attempt)
         self._table.note(key, origin)
         self._open[key] = origin
         peers = self._list_domains()
         for keeper in choose_keepers(key, peers, self._domain):
             self._tell(keeper, key, origin)
 
-    def note_ended(self, attempt: str) -> None:
+    def note_ended(self, key: bytes) -> None:
         """Tell no further peers of a stream whose response has ended."""
-        self._open.pop(digest_attempt(attempt), None)
+        self._open.pop(key, None)
 
-    async def find(self, attempt: str) -> StreamOrigin | None:
+    async def find(self, key: bytes) -> StreamOrigin | None:
         """Return where a stream began.
 
-        :param attempt: the caller's attempt that brought the first event
         :returns: ``None`` if no peer that answers in time knows it
         """
-        key = digest_attempt(attempt)
         known = self._table.find(key)
         if known is not None:
             return known
--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -13,8 +13,10 @@
 from .versions import (
     NEW,
     OLD,
+    PATH,
     TRY_SECONDS,
     VERSIONS,
+    StreamCaller,
     VersionedFleet,
     list_mixed,
 )
@@ -177,6 +179,29 @@
     assert count_completed(fleet) >= MIN_CONTINUED_FRACTION * len(fleet.callers)
 
 
+# Guards against requests that name a stream without taking it up, and so change where
+# it goes on.
+def test_a_new_stream_that_names_another_does_not_change_it(
+    fleet: VersionedFleet,
+) -> None:
+    fleet.begin_streams(1, fleet.relays[:1])
+    fleet.run_for(BREAK_SECONDS)
+    (begun,) = fleet.callers
+    for number in range(STREAMS_PER_RELAY):
+        caller = StreamCaller(begun.first_attempt, fleet.relays[0])
+        fleet.callers.append(caller)
+        headers = {"attempt": f"other-{number}", "first-attempt": begun.first_attempt}
+        caller.protocol = fleet.relays[0].connect_caller(
+            PATH, caller.transport, headers
+        )
+    fleet.run_for(BREAK_SECONDS)
+    fleet.kill(fleet.relays[0])
+    begun.send(fleet.relays[1], "again")
+    fleet.run_for(TRY_SECONDS)
+    assert begun.completed
+    assert len(begun.versions) == 1
+
+
 # Guards against streams that go on elsewhere the second time they are taken up.
 def test_a_stream_goes_on_at_its_version_each_time(fleet: VersionedFleet) -> None:
     fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays[:1])
--- a/packages/pondquay/src/pondquay/routing/streamorigins.py
+++ b/packages/pondquay/src/pondquay/routing/streamorigins.py
@@ -31,13 +31,18 @@
     software: str
 
 
-def digest_attempt(attempt: str) -> bytes:
-    """Return the key of a stream.
+def digest_attempt(owner: str, attempt: str) -> bytes:
+    """Return the key of a stream, which differs between workspaces.
 
+    :param owner: workspace of the caller, empty if its route requires no key
     :param attempt: the caller's identifier of the attempt that brought the first event
     :returns: ``KEY_BYTES`` bytes
     """
-    return blake2b(attempt.encode(), digest_size=KEY_BYTES).digest()
+    digest = blake2b(digest_size=KEY_BYTES)
+    # The length keeps the boundary between the parts unambiguous.
+    digest.update(len(owner.encode()).to_bytes(8, "big"))
+    digest.update(owner.encode() + attempt.encode())
+    return digest.digest()
 
 
 class OriginTable:
