--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -411,6 +411,18 @@
     software: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class SoftwareSeen:
+    """Announces versions of upstreams' software that have served lately.
+
+    :param versions: for each the service, the version, and the seconds since an
+        upstream with it was listed
+    """
+
+    CODE: ClassVar[int] = 31
+    versions: list[tuple[str, str, Age]]
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -434,6 +446,7 @@
     | StreamStarted
     | StreamQuery
     | StreamReply
+    | SoftwareSeen
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -146,8 +146,16 @@
             self._loads,
             metrics,
         )
-        streams = StreamLinks(reactor, self._peers, settings.instance, settings.domain)
-        self._resumer = StreamResumer(directory, streams, metrics)
+        streams = StreamLinks(
+            reactor,
+            self._peers,
+            settings.instance,
+            settings.domain,
+            directory.software,
+        )
+        self._resumer = StreamResumer(
+            directory, streams, lambda: self._upstream_feed.age(), metrics
+        )
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
@@ -9,12 +9,16 @@
 from pondquay_daemon.relay.admission import RETRY_SOON_SECONDS, UNAVAILABLE, Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pondquay.routing.directory import UpstreamDirectory
     from pondquay.routing.streamorigins import StreamOrigin
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.streamlinks import StreamLinks
 
+# Age of the list of upstreams up to which it shows versions that have just started.
+MAX_LIST_AGE_SECONDS = 3.0
 # Results, as labels of a metric: the origin is known; it is unknown and the service has
 # a single version; it is unknown and could be one of several; the service or its
 # version serves no more.
@@ -27,20 +31,32 @@
 class StreamResumer:
     """Chooses the service and the software version at which a stream goes on.
 
-    A stream that cannot go on is refused at once. The service's only version is taken
-    for the one that began a stream if no instance knows it, as after a loss of all.
+    A stream that cannot go on is refused at once. If no instance knows its origin, as
+    after a loss of all, the only version that has served lately is taken for it, unless
+    this instance may have missed another.
+
+    :param list_age: returns the seconds since the list of upstreams was confirmed,
+        ``None`` if it never was
     """
 
     def __init__(
         self,
         directory: UpstreamDirectory,
         links: StreamLinks,
+        list_age: Callable[[], float | None],
         metrics: RelayMetrics,
     ) -> None:
         self._directory = directory
         self._links = links
+        self._list_age = list_age
         self._metrics = metrics
 
+    def _is_informed(self) -> bool:
+        """Return whether it would know of a version that has started lately."""
+        age = self._list_age()
+        is_fresh = age is not None and age <= MAX_LIST_AGE_SECONDS
+        return is_fresh or self._links.has_far_peer
+
     async def resume(self, admission: Admission) -> Admission | Refusal:
         """Return the admission to the service and version, or a refusal."""
         is_named = bool(admission.metadata.first_attempt)
@@ -65,7 +81,7 @@
 
     def _assume_version(self, admission: Admission) -> Admission | Refusal:
         versions = self._directory.list_software(admission.service)
-        if len(versions) > 1:
+        if len(versions) > 1 or not self._is_informed():
             reason = "the version that began the stream is unknown"
             return self._refuse(admission, UNKNOWN, reason, RETRY_SOON_SECONDS)
         software = versions[0] if versions else None
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -14,6 +14,7 @@
     choose_keepers,
 )
 from pondquay_daemon.relay.peermessages import (
+    SoftwareSeen,
     StreamQuery,
     StreamReply,
     StreamStarted,
@@ -26,6 +27,7 @@
 
     from twisted.internet.interfaces import IReactorTime
 
+    from pondquay.routing.softwarehistory import SoftwareHistory
     from pondquay_daemon.relay.peerlinks import PeerLink
     from pondquay_daemon.relay.peermessages import PeerMessage
     from pondquay_daemon.relay.peers import PeerMesh
@@ -68,23 +70,35 @@
     more. Whoever needs the origin asks all linked peers, so no peer has to be known as
     its keeper.
 
+    Instances also tell each other which versions serve, since the list of upstreams
+    shows a starting instance only those that are left.
+
     :param instance: name of this instance
     :param domain: failure domain of this instance
+    :param software: the versions that this instance knows
     """
 
     MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (
         StreamStarted,
         StreamQuery,
         StreamReply,
+        SoftwareSeen,
     )
 
     def __init__(
-        self, clock: IReactorTime, mesh: PeerMesh, instance: str, domain: str
+        self,
+        clock: IReactorTime,
+        mesh: PeerMesh,
+        instance: str,
+        domain: str,
+        software: SoftwareHistory,
     ) -> None:
         self._clock = clock
         self._mesh = mesh
         self._instance = instance
         self._domain = domain
+        self._software = software
+        software.on_new = self._announce_version
         self._table = OriginTable()
         self._open: dict[bytes, StreamOrigin] = {}
         self._numbers = count(1)
@@ -96,6 +110,15 @@
         """Number of streams of which this instance keeps the origin."""
         return len(self._table)
 
+    @property
+    def has_far_peer(self) -> bool:
+        """Whether a peer of another domain is linked, or any if there is one domain."""
+        domains = self._mesh.domains
+        if set(domains.values()) <= {self._domain}:
+            return bool(self._mesh.peers)
+        linked = {domains.get(peer, self._domain) for peer in self._mesh.peers}
+        return bool(linked - {self._domain})
+
     def note_started(self, key: bytes, origin: StreamOrigin) -> None:
         """Keep where a stream began, and tell some peers.
 
@@ -132,8 +155,9 @@
             self._table.note(key, found)
         return found
 
-    def make_greeting(self) -> None:
-        """Return no message: origins are told when a stream begins, or on request."""
+    def make_greeting(self) -> SoftwareSeen:
+        """Return the versions that have served lately."""
+        return SoftwareSeen(self._software.list_ages(self._clock.seconds()))
 
     def note_supported(self, link: PeerLink) -> None:
         """Tell a new peer of open streams, and ask it for those that are taken up."""
@@ -155,6 +179,10 @@
             link.send(self._answer(message))
         elif isinstance(message, StreamReply):
             self._receive_reply(link, message)
+        elif isinstance(message, SoftwareSeen):
+            now = self._clock.seconds()
+            for service, software, age in message.versions:
+                self._software.note_listed(service, software, now - age)
 
     def note_disconnected(self, link: PeerLink) -> None:
         """Wait no longer for a peer that is unreachable."""
@@ -166,6 +194,9 @@
         """Return no instances, since existing links suffice."""
         return ()
 
+    def _announce_version(self, service: str, software: str) -> None:
+        self._mesh.broadcast(SoftwareSeen([(service, software, 0.0)]))
+
     def _answer(self, query: StreamQuery) -> StreamReply:
         origin = self._table.find(query.key)
         if origin is None:
--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -6,6 +6,7 @@
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
+from pondquay_daemon.relay.resuming import MAX_LIST_AGE_SECONDS
 from pondquay_daemon.relay.streamlinks import QUERY_SECONDS
 
 from .conftest import STEP_SECONDS
@@ -179,6 +180,22 @@
     assert count_completed(fleet) >= MIN_CONTINUED_FRACTION * len(fleet.callers)
 
 
+# Guards against instances that take an old list of upstreams for the present one.
+def test_an_instance_that_hears_of_nothing_refuses_streams_of_unknown_origin() -> None:
+    fleet = VersionedFleet.start(("a", "b"), software=OLD)
+    fleet.versions = dict.fromkeys(HOSTS, OLD)
+    fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays[:1])
+    fleet.run_for(BREAK_SECONDS)
+    fleet.relays[0].store.unreachable = True
+    fleet.kill(fleet.relays[0])
+    fleet.run_for(MAX_LIST_AGE_SECONDS + 1.0)
+    for caller in fleet.callers:
+        caller.first_attempt = "unknown"
+    fleet.take_up(fleet.relays[1:])
+    fleet.run_for(TRY_SECONDS)
+    assert {caller.status for caller in fleet.callers} == {b"503"}
+
+
 # Guards against requests that name a stream without taking it up, and so change where
 # it goes on.
 def test_a_new_stream_that_names_another_does_not_change_it(
--- a/packages/pondquay-lab/src/pondquay_lab/keptforms.py
+++ b/packages/pondquay-lab/src/pondquay_lab/keptforms.py
@@ -59,6 +59,7 @@
     "key": bytes(range(8)),
     "service": "judge",
     "software": "v1.2",
+    "versions": [("judge", "v1", 0.5), ("judge", "v1.2", 0.0)],
 }
 
 
--- a/packages/pondquay/src/pondquay/routing/directory.py
+++ b/packages/pondquay/src/pondquay/routing/directory.py
@@ -45,6 +45,7 @@
         never did
     :ivar evacuations: the domains that operators have evacuated
     :ivar reach: which domains this instance can reach
+    :ivar software: which versions of upstreams' software have served lately
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         # Keyed by the name of the row: the incarnation last known to be in it, and the
         # newest version at which the row is known to have been missing.
         self._listed: dict[str, str] = {}
-        self._software = SoftwareHistory()
+        self.software = SoftwareHistory()
         self._removed: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -136,7 +137,7 @@
         :returns: the upstream, ``None`` if nothing changed, as with most heartbeats
         """
         name, incarnation = record.name, record.incarnation
-        self._software.note_listed(record.service, record.software, self._clock())
+        self.software.note_listed(record.service, record.software, self._clock())
         if record.leaving:
             self.note_leaving(name, record.born)
         listed = self.find_listed(name)
@@ -388,8 +389,8 @@
         now = self._clock()
         for known in self._known.values():
             record = known.record
-            self._software.note_listed(record.service, record.software, now)
-        return self._software.list_recent(service, now)
+            self.software.note_listed(record.service, record.software, now)
+        return self.software.list_recent(service, now)
 
     def note_restored(self, domain: str, cold: Callable[[str], float]) -> None:
         """Record that an evacuated domain gets requests again.
