--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -146,7 +146,7 @@
             self._loads,
             metrics,
         )
-        streams = StreamLinks(
+        self.streams = StreamLinks(
             reactor,
             self._peers,
             settings.instance,
@@ -154,7 +154,7 @@
             directory.software,
         )
         self._resumer = StreamResumer(
-            directory, streams, lambda: self._upstream_feed.age(), metrics
+            directory, self.streams, lambda: self._upstream_feed.age(), metrics
         )
         self._withdrawals = WithdrawalMonitor(
             reactor,
@@ -199,7 +199,7 @@
             activity,
             self.overload,
             FairQueues(reactor, metrics),
-            streams,
+            self.streams,
         )
         self._overload_refusals = OverloadRefusals(
             self.overload,
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Any
+from unittest.mock import Mock
 
 import pytest
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
@@ -34,6 +35,7 @@
     UpstreamSignals,
 )
 from pondquay_daemon.relay.metrics import RelayMetrics
+from pondquay_daemon.relay.peermessages import StreamQuery
 from pondquay_daemon.relay.relay import Relay
 from pondquay_daemon.relay.settings import RelaySettings
 
@@ -318,6 +320,13 @@
         self.relay.start()
         self.clock.advance(0)
 
+    def knows_stream(self, key: bytes) -> bool:
+        """Return whether it keeps where a stream began."""
+        link = Mock()
+        self.relay.streams.receive(link, StreamQuery(1, key))
+        (reply,) = link.send.call_args.args
+        return reply.software is not None
+
     def run_for(self, seconds: float) -> None:
         """Advance the clock step by step."""
         for _ in range(round(seconds / STEP_SECONDS)):
