--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -385,10 +385,9 @@
             return False
         now = self.clock.seconds()
         latest = now + REMOVAL_SPREAD_SECONDS
-        if now < self._removal_at.setdefault(name, uniform(now, latest)):
-            return False
-        del self._removal_at[name]
-        return True
+        # The time is kept until the entry is gone, so a removal that failed is repeated
+        # without another delay.
+        return now >= self._removal_at.setdefault(name, uniform(now, latest))
 
     def _adjust_loans(self, name: str, account: Account) -> None:
         """Return surplus tokens of a borrower, or borrow more headroom."""
