--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -8,7 +8,6 @@
 
 from twisted.internet.error import CannotListenError
 
-from pondquay.routes.entities import CallerLimits
 from pondquay.routing.buffers import BufferPool, choose_limit
 from pondquay.routing.coldshares import ColdShares
 from pondquay.routing.directory import UpstreamDirectory
@@ -18,12 +17,6 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.accounts import AccountBook
 from pondquay_daemon.relay.activitylinks import ActivityLinks
-from pondquay_daemon.relay.admission import (
-    UNAVAILABLE,
-    Refusal,
-    admit_request,
-    send_refusal,
-)
 from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.components import RelayComponents
 from pondquay_daemon.relay.crashmonitor import CrashMonitor
@@ -32,7 +25,8 @@
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.gauges import update_gauges
-from pondquay_daemon.relay.ingress import IngressServer, RequestHandler
+from pondquay_daemon.relay.ingress import IngressServer
+from pondquay_daemon.relay.intake import RequestIntake
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
 from pondquay_daemon.relay.loadlinks import LoadLinks
 from pondquay_daemon.relay.member import Member
@@ -47,7 +41,6 @@
 from pondquay_daemon.relay.placement import Placement
 from pondquay_daemon.relay.readiness import ReadinessHandler
 from pondquay_daemon.relay.reports import ReportHandler
-from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.relay.resuming import StreamResumer
 from pondquay_daemon.relay.stallmonitor import StallMonitor
 from pondquay_daemon.relay.streamlinks import StreamLinks
@@ -61,17 +54,10 @@
 
     from pondquay.routes.table import RouteTable
     from pondquay.routing.knownupstreams import KnownUpstream
-    from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.border import Border
-    from pondquay_daemon.relay.ingress import CallerResponse
-    from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.settings import RelaySettings
 
-# A configuration is fresh if it was confirmed within this fraction of the time in which
-# a new one must take effect. Only a fresh one proves that a route or key does not
-# exist.
-FRESH_CONFIGURATION_FRACTION = 0.8
 # Time for which the balancer may still open connections after the stop begins.
 BALANCER_DRAIN_SECONDS = 2.6
 # Reserved at the end of a graceful stop, to return unspent tokens.
@@ -89,11 +75,9 @@
 # Time for a slow or repeated poll.
 SLOW_POLL_SECONDS = 1.0
 MEMBERS_POLL_SECONDS = 2.0
-# Delay after which a caller that a stopping instance refuses should retry elsewhere.
-STOPPING_RETRY_SECONDS = 0.1
 
 
-class Relay(RequestHandler):
+class Relay:
     """Serves routed requests at one instance."""
 
     def __init__(
@@ -153,9 +137,6 @@
             settings.domain,
             directory.software,
         )
-        self._resumer = StreamResumer(
-            directory, self.streams, lambda: self._upstream_feed.age(), metrics
-        )
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -201,13 +182,6 @@
             FairQueues(reactor, metrics),
             self.streams,
         )
-        self._overload_refusals = OverloadRefusals(
-            self.overload,
-            self._loads,
-            self._components.random,
-            metrics,
-            enabled=settings.policy.refuse_overload,
-        )
         self._configuration = ConfigurationView(border, self._apply_table)
         self._upstreams = UpstreamView(
             border,
@@ -250,7 +224,27 @@
             self._evacuations,
             self._components.crashes,
         )
-        self._caller_server = IngressServer(reactor, self, self._components.buffers)
+        overload_refusals = OverloadRefusals(
+            self.overload,
+            self._loads,
+            self._components.random,
+            metrics,
+            enabled=settings.policy.refuse_overload,
+        )
+        resumer = StreamResumer(
+            directory, self.streams, lambda: self._upstream_feed.age(), metrics
+        )
+        self._intake = RequestIntake(
+            self._components,
+            self._configuration,
+            self._feed,
+            bounds.configuration,
+            overload_refusals,
+            resumer,
+        )
+        self._caller_server = IngressServer(
+            reactor, self._intake, self._components.buffers
+        )
         self._withdrawals.connect(self._caller_server)
         self._readiness_server = IngressServer(
             reactor, ReadinessHandler(border.ready_path, lambda: self.ready)
@@ -259,7 +253,6 @@
             reactor, ReportHandler(self._render_metrics, self.describe)
         )
         self.stopping = False
-        self._refusing = False
 
     def _make_permits(self, directory: UpstreamDirectory) -> PermitBroker:
         settings, linked = self._settings, LinkedPeers(self._reactor.seconds)
@@ -407,7 +400,7 @@
         began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
         await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
-        self._refusing = True
+        self._intake.refusing = True
         until = began + self._settings.bounds.stop - RETURN_UNSPENT_SECONDS
         while self._reactor.seconds() < until:
             self._caller_server.close_idle()
@@ -419,89 +412,6 @@
             await self._members.leave()
         log_event("stopped", open=len(self._caller_server.connections))
 
-    def limits(self) -> CallerLimits:
-        """Return the current limits of requests."""
-        table = self._configuration.table
-        return CallerLimits() if table is None else table.configuration.limits
-
-    def handle(self, head: RequestHead, body: bytes, response: CallerResponse) -> None:
-        """Begin to serve a request."""
-        table = self._configuration.table
-        if self._refusing:
-            # The request might not end before the process does.
-            send_refusal(
-                self._border,
-                response,
-                "",
-                Refusal(UNAVAILABLE, "stopping", STOPPING_RETRY_SECONDS),
-            )
-            return
-        admitted = admit_request(
-            head,
-            table,
-            self._border,
-            self._components.random,
-            is_fresh=self._is_configuration_fresh(),
-        )
-        if isinstance(admitted, Refusal):
-            self._refuse(head, admitted, "", response)
-            return
-        remaining = response.arrived_at + admitted.seconds - self._reactor.seconds()
-        refusal = self._overload_refusals.check(admitted, remaining)
-        if refusal is not None:
-            self._refuse(head, refusal, admitted.metadata.attempt, response)
-            return
-        if admitted.takes_up_stream:
-            spawn(self._resume(admitted, head, body, response), "StreamResumer")
-        else:
-            self._run(admitted, head, body, response)
-
-    async def _resume(
-        self,
-        admitted: Admission,
-        head: RequestHead,
-        body: bytes,
-        response: CallerResponse,
-    ) -> None:
-        """Serve a request that takes a stream up, where the stream can go on."""
-        resumed = await self._resumer.resume(admitted)
-        if not response.open:
-            return
-        if isinstance(resumed, Refusal):
-            self._refuse(head, resumed, admitted.metadata.attempt, response)
-        else:
-            self._run(resumed, head, body, response)
-
-    def _run(
-        self,
-        admitted: Admission,
-        head: RequestHead,
-        body: bytes,
-        response: CallerResponse,
-    ) -> None:
-        service = self._configuration.find_service(admitted.service)
-        run = RequestRun(self._components, admitted, service, head, body, response)
-        spawn(run.run(), "RequestRun")
-
-    def _refuse(
-        self,
-        head: RequestHead,
-        refusal: Refusal,
-        attempt: str,
-        response: CallerResponse,
-    ) -> None:
-        log_event(
-            "request-refused",
-            Level.WARNING,
-            request=self._border.name_request(head),
-            status=refusal.status,
-            reason=refusal.reason,
-            version=self._configuration.version,
-            age=self._feed.age(),
-        )
-        self._metrics.requests.labels(str(refusal.status)).inc()
-        send_refusal(self._border, response, attempt, refusal)
-
     def _choose_allotments_pause(self) -> float:
         all_are_holders = self._members.count <= self._settings.policy.most_holders
         return (
@@ -521,12 +431,6 @@
         self.overload.apply_table(table)
         self._peers.announce_version()
 
-    def _is_configuration_fresh(self) -> bool:
-        age = self._feed.age()
-        return age is not None and (
-            age < FRESH_CONFIGURATION_FRACTION * self._settings.bounds.configuration
-        )
-
 
 def choose_upstreams_pause(departure: float) -> float:
     """Return the seconds between two polls of the list of upstreams.
