--- a/packages/pondquay-cli/src/pondquay_cli/commands/relays.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from pondquay_cli.commands.base import COMMANDS, CommandResult, ReportsCommand
@@ -13,7 +14,8 @@
     from pondquay_cli.client import OperatorClient
 
 # "emptied" shows evacuated domains, "refused" the number of request contents that are
-# refused because upstreams crashed while they ran them.
+# refused because upstreams crashed while they ran them, and "software" the number of
+# upstreams of each service and version.
 COLUMNS = (
     "instance",
     "domain",
@@ -24,6 +26,7 @@
     "emptied",
     "malformed",
     "refused",
+    "software",
 )
 
 
@@ -63,9 +66,23 @@
         "emptied": dump["emptied"] or None,
         "malformed": len(dump["malformed"]) or None,
         "refused": len(dump["crashes"]) or None,
+        "software": count_software(dump["upstreams"]),
     }
 
 
+def count_software(upstreams: list[dict[str, Any]]) -> str | None:
+    """Return the number of upstreams that have not left, by service and version.
+
+    Relays of earlier builds do not report versions.
+    """
+    counts = Counter(
+        f"{upstream['service']} {upstream['software']}"
+        for upstream in upstreams
+        if "software" in upstream and not upstream["left"]
+    )
+    return ", ".join(f"{key}: {counts[key]}" for key in sorted(counts)) or None
+
+
 def list_malformed(dumps: list[dict[str, Any]]) -> list[str]:
     """Return a line for each stored row that a relay cannot parse, with the error."""
     malformed: dict[str, str] = {}
--- a/packages/pondquay-cli/tests/test_relays.py
+++ b/packages/pondquay-cli/tests/test_relays.py
@@ -29,6 +29,7 @@
         "emptied": "",
         "malformed": {},
         "crashes": [],
+        "upstreams": [],
         **fields,
     }
 
@@ -49,3 +50,17 @@
     assert (second["store"], second["refused"]) == ("does not answer", 1)
     assert "hall-b@9+1.0s" in result.text
     assert "row i-1: upstream i-1: address: must be HOST:PORT" in result.text
+
+
+def test_upstreams_are_counted_by_service_and_version() -> None:
+    upstreams = [
+        {"service": "judge", "software": "v1", "left": False},
+        {"service": "judge", "software": "v2", "left": False},
+        {"service": "judge", "software": "v2", "left": False},
+        {"service": "judge", "software": "v2", "left": True},
+    ]
+    earlier = make_dump("r2", upstreams=[{"service": "judge", "left": False}])
+    client: Any = StubClient(make_dump("r1", upstreams=upstreams), earlier)
+    result = asyncio.run(RelaysCommand().run(client, Namespace()))
+    software = [row["software"] for row in result.content]
+    assert software == ["judge v1: 1, judge v2: 2", None]
