--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
@@ -59,8 +59,9 @@
 
     async def resume(self, admission: Admission) -> Admission | Refusal:
         """Return the admission to the service and version, or a refusal."""
-        is_named = bool(admission.metadata.first_attempt)
-        origin = await self._links.find(admission.stream) if is_named else None
+        origin = None
+        if admission.metadata.first_attempt:
+            origin = await self._links.find(admission.stream, admission.seconds)
         if origin is None:
             return self._assume_version(admission)
         if not self._leads_to(admission, origin):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -134,9 +134,10 @@
         """Tell no further peers of a stream whose response has ended."""
         self._open.pop(key, None)
 
-    async def find(self, key: bytes) -> StreamOrigin | None:
+    async def find(self, key: bytes, seconds: float) -> StreamOrigin | None:
         """Return where a stream began.
 
+        :param seconds: time left to the caller, of which ``QUERY_SECONDS`` may be used
         :returns: ``None`` if no peer that answers in time knows it
         """
         known = self._table.find(key)
@@ -148,7 +149,9 @@
             pending.ask(link)
         self._end_if_unknown(pending)
         try:
-            found = await wait_at_most(pending.answer, QUERY_SECONDS, self._clock, None)
+            found = await wait_at_most(
+                pending.answer, min(seconds, QUERY_SECONDS), self._clock, None
+            )
         finally:
             del self._pending[number]
         if found is not None:
