--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/resuming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from pondquay_daemon.logs import log_event
@@ -19,13 +20,19 @@
 
 # Age of the list of upstreams up to which it shows versions that have just started.
 MAX_LIST_AGE_SECONDS = 3.0
-# Results, as labels of a metric: the origin is known; it is unknown and the service has
-# a single version; it is unknown and could be one of several; the service or its
-# version serves no more.
-KNOWN = "known"
-ASSUMED = "assumed"
-UNKNOWN = "unknown"
-GONE = "gone"
+
+
+class OriginResult(StrEnum):
+    """What is known of a stream's origin; also a label of a metric.
+
+    ``assumed`` means that it is unknown and can only be the single version that serves,
+    ``gone`` that its service or version serves no more.
+    """
+
+    KNOWN = "known"
+    ASSUMED = "assumed"
+    UNKNOWN = "unknown"
+    GONE = "gone"
 
 
 class StreamResumer:
@@ -51,12 +58,6 @@
         self._list_age = list_age
         self._metrics = metrics
 
-    def _is_informed(self) -> bool:
-        """Return whether it would know of a version that has started lately."""
-        age = self._list_age()
-        is_fresh = age is not None and age <= MAX_LIST_AGE_SECONDS
-        return is_fresh or self._links.has_far_peer
-
     async def resume(self, admission: Admission) -> Admission | Refusal:
         """Return the admission to the service and version, or a refusal."""
         origin = None
@@ -66,11 +67,13 @@
             return self._assume_version(admission)
         if not self._leads_to(admission, origin):
             reason = "the service that began the stream has no part of the route"
-            return self._refuse(admission, GONE, reason, None)
+            return self._refuse(admission, OriginResult.GONE, reason, None)
         if not self._directory.candidates(origin.service, origin.software):
             reason = "no upstream with the version that began the stream"
-            return self._refuse(admission, GONE, reason, None)
-        return self._admit(admission, KNOWN, origin.service, origin.software)
+            return self._refuse(admission, OriginResult.GONE, reason, None)
+        return self._admit(
+            admission, OriginResult.KNOWN, origin.service, origin.software
+        )
 
     @staticmethod
     def _leads_to(admission: Admission, origin: StreamOrigin) -> bool:
@@ -80,16 +83,28 @@
             for weighted in admission.route.services
         )
 
+    def _is_informed(self) -> bool:
+        """Return whether this instance would know of a version that just started."""
+        age = self._list_age()
+        is_fresh = age is not None and age <= MAX_LIST_AGE_SECONDS
+        return is_fresh or self._links.has_far_peer
+
     def _assume_version(self, admission: Admission) -> Admission | Refusal:
         versions = self._directory.list_software(admission.service)
         if len(versions) > 1 or not self._is_informed():
             reason = "the version that began the stream is unknown"
-            return self._refuse(admission, UNKNOWN, reason, RETRY_SOON_SECONDS)
+            return self._refuse(
+                admission, OriginResult.UNKNOWN, reason, RETRY_SOON_SECONDS
+            )
         software = versions[0] if versions else None
-        return self._admit(admission, ASSUMED, admission.service, software)
+        return self._admit(admission, OriginResult.ASSUMED, admission.service, software)
 
     def _admit(
-        self, admission: Admission, result: str, service: str, software: str | None
+        self,
+        admission: Admission,
+        result: OriginResult,
+        service: str,
+        software: str | None,
     ) -> Admission:
         self._report(admission, result, software or "")
         return replace(admission, service=service, software=software)
@@ -97,21 +112,23 @@
     def _refuse(
         self,
         admission: Admission,
-        result: str,
+        result: OriginResult,
         reason: str,
         retry_after: float | None,
     ) -> Refusal:
         self._report(admission, result, "")
         return Refusal(UNAVAILABLE, reason, retry_after)
 
-    def _report(self, admission: Admission, result: str, software: str) -> None:
-        self._metrics.streams_taken_up.labels(result).inc()
+    def _report(
+        self, admission: Admission, result: OriginResult, software: str
+    ) -> None:
+        self._metrics.streams_taken_up.labels(result.value).inc()
         metadata = admission.metadata
         log_event(
             "stream-taken-up",
             request=metadata.attempt,
             first_attempt=metadata.first_attempt,
             after=metadata.last_event,
-            origin=result,
+            origin=result.value,
             software=software,
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -245,4 +245,6 @@
     def _list_links(self) -> list[PeerLink]:
         """Return the links to peers that support these messages."""
         links = map(self._mesh.find_link, self._mesh.peers)
-        return [link for link in links if link and link.supports(StreamQuery)]
+        return [
+            link for link in links if link is not None and link.supports(StreamQuery)
+        ]
