--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -229,3 +229,23 @@
     fleet.run_for(TRY_SECONDS)
     assert list_mixed(fleet) == []
     assert count_completed(fleet) == STREAMS_PER_RELAY
+
+
+# Guards against streams that end as too few instances know them when most are lost.
+@pytest.mark.parametrize("survivor", [0, 3, 7])
+def test_half_of_the_streams_go_on_if_one_of_eight_instances_is_left(
+    survivor: int,
+) -> None:
+    fleet = VersionedFleet.start("aaabbbcc", software=OLD)
+    fleet.set_versions(VERSIONS)
+    fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays)
+    fleet.run_for(BREAK_SECONDS)
+    left = fleet.relays[survivor]
+    for relay in fleet.relays:
+        if relay is not left:
+            fleet.kill(relay)
+    taken_up = fleet.take_up([left])
+    fleet.run_for(TRY_SECONDS)
+    assert list_mixed(fleet) == []
+    completed = sum(caller.completed for caller in taken_up)
+    assert completed >= 0.5 * len(taken_up)
--- a/packages/pondquay/src/pondquay/routing/streamorigins.py
+++ b/packages/pondquay/src/pondquay/routing/streamorigins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import TYPE_CHECKING
@@ -14,9 +15,10 @@
 KEY_BYTES = 8
 # Maximum number of streams whose origins an instance keeps, the latest ones.
 MAX_ORIGINS = 8192
-# Peers of the own domain that are told of a stream, and other domains of which one peer
-# each is told. Callers come back in their domain, or in another if theirs is lost.
-NEAR_KEEPERS = 2
+# Peers of the own domain that are told of a stream, and of each of some other domains.
+# Callers come back in their domain, or in another if theirs is lost.
+NEAR_KEEPERS = 3
+FAR_KEEPERS = 2
 FAR_DOMAINS = 2
 
 
@@ -80,9 +82,10 @@
     :param domain: failure domain of this instance
     """
     ranked = sorted(peers, key=lambda peer: score_pair(key.hex(), peer))
-    near = [peer for peer in ranked if peers[peer] == domain]
-    far: dict[str, str] = {}
+    by_domain: defaultdict[str, list[str]] = defaultdict(list)
     for peer in ranked:
-        if peers[peer] != domain:
-            far.setdefault(peers[peer], peer)
-    return near[:NEAR_KEEPERS] + list(far.values())[:FAR_DOMAINS]
+        by_domain[peers[peer]].append(peer)
+    keepers = by_domain.pop(domain, [])[:NEAR_KEEPERS]
+    for far in list(by_domain.values())[:FAR_DOMAINS]:
+        keepers += far[:FAR_KEEPERS]
+    return keepers
