--- a/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
+++ b/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from pondquay_standins.replicas import Arrival
 from pondquay_standins.soak.upstreamsignals import (
     BACKOFF_INVARIANT,
@@ -76,6 +78,15 @@
     assert list_violations(BACKOFF_CALLS, early) == []
 
 
+@pytest.mark.parametrize(("route", "is_violated"), [("fetch", False), ("write", True)])
+def test_a_backoff_after_the_caller_has_left_counts_if_the_relay_still_reads(
+    route: str, is_violated: bool
+) -> None:
+    first = make_call("a0", 0.0, seconds=0.5, route=route)
+    calls = [first, *(make_call(f"a{number}", 1.0) for number in range(1, 4))]
+    assert bool(list_violations(calls, BACKOFF_ARRIVALS)) is is_violated
+
+
 def test_disturbances_of_the_relay_or_the_replica_excuse_violations() -> None:
     for target in ("r1", "p1"):
         disturbances = Disturbances([Disturbance(target, 1.2, 1.3)])
