--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/streamlinks.py
@@ -64,11 +64,12 @@
 class StreamLinks(PeerTopic):
     """Keeps where streams began, also on behalf of peers, and asks peers for it.
 
-    An instance tells a few peers of each stream before it forwards the first event, so
-    that a caller can take its stream up elsewhere once the instance has ended. While
-    the stream is open, a peer that is linked again, as after a restart, is told once
-    more. Whoever needs the origin asks all linked peers, so no peer has to be known as
-    its keeper.
+    While a service has several versions, an instance tells a few peers of each stream
+    before it forwards the first event, so that a caller can take its stream up
+    elsewhere once the instance has ended. When a second version appears, it tells them
+    of the streams that are open, and while a stream is open, a peer that is linked
+    again, as after a restart. Whoever needs the origin asks all linked peers, so no
+    peer has to be known as its keeper.
 
     Instances also tell each other which versions serve, since the list of upstreams
     shows a starting instance only those that are left.
@@ -120,15 +121,14 @@
         return bool(linked - {self._domain})
 
     def note_started(self, key: bytes, origin: StreamOrigin) -> None:
-        """Keep where a stream began, and tell some peers.
+        """Keep where a stream began, and tell some peers if that can matter.
 
         :param key: result of :func:`~pondquay.routing.streamorigins.digest_attempt`
         """
         self._table.note(key, origin)
         self._open[key] = origin
-        peers = self._list_domains()
-        for keeper in choose_keepers(key, peers, self._domain):
-            self._tell(keeper, key, origin)
+        if self._software.is_mixed(origin.service):
+            self._tell_keepers(key, origin)
 
     def note_ended(self, key: bytes) -> None:
         """Tell no further peers of a stream whose response has ended."""
@@ -170,6 +170,8 @@
             pending.ask(link)
         peers = self._list_domains()
         for key, origin in self._open.items():
+            if not self._software.is_mixed(origin.service):
+                continue
             if link.instance in choose_keepers(key, peers, self._domain):
                 self._tell(link.instance, key, origin)
 
@@ -199,6 +201,11 @@
 
     def _announce_version(self, service: str, software: str) -> None:
         self._mesh.broadcast(SoftwareSeen([(service, software, 0.0)]))
+        if not self._software.is_mixed(service):
+            return
+        for key, origin in self._open.items():
+            if origin.service == service:
+                self._tell_keepers(key, origin)
 
     def _answer(self, query: StreamQuery) -> StreamReply:
         origin = self._table.find(query.key)
@@ -230,6 +237,10 @@
         if not pending.waiting and linked.issuperset(near):
             pending.resolve(None)
 
+    def _tell_keepers(self, key: bytes, origin: StreamOrigin) -> None:
+        for keeper in choose_keepers(key, self._list_domains(), self._domain):
+            self._tell(keeper, key, origin)
+
     def _tell(self, peer: str, key: bytes, origin: StreamOrigin) -> None:
         link = self._mesh.find_link(peer)
         if link is not None:
--- a/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
+++ b/packages/pondquay-daemon/tests/relay/test_mixed_versions.py
@@ -10,7 +10,7 @@
 from pondquay_daemon.relay.streamlinks import QUERY_SECONDS
 
 from .conftest import STEP_SECONDS
-from .partitions import HOSTS
+from .partitions import HOSTS, UPSTREAM_PORT
 from .versions import (
     NEW,
     OLD,
@@ -249,3 +249,20 @@
     assert list_mixed(fleet) == []
     completed = sum(caller.completed for caller in taken_up)
     assert completed >= 0.5 * len(taken_up)
+
+
+# Guards against streams that nobody knows since they began before a second version did.
+def test_a_stream_that_began_before_a_release_goes_on_at_its_version() -> None:
+    fleet = VersionedFleet.start(DOMAINS, software=OLD)
+    fleet.versions = dict.fromkeys(HOSTS, OLD)
+    fleet.begin_streams(STREAMS_PER_RELAY, fleet.relays)
+    fleet.run_for(2 * STEP_SECONDS)
+    store = fleet.relays[0].store
+    store.put_upstream("10.0.2.1", f"10.0.2.1:{UPSTREAM_PORT}", software=NEW)
+    fleet.versions["10.0.2.1"] = NEW
+    fleet.run_for(2 * STEP_SECONDS)
+    fleet.kill(fleet.relays[0])
+    fleet.take_up(fleet.relays[1:])
+    fleet.run_for(TRY_SECONDS)
+    assert list_mixed(fleet) == []
+    assert count_completed(fleet) == len(fleet.callers)
--- a/packages/pondquay/src/pondquay/routing/softwarehistory.py
+++ b/packages/pondquay/src/pondquay/routing/softwarehistory.py
@@ -33,6 +33,10 @@
         if is_new and self.on_new is not None:
             self.on_new(service, software)
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether several versions of a service are known."""
+        return len(self._listed_at[service]) > 1
+
     def list_recent(self, service: str, now: float) -> list[str]:
         """Return the versions that were listed within ``RECENT_SECONDS``."""
         self._forget_old(service, now)
