--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -91,6 +91,7 @@
 
     :param silent: whether the upstream sent nothing for too long
     :param broken: whether its connection broke
+    :param began: whether the response's head had arrived
     :param streamed: seconds since the first event, 0 if none arrived
     :param unread: whether the caller had not read the response for some time, after
         which an upstream may cut it off
@@ -100,10 +101,18 @@
     reason: str
     silent: bool = False
     broken: bool = False
+    began: bool = False
     streamed: float = 0.0
     unread: bool = False
     by_gateway: bool = False
 
+    @property
+    def stage(self) -> str:
+        """How far the response was, as a label of a metric."""
+        if self.streamed:
+            return "streaming"
+        return "begun" if self.began else "waiting"
+
     @property
     def is_of_upstream(self) -> bool:
         """Whether the upstream is the likely cause."""
@@ -312,7 +321,10 @@
             return
         progress = self._progress
         if progress is None or progress.reader.partial:
-            self._end(Lost("a stream that ends within an event", unread=self._unread()))
+            lost = Lost(
+                "a stream that ends within an event", began=True, unread=self._unread()
+            )
+            self._end(lost)
             return
         if not progress.started:
             self._forward(b"", progress)
@@ -328,6 +340,7 @@
             lost = Lost(
                 str(error),
                 broken=True,
+                began=self._head is not None,
                 streamed=self._streaming_seconds(),
                 unread=self._unread(),
                 by_gateway=error.by_gateway,
@@ -377,7 +390,7 @@
         self._response.begin(self._head.status, headers, events)
 
     def _fail(self, reason: str) -> None:
-        self._end(Lost(reason), cancel=True)
+        self._end(Lost(reason, began=self._head is not None), cancel=True)
 
     def _note_activity(self) -> None:
         self._upstream.on_data()
@@ -411,7 +424,12 @@
         # Nothing can be sent elsewhere once a part of a plain response was forwarded.
         may_end = not self.passing_on and self._pauses.paused_at is None
         if may_end and self._may_retry is not None and self._may_retry():
-            lost = Lost("silent", silent=True, streamed=self._streaming_seconds())
+            lost = Lost(
+                "silent",
+                silent=True,
+                began=self._head is not None,
+                streamed=self._streaming_seconds(),
+            )
             self._end(lost, cancel=True)
             return
         self._silence_timer = self._clock.callLater(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -29,6 +29,11 @@
             "tokens_refused", "Requests refused for lack of tokens", "reason"
         )
         self.attempts = self._counter("attempts", "Attempts by outcome", "end")
+        self.lost = self._counter(
+            "lost_attempts",
+            "Attempts whose response was lost, by how far it was",
+            "stage",
+        )
         self.broken = self._counter(
             "broken_upstreams",
             "Upstreams whose connections broke, by whether they still accept new ones",
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -6,6 +6,7 @@
 from traceback import format_exc
 from typing import TYPE_CHECKING
 
+from pondquay.routing.prompts import describe_prompt
 from pondquay.routing.rejections import draw_pause
 from pondquay.routing.streamorigins import StreamOrigin
 from pondquay.streamevents import EventReader
@@ -195,6 +196,7 @@
             pause=0 if progress is None else round(progress.longest_pause, 3),
             first_attempt=self._metadata.first_attempt,
             after=self._metadata.last_event,
+            prompt=describe_prompt(self._metadata.prefix),
             parts="" if progress is None else progress.describe_parts(),
             seconds=round(seconds, 3),
         )
@@ -304,6 +306,8 @@
             if is_served(outcome):
                 self._place.note_served()
                 self._content_permit.note_served()
+        if isinstance(outcome, Lost):
+            self._components.metrics.lost.labels(outcome.stage).inc()
         if not isinstance(outcome, Answered | PassedOn | Streamed | Stopped):
             lost = isinstance(outcome, Lost)
             log_event(
@@ -311,6 +315,7 @@
                 Level.WARNING,
                 request=self._metadata.attempt,
                 content=self._content_permit.content.hex() if lost else "",
+                prompt=describe_prompt(self._metadata.prefix) if lost else "",
                 upstream=upstream.name,
                 outcome=outcome,
             )
--- a/packages/pondquay/src/pondquay/routing/prompts.py
+++ b/packages/pondquay/src/pondquay/routing/prompts.py
@@ -23,3 +23,8 @@
     The last part belongs to the request alone, unless it is the only part.
     """
     return [part.name for part in (prefix[:-1] or prefix)]
+
+
+def describe_prompt(prefix: tuple[PromptPart, ...]) -> str:
+    """Return the names of all parts, for the log."""
+    return ",".join(part.name for part in prefix)
