--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -24,6 +24,7 @@
     Service,
     WeightedService,
 )
+from pondquay.routing.prompts import PromptPart
 from pondquay.routing.upstreamrecords import UpstreamRecord
 from pondquay_daemon.ratelimits import read_rate_limit
 from pondquay_daemon.relay.border import Border, StoreNames
@@ -152,6 +153,10 @@
     return (find_header(headers, name) or b"").decode()
 
 
+def _read_prefix(text: str) -> tuple[PromptPart, ...]:
+    return tuple(PromptPart(name, 100) for name in text.split(",") if name)
+
+
 class MemoryBorder(Border):
     """Reads values that are kept in memory.
 
@@ -207,6 +212,7 @@
             "key",
             None,
             PROMPT_TOKENS,
+            prefix=_read_prefix(_find_text(head.headers, b"prompt")),
             last_event=int(_find_text(head.headers, b"after") or 0),
             first_attempt=_find_text(head.headers, b"first-attempt"),
         )
