--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -4,6 +4,9 @@
 address is checked. If the connection is refused, the upstream crashed under all
 requests that were lost with it. If the check is inconclusive, the upstream counts as
 crashed if its row is removed from the list soon after the connection broke.
+
+Each crash is recorded for the contents of the lost requests, and for the parts of the
+prompts of those that were about to be written.
 """
 
 from __future__ import annotations
@@ -13,8 +16,8 @@
 
 from twisted.internet.defer import Deferred
 
-from pondquay.requests.contents import digest_content
 from pondquay.routing.crashes import CRASHES_TO_BLOCK, CrashHistory
+from pondquay.routing.partcrashes import PartCrashes
 from pondquay.routing.rendezvous import score_pair
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import UNAVAILABLE, Refusal
@@ -23,17 +26,17 @@
     Listening,
     check_connection,
 )
+from pondquay_daemon.relay.crashsharing import CrashSharing
 from pondquay_daemon.relay.dialing import CONNECT_SECONDS
 from pondquay_daemon.tasks import wait_at_most
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.dialing import Dialer
-    from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.metrics import RelayMetrics
 
 # Delay before the address is checked, since an exiting process closes its connections
@@ -44,14 +47,10 @@
 ROW_REMOVAL_SECONDS = 8.0
 # Longest time that a request waits for a check.
 MAX_CHECK_WAIT_SECONDS = CHECK_DELAY_SECONDS + CONNECT_SECONDS + MIN_OPEN_SECONDS
-# Requests that have streamed events for this long are not suspected, since a request
-# that crashes its upstream does so when it begins to run. So fewer streams are refused
-# when upstreams crash for other reasons.
-SUSPECT_STREAM_SECONDS = 1.0
 # Maximum number of contents of lost requests that are recorded per upstream.
 MAX_PENDING_CONTENTS = 1024
-OWN_SOURCE = "here"
 BLOCKED_REASON = "upstreams crashed under this request"
+BLOCKED_PART_REASON = "upstreams crashed under a part of this prompt"
 
 
 @dataclass(slots=True)
@@ -60,11 +59,13 @@
 
     :param since: time of the first loss since the previous check, in seconds
     :param contents: contents of the requests that were lost
+    :param parts: parts of prompts of those that were about to be written
     :param checked: fires once the address has been checked
     """
 
     since: float
     contents: set[bytes] = field(default_factory=set)
+    parts: set[bytes] = field(default_factory=set)
     checked: Deferred[None] = field(default_factory=Deferred)
 
 
@@ -74,8 +75,12 @@
     :param dialer: opens the connections that check addresses
     :param instance: name of this instance
     :param domains: returns the domain of each known instance
-    :param announce: sends reports to all peers
+    :param announce: sends reports on contents to all peers
     :param persist: updates the table's row of a content that is or was blocked
+    :param announce_parts: sends reports on parts of prompts to all peers
+    :param persist_part: updates the table's row of such a part
+    :ivar contents: shares the crashes under requests
+    :ivar parts: shares the crashes under parts of prompts
     """
 
     def __init__(
@@ -86,23 +91,39 @@
         domains: Callable[[], Mapping[str, str]],
         announce: Callable[[Iterable[CrashReport]], None],
         persist: Callable[[CrashReport], None],
+        announce_parts: Callable[[Iterable[CrashReport]], None],
+        persist_part: Callable[[CrashReport], None],
         metrics: RelayMetrics,
     ) -> None:
         self._reactor = reactor
         self._dialer = dialer
         self._instance = instance
         self._domains = domains
-        self._announce = announce
-        self._persist = persist
         self._metrics = metrics
-        self.history = CrashHistory(reactor.seconds, self._ranks_first)
+        ranks_first = self._ranks_first
+        self.history = CrashHistory(reactor.seconds, ranks_first)
+        self.contents = CrashSharing(
+            "content", self.history, ranks_first, announce, persist
+        )
+        self._part_crashes = PartCrashes(reactor.seconds, ranks_first)
+        self.parts = CrashSharing(
+            "part",
+            self._part_crashes.history,
+            ranks_first,
+            announce_parts,
+            persist_part,
+        )
         self._broken: dict[str, _BrokenUpstream] = {}
 
-    def note_broken(self, upstream: KnownUpstream, content: bytes) -> None:
+    def note_broken(
+        self, upstream: KnownUpstream, content: bytes, parts: Collection[bytes] = ()
+    ) -> None:
         """Record that a request was lost, so that its upstream is checked for a crash.
 
         Upstreams that leave or are missing from the list are ignored, since they are
         expected to exit.
+
+        :param parts: shared parts of its prompt, if it was about to be written
         """
         if upstream.leaving or upstream.missing_since is not None:
             return
@@ -110,31 +131,44 @@
         broken = self._broken.get(name)
         if broken is None or broken.checked.called:
             self._drop_expired()
-            contents = set() if broken is None else broken.contents
-            broken = _BrokenUpstream(self._reactor.seconds(), contents)
+            earlier = broken or _BrokenUpstream(0.0)
+            broken = _BrokenUpstream(
+                self._reactor.seconds(), earlier.contents, earlier.parts
+            )
             self._broken[name] = broken
             address = upstream.record.address
             self._reactor.callLater(CHECK_DELAY_SECONDS, self._check, name, address)
         if len(broken.contents) < MAX_PENDING_CONTENTS:
             broken.contents.add(content)
+            broken.parts.update(parts)
 
-    async def wait_for_check(self, content: bytes) -> None:
-        """Wait for pending checks that may cause the content to be blocked.
+    async def wait_for_check(
+        self, content: bytes, parts: Collection[bytes] = ()
+    ) -> None:
+        """Wait for pending checks that may cause the request to be refused.
 
         Otherwise a retry could crash another upstream before the result is known.
         """
-        pending = [
-            broken for broken in self._broken.values() if content in broken.contents
-        ]
-        known = self.history.find(content)
-        crashed = 0 if known is None else len(known.crashed - known.cleared)
-        if crashed + len(pending) < CRASHES_TO_BLOCK:
-            return
-        for broken in pending:
+        broken = list(self._broken.values())
+        pending = [upstream for upstream in broken if content in upstream.contents]
+        awaited = self._list_decisive(self.history, content, pending)
+        for part in parts:
+            pending = [upstream for upstream in broken if part in upstream.parts]
+            awaited += self._list_decisive(self.parts.history, part, pending)
+        for upstream in awaited:
             await wait_at_most(
-                broken.checked, MAX_CHECK_WAIT_SECONDS, self._reactor, None
+                upstream.checked, MAX_CHECK_WAIT_SECONDS, self._reactor, None
             )
 
+    @staticmethod
+    def _list_decisive(
+        history: CrashHistory, key: bytes, pending: list[_BrokenUpstream]
+    ) -> list[_BrokenUpstream]:
+        """Return the upstreams whose checks may cause a key to be blocked."""
+        known = history.find(key)
+        crashed = 0 if known is None else len(known.uncleared)
+        return pending if crashed + len(pending) >= CRASHES_TO_BLOCK else []
+
     def note_row_removed(self, upstream: str) -> None:
         """Record that an upstream's row was removed from the list."""
         broken = self._broken.get(upstream)
@@ -149,33 +183,14 @@
         """Record that a request with this content completed."""
         before = self.history.find(content)
         report = self.history.note_served(content)
-        if report is None or before is None:
-            return
-        self._announce([report])
-        if before.blocked:
-            self._log_decision(report, OWN_SOURCE)
-            self._persist(report)
+        if report is not None and before is not None:
+            self.contents.share_cleared(report, was_blocked=before.blocked)
 
-    def receive(self, report: CrashReport, source: str) -> None:
-        """Merge a report from a peer or the table.
-
-        Changes to contents that are or were blocked are forwarded to all peers, since
-        not all instances of a large fleet are linked. Other reports are not forwarded,
-        since each crash causes dozens of them.
-        """
-        before = self.history.find(report.content)
-        if not self.history.receive(report):
-            return
-        now = self.history.find(report.content)
-        if now is None:
-            return
-        was_blocked = before is not None and before.blocked
-        if now.blocked or was_blocked:
-            self._announce([now])
-        if now.blocked != was_blocked:
-            self._log_decision(now, source)
-        if now.blocked != was_blocked and self._ranks_first(now.content):
-            self._persist(now)
+    def note_parts_served(self, parts: Collection[bytes]) -> None:
+        """Record that a request whose prompt has these parts completed."""
+        before = {part for part in parts if self.parts.history.check(part)}
+        for report in self._part_crashes.note_served(parts):
+            self.parts.share_cleared(report, was_blocked=report.content in before)
 
     def check(self, content: bytes) -> Refusal | None:
         """Return a refusal if the content is blocked, ``None`` otherwise."""
@@ -184,26 +199,30 @@
             return None
         return Refusal(UNAVAILABLE, BLOCKED_REASON, blocked.retry_after)
 
-    def start_trial(self, content: bytes) -> bool:
-        """Start a trial of a blocked content if one is due; return whether it was."""
-        report = self.history.start_trial(content)
+    def check_parts(self, parts: Collection[bytes]) -> Refusal | None:
+        """Return a refusal if a part of the prompt is blocked, ``None`` otherwise."""
+        blocked = self._part_crashes.check(parts)
+        if blocked is None:
+            return None
+        return Refusal(UNAVAILABLE, BLOCKED_PART_REASON, blocked.retry_after)
+
+    def start_trial(self, content: bytes, parts: Collection[bytes] = ()) -> bool:
+        """Start a trial of a blocked request if one is due; return whether it was."""
+        if self._part_crashes.check(parts) is None:
+            report, sharing = self.history.start_trial(content), self.contents
+        elif self.history.check(content) is None:
+            report, sharing = self._part_crashes.start_trial(parts), self.parts
+        else:
+            # Another request shows as well whether the part crashes upstreams.
+            return False
         if report is None:
             return False
-        log_event("content-tried", content=content.hex(), trials=report.trials)
-        self._announce([report])
-        self._persist(report)
+        sharing.share_trial(report)
         return True
 
     def describe(self) -> list[dict[str, object]]:
-        """Return the contents that are blocked, for operators."""
-        return [
-            {
-                "content": report.content.hex(),
-                "upstreams": sorted(report.crashed - report.cleared),
-                "trials": report.trials,
-            }
-            for report in self.history.blocked()
-        ]
+        """Return the contents and parts that are blocked, for operators."""
+        return self.contents.describe() + self.parts.describe()
 
     def _check(self, upstream: str, address: Address) -> None:
         check_connection(
@@ -234,26 +253,10 @@
             upstream=upstream,
             why=reason,
             requests=len(broken.contents),
+            parts=len(broken.parts),
         )
-        noted = [
-            self.history.note_crash(content, upstream) for content in broken.contents
-        ]
-        reports = [update for update in noted if update is not None]
-        self._announce(reports)
-        for report in reports:
-            if report.blocked:
-                self._log_decision(report, OWN_SOURCE)
-                self._persist(report)
-
-    def _log_decision(self, report: CrashReport, source: str) -> None:
-        log_event(
-            "content-blocked" if report.blocked else "content-cleared",
-            Level.WARNING,
-            content=report.content.hex(),
-            upstreams=",".join(sorted(report.crashed - report.cleared)),
-            trials=report.trials,
-            source=source,
-        )
+        self.contents.note_crash(broken.contents, upstream)
+        self.parts.note_crash(broken.parts, upstream)
 
     def _ranks_first(self, content: bytes) -> bool:
         """Return whether rendezvous hashing ranks this instance first for a content."""
@@ -267,70 +270,3 @@
         for name, broken in list(self._broken.items()):
             if broken.since < oldest:
                 del self._broken[name]
-
-
-class ContentPermit:
-    """Checks whether a request may be sent, as upstreams may crash under its content.
-
-    :param owner: workspace of the caller, empty if there is none
-    """
-
-    def __init__(
-        self,
-        monitor: CrashMonitor,
-        owner: str,
-        host: str,
-        head: RequestHead,
-        body: bytes,
-    ) -> None:
-        self._monitor = monitor
-        self._parts = (owner, host, head.target, body)
-        self._digest = b""
-        self._on_trial = False
-
-    @property
-    def content(self) -> bytes:
-        """The digest of the content, computed on first use."""
-        if not self._digest:
-            self._digest = digest_content(*self._parts)
-        return self._digest
-
-    def take(self) -> Refusal | None:
-        """Return a refusal if the request must not start, ``None`` otherwise."""
-        if self._monitor.history.empty:
-            return None
-        refusal = self._monitor.check(self.content)
-        if refusal is None:
-            return None
-        self._on_trial = self._monitor.start_trial(self.content)
-        return None if self._on_trial else refusal
-
-    def recheck(self, sends: int) -> Refusal | None:
-        """Return a refusal if the request must not be sent, ``None`` otherwise.
-
-        The first send of a trial is always permitted.
-
-        :param sends: number of times that it has been sent
-        """
-        if self._monitor.history.empty or (self._on_trial and not sends):
-            return None
-        return self._monitor.check(self.content)
-
-    def note_served(self) -> None:
-        """Record that the request completed."""
-        if not self._monitor.history.empty:
-            self._monitor.note_served(self.content)
-
-    def note_broken(self, upstream: KnownUpstream, streamed: float) -> None:
-        """Record that the request was lost, as its upstream may have crashed.
-
-        Its connection broke, or the upstream became unresponsive.
-
-        :param streamed: seconds for which the upstream had streamed events
-        """
-        if streamed < SUSPECT_STREAM_SECONDS:
-            self._monitor.note_broken(upstream, self.content)
-
-    async def wait_for_check(self) -> None:
-        """Wait for pending checks that may cause the request to be refused."""
-        await self._monitor.wait_for_check(self.content)
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -0,0 +1,96 @@
+"""Permits to send requests, of which some crash upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.requests.contents import digest_content, digest_part
+from pondquay.routing.prompts import list_shared
+
+if TYPE_CHECKING:
+    from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.admission import Admission, Refusal
+    from pondquay_daemon.relay.attempts import Lost
+    from pondquay_daemon.relay.crashmonitor import CrashMonitor
+    from pondquay_daemon.relay.messages import RequestHead
+
+# Requests that have streamed events for this long are not suspected, since a request
+# that crashes its upstream does so when it begins to run. So fewer streams are refused
+# when upstreams crash for other reasons.
+SUSPECT_STREAM_SECONDS = 1.0
+
+
+class CrashPermit:
+    """Checks whether a request may be sent, as upstreams may crash under it."""
+
+    def __init__(
+        self,
+        monitor: CrashMonitor,
+        admission: Admission,
+        head: RequestHead,
+        body: bytes,
+    ) -> None:
+        self._monitor = monitor
+        self._admission = admission
+        self._head = head
+        self._body = body
+        self._digest = b""
+        self._on_trial = False
+        self._parts = tuple(
+            digest_part(admission.service, name)
+            for name in list_shared(admission.metadata.prefix)
+        )
+
+    @property
+    def content(self) -> bytes:
+        """The digest of the content, computed on first use."""
+        if not self._digest:
+            workspace = self._admission.workspace
+            owner = "" if workspace is None else workspace.name
+            host, target = self._admission.route.host, self._head.target
+            self._digest = digest_content(owner, host, target, self._body)
+        return self._digest
+
+    def take(self) -> Refusal | None:
+        """Return a refusal if the request must not start, ``None`` otherwise."""
+        refusal = self._check()
+        if refusal is None:
+            return None
+        self._on_trial = self._monitor.start_trial(self.content, self._parts)
+        return None if self._on_trial else refusal
+
+    def recheck(self, sends: int) -> Refusal | None:
+        """Return a refusal if the request must not be sent, ``None`` otherwise.
+
+        The first send of a trial is always permitted.
+
+        :param sends: number of times that it has been sent
+        """
+        return None if self._on_trial and not sends else self._check()
+
+    def note_served(self) -> None:
+        """Record that the request completed."""
+        self._monitor.note_parts_served(self._parts)
+        if not self._monitor.history.empty:
+            self._monitor.note_served(self.content)
+
+    def note_lost(self, upstream: KnownUpstream, lost: Lost) -> None:
+        """Record that the request was lost, as its upstream may have crashed.
+
+        Its connection broke, or the upstream became unresponsive.
+        """
+        if lost.streamed >= SUSPECT_STREAM_SECONDS:
+            return
+        # A request without the head of a response was waiting at the upstream.
+        parts = self._parts if lost.began else ()
+        self._monitor.note_broken(upstream, self.content, parts)
+
+    async def wait_for_check(self) -> None:
+        """Wait for pending checks that may cause the request to be refused."""
+        await self._monitor.wait_for_check(self.content, self._parts)
+
+    def _check(self) -> Refusal | None:
+        refusal = self._monitor.check_parts(self._parts)
+        if refusal is None and not self._monitor.history.empty:
+            refusal = self._monitor.check(self.content)
+        return refusal
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -1,8 +1,11 @@
-"""Persistence of blocked contents in the store, in case all instances are lost.
+"""Persistence of blocked contents and parts, in case all instances are lost.
 
 Peers exchange crash reports over links. The rows are for instances that start without
 peers; each instance reads them once. Without them, a blocked request would crash
 upstreams again after a restart of the entire fleet.
+
+Parts of prompts have a table of their own, since earlier builds take all rows of the
+other one for contents and would announce them as such.
 """
 
 from __future__ import annotations
@@ -33,7 +36,8 @@
     from pondquay.tables import JsonObject, Row
     from pondquay_daemon.relay.store import Store
 
-TABLE = "crashes"
+CONTENTS_TABLE = "crashes"
+PARTS_TABLE = "part-crashes"
 RETRY_SECONDS = 0.5
 # Maximum number of rows beyond the limit in memory that an instance deletes when it
 # starts; each deletion is a write.
@@ -41,24 +45,27 @@
 
 
 class CrashRows:
-    """Reads all rows at startup and writes the rows of contents with new reports.
+    """Reads all rows at startup and writes the rows of keys with new reports.
 
+    :param table: name of the table
     :param receive: called with the report of each row that is read
-    :param find: returns the current report of a content
+    :param find: returns the current report of a key
     """
 
     def __init__(
         self,
         clock: IReactorTime,
         store: Store,
+        table: str,
         receive: Callable[[CrashReport], None],
         find: Callable[[bytes], CrashReport | None],
     ) -> None:
         self._clock = clock
         self._store = store
+        self._table = table
         self._receive = receive
         self._find = find
-        # Contents whose rows have to be written. They are written one at a time, which
+        # Keys whose rows have to be written. They are written one at a time, which
         # bounds the number of calls while the store is unreachable.
         self._changed: dict[bytes, None] = {}
         self._writing = False
@@ -66,19 +73,19 @@
     async def read(self) -> None:
         """Read the rows, retrying until the store responds."""
         while True:
-            reply = await self._store.read_table(TABLE)
+            reply = await self._store.read_table(self._table)
             if not isinstance(reply, Unreachable):
                 break
             await sleep(RETRY_SECONDS, self._clock)
         rows = sorted(reply.rows, key=lambda row: -row.version)
         for row in reversed(rows[:MAX_BLOCKED]):
             self._receive_row(row)
-        log_event("crashes-read", count=len(rows))
+        log_event("crashes-read", table=self._table, count=len(rows))
         for row in rows[MAX_BLOCKED : MAX_BLOCKED + MAX_DELETED]:
             await self._commit(row.key, row.version, None)
 
     def schedule_write(self, report: CrashReport) -> None:
-        """Schedule a write of a content's row."""
+        """Schedule a write of a report's row."""
         self._changed[report.content] = None
         if not self._writing:
             self._writing = True
@@ -98,7 +105,7 @@
     async def _write_row(self, content: bytes) -> bool:
         """Write or delete the row; return whether it is up to date."""
         key = content.hex()
-        row = await self._store.read_row(f"{TABLE}/{key}")
+        row = await self._store.read_row(f"{self._table}/{key}")
         if isinstance(row, Unreachable):
             return False
         if row is not None:
@@ -113,9 +120,9 @@
         return await self._commit(key, ABSENT if row is None else row.version, value)
 
     async def _commit(self, key: str, version: int, value: JsonObject | None) -> bool:
-        key = f"{TABLE}/{key}"
+        key = f"{self._table}/{key}"
         transaction = Transaction(
-            "crashes", (Condition(key, version),), (Write(key, value),)
+            self._table, (Condition(key, version),), (Write(key, value),)
         )
         reply = await self._store.commit(transaction)
         if isinstance(reply, Unreachable | OutcomeUnknown):
@@ -133,7 +140,7 @@
 
 
 class _CrashDocument(msgspec.Struct, frozen=True):
-    """A content's row, which other builds read and write as well.
+    """The row of a content or part, which other builds read and write as well.
 
     Ages are as of the write and are not updated, since whether a content is blocked
     depends only on their differences.
@@ -150,7 +157,7 @@
 
 
 def pack_report(report: CrashReport) -> JsonObject:
-    """Return the value of a content's row."""
+    """Return the value of a report's row."""
     ages = {
         incarnation: round(report.age(incarnation), 3)
         for incarnation in sorted(report.crashed)
@@ -169,7 +176,7 @@
         content = bytes.fromhex(key)
         document = msgspec.convert(value, _CrashDocument)
     except (msgspec.ValidationError, ValueError, RecursionError) as error:
-        raise MalformedValueError(f"crashes: {error}") from error
+        raise MalformedValueError(f"crash report: {error}") from error
     crashed = document.crashed
     ages = document.ages if isinstance(crashed, list) else crashed
     cleared = frozenset(document.cleared)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
@@ -25,7 +25,9 @@
     metrics.busiest.set(components.activity.find_busiest())
     metrics.slow_upstreams.set(components.placement.count_slow())
     metrics.stream_origins.set(components.streams.origin_count)
-    metrics.blocked.set(len(components.crashes.history.blocked()))
+    crashes = components.crashes
+    metrics.blocked.set(len(crashes.history.blocked()))
+    metrics.blocked_parts.set(len(crashes.parts.history.blocked()))
 
 
 def _update_account_gauges(components: RelayComponents) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -126,6 +126,11 @@
             "blocked_contents",
             "Request contents that are refused since upstreams crashed under them",
         )
+        self.blocked_parts = self._gauge(
+            "blocked_parts",
+            "Parts of prompts under which upstreams crashed; requests are refused for"
+            " them",
+        )
         self.unspent = self._gauge(
             "unspent_tokens", "Tokens that can be reserved now, all workspaces"
         )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerdispatcher.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerdispatcher.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay_daemon.logs import log_event
+from pondquay_daemon.relay.crashsharing import FROM_PEER
 from pondquay_daemon.relay.peerlistener import PeerListener
 
 if TYPE_CHECKING:
@@ -18,15 +19,6 @@
     from pondquay_daemon.relay.feeds import TableFeed
     from pondquay_daemon.relay.knowledge import ConfigurationView
 
-# Sources of announcements, for the logs.
-FROM_PEER = "peer"
-FROM_STORE = "store"
-# Maximum numbers of reports on blocked and suspected contents that are sent on a new
-# link, so that starting instances do not saturate links. Other reports are sent when
-# they change.
-MAX_ANNOUNCED_BLOCKED = 64
-MAX_ANNOUNCED_SUSPECTED = 64
-
 
 class PeerDispatcher(PeerListener):
     """Dispatches messages of peers to the components of a relay.
@@ -113,13 +105,11 @@
 
     def crash_reports(self) -> list[CrashReport]:
         """Return the reports on crashes to send on a new link."""
-        history = self._crashes.history
-        blocked = history.blocked()[:MAX_ANNOUNCED_BLOCKED]
-        return blocked + history.suspected()[:MAX_ANNOUNCED_SUSPECTED]
+        return self._crashes.contents.list_announced()
 
     def receive_crash(self, report: CrashReport) -> None:
         """Merge a peer's report on crashes."""
-        self._crashes.receive(report, FROM_PEER)
+        self._crashes.contents.receive(report, FROM_PEER)
 
     def lend(self, workspace: str, tokens: int, headroom: int) -> int:
         """Lend tokens to a peer; return how many."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -170,14 +170,24 @@
         return [Evacuation(*fields) for fields in self.evacuations]
 
 
+# The digest, the crashed upstreams with the seconds since the crash, those of them that
+# crashed before a run completed, and the number of trials.
+PackedCrash: TypeAlias = tuple[Content, Ages, Lives, Count]
+
+
+def _pack_crash(report: CrashReport) -> PackedCrash:
+    ages = {name: report.age(name) for name in sorted(report.crashed)}
+    return report.content, ages, sorted(report.cleared), report.trials
+
+
+def _unpack_crash(packed: PackedCrash) -> CrashReport:
+    content, ages, cleared, trials = packed
+    return CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamCrashes:
-    """Reports contents under which upstreams crashed.
-
-    :param crashes: for each the digest, the crashed upstreams with the seconds since
-        the crash, those of them that crashed before a run of the content completed, and
-        the number of trials
-    """
+    """Reports contents under which upstreams crashed."""
 
     CODE: ClassVar[int] = 13
     crashes: list[tuple[Content, Ages, Lives, Count]]
@@ -185,27 +195,11 @@
     @classmethod
     def pack(cls, reports: Iterable[CrashReport]) -> UpstreamCrashes:
         """Return the message for some reports."""
-        return cls(
-            [
-                (
-                    report.content,
-                    {
-                        incarnation: report.age(incarnation)
-                        for incarnation in sorted(report.crashed)
-                    },
-                    sorted(report.cleared),
-                    report.trials,
-                )
-                for report in reports
-            ]
-        )
+        return cls([_pack_crash(report) for report in reports])
 
     def unpack(self) -> list[CrashReport]:
         """Return the reports."""
-        return [
-            CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
-            for content, ages, cleared, trials in self.crashes
-        ]
+        return [_unpack_crash(packed) for packed in self.crashes]
 
 
 @dataclass(frozen=True, slots=True)
@@ -423,6 +417,23 @@
     versions: list[tuple[str, str, Age]]
 
 
+@dataclass(frozen=True, slots=True)
+class PartCrashReports:
+    """Reports parts of prompts under which upstreams crashed."""
+
+    CODE: ClassVar[int] = 32
+    crashes: list[tuple[Content, Ages, Lives, Count]]
+
+    @classmethod
+    def pack(cls, reports: Iterable[CrashReport]) -> PartCrashReports:
+        """Return the message for some reports."""
+        return cls([_pack_crash(report) for report in reports])
+
+    def unpack(self) -> list[CrashReport]:
+        """Return the reports."""
+        return [_unpack_crash(packed) for packed in self.crashes]
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -447,6 +458,7 @@
     | StreamQuery
     | StreamReply
     | SoftwareSeen
+    | PartCrashReports
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -20,7 +20,8 @@
 from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.components import RelayComponents
 from pondquay_daemon.relay.crashmonitor import CrashMonitor
-from pondquay_daemon.relay.crashrows import CrashRows
+from pondquay_daemon.relay.crashrows import CONTENTS_TABLE, PARTS_TABLE, CrashRows
+from pondquay_daemon.relay.crashsharing import FROM_STORE, CrashSharing
 from pondquay_daemon.relay.evacuationview import EvacuationView
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
@@ -34,7 +35,8 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
-from pondquay_daemon.relay.peerdispatcher import FROM_STORE, PeerDispatcher
+from pondquay_daemon.relay.partcrashlinks import PartCrashLinks
+from pondquay_daemon.relay.peerdispatcher import PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
 from pondquay_daemon.relay.permits import PermitBroker
@@ -137,6 +139,7 @@
             settings.domain,
             directory.software,
         )
+        self._part_crash_links = PartCrashLinks(self._peers)
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -195,12 +198,10 @@
             self._configuration.cold_seconds,
             self._peers.announce_evacuation,
         )
-        self._crash_rows = CrashRows(
-            reactor,
-            self._store,
-            lambda report: self._components.crashes.receive(report, FROM_STORE),
-            lambda content: self._components.crashes.history.find(content),
-        )
+        crashes = self._components.crashes
+        self._crash_rows = self._make_crash_rows(CONTENTS_TABLE, crashes.contents)
+        self._part_crash_rows = self._make_crash_rows(PARTS_TABLE, crashes.parts)
+        self._part_crash_links.connect(crashes.parts)
         names = border.store_names
         self._feed = TableFeed(
             reactor,
@@ -298,9 +299,20 @@
             lambda: self._peers.domains,
             self._peers.announce_crashes,
             lambda report: self._crash_rows.schedule_write(report),
+            self._part_crash_links.announce,
+            lambda report: self._part_crash_rows.schedule_write(report),
             self._metrics,
         )
 
+    def _make_crash_rows(self, table: str, sharing: CrashSharing) -> CrashRows:
+        return CrashRows(
+            self._reactor,
+            self._store,
+            table,
+            lambda report: sharing.receive(report, FROM_STORE),
+            sharing.history.find,
+        )
+
     def _make_slow_feeds(self) -> list[TableFeed]:
         """Return the feeds of tables whose changes are not urgent."""
         return [
@@ -347,7 +359,8 @@
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
-        spawn(self._crash_rows.read(), "CrashRows")
+        for rows in (self._crash_rows, self._part_crash_rows):
+            spawn(rows.read(), "CrashRows")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
     def _listen_reports(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -28,7 +28,7 @@
     Streamed,
     Unsent,
 )
-from pondquay_daemon.relay.crashmonitor import ContentPermit
+from pondquay_daemon.relay.crashpermits import CrashPermit
 from pondquay_daemon.relay.flowcontrol import RECENT_SECONDS
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.reservations import Reservation
@@ -101,10 +101,7 @@
         job = RequestJob(
             admission, head, body, response, shares_prompts, self._deadline
         )
-        owner = "" if self._workspace is None else self._workspace.name
-        self._content_permit = ContentPermit(
-            components.crashes, owner, admission.route.host, head, body
-        )
+        self._crash_permit = CrashPermit(components.crashes, admission, head, body)
         self._retry_permit = RetryPermit(
             components, admission.service, admission.metadata.attempt
         )
@@ -118,7 +115,7 @@
         self._response.on_disconnect = self._on_disconnect
         self._timer = self._start_timer()
         try:
-            refusal = self._content_permit.take()
+            refusal = self._crash_permit.take()
             if refusal is None:
                 refusal = await self._place.enter()
             if self._stop_reason:
@@ -255,7 +252,7 @@
 
     async def _choose_upstream(self, sends: int) -> KnownUpstream | Refusal:
         """Return the upstream to try next, or a refusal."""
-        refusal = self._content_permit.recheck(sends)
+        refusal = self._crash_permit.recheck(sends)
         if refusal is not None:
             return self._make_refusal(refusal.reason, refusal.retry_after)
         upstream = await self._sender.choose_upstream()
@@ -305,7 +302,7 @@
             upstream.circuit.succeed()
             if is_served(outcome):
                 self._place.note_served()
-                self._content_permit.note_served()
+                self._crash_permit.note_served()
         if isinstance(outcome, Lost):
             self._components.metrics.lost.labels(outcome.stage).inc()
         if not isinstance(outcome, Answered | PassedOn | Streamed | Stopped):
@@ -314,7 +311,7 @@
                 "attempt-failed",
                 Level.WARNING,
                 request=self._metadata.attempt,
-                content=self._content_permit.content.hex() if lost else "",
+                content=self._crash_permit.content.hex() if lost else "",
                 prompt=describe_prompt(self._metadata.prefix) if lost else "",
                 upstream=upstream.name,
                 outcome=outcome,
@@ -364,7 +361,7 @@
         if not self._components.policy.refuse_crashing:
             return
         if lost.broken or now - upstream.last_seen_at >= self._route.objective:
-            self._content_permit.note_broken(upstream, lost.streamed)
+            self._crash_permit.note_lost(upstream, lost)
 
     def _deliver(self, outcome: Outcome, *, last: bool) -> bool:
         """Finish the caller's response, if the outcome allows it.
@@ -418,7 +415,7 @@
         if not isinstance(outcome, Lost | Answered):
             return None
         if isinstance(outcome, Lost):
-            await self._content_permit.wait_for_check()
+            await self._crash_permit.wait_for_check()
         refusal = await self._reservation.reserve(self._metadata.output_tokens)
         # A plain refusal for lack of tokens would imply that nothing ran.
         return None if refusal is None else self._make_refusal(refusal.reason)
--- a/packages/pondquay-lab/src/pondquay_lab/crashruns.py
+++ b/packages/pondquay-lab/src/pondquay_lab/crashruns.py
@@ -19,7 +19,7 @@
 
 from pondquay.routing import crashes
 from pondquay.routing.crashes import CrashHistory
-from pondquay_daemon.relay.crashmonitor import SUSPECT_STREAM_SECONDS
+from pondquay_daemon.relay.crashpermits import SUSPECT_STREAM_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -3,7 +3,8 @@
 A request may crash every upstream that runs it, and all other requests there fail as
 well. Its caller retries at any instance under a new request ID, so a request is
 identified by a digest of its content, here called its content. Instances report to each
-other which upstreams crashed while they ran a content.
+other which upstreams crashed while they ran a content. Parts of prompts are tracked in
+the same way, see ``partcrashes``.
 
 Contents that ran at the same upstream are suspected as well. A run that completes
 clears its content of all crashes known by then.
@@ -65,10 +66,15 @@
     trials: int = 0
     ages: Mapping[str, float] = field(default_factory=dict, compare=False)
 
+    @property
+    def uncleared(self) -> frozenset[str]:
+        """The upstreams of whose crashes it is not cleared."""
+        return self.crashed - self.cleared
+
     @property
     def suspected(self) -> bool:
         """Whether there are crashes of which it is not cleared."""
-        return bool(self.crashed - self.cleared)
+        return bool(self.uncleared)
 
     @property
     def blocked(self) -> bool:
@@ -76,7 +82,7 @@
 
         The result does not change as the crashes age.
         """
-        ages = sorted(self.age(upstream) for upstream in self.crashed - self.cleared)
+        ages = sorted(self.age(upstream) for upstream in self.uncleared)
         last = CRASHES_TO_BLOCK - 1
         spans = zip(ages, ages[last:], strict=False)
         return any(
