--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -12,7 +12,10 @@
 from pondquay.streamevents import StreamOrderError
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
-from pondquay_daemon.relay.heads import drop_connection_headers
+from pondquay_daemon.relay.heads import (
+    drop_connection_headers,
+    ends_with_connection,
+)
 from pondquay_daemon.relay.plainresponses import PlainResponse
 
 if TYPE_CHECKING:
@@ -320,9 +323,13 @@
             self._end(Answered(self._head, self._plain.take()))
             return
         progress = self._progress
-        if progress is None or progress.reader.partial:
+        if progress is None or self._is_cut_off(self._head, progress):
             lost = Lost(
-                "a stream that ends within an event", began=True, unread=self._unread()
+                "a stream that ends without or within an event",
+                broken=ends_with_connection(self._head.headers),
+                began=True,
+                streamed=self._streaming_seconds(),
+                unread=self._unread(),
             )
             self._end(lost)
             return
@@ -330,6 +337,17 @@
             self._forward(b"", progress)
         self._end(Streamed(progress.reader.count))
 
+    def _is_cut_off(self, head: ResponseHead, progress: StreamProgress) -> bool:
+        """Return whether a stream has ended that cannot be complete.
+
+        Nothing but its events shows whether a stream is complete that ends with its
+        connection. A caller that resumes one may have received all of them.
+        """
+        if progress.reader.partial:
+            return True
+        is_empty = self._first_event_at is None and not progress.reader.last
+        return is_empty and ends_with_connection(head.headers)
+
     def on_error(self, error: BrokenExchangeError) -> None:
         """Finish the attempt after a failure of the exchange."""
         if not error.sent:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/heads.py
@@ -57,6 +57,12 @@
     return int(length)
 
 
+def ends_with_connection(headers: HeaderList) -> bool:
+    """Return whether only the end of its connection ends the body of a response."""
+    framings = (b"content-length", b"transfer-encoding")
+    return all(find_header(headers, name) is None for name in framings)
+
+
 def list_values(headers: HeaderList, name: bytes) -> list[bytes]:
     """Return the values of all headers with a name, given in lower case."""
     return [value.strip() for header, value in headers if header.lower() == name]
--- a/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
@@ -17,6 +17,7 @@
     MAX_LATE_REQUESTS,
     RESTART_SECONDS,
     CrashingFleet,
+    Ending,
 )
 from .partitions import HOSTS
 
@@ -102,6 +103,20 @@
     assert beside >= MIN_BEGUN_FRACTION * before
 
 
+# Guards against responses that end with their connection as their engine crashes, and
+# that count as complete, which would clear the part that crashed it.
+@pytest.mark.parametrize("ending", [Ending.EMPTY, Ending.WITHIN_EVENT])
+def test_a_response_without_a_whole_event_that_ends_with_its_connection_is_broken_off(
+    ending: Ending,
+) -> None:
+    fleet = CrashingFleet.start(DOMAINS)
+    fleet.ending = ending
+    before, beside = run_crashes(fleet, make_crashing_second)
+    assert len(fleet.crash_arrivals) <= BORNE_CRASHES + MAX_LATE_REQUESTS
+    assert beside >= MIN_BEGUN_FRACTION * before
+    assert not any(call.completed and not call.begun for call in fleet.calls)
+
+
 # Guards against refusals of all that a caller sends, while no part was served before.
 @pytest.mark.parametrize("place", PLACES)
 def test_parts_are_told_apart_though_none_was_served_before(place: str) -> None:
