--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -140,6 +140,10 @@
         """Return the number of workspaces held because of the demand here."""
         return len(self._demand_holders)
 
+    def planned_removals(self) -> int:
+        """Return the number of idle entries that this instance is about to remove."""
+        return len(self._removal_at)
+
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the state of each workspace's account, for operators."""
         return {name: account.describe() for name, account in self._accounts.items()}
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
@@ -36,6 +36,7 @@
     metrics.reserved.set(accounts.reserved())
     metrics.unaccounted.set(accounts.unaccounted())
     metrics.held.set(accounts.held_by_demand())
+    metrics.removals.set(accounts.planned_removals())
 
 
 def _update_load_gauges(components: RelayComponents) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -142,6 +142,10 @@
             "Workspaces of which this instance holds an allotment because of its"
             " demand",
         )
+        self.removals = self._gauge(
+            "planned_removals",
+            "Idle entries of allotment rows that this instance is about to remove",
+        )
         self.unaccounted = self._gauge(
             "unaccounted_tokens",
             "Tokens of ended incarnations that are not known to be spent,"
