--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -353,7 +353,9 @@
             return
         account = self._accounts[name]
         holds = self._update_holding(name, account)
-        if not holds:
+        if holds:
+            self._removal_at.pop(name, None)
+        else:
             self._adjust_loans(name, account)
         if not self._reachable():
             return
@@ -389,8 +391,8 @@
             return False
         now = self.clock.seconds()
         latest = now + REMOVAL_SPREAD_SECONDS
-        # The time is kept until the entry is gone, so a removal that failed is repeated
-        # without another delay.
+        # The time is kept until the entry is gone or in use again, so a removal that
+        # failed is repeated without another delay.
         return now >= self._removal_at.setdefault(name, uniform(now, latest))
 
     def _adjust_loans(self, name: str, account: Account) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
+++ b/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
@@ -138,6 +138,24 @@
     assert fleet.store.rejected == rejected
 
 
+# Guards against entries that are all removed at once, as a removal that was planned
+# before they were in use again is already due.
+@pytest.mark.parametrize("seed", [1, 101, 113])
+def test_entries_that_were_in_use_again_are_removed_without_a_burst(seed: int) -> None:
+    random.seed(seed)
+    fleet = make_fleet()
+    for pause in (1.0, 30.0):
+        fleet.all_cut_off = True
+        fleet.run_until(fleet.clock.seconds() + 12.0)
+        fleet.all_cut_off = False
+        written = fleet.store.written
+        fleet.run_until(fleet.clock.seconds() + 1.0)
+        assert fleet.store.written - written <= WRITES_PER_SECOND / 2
+        fleet.run_until(fleet.clock.seconds() + pause - 1.0)
+    assert fleet.holders(WORKSPACE) == choose_lenders(WORKSPACE, fleet.domains)
+    assert fleet.store.rejected == 0
+
+
 def test_even_demand_adds_few_writers_to_a_row() -> None:
     """Guards against a row that all instances write when the fleet's demand starts."""
     fleet = make_fleet()
