--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -236,6 +236,11 @@
         sent = self._exchange is not None and self._exchange.sent
         self._end(Stopped(sent), cancel=True)
 
+    @property
+    def began(self) -> bool:
+        """Whether the head of a response has arrived."""
+        return self._head is not None
+
     @property
     def passing_on(self) -> bool:
         """Whether a plain response is forwarded as it arrives."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -36,6 +36,7 @@
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.crashpermits import CrashPermit
     from pondquay_daemon.relay.dialing import Dialer
     from pondquay_daemon.relay.metrics import RelayMetrics
 
@@ -103,7 +104,7 @@
         ranks_first = self._ranks_first
         self.history = CrashHistory(reactor.seconds, ranks_first)
         self.contents = CrashSharing(
-            "content", self.history, ranks_first, announce, persist
+            "content", self.history, ranks_first, announce, persist, lambda: None
         )
         self._part_crashes = PartCrashes(reactor.seconds, ranks_first)
         self.parts = CrashSharing(
@@ -112,9 +113,23 @@
             ranks_first,
             announce_parts,
             persist_part,
+            self._recheck_running,
         )
+        self._permits: set[CrashPermit] = set()
         self._broken: dict[str, _BrokenUpstream] = {}
 
+    def add_permit(self, permit: CrashPermit) -> None:
+        """Check a running request again whenever a part is blocked."""
+        self._permits.add(permit)
+
+    def remove_permit(self, permit: CrashPermit) -> None:
+        """Stop checking a request, as it has ended."""
+        self._permits.discard(permit)
+
+    def _recheck_running(self) -> None:
+        for permit in list(self._permits):
+            permit.recheck_running()
+
     def note_broken(
         self, upstream: KnownUpstream, content: bytes, parts: Collection[bytes] = ()
     ) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Self
 
 from pondquay.requests.contents import digest_content, digest_part
 from pondquay.routing.prompts import list_shared
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission, Refusal
     from pondquay_daemon.relay.attempts import Lost
@@ -21,7 +23,12 @@
 
 
 class CrashPermit:
-    """Checks whether a request may be sent, as upstreams may crash under it."""
+    """Checks whether a request may be sent, as upstreams may crash under it.
+
+    It is a context manager, within which the request runs.
+
+    :param on_refused: called once a part of its prompt is blocked while it runs
+    """
 
     def __init__(
         self,
@@ -29,7 +36,9 @@
         admission: Admission,
         head: RequestHead,
         body: bytes,
+        on_refused: Callable[[Refusal], None],
     ) -> None:
+        self._on_refused = on_refused
         self._monitor = monitor
         self._admission = admission
         self._head = head
@@ -41,6 +50,13 @@
             for name in list_shared(admission.metadata.prefix)
         )
 
+    def __enter__(self) -> Self:
+        self._monitor.add_permit(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._monitor.remove_permit(self)
+
     @property
     def content(self) -> bytes:
         """The digest of the content, computed on first use."""
@@ -68,6 +84,17 @@
         """
         return None if self._on_trial and not sends else self._check()
 
+    def recheck_running(self) -> None:
+        """Report that the request must not run any more, unless it is a trial.
+
+        A content that is blocked may run on, as its completion clears it.
+        """
+        if self._on_trial:
+            return
+        refusal = self._monitor.check_parts(self._parts)
+        if refusal is not None:
+            self._on_refused(refusal)
+
     def note_served(self) -> None:
         """Record that the request completed."""
         self._monitor.note_parts_served(self._parts)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
@@ -32,6 +32,7 @@
         peer reports
     :param announce: sends reports to all peers
     :param persist: updates the table's row of a key that is or was blocked
+    :param on_blocked: called after keys were blocked
     """
 
     kind: str
@@ -39,6 +40,7 @@
     stores_rows: Callable[[bytes], bool]
     announce: Callable[[Iterable[CrashReport]], None]
     persist: Callable[[CrashReport], None]
+    on_blocked: Callable[[], None]
 
     def note_crash(self, keys: Iterable[bytes], upstream: str) -> None:
         """Record that an upstream crashed under all of the keys."""
@@ -46,10 +48,12 @@
         reports = [report for report in noted if report is not None]
         if reports:
             self.announce(reports)
-        for report in reports:
-            if report.blocked:
-                self._log_decision(report, OWN_SOURCE)
-                self.persist(report)
+        blocked = [report for report in reports if report.blocked]
+        for report in blocked:
+            self._log_decision(report, OWN_SOURCE)
+            self.persist(report)
+        if blocked:
+            self.on_blocked()
 
     def share_cleared(self, report: CrashReport, *, was_blocked: bool) -> None:
         """Share that a completed run has cleared a key."""
@@ -89,6 +93,8 @@
             self._log_decision(now, source)
         if now.blocked != was_blocked and self.stores_rows(now.content):
             self.persist(now)
+        if now.blocked:
+            self.on_blocked()
 
     def list_announced(self) -> list[CrashReport]:
         """Return the reports to send on a new link."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -80,6 +80,7 @@
         self._workspace = admission.workspace
         self._response = response
         self._stop_reason = ""
+        self._stop_retry_after = RETRY_SOON_SECONDS
         self._may_have_run = False
         self._outcome = ""
         self._status = NO_RESPONSE
@@ -101,7 +102,9 @@
         job = RequestJob(
             admission, head, body, response, shares_prompts, self._deadline
         )
-        self._crash_permit = CrashPermit(components.crashes, admission, head, body)
+        self._crash_permit = CrashPermit(
+            components.crashes, admission, head, body, self._on_refused
+        )
         self._retry_permit = RetryPermit(
             components, admission.service, admission.metadata.attempt
         )
@@ -115,15 +118,8 @@
         self._response.on_disconnect = self._on_disconnect
         self._timer = self._start_timer()
         try:
-            refusal = self._crash_permit.take()
-            if refusal is None:
-                refusal = await self._place.enter()
-            if self._stop_reason:
-                refusal = self._make_refusal(self._stop_reason)
-            if refusal is None:
-                refusal = await self._reservation.reserve(self._metadata.max_tokens)
-            if refusal is None:
-                refusal = await self._try_upstreams()
+            with self._crash_permit:
+                refusal = await self._serve()
             if refusal is not None:
                 self._refuse(refusal)
         except Exception as error:
@@ -144,6 +140,19 @@
             self._components.streams.note_ended(self._stream)
             self._log_end()
 
+    async def _serve(self) -> Refusal | None:
+        """Serve the request, or return a refusal."""
+        refusal = self._crash_permit.take()
+        if refusal is None:
+            refusal = await self._place.enter()
+        if self._stop_reason:
+            refusal = self._make_stop_refusal()
+        if refusal is None:
+            refusal = await self._reservation.reserve(self._metadata.max_tokens)
+        if refusal is None:
+            refusal = await self._try_upstreams()
+        return refusal
+
     def _start_timer(self) -> IDelayedCall:
         seconds = max(0.0, self._deadline - self._components.clock.seconds())
         return self._components.clock.callLater(seconds, self._on_timeout)
@@ -163,8 +172,15 @@
         if not sender.running or streaming or repeatable or sender.passing_on:
             self._stop("caller disconnected")
 
-    def _stop(self, reason: str) -> None:
-        self._stop_reason = self._stop_reason or reason
+    def _on_refused(self, refusal: Refusal) -> None:
+        """Withdraw the request, unless its response has begun."""
+        if not self._sender.began:
+            self._stop(refusal.reason, refusal.retry_after)
+
+    def _stop(self, reason: str, retry_after: float | None = None) -> None:
+        if not self._stop_reason:
+            self._stop_reason = reason
+            self._stop_retry_after = retry_after or RETRY_SOON_SECONDS
         self._place.cancel()
         self._sender.stop()
 
@@ -248,7 +264,7 @@
             refusal = await self._prepare_retry(outcome)
             if refusal is not None:
                 return refusal
-        return self._make_refusal(self._stop_reason)
+        return self._make_stop_refusal()
 
     async def _choose_upstream(self, sends: int) -> KnownUpstream | Refusal:
         """Return the upstream to try next, or a refusal."""
@@ -429,6 +445,9 @@
         status = GATEWAY_TIMEOUT if self._stop_reason == "timeout" else BAD_GATEWAY
         return Refusal(status, reason)
 
+    def _make_stop_refusal(self) -> Refusal:
+        return self._make_refusal(self._stop_reason, self._stop_retry_after)
+
     def _refuse(self, refusal: Refusal) -> None:
         self._outcome = f"refused-{refusal.status}: {refusal.reason}"
         self._status = BROKEN if self._response.started else str(refusal.status)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -93,6 +93,11 @@
         """Whether an attempt is in progress."""
         return self._attempt is not None
 
+    @property
+    def began(self) -> bool:
+        """Whether the attempt in progress has the head of a response."""
+        return self._attempt is not None and self._attempt.began
+
     @property
     def passing_on(self) -> bool:
         """Whether a plain response is forwarded as it arrives."""
--- a/packages/pondquay-daemon/tests/relay/crashingparts.py
+++ b/packages/pondquay-daemon/tests/relay/crashingparts.py
@@ -95,6 +95,7 @@
     :ivar crash_arrivals: when each request with the part reached an engine
     :ivar random: draws the relays of requests, and whatever tests draw
     :ivar sound: whether engines no longer crash under the part
+    :ivar full: engines that begin no run
     :ivar ending: how responses end if their engine crashes
     """
 
@@ -102,6 +103,7 @@
     crash_arrivals: list[float] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     sound: bool = False
+    full: set[str] = field(default_factory=set)
     ending: Ending = Ending.RESET
     random: Random = field(default_factory=lambda: Random(67))
     _numbers: Any = field(default_factory=lambda: count(1))
@@ -155,6 +157,12 @@
             if connection.host == host:
                 self._end_connection(connection)
 
+    def count_waiting(self) -> int:
+        """Count the requests with the part that wait at full engines."""
+        return sum(
+            CRASHING_PART in run.parts for host in self.full for run in self._runs[host]
+        )
+
     def count_late_requests(self) -> int:
         """Count the arrivals of the part that came too late after the fifth crash."""
         if len(self.crashes) < BORNE_CRASHES:
@@ -217,7 +225,8 @@
         now = self.clock.seconds()
         for run in runs[:SLOTS]:
             if run.began_at is None:
-                self._begin(run, now)
+                if host not in self.full:
+                    self._begin(run, now)
             elif now - run.began_at < START_SECONDS:
                 continue
             elif CRASHING_PART in run.parts and not self.sound:
--- a/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
@@ -8,7 +8,7 @@
 
 from pondquay.routing.crashes import CRASHES_TO_BLOCK, TRIAL_DELAYS_SECONDS
 
-from .conftest import RelaySide
+from .conftest import STEP_SECONDS, RelaySide
 from .crashingparts import (
     BORNE_CRASHES,
     CONTACT_SECONDS,
@@ -117,6 +117,26 @@
     assert not any(call.completed and not call.begun for call in fleet.calls)
 
 
+# Guards against requests that crash engines at which they had waited since before their
+# part was refused, and against callers that wait for that.
+def test_requests_that_wait_at_engines_are_withdrawn_once_their_part_is_refused() -> (
+    None
+):
+    fleet = CrashingFleet.start(DOMAINS)
+    fleet.full.update(HOSTS[: len(HOSTS) // 2])
+    while len(fleet.crashes) < CRASHES_TO_BLOCK:
+        relay = fleet.random.choice(fleet.relays)
+        fleet.send(relay, CRASHING_PART)
+        fleet.run_for(STEP_SECONDS)
+    assert fleet.count_waiting() > 0
+    fleet.run_for(0.2)
+    assert fleet.count_waiting() == 0
+    fleet.full.clear()
+    fleet.run_for(CONTACT_SECONDS)
+    assert len(fleet.crashes) <= BORNE_CRASHES
+    assert all(call.transport.value() for call in fleet.calls)
+
+
 # Guards against refusals of all that a caller sends, while no part was served before.
 @pytest.mark.parametrize("place", PLACES)
 def test_parts_are_told_apart_though_none_was_served_before(place: str) -> None:
