--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -29,6 +29,9 @@
 DEFAULT_SOFTWARE = "v1"
 # A request whose path contains this crashes the replica that starts to run it.
 CRASH_PATH_MARKER = "crashing"
+# A streaming request crashes the replica that has sent the head of its response if a
+# part of its prompt has a name that starts with this.
+CRASHING_PART_PREFIX = "dead"
 
 
 def format_event(number: int, software: str) -> bytes:
@@ -39,6 +42,11 @@
     return f"id: {number}\nevent: {software}\ndata: piece {number}\n\n".encode()
 
 
+def read_part_names(header: str) -> list[str]:
+    """Return the names of a prompt's parts, which are separated by commas."""
+    return [part.partition(":")[0] for part in header.split(",") if part]
+
+
 class ReplicaFault(StrEnum):
     """A fault of a replica.
 
@@ -76,6 +84,7 @@
     :ivar first: number of the first event to send
     :ivar copied_from: address of the replica from which the prompt is to be copied
     :ivar orders: names of the other headers received that control a replica's memory
+    :ivar parts: names of the parts of its prompt
     :ivar events: number of events sent
     :ivar ended: how the run ended, ``running`` until then
     """
@@ -88,6 +97,7 @@
     first: int
     copied_from: str
     orders: list[str]
+    parts: list[str] = field(default_factory=list)
     events: int = 0
     ended: str = "running"
 
@@ -229,6 +239,7 @@
             int(self._header("Last-Event-Id") or 0) + 1,
             self._header("Kv-Fetch"),
             [name for name in MEMORY_HEADERS if self._header(name)],
+            read_part_names(self._header("X-Pondquay-Prefix-Hash")),
         )
         replica.runs.append(self._run)
         if CRASH_PATH_MARKER in self._run.target:
@@ -269,6 +280,12 @@
         last_event = int(self._header("X-Test-Events") or 0)
         if last_event:
             self._send_head()
+            if any(part.startswith(CRASHING_PART_PREFIX) for part in run.parts):
+                # The head leaves before the connection is aborted.
+                self._timer = reactor.callLater(
+                    EVENT_INTERVAL_SECONDS, self._replica.crash
+                )
+                return
             self._send_events(run, last_event)
             return
         status = 500 if fault is ReplicaFault.ERROR else 200
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -45,6 +45,7 @@
 # Less than the callers' timeout and the time limit of a planned stop.
 REVIEW_TIMEOUT_SECONDS = 3
 RETRY_DELAY_SECONDS = 0.2
+CRASHING_PROMPT_TOKENS = 10
 # Request timeouts of the routes, as in the configuration.
 ROUTE_TIMEOUT_SECONDS = {
     "audit": DEFAULT_TIMEOUT_SECONDS,
@@ -102,6 +103,7 @@
         for name in RELAYS:
             self.set_environment(name, {})
         self._malformed_numbers = count()
+        self._prompt_numbers = count()
 
     def set_environment(self, relay: str, variables: dict[str, str]) -> None:
         """Set further environment variables of a relay, from its next start on."""
@@ -185,6 +187,23 @@
                 self.send_request(self.relays[next(relays)], path)
             time.sleep(RETRY_DELAY_SECONDS)
 
+    def send_crashing_prompts(self, part: str, seconds: float) -> None:
+        """Send new requests with a crashing part to each relay in turn."""
+        until = time.monotonic() + seconds
+        relays = cycle(RELAYS)
+        while time.monotonic() < until:
+            number = next(self._prompt_numbers)
+            parts = (f"a{number % 3}", part, f"c{number:x}")
+            with suppress(OSError, HTTPException):
+                self.send_request(
+                    self.relays[next(relays)],
+                    f"/audit/{number}",
+                    tokens=(CRASHING_PROMPT_TOKENS, 3),
+                    parts=parts,
+                    events=1,
+                )
+            time.sleep(RETRY_DELAY_SECONDS)
+
     def put_foreign_row(self) -> str:
         """Add a malformed row that belongs to no replica, and return its key."""
         number = next(self._malformed_numbers)
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay_cli.logfiles import read_events
+from pondquay_standins.replicas import CRASHING_PART_PREFIX
 from pondquay_standins.soak.builds import CURRENT_BUILD
 from pondquay_standins.soak.buildspans import BuildSpans
 from pondquay_standins.soak.callers import Caller
@@ -291,11 +292,18 @@
         self._builds.record_start(name, build, time.monotonic())
 
     def _send_crashing(self, fault: PlannedFault) -> None:
-        """Send a request that crashes replicas repeatedly, in a thread."""
-        path = f"{CRASHING_PATH_PREFIX}{next(self._sequence)}"
-        sender = Thread(target=self._fleet.send_repeatedly, args=(path, fault.seconds))
-        sender.start()
-        self._threads.append(sender)
+        """Send a request, and prompts, that crash replicas repeatedly, in threads."""
+        number, seconds = next(self._sequence), fault.seconds
+        path, part = (
+            f"{CRASHING_PATH_PREFIX}{number}",
+            f"{CRASHING_PART_PREFIX}-{number}",
+        )
+        for sender in (
+            Thread(target=self._fleet.send_repeatedly, args=(path, seconds)),
+            Thread(target=self._fleet.send_crashing_prompts, args=(part, seconds)),
+        ):
+            sender.start()
+            self._threads.append(sender)
 
     def _suspend(self, name: str) -> None:
         """Simulate the suspension of a relay's host."""
--- a/packages/pondquay-standins/tests/test_crashes.py
+++ b/packages/pondquay-standins/tests/test_crashes.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import json
+from itertools import count
 from typing import TYPE_CHECKING
 
 import pytest
 
 from pondquay.routing.crashes import CRASHES_TO_BLOCK
 from pondquay_standins.processes import wait_until
+from pondquay_standins.replicas import CRASHING_PART_PREFIX
 from pondquay_standins.routedfleet import (
+    ENGINE_SERVICE,
     PLAIN_SERVICE,
     RoutedFleet,
     make_configuration,
@@ -24,6 +27,8 @@
 REPLICAS = tuple(f"p{number}" for number in range(1, 7))
 PATH = "/fetch/crashing"
 REQUESTS = 12
+ENGINES = tuple(f"e{number}" for number in range(1, 7))
+numbers = count()
 
 
 @pytest.fixture
@@ -91,6 +96,36 @@
     assert count_crashed(fleet) == crashed
 
 
+# Guards against ever new requests that crash replicas by a part of their prompts, and
+# against refusals of requests that share their other parts.
+def test_a_part_that_crashes_replicas_is_refused_by_all_relays(
+    fleet: RoutedFleet,
+) -> None:
+    fleet.start_replicas(ENGINE_SERVICE, *ENGINES)
+    relays = list(fleet.relays.values())
+    for relay in relays:
+        wait_until(lambda r=relay: send_prompt(fleet, r, "sound") == 200, "engines")
+    statuses = [
+        send_prompt(fleet, relays[number % len(relays)], CRASHING_PART_PREFIX)
+        for number in range(REQUESTS)
+    ]
+    crashed = count_crashed(fleet)
+    assert crashed <= CRASHES_TO_BLOCK + len(relays)
+    assert statuses[-len(relays) :] == [503] * len(relays)
+    for relay in relays:
+        assert send_prompt(fleet, relay, "sound") == 200
+        assert send_prompt(fleet, relay, CRASHING_PART_PREFIX) == 503
+    assert count_crashed(fleet) == crashed
+
+
+def send_prompt(fleet: RoutedFleet, relay: Relay, part: str) -> int:
+    """Send a new request with a part in its prompt and return the status."""
+    number = next(numbers)
+    parts = ("first", part, f"own-{number}")
+    path = f"/audit/{number}"
+    return fleet.send_request(relay, path, tokens=(10, 3), parts=parts, events=1).status
+
+
 def test_a_replica_that_restarts_under_its_name_is_used(fleet: RoutedFleet) -> None:
     relay = fleet.relays["r1"]
     for name in REPLICAS[1:]:
