--- a/packages/pondquay/src/pondquay/routing/partcrashes.py
+++ b/packages/pondquay/src/pondquay/routing/partcrashes.py
@@ -6,9 +6,10 @@
 under suspicion. A run that completes clears all its parts.
 
 A part shares its requests with other parts, so several may be suspected of the same
-crashes. A part is not blamed for crashes that a likelier part explains, unless a
-request has both: requests without the likelier part are still served, which clears the
-part if it is harmless and makes it the likelier one if it is not.
+crashes. A part is not blamed for crashes that another one explains, unless a request
+has both: requests without the other part are still served, which clears the part if it
+is harmless and shows further crashes if it is not. A part that was never served
+explains the crashes of one that was, but not the other way round.
 """
 
 from __future__ import annotations
@@ -22,6 +23,9 @@
 
     from pondquay.routing.crashes import Blocked
 
+# Number of crashes that a part may have beyond those of the part that explains them,
+# such as one with another cause.
+MAX_UNEXPLAINED = 1
 # Maximum number of parts that are known to have been served.
 MAX_SERVED = MAX_SUSPECTED
 
@@ -90,21 +94,23 @@
     def _is_blamed(
         self, part: bytes, parts: Collection[bytes], blocked: dict[bytes, CrashReport]
     ) -> bool:
-        """Return whether enough crashes of a part are left that no other explains."""
+        """Return whether a part's crashes are enough that no other part explains."""
         report = blocked[part]
-        explained: set[str] = set()
-        for other in blocked.values():
-            if other.content not in parts and self._is_likelier(other, report):
-                explained |= other.uncleared
+        others = [other for key, other in blocked.items() if key not in parts]
+        served = [other for other in others if other.content in self._served]
+        unserved = [other for other in others if other.content not in self._served]
+        if part not in self._served:
+            return not any(_explains(other, report) for other in unserved)
+        if any(_explains(other, report) for other in served):
+            return False
+        explained = frozenset[str]().union(*(other.uncleared for other in unserved))
         return report.restrict_to(report.uncleared - explained).blocked
 
-    def _is_likelier(self, other: CrashReport, report: CrashReport) -> bool:
-        """Return whether another part is at least as likely to crash upstreams.
 
-        A part that was served before is less likely to, however many crashes it has.
-        """
-        was_served = report.content in self._served
-        other_was_served = other.content in self._served
-        if was_served != other_was_served:
-            return was_served
-        return len(other.uncleared) >= len(report.uncleared)
+def _explains(other: CrashReport, report: CrashReport) -> bool:
+    """Return whether the crashes of a part are those of another one.
+
+    A part with more crashes than another has some without it.
+    """
+    has_fewer = len(report.uncleared) <= len(other.uncleared)
+    return has_fewer and len(report.uncleared - other.uncleared) <= MAX_UNEXPLAINED
--- a/packages/pondquay/tests/routing/test_partcrashes.py
+++ b/packages/pondquay/tests/routing/test_partcrashes.py
@@ -198,6 +198,19 @@
     assert instance.parts.check([BAD]) is not None
 
 
+# Guards against a part that is let through as parts which are never served, and have
+# crashed upstreams with an earlier one, explain its crashes together.
+def test_several_parts_do_not_explain_the_crashes_of_another_together(
+    instance: Instance,
+) -> None:
+    for number, other in enumerate(3 * SOUND):
+        instance.crash(f"u{number}", [other, b"earlier"])
+    for number, other in enumerate(SOUND):
+        instance.crash(f"u{number + 20}", [other, BAD])
+    for other in SOUND:
+        assert instance.parts.check([other, BAD]) is not None
+
+
 def test_two_parts_that_crash_different_upstreams_are_both_refused(
     instance: Instance,
 ) -> None:
