--- a/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
+++ b/packages/pondquay-daemon/tests/relay/test_skewed_demand.py
@@ -19,6 +19,13 @@
 # Tokens of a request, and requests per second at the hot instance.
 TOKENS = 9_000
 RATE = 40
+# Requests per second of a small fleet, the fraction of them that reaches one instance,
+# for how long after the fleet has learned of it, and how many of them may be refused.
+SKEWED_RATE = 30
+SKEWED_FRACTION = 0.9
+SKEWED_SECONDS = 7.0
+CONTACT_SECONDS = 3.0
+MAX_REFUSED_FRACTION = 0.25
 # A turn of a busy instance's event loop: longer than the time limit of a loan.
 BUSY_TURN_SECONDS = 0.3
 
@@ -156,6 +163,28 @@
     assert fleet.store.rejected == 0
 
 
+# Guards against refusals for lack of tokens while a balancer hands most connections of
+# a region to one instance, and then to another.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_an_instance_that_gets_most_connections_of_a_region_has_their_tokens(
+    seed: int,
+) -> None:
+    draw = random.Random(seed)
+    workspaces = [f"w{number}" for number in range(10)]
+    fleet = Fleet(8, workspaces, prepaid=1_000_000, domains=3)
+    fleet.run_until(3.0)
+    names = list(fleet.domains)
+    for hot in (None, *draw.sample(names, 2)):
+        for span in (CONTACT_SECONDS, SKEWED_SECONDS):
+            refused, sent = fleet.refused, round(span * SKEWED_RATE)
+            for _ in range(sent):
+                is_hot = hot is not None and draw.random() < SKEWED_FRACTION
+                name = hot if is_hot and hot is not None else draw.choice(names)
+                fleet.send_request(name, draw.choice(workspaces), TOKENS)
+                fleet.run_until(fleet.clock.seconds() + 1 / SKEWED_RATE)
+        assert fleet.refused - refused <= MAX_REFUSED_FRACTION * sent
+
+
 def test_even_demand_adds_few_writers_to_a_row() -> None:
     """Guards against a row that all instances write when the fleet's demand starts."""
     fleet = make_fleet()
