--- a/packages/pondquay/src/pondquay/routing/partcrashes.py
+++ b/packages/pondquay/src/pondquay/routing/partcrashes.py
@@ -26,6 +26,8 @@
 # Number of crashes that a part may have beyond those of the part that explains them,
 # such as one with another cause.
 MAX_UNEXPLAINED = 1
+# Crashes from which a part is blamed that was never served, whatever explains them.
+MAX_EXPLAINED_CRASHES = 6
 # Maximum number of parts that are known to have been served.
 MAX_SERVED = MAX_SUSPECTED
 
@@ -100,7 +102,8 @@
         served = [other for other in others if other.content in self._served]
         unserved = [other for other in others if other.content not in self._served]
         if part not in self._served:
-            return not any(_explains(other, report) for other in unserved)
+            is_certain = len(report.uncleared) >= MAX_EXPLAINED_CRASHES
+            return is_certain or not any(_explains(other, report) for other in unserved)
         if any(_explains(other, report) for other in served):
             return False
         explained = frozenset[str]().union(*(other.uncleared for other in unserved))
