--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -1,10 +1,9 @@
-"""A single attempt to serve a request at one upstream, and its outcome."""
+"""A single attempt to serve a request at one upstream."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
 
@@ -16,6 +15,17 @@
     drop_connection_headers,
     ends_with_connection,
 )
+from pondquay_daemon.relay.outcomes import (
+    NOT_RUN_STATUSES,
+    SUCCESS_STATUSES,
+    Answered,
+    Lost,
+    NotRun,
+    PassedOn,
+    Stopped,
+    Streamed,
+    Unsent,
+)
 from pondquay_daemon.relay.plainresponses import PlainResponse
 
 if TYPE_CHECKING:
@@ -35,106 +45,9 @@
         ResponseMetadata,
         UpstreamSignals,
     )
+    from pondquay_daemon.relay.outcomes import Outcome
     from pondquay_daemon.relay.streamprogress import StreamProgress
 
-SUCCESS_STATUSES = range(200, 300)
-# Statuses that a caller may take as proof that its request did not run. They are not
-# forwarded, since an upstream's response proves this only by a header.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
-
-@dataclass(frozen=True, slots=True)
-class Unsent:
-    """No byte of the request left this instance.
-
-    :param refused: whether the upstream's host refused the connection, so that it is
-        reachable but nothing listens there
-    """
-
-    reason: str
-    refused: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The upstream rejected the request without running it.
-
-    :param misdirected: whether another upstream now has the address
-    """
-
-    status: int
-    misdirected: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """A complete response, which has not been forwarded yet."""
-
-    head: ResponseHead
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class PassedOn:
-    """A complete plain response, which was forwarded as it arrived."""
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class Streamed:
-    """A complete stream, which has been forwarded."""
-
-    events: int
-
-
-@dataclass(frozen=True, slots=True)
-class Lost:
-    """The request may have run, but its response is incomplete or invalid.
-
-    :param silent: whether the upstream sent nothing for too long
-    :param broken: whether its connection broke
-    :param began: whether the response's head had arrived
-    :param streamed: seconds since the first event, 0 if none arrived
-    :param unread: whether the caller had not read the response for some time, after
-        which an upstream may cut it off
-    :param by_gateway: whether the connection broke at a gateway
-    """
-
-    reason: str
-    silent: bool = False
-    broken: bool = False
-    began: bool = False
-    streamed: float = 0.0
-    unread: bool = False
-    by_gateway: bool = False
-
-    @property
-    def stage(self) -> str:
-        """How far the response was, as a label of a metric."""
-        if self.streamed:
-            return "streaming"
-        return "begun" if self.began else "waiting"
-
-    @property
-    def is_of_upstream(self) -> bool:
-        """Whether the upstream is the likely cause."""
-        return not self.unread and not self.by_gateway
-
-
-@dataclass(frozen=True, slots=True)
-class Stopped:
-    """This instance ended the attempt: the caller left, or its deadline passed.
-
-    :param sent: whether the request was sent
-    """
-
-    sent: bool
-
-
-# The lower-case names of these classes are labels of a metric.
-Outcome: TypeAlias = Unsent | NotRun | Answered | PassedOn | Streamed | Lost | Stopped
-
 
 class UpstreamListener(ABC):
     """Observes an upstream while an attempt is in progress there."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -12,9 +12,9 @@
 
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission, Refusal
-    from pondquay_daemon.relay.attempts import Lost
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
     from pondquay_daemon.relay.messages import RequestHead
+    from pondquay_daemon.relay.outcomes import Lost
 
 # Requests that have streamed events for this long are not suspected, since a request
 # that crashes its upstream does so when it begins to run. So fewer streams are refused
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -7,10 +7,11 @@
 
 from pondquay.routing.expected import Target
 from pondquay_daemon.logs import log_event
-from pondquay_daemon.relay.attempts import Attempt, Stopped
+from pondquay_daemon.relay.attempts import Attempt
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.messages import Dispatch
 from pondquay_daemon.relay.observers import UpstreamObserver
+from pondquay_daemon.relay.outcomes import Stopped
 from pondquay_daemon.relay.permits import PERMIT_WAIT_SECONDS, describe_rate
 from pondquay_daemon.relay.prefills import Prefill
 
@@ -21,10 +22,10 @@
     from pondquay.routing.expected import Choice
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
-    from pondquay_daemon.relay.attempts import Outcome
     from pondquay_daemon.relay.components import RelayComponents
     from pondquay_daemon.relay.ingress import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
+    from pondquay_daemon.relay.outcomes import Outcome
     from pondquay_daemon.relay.placement import NoUpstream
     from pondquay_daemon.relay.streamprogress import StreamProgress
 
