--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -179,6 +179,7 @@
 
     :param clock: returns the time in seconds
     :param may_run_trial: returns whether this instance runs the trials of a content
+    :ivar changes: number of changes of the state
     """
 
     def __init__(
@@ -186,6 +187,7 @@
     ) -> None:
         self._clock = clock
         self._may_run_trial = may_run_trial
+        self.changes = 0
         # Both are ordered by the last change, most recent last.
         self._suspected: dict[bytes, _Entry] = {}
         self._blocked: dict[bytes, _Entry] = {}
@@ -244,6 +246,7 @@
         merged = entry.describe(now)
         if merged == before:
             return False
+        self.changes += 1
         if merged.crashed != before.crashed or merged.trials != before.trials:
             last = len(TRIAL_DELAYS_SECONDS) - 1
             entry.next_trial = now + TRIAL_DELAYS_SECONDS[min(merged.trials, last)]
--- a/packages/pondquay/src/pondquay/routing/partcrashes.py
+++ b/packages/pondquay/src/pondquay/routing/partcrashes.py
@@ -45,6 +45,8 @@
         self, clock: Callable[[], float], may_run_trial: Callable[[bytes], bool]
     ) -> None:
         self.history = CrashHistory(clock, may_run_trial)
+        self._blocked: dict[bytes, CrashReport] = {}
+        self._blocked_at = 0
         # The most recently served part is last.
         self._served: dict[bytes, None] = {}
 
@@ -67,7 +69,7 @@
         """Return the parts for which a request with these parts is refused."""
         if not any(self.history.check(part) for part in parts):
             return []
-        blocked = {report.content: report for report in self.history.blocked()}
+        blocked = self._list_blocked()
         return [
             part
             for part in parts
@@ -93,6 +95,17 @@
         # One part decides, so that several that are blamed together get one trial.
         return self.history.start_trial(min(blamed)) if blamed else None
 
+    def _list_blocked(self) -> dict[bytes, CrashReport]:
+        """Return the blocked parts, with ages as of the latest change.
+
+        Only the differences of ages matter, which do not change.
+        """
+        if self._blocked_at != self.history.changes:
+            reports = self.history.blocked()
+            self._blocked = {report.content: report for report in reports}
+            self._blocked_at = self.history.changes
+        return self._blocked
+
     def _is_blamed(
         self, part: bytes, parts: Collection[bytes], blocked: dict[bytes, CrashReport]
     ) -> bool:
