--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -1,7 +1,7 @@
 """Persistence of blocked contents and parts, in case all instances are lost.
 
 Peers exchange crash reports over links. The rows are for instances that start without
-peers; each instance reads them once. Without them, a blocked request would crash
+peers, or that are cut off from them. Without them, a blocked request would crash
 upstreams again after a restart of the entire fleet.
 
 Parts of prompts have a table of their own, since earlier builds take all rows of the
@@ -26,15 +26,16 @@
 )
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.errors import MalformedValueError
+from pondquay_daemon.relay.feeds import TableListener
 from pondquay_daemon.tasks import sleep, spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.tables import JsonObject, Row
-    from pondquay_daemon.relay.store import Store
+    from pondquay_daemon.relay.store import RowChange, Snapshot, Store
 
 CONTENTS_TABLE = "crashes"
 PARTS_TABLE = "part-crashes"
@@ -44,8 +45,8 @@
 MAX_DELETED = 16
 
 
-class CrashRows:
-    """Reads all rows at startup and writes the rows of keys with new reports.
+class CrashRows(TableListener):
+    """Follows the rows of a table and writes those of keys with new reports.
 
     :param table: name of the table
     :param receive: called with the report of each row that is read
@@ -70,19 +71,22 @@
         self._changed: dict[bytes, None] = {}
         self._writing = False
 
-    async def read(self) -> None:
-        """Read the rows, retrying until the store responds."""
-        while True:
-            reply = await self._store.read_table(self._table)
-            if not isinstance(reply, Unreachable):
-                break
-            await sleep(RETRY_SECONDS, self._clock)
-        rows = sorted(reply.rows, key=lambda row: -row.version)
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Merge all rows, and delete some of those beyond the limit in memory."""
+        rows = sorted(snapshot.rows, key=lambda row: -row.version)
         for row in reversed(rows[:MAX_BLOCKED]):
-            self._receive_row(row)
+            self._receive_row(row.key, row.value)
         log_event("crashes-read", table=self._table, count=len(rows))
-        for row in rows[MAX_BLOCKED : MAX_BLOCKED + MAX_DELETED]:
-            await self._commit(row.key, row.version, None)
+        if excess := rows[MAX_BLOCKED : MAX_BLOCKED + MAX_DELETED]:
+            spawn(self._delete(excess), type(self).__name__)
+
+    def apply_change(self, change: RowChange) -> None:
+        """Merge a row that was written.
+
+        A deleted row shows nothing: it may have been deleted for lack of room.
+        """
+        if change.value:
+            self._receive_row(change.key, change.value)
 
     def schedule_write(self, report: CrashReport) -> None:
         """Schedule a write of a report's row."""
@@ -91,6 +95,10 @@
             self._writing = True
             spawn(self._write_changed(), type(self).__name__)
 
+    async def _delete(self, rows: Iterable[Row]) -> None:
+        for row in rows:
+            await self._commit(row.key, row.version, None)
+
     async def _write_changed(self) -> None:
         try:
             while self._changed:
@@ -110,7 +118,7 @@
             return False
         if row is not None:
             # The row is merged first, so that concurrent writers converge on one value.
-            self._receive_row(row)
+            self._receive_row(row.key, row.value)
         report = self._find(content)
         value = None
         if report is not None and report.blocked:
@@ -129,11 +137,11 @@
             log_event("crash-row-not-written", Level.WARNING, key=key)
         return isinstance(reply, Committed)
 
-    def _receive_row(self, row: Row) -> None:
+    def _receive_row(self, key: str, value: JsonObject) -> None:
         try:
-            self._receive(unpack_report(row.key, row.value))
+            self._receive(unpack_report(key, value))
         except MalformedValueError as error:
-            log_event("crash-row-malformed", Level.ERROR, key=row.key, error=error)
+            log_event("crash-row-malformed", Level.ERROR, key=key, error=error)
 
 
 _Ages = dict[str, Annotated[float, msgspec.Meta(ge=0)]]
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -77,6 +77,8 @@
 # Time for a slow or repeated poll.
 SLOW_POLL_SECONDS = 1.0
 MEMBERS_POLL_SECONDS = 2.0
+# Peers report crashes sooner, except to instances that are cut off from them.
+CRASHES_POLL_SECONDS = 1.0
 
 
 class Relay:
@@ -313,6 +315,16 @@
             sharing.history.find,
         )
 
+    def _make_crash_feed(self, table: str, rows: CrashRows) -> TableFeed:
+        return TableFeed(
+            self._reactor,
+            self._store,
+            table,
+            rows,
+            lambda: CRASHES_POLL_SECONDS,
+            rereads=False,
+        )
+
     def _make_slow_feeds(self) -> list[TableFeed]:
         """Return the feeds of tables whose changes are not urgent."""
         return [
@@ -325,6 +337,8 @@
                 rereads=False,
                 latest_only=True,
             ),
+            self._make_crash_feed(CONTENTS_TABLE, self._crash_rows),
+            self._make_crash_feed(PARTS_TABLE, self._part_crash_rows),
             TableFeed(
                 self._reactor,
                 self._store,
@@ -359,8 +373,6 @@
         self._accounts.start()
         self._peers.start()
         spawn(self._members.join(self._member), "MemberList")
-        for rows in (self._crash_rows, self._part_crash_rows):
-            spawn(rows.read(), "CrashRows")
         log_event("started", instance=settings.instance, domain=settings.domain)
 
     def _listen_reports(self) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
@@ -137,6 +137,16 @@
     assert all(call.transport.value() for call in fleet.calls)
 
 
+# Guards against a part that crashes engines through instances that are cut off from
+# each other, though all of them reach the table.
+def test_instances_without_links_learn_of_the_part_from_the_table() -> None:
+    fleet = CrashingFleet.start(DOMAINS)
+    fleet.links.cut = True
+    before, beside = run_crashes(fleet, make_crashing_first)
+    assert fleet.count_late_requests() <= MAX_LATE_REQUESTS
+    assert beside >= MIN_BEGUN_FRACTION * before
+
+
 # Guards against refusals of all that a caller sends, while no part was served before.
 @pytest.mark.parametrize("place", PLACES)
 def test_parts_are_told_apart_though_none_was_served_before(place: str) -> None:
