--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -36,7 +37,6 @@
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.knownupstreams import KnownUpstream
-    from pondquay_daemon.relay.crashpermits import CrashPermit
     from pondquay_daemon.relay.dialing import Dialer
     from pondquay_daemon.relay.metrics import RelayMetrics
 
@@ -70,6 +70,14 @@
     checked: Deferred[None] = field(default_factory=Deferred)
 
 
+class RunningRequest(ABC):
+    """A running request, which may have to be withdrawn."""
+
+    @abstractmethod
+    def recheck(self) -> None:
+        """Withdraw the request if it must not run any more."""
+
+
 class CrashMonitor:
     """Detects crashes of upstreams and shares them with peers and the table.
 
@@ -115,20 +123,20 @@
             persist_part,
             self._recheck_running,
         )
-        self._permits: set[CrashPermit] = set()
+        self._running: set[RunningRequest] = set()
         self._broken: dict[str, _BrokenUpstream] = {}
 
-    def add_permit(self, permit: CrashPermit) -> None:
+    def add_running(self, request: RunningRequest) -> None:
         """Check a running request again whenever a part is blocked."""
-        self._permits.add(permit)
+        self._running.add(request)
 
-    def remove_permit(self, permit: CrashPermit) -> None:
+    def remove_running(self, request: RunningRequest) -> None:
         """Stop checking a request, as it has ended."""
-        self._permits.discard(permit)
+        self._running.discard(request)
 
     def _recheck_running(self) -> None:
-        for permit in list(self._permits):
-            permit.recheck_running()
+        for request in list(self._running):
+            request.recheck()
 
     def note_broken(
         self, upstream: KnownUpstream, content: bytes, parts: Collection[bytes] = ()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -6,6 +6,7 @@
 
 from pondquay.requests.contents import digest_content, digest_part
 from pondquay.routing.prompts import list_shared
+from pondquay_daemon.relay.crashmonitor import RunningRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +23,7 @@
 SUSPECT_STREAM_SECONDS = 1.0
 
 
-class CrashPermit:
+class CrashPermit(RunningRequest):
     """Checks whether a request may be sent, as upstreams may crash under it.
 
     It is a context manager, within which the request runs.
@@ -51,11 +52,11 @@
         )
 
     def __enter__(self) -> Self:
-        self._monitor.add_permit(self)
+        self._monitor.add_running(self)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._monitor.remove_permit(self)
+        self._monitor.remove_running(self)
 
     @property
     def content(self) -> bytes:
@@ -75,7 +76,7 @@
         self._on_trial = self._monitor.start_trial(self.content, self._parts)
         return None if self._on_trial else refusal
 
-    def recheck(self, sends: int) -> Refusal | None:
+    def check_send(self, sends: int) -> Refusal | None:
         """Return a refusal if the request must not be sent, ``None`` otherwise.
 
         The first send of a trial is always permitted.
@@ -84,7 +85,7 @@
         """
         return None if self._on_trial and not sends else self._check()
 
-    def recheck_running(self) -> None:
+    def recheck(self) -> None:
         """Report that the request must not run any more, unless it is a trial.
 
         A content that is blocked may run on, as its completion clears it.
