--- a/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_parts.py
@@ -15,6 +15,7 @@
     CRASHING_PART,
     FIRST_PART,
     MAX_LATE_REQUESTS,
+    OTHER_CRASHING_PART,
     RESTART_SECONDS,
     CrashingFleet,
     Ending,
@@ -230,3 +231,58 @@
     retry_after = relay.refusals[-1]
     assert retry_after is not None
     assert 1.0 <= retry_after <= TRIAL_DELAYS_SECONDS[0]
+
+
+def make_two_at_once(random: Random) -> list[str]:
+    """Return a prompt with one of two crashing parts, or both."""
+    both = [CRASHING_PART, OTHER_CRASHING_PART]
+    return [FIRST_PART, *random.choice([both[:1], both[1:], both])]
+
+
+# Guards against one crashing part that hides another one.
+def test_two_parts_that_crash_engines_at_once_are_both_refused() -> None:
+    fleet = CrashingFleet.start(DOMAINS)
+    _, beside = run_crashes(fleet, make_two_at_once)
+    for arrivals in fleet.arrivals_by_part.values():
+        assert arrivals <= BORNE_CRASHES + MAX_LATE_REQUESTS
+    assert beside >= MIN_BEGUN_FRACTION
+
+
+# Guards against a part that hides among hundreds of others.
+def test_a_part_among_hundreds_of_others_is_refused() -> None:
+    fleet = CrashingFleet.start(DOMAINS)
+    fleet.send_for(BEFORE_SECONDS, {SOUND_INTERVAL: make_sound})
+
+    def make_long(random: Random) -> list[str]:
+        others = [f"long-{random.randrange(400)}" for _ in range(200)]
+        return [FIRST_PART, *others, CRASHING_PART]
+
+    sends = {SOUND_INTERVAL: make_sound, CRASHING_INTERVAL: make_long}
+    fleet.send_for(BEFORE_SECONDS, sends)
+    assert fleet.arrivals_by_part[CRASHING_PART] <= BORNE_CRASHES + MAX_LATE_REQUESTS
+
+
+# Guards against a caller all of whose requests have the part, and others beside it.
+def test_a_caller_all_of_whose_requests_have_the_part_is_refused_alone() -> None:
+    fleet = CrashingFleet.start(DOMAINS)
+    sends = {SOUND_INTERVAL: make_sound, CRASHING_INTERVAL: make_crashing_alone}
+    fleet.send_for(2 * BEFORE_SECONDS, sends)
+    assert len(fleet.crash_arrivals) <= BORNE_CRASHES + MAX_LATE_REQUESTS
+    end = fleet.clock.seconds() - CONTACT_SECONDS
+    since = fleet.crashes[CRASHES_TO_BLOCK - 1] + 2 * CONTACT_SECONDS
+    assert fleet.find_begun_fraction(since, end, FIRST_PART) >= MIN_BEGUN_FRACTION
+
+
+# Guards against blame on shared parts for a last part, which is the request's own.
+def test_a_last_part_that_crashes_engines_is_refused_with_its_request_only() -> None:
+    fleet = CrashingFleet.start(DOMAINS[:1])
+    (relay,) = fleet.relays
+    headers = {"attempt": "a", "prompt": f"{FIRST_PART},{CRASHING_PART}"}
+    for _ in range(2 * CRASHES_TO_BLOCK):
+        relay.connect_caller("/stream/same", headers=headers)
+        fleet.run_for(1)
+    assert len(fleet.crashes) <= BORNE_CRASHES
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 503")
+    call = fleet.send(relay, FIRST_PART, "sound")
+    fleet.run_for(2)
+    assert call.begun
