--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -114,7 +114,7 @@
         self.contents = CrashSharing(
             "content", self.history, ranks_first, announce, persist, lambda: None
         )
-        self._part_crashes = PartCrashes(reactor.seconds, ranks_first)
+        self._part_crashes = PartCrashes(reactor.seconds, ranks_first, self.history)
         self.parts = CrashSharing(
             "part",
             self._part_crashes.history,
@@ -231,7 +231,7 @@
 
     def start_trial(self, content: bytes, parts: Collection[bytes] = ()) -> bool:
         """Start a trial of a blocked request if one is due; return whether it was."""
-        if self._part_crashes.check(parts) is None:
+        if self._part_crashes.check(parts, content) is None:
             report, sharing = self.history.start_trial(content), self.contents
         elif self.history.check(content) is None:
             report, sharing = self._part_crashes.start_trial(parts), self.parts
--- a/packages/pondquay/src/pondquay/routing/partcrashes.py
+++ b/packages/pondquay/src/pondquay/routing/partcrashes.py
@@ -39,11 +39,16 @@
 
     :param clock: returns the time in seconds
     :param may_run_trial: returns whether this instance runs the trials of a part
+    :param contents: crashes under contents, which explain those of their parts
     """
 
     def __init__(
-        self, clock: Callable[[], float], may_run_trial: Callable[[bytes], bool]
+        self,
+        clock: Callable[[], float],
+        may_run_trial: Callable[[bytes], bool],
+        contents: CrashHistory | None = None,
     ) -> None:
+        self._contents = contents
         self.history = CrashHistory(clock, may_run_trial)
         self._blocked: dict[bytes, CrashReport] = {}
         self._blocked_at = 0
@@ -65,20 +70,29 @@
             del self._served[next(iter(self._served))]
         return reports
 
-    def find_blamed(self, parts: Collection[bytes]) -> list[bytes]:
-        """Return the parts for which a request with these parts is refused."""
+    def find_blamed(
+        self, parts: Collection[bytes], content: bytes = b""
+    ) -> list[bytes]:
+        """Return the parts for which a request with these parts is refused.
+
+        :param content: the request's content, if that is blocked as well
+        """
         if not any(self.history.check(part) for part in parts):
             return []
         blocked = self._list_blocked()
         return [
             part
             for part in parts
-            if part in blocked and self._is_blamed(part, parts, blocked)
+            if part in blocked and self._is_blamed(part, {*parts, content}, blocked)
         ]
 
-    def check(self, parts: Collection[bytes]) -> Blocked | None:
-        """Return the refusal of a request, ``None`` if it may run."""
-        refusals = [self.history.check(part) for part in self.find_blamed(parts)]
+    def check(self, parts: Collection[bytes], content: bytes = b"") -> Blocked | None:
+        """Return the refusal of a request, ``None`` if it may run.
+
+        :param content: the request's content, if that is blocked as well
+        """
+        blamed = self.find_blamed(parts, content)
+        refusals = [self.history.check(part) for part in blamed]
         return max(
             (refusal for refusal in refusals if refusal is not None),
             key=lambda refusal: refusal.retry_after,
@@ -107,13 +121,19 @@
         return self._blocked
 
     def _is_blamed(
-        self, part: bytes, parts: Collection[bytes], blocked: dict[bytes, CrashReport]
+        self, part: bytes, own: set[bytes], blocked: dict[bytes, CrashReport]
     ) -> bool:
-        """Return whether a part's crashes are enough that no other part explains."""
+        """Return whether a part has enough crashes that nothing else explains.
+
+        :param own: the parts of the request, and its content if that is blocked
+        """
         report = blocked[part]
-        others = [other for key, other in blocked.items() if key not in parts]
+        others = [other for key, other in blocked.items() if key not in own]
         served = [other for other in others if other.content in self._served]
         unserved = [other for other in others if other.content not in self._served]
+        if self._contents is not None:
+            contents = self._contents.blocked()
+            unserved += [other for other in contents if other.content not in own]
         if part not in self._served:
             is_certain = len(report.uncleared) >= MAX_EXPLAINED_CRASHES
             return is_certain or not any(_explains(other, report) for other in unserved)
