--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,143 @@
+"""A late second copy of a refusal stands where the answer to the next request is due."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins import (
+    BROKEN,
+    HELD,
+    HOST_NAME,
+    KEY,
+    TENANT,
+    TROUBLE,
+    Client,
+    Relay,
+    Replica,
+    Store,
+    run_case,
+)
+
+SERVICE, ZONE = "board-app", "bayangol-hall"
+WORK_SECONDS = 0.12
+LATE_SECONDS = 0.03
+ROUNDS = 3
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-board-read",
+            "host": HOST_NAME,
+            "path_prefix": "/read/",
+            "kind": "non_idempotent",
+            "timeout_ms": 1000,
+            "slo_ms": 150,
+            "priority": 2,
+            "service": SERVICE,
+            "attempts": 1,
+            "public": False,
+        }
+    ],
+    "services": [
+        {"name": SERVICE, "health_path": "/healthz", "max_conns": 100, "protocol": "h1"}
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1, "prepaid": 2276020}],
+}
+
+
+class BoardReplica(Replica):
+    """Refuses a request whose id says so, and runs all others.
+
+    If it is faulty, it sends a refusal a second time, late: while it already works on
+    the next request of the same connection.
+    """
+
+    faulty = False
+
+    def __init__(self, *args) -> None:
+        super().__init__(*args)
+        self._surplus: dict[asyncio.StreamWriter, bytes] = {}
+        self.to_refuse = 0
+
+    async def handle(self, attempt, headers, body, writer) -> None:
+        if self.to_refuse:
+            self.to_refuse -= 1
+            self.record.note(f"replica {self.id}: does not run {attempt}, answers 503")
+            writer.write(self.make_refusal(attempt))
+            if self.faulty:
+                self._surplus[writer] = self.make_refusal(attempt)
+            return
+        self.begin_run(attempt)
+        surplus = self._surplus.pop(writer, None)
+        if surplus is not None:
+            await asyncio.sleep(LATE_SECONDS)
+            self.record.note(f"replica {self.id}: sends its earlier 503 a second time")
+            writer.write(surplus)
+        await asyncio.sleep(WORK_SECONDS)
+        writer.write(self.make_success(attempt, b"ranking of " + attempt.encode()))
+
+
+async def case(record, folder, relays) -> int:
+    store = Store()
+    await store.start()
+    store.put("op", "config", CONFIGURATION)
+    replicas = [BoardReplica(store, record, SERVICE, ZONE) for _ in range(2)]
+    for replica in replicas:
+        await replica.start()
+    relay = Relay(folder, store, "edge-1", ZONE)
+    relays.append(relay)
+    relay.start([f"{relay.host}:{relay.control}"])
+    await relay.wait_ready()
+    replicas[0].faulty = TROUBLE
+    client = Client(record, relay)
+    answers = {}
+
+    async def ask(attempt: str) -> None:
+        answers[attempt] = await client.send("/read/1", attempt)
+
+    # Both replicas have an open connection and have served.
+    for number in range(4):
+        await ask(f"first-{number}")
+    for number in range(ROUNDS):
+        # One request that the first replica, which is full for a moment, refuses. The
+        # other one runs it.
+        replicas[0].to_refuse = 1
+        while replicas[0].to_refuse:
+            await ask(f"refused-{number}-{len(answers)}")
+        # The first replica runs one of the next two.
+        await ask(f"next-{number}")
+        await ask(f"after-{number}")
+    # The same with the first replica alone.
+    replicas[1].state = "draining"
+    replicas[1].write_row()
+    await asyncio.sleep(1.5)
+    for number in range(2):
+        replicas[0].to_refuse = 1
+        await ask(f"alone-refused-{number}")
+        await ask(f"alone-next-{number}")
+    await asyncio.sleep(0.5)
+    runs = [attempt for replica in replicas for attempt in replica.runs]
+    twice = sorted({attempt for attempt in runs if runs.count(attempt) > 1})
+    refused = sorted(
+        attempt
+        for attempt, answer in answers.items()
+        if answer.status in (408, 421, 429, 503) and attempt in runs
+    )
+    record.note(f"requests {len(answers)}, runs {len(runs)}")
+    record.note(f"TWICE, ran more than once: {twice}")
+    record.note(f"REFUSED, got 503 though they ran: {refused}")
+    return BROKEN if twice else HELD
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(case, Path(__file__).resolve().parent))
