--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
     run_case,
 )
 
-SERVICE, ZONE = "board-app", "bayangol-hall"
+SERVICE, ZONE = "tareo-app", "lima-ate"
 WORK_SECONDS = 0.12
 LATE_SECONDS = 0.03
 ROUNDS = 3
@@ -30,12 +30,12 @@
     "version": 7,
     "routes": [
         {
-            "name": "r-board-read",
+            "name": "r-sheet-fetch",
             "host": HOST_NAME,
-            "path_prefix": "/read/",
+            "path_prefix": "/sheet/",
             "kind": "non_idempotent",
-            "timeout_ms": 1000,
-            "slo_ms": 150,
+            "timeout_ms": 800,
+            "slo_ms": 300,
             "priority": 2,
             "service": SERVICE,
             "attempts": 1,
@@ -43,7 +43,7 @@
         }
     ],
     "services": [
-        {"name": SERVICE, "health_path": "/healthz", "max_conns": 100, "protocol": "h1"}
+        {"name": SERVICE, "health_path": "/healthz", "max_conns": 110, "protocol": "h1"}
     ],
     "limits": {
         "max_header_bytes": 16384,
@@ -55,7 +55,7 @@
 }
 
 
-class BoardReplica(Replica):
+class SheetReplica(Replica):
     """Refuses a request whose id says so, and runs all others.
 
     If it is faulty, it sends a refusal a second time, late: while it already works on
@@ -84,14 +84,14 @@
             self.record.note(f"replica {self.id}: sends its earlier 503 a second time")
             writer.write(surplus)
         await asyncio.sleep(WORK_SECONDS)
-        writer.write(self.make_success(attempt, b"ranking of " + attempt.encode()))
+        writer.write(self.make_success(attempt, b"sheet of " + attempt.encode()))
 
 
 async def case(record, folder, relays) -> int:
     store = Store()
     await store.start()
     store.put("op", "config", CONFIGURATION)
-    replicas = [BoardReplica(store, record, SERVICE, ZONE) for _ in range(2)]
+    replicas = [SheetReplica(store, record, SERVICE, ZONE) for _ in range(2)]
     for replica in replicas:
         await replica.start()
     relay = Relay(folder, store, "edge-1", ZONE)
@@ -103,7 +103,7 @@
     answers = {}
 
     async def ask(attempt: str) -> None:
-        answers[attempt] = await client.send("/read/1", attempt)
+        answers[attempt] = await client.send("/sheet/1", attempt, deadline_ms=1500)
 
     # Both replicas have an open connection and have served.
     for number in range(4):
