--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -534,6 +535,8 @@
     that it starts are appended to the list that it gets and are always ended.
     """
     record = Record(folder / "record.txt")
+    # So that all processes are ended also when the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     if not (DEPS / "pondquay_daemon").is_dir():
         record.note("target/deps is missing: build first")
         return COULD_NOT_RUN
