--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,9 +23,12 @@
 )
 
 SERVICE, ZONE = "tareo-app", "lima-ate"
-WORK_SECONDS = 0.12
+WORK_SECONDS = 0.06
 LATE_SECONDS = 0.03
 ROUNDS = 3
+# Of the faulty replica's answers, at most one in so many comes a second time.
+ANSWERS_EACH_COPY = 10
+MAX_CALM = 400
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -68,8 +71,11 @@
         super().__init__(*args)
         self._surplus: dict[asyncio.StreamWriter, bytes] = {}
         self.to_refuse = 0
+        self.answers = 0
+        self.copies = 0
 
     async def handle(self, attempt, headers, body, writer) -> None:
+        self.answers += 1
         if self.to_refuse:
             self.to_refuse -= 1
             self.record.note(f"replica {self.id}: does not run {attempt}, answers 503")
@@ -81,6 +87,7 @@
         surplus = self._surplus.pop(writer, None)
         if surplus is not None:
             await asyncio.sleep(LATE_SECONDS)
+            self.copies += 1
             self.record.note(f"replica {self.id}: sends its earlier 503 a second time")
             writer.write(surplus)
         await asyncio.sleep(WORK_SECONDS)
@@ -105,10 +112,16 @@
     async def ask(attempt: str) -> None:
         answers[attempt] = await client.send("/sheet/1", attempt, deadline_ms=1500)
 
-    # Both replicas have an open connection and have served.
-    for number in range(4):
-        await ask(f"first-{number}")
+    async def wait_for_answers() -> None:
+        """Send requests until one more answer may come a second time."""
+        faulty = replicas[0]
+        for _ in range(MAX_CALM):
+            if faulty.answers >= ANSWERS_EACH_COPY * (faulty.copies + 1):
+                return
+            await ask(f"calm-{len(answers)}")
+
     for number in range(ROUNDS):
+        await wait_for_answers()
         # One request that the first replica, which is full for a moment, refuses. The
         # other one runs it.
         replicas[0].to_refuse = 1
@@ -122,6 +135,7 @@
     replicas[1].write_row()
     await asyncio.sleep(1.5)
     for number in range(2):
+        await wait_for_answers()
         replicas[0].to_refuse = 1
         await ask(f"alone-refused-{number}")
         await ask(f"alone-next-{number}")
@@ -134,6 +148,8 @@
         if answer.status in (408, 421, 429, 503) and attempt in runs
     )
     record.note(f"requests {len(answers)}, runs {len(runs)}")
+    faulty = replicas[0]
+    record.note(f"the first replica: {faulty.answers} answers, {faulty.copies} second copies")
     record.note(f"TWICE, ran more than once: {twice}")
     record.note(f"REFUSED, got 503 though they ran: {refused}")
     return BROKEN if twice else HELD
