--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -9,6 +9,7 @@
 
 from pondquay.routing.buffers import BufferPool, Content
 from pondquay.streamevents import StreamOrderError
+from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.egress import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
 from pondquay_daemon.relay.heads import (
@@ -184,6 +185,8 @@
         """Report the signals of a response, and check that it is valid."""
         self._note_activity()
         metadata = self._border.read_response(head)
+        if metadata.attempt != self._attempt:
+            self._log_mismatch(head, metadata)
         if metadata.not_run or metadata.attempt == self._attempt:
             self._report_signals(metadata)
         if metadata.not_run or metadata.misdirected:
@@ -283,6 +286,19 @@
             )
             self._end(lost)
 
+    def _log_mismatch(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
+        exchange = self._exchange
+        log_event(
+            "response-mismatched",
+            Level.WARNING,
+            request=self._attempt,
+            responds_to=metadata.attempt,
+            status=head.status,
+            not_run=metadata.not_run,
+            misdirected=metadata.misdirected,
+            connection_reused=exchange is not None and exchange.reused,
+        )
+
     def _report_signals(self, metadata: ResponseMetadata) -> None:
         # If another upstream has the address, the signals are that upstream's.
         if not metadata.misdirected:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -66,6 +66,7 @@
     :ivar open: whether the connection is established
     :ivar gateway: name of the peer through which it passes, empty if it is direct
     :ivar sent: whether any byte of the current exchange was sent
+    :ivar exchanges: number of exchanges that it has begun
     :ivar idle_timer: closes the connection once it has been idle for too long
     """
 
@@ -79,6 +80,7 @@
         self.open = False
         self.gateway = ""
         self.sent = False
+        self.exchanges = 0
         self.idle_timer: IDelayedCall | None = None
         self._unwritten = memoryview(b"")
         self._is_writing = False
@@ -102,6 +104,7 @@
     ) -> None:
         """Send a request, with framing headers added."""
         self._listener = listener
+        self.exchanges += 1
         framing = [(b"Content-Length", b"%d" % len(body))]
         if not body and method in (b"GET", b"HEAD", b"DELETE"):
             framing = []
@@ -289,6 +292,11 @@
         """Whether the request was handed to a connection."""
         return self._connection is not None
 
+    @property
+    def reused(self) -> bool:
+        """Whether its connection carried another exchange before."""
+        return self._connection is not None and self._connection.exchanges > 1
+
     @property
     def gateway(self) -> str:
         """Name of the peer through which it passes, empty if none."""
