--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -185,16 +185,16 @@
         """Report the signals of a response, and check that it is valid."""
         self._note_activity()
         metadata = self._border.read_response(head)
+        # An upstream may repeat an earlier response late. Even one that promises that
+        # nothing ran says nothing about this request unless it names it.
         if metadata.attempt != self._attempt:
             self._log_mismatch(head, metadata)
-        if metadata.not_run or metadata.attempt == self._attempt:
-            self._report_signals(metadata)
+            self._fail("a response to another request")
+            return
+        self._report_signals(metadata)
         if metadata.not_run or metadata.misdirected:
             self._not_run = NotRun(head.status, metadata.misdirected)
             return
-        if metadata.attempt != self._attempt:
-            self._fail("a response to another request")
-            return
         if head.status in SUCCESS_STATUSES and not metadata.signed:
             self._fail("a success without an upstream's signature")
             return
