--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -131,7 +131,9 @@
         :returns: fires once, with the outcome
         """
         method, target, headers, body = request
-        self._exchange = Exchange(self, method, target, headers, body)
+        self._exchange = Exchange(
+            self, method, target, headers, body, name=self._attempt
+        )
         pool.start(address, self._exchange)
         return self._result
 
@@ -194,6 +196,8 @@
         self._report_signals(metadata)
         if metadata.not_run or metadata.misdirected:
             self._not_run = NotRun(head.status, metadata.misdirected)
+            if self._exchange is not None:
+                self._exchange.note_refused()
             return
         if head.status in SUCCESS_STATUSES and not metadata.signed:
             self._fail("a success without an upstream's signature")
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -30,6 +30,8 @@
     from pondquay_daemon.relay.messages import HeaderList
 
 MAX_RESPONSE_HEAD_BYTES = 65536
+# Refusals after which a connection is closed rather than kept.
+MAX_REFUSALS = 100
 # Upper limit of the idle time of a connection, whatever its peer allows.
 MAX_IDLE_SECONDS = 4.0
 # Subtracted from the peer's keep-alive time, so that the peer does not close a
@@ -67,6 +69,7 @@
     :ivar gateway: name of the peer through which it passes, empty if it is direct
     :ivar sent: whether any byte of the current exchange was sent
     :ivar exchanges: number of exchanges that it has begun
+    :ivar refused: names of the requests that the upstream refused on it
     :ivar idle_timer: closes the connection once it has been idle for too long
     """
 
@@ -81,6 +84,7 @@
         self.gateway = ""
         self.sent = False
         self.exchanges = 0
+        self.refused: set[str] = set()
         self.idle_timer: IDelayedCall | None = None
         self._unwritten = memoryview(b"")
         self._is_writing = False
@@ -238,6 +242,7 @@
             and not surplus
             and not closed
             and not self._close_after
+            and len(self.refused) < MAX_REFUSALS
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
         )
@@ -272,7 +277,10 @@
 
 
 class Exchange:
-    """One request and its response, on a pooled connection or a new one."""
+    """One request and its response, on a pooled connection or a new one.
+
+    :param name: the name by which its response is recognized, ``None`` if it has none
+    """
 
     def __init__(
         self,
@@ -281,7 +289,10 @@
         target: bytes,
         headers: HeaderList,
         body: bytes = b"",
+        *,
+        name: str | None = None,
     ) -> None:
+        self.name = name
         self._listener = listener
         self._request = (method, target, headers, body)
         self._connection: EgressConnection | None = None
@@ -318,6 +329,14 @@
             )
             self._listener.on_error(error)
 
+    def note_refused(self) -> None:
+        """Send no later request with the same name on its connection.
+
+        A late copy of the refusal could not be told from a response to that request.
+        """
+        if self._connection is not None and self.name is not None:
+            self._connection.refused.add(self.name)
+
     def pause_reading(self) -> None:
         """Stop reading the response."""
         if self._connection is not None:
@@ -355,7 +374,7 @@
 
         :param fresh: open a new connection even if one is idle
         """
-        idle = None if fresh else self._take_idle(address)
+        idle = None if fresh else self._take_idle(address, exchange.name)
         if idle is not None:
             exchange.start_on(idle)
             return
@@ -366,11 +385,16 @@
             exchange.fail_connect,
         )
 
-    def _take_idle(self, address: Address) -> EgressConnection | None:
-        """Return an idle connection that can be used, ``None`` if there is none."""
+    def _take_idle(self, address: Address, name: str | None) -> EgressConnection | None:
+        """Return an idle connection that can be used, ``None`` if there is none.
+
+        :param name: name of the request
+        """
         idle = self._idle[address]
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if name in connection.refused:
+                continue
+            idle.remove(connection)
             self._stop_idle_timer(connection)
             if not connection.open:
                 continue
--- a/packages/pondquay-daemon/tests/relay/test_late_refusals.py
+++ b/packages/pondquay-daemon/tests/relay/test_late_refusals.py
@@ -6,10 +6,15 @@
 
 import pytest
 
+from pondquay_daemon.relay.egress import MAX_REFUSALS
+
 if TYPE_CHECKING:
     from .conftest import RelaySide, UpstreamEnd
 
 REFUSING, OTHER = "10.0.0.1:80", "10.0.0.2:80"
+# After this time an upstream that has refused is tried again; its idle connection is
+# kept for longer.
+PAUSE_SECONDS = 1.0
 ROUTES = ("read", "once", "stream")
 # Enough that the least loaded upstream gets one of them.
 CONCURRENT_REQUESTS = 4
@@ -69,3 +74,28 @@
     assert f"attempt: {attempt}\r\n".encode() not in sent
     response = relay.responses()[1 + attempts.index(attempt)]
     assert response.startswith(b"HTTP/1.1 502")
+
+
+# Guards against a late refusal that cannot be told from that of a request with the same
+# identifier, which callers may send again.
+def test_a_refused_request_is_sent_again_only_on_another_connection(
+    relay: RelaySide,
+) -> None:
+    end = take_refusal(relay)
+    send_request(relay, "once", "refused")
+    assert end.transport.value() == b""
+    again = relay.accept_connection()
+    assert b"attempt: refused\r\n" in again.transport.value()
+    end.send(make_refusal("refused"))
+    again.send(b"HTTP/1.1 200 OK\r\nattempt: refused\r\nContent-Length: 2\r\n\r\nok")
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
+
+
+def test_a_connection_with_many_refusals_is_closed(relay: RelaySide) -> None:
+    end = take_refusal(relay)
+    for number in range(1, MAX_REFUSALS):
+        relay.run_for(PAUSE_SECONDS)
+        send_request(relay, "once", f"refused-{number}")
+        assert f"refused-{number}".encode() in end.transport.value()
+        end.send(make_refusal(f"refused-{number}"))
+        assert end.transport.aborted is (number == MAX_REFUSALS - 1)
