--- a/packages/pondquay-daemon/src/pondquay_daemon/reactor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/reactor.py
@@ -4,6 +4,11 @@
 reactor of Twisted asks for the writability of a socket before each write, which costs
 three further system calls and one more turn of the loop. This one writes first, and
 asks only about sockets that did not take all of their data.
+
+The reactor of Twisted also reports a connection as closed in an orderly way if epoll
+reports an error or a hang-up without readability, which the kernel does while a reset
+is being processed. This one reads such a socket, so that only an end of file that was
+read counts as an orderly close.
 """
 
 from __future__ import annotations
@@ -90,6 +95,8 @@
 
     def _handle(self, selectable: Any, descriptor: int, event: int) -> None:
         """Let a descriptor read or write; disconnect it if that fails."""
+        if event & self._POLL_DISCONNECTED and descriptor in self._reads:
+            event |= self._POLL_IN
         self._doReadOrWrite(selectable, descriptor, event)  # type: ignore[no-untyped-call]
 
     def _write_unsent(self) -> None:
--- a/packages/pondquay-daemon/tests/test_reactor.py
+++ b/packages/pondquay-daemon/tests/test_reactor.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import socket
-from select import EPOLLOUT
+from select import EPOLLERR, EPOLLHUP, EPOLLOUT
 from typing import TYPE_CHECKING, Any, ClassVar
 
 import pytest
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
 from zope.interface import implementer
 
 from pondquay_daemon.reactor import EagerWriteReactor
 
+from .disconnections import DisconnectingPoller
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -163,6 +165,44 @@
     assert pair.client.reason is not None
 
 
+# Guards against a reset that passes for an orderly close, since epoll may report it
+# before the socket is readable.
+@pytest.mark.parametrize("event", [EPOLLERR, EPOLLHUP, EPOLLERR | EPOLLHUP])
+def test_a_reset_that_is_not_readable_is_no_orderly_close(
+    pair: Pair, event: int
+) -> None:
+    poller = DisconnectingPoller.install(pair.reactor, event)
+
+    def reset() -> None:
+        poller.hide(pair.client.transport)
+        pair.server.transport.abortConnection()
+
+    pair.server.on_connect = lambda: pair.server.transport.write(b"part")
+    pair.client.on_data = reset
+    pair.client.on_lost = pair.stop
+    pair.run()
+    assert poller.hidden
+    assert bytes(pair.client.received) == b"part"
+    assert pair.client.reason.check(ConnectionLost)
+
+
+def test_an_orderly_close_that_is_not_readable_follows_all_data(pair: Pair) -> None:
+    poller = DisconnectingPoller.install(pair.reactor, EPOLLHUP)
+
+    def close() -> None:
+        poller.hide(pair.client.transport)
+        pair.server.transport.write(b"the rest")
+        pair.server.transport.loseConnection()
+
+    pair.server.on_connect = lambda: pair.server.transport.write(b"part, ")
+    pair.client.on_data = close
+    pair.client.on_lost = pair.stop
+    pair.run()
+    assert poller.hidden
+    assert bytes(pair.client.received) == b"part, the rest"
+    assert pair.client.reason.check(ConnectionDone)
+
+
 def test_an_abort_discards_what_is_written(pair: Pair) -> None:
     def write_and_abort() -> None:
         pair.client.transport.write(b"never sent")
