--- a/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/__main__.py
@@ -114,6 +114,9 @@
 
 
 def _run(settings: Settings) -> int:
+    from pondquay_daemon.reactor import install_reactor
+
+    install_reactor()
     from twisted.internet import reactor
 
     from pondquay_daemon.application import Application
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
@@ -0,0 +1,115 @@
+"""Pools of HTTP connections that tell how a response has ended.
+
+The client of Twisted reports ``PotentialDataLoss`` for each response that ends with its
+connection, whether that was closed in an orderly way or reset, and treq takes it for
+complete. Here such a response is complete only after an orderly close.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.components import proxyForInterface
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
+from twisted.web.http import PotentialDataLoss
+from twisted.web.iweb import IResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.defer import Deferred
+    from twisted.internet.interfaces import IAddress, ITransport
+
+MAX_IDLE_CONNECTIONS = 8
+
+
+class _Connection(HTTP11ClientProtocol):
+    """A connection that keeps the reason of its end."""
+
+    _end: Failure | None = None
+
+    def request(self, request: Any) -> Deferred[Any]:
+        """Send a request, and return its response once the head has arrived."""
+        return super().request(request).addCallback(_Response, self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Keep the reason, then end the response in progress."""
+        self._end = reason
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
+    def explain_end(self) -> Failure:
+        """Return why a response that ends with this connection has ended."""
+        if self._end is not None and self._end.check(ConnectionDone):
+            return Failure(ResponseDone())
+        return Failure(ResponseFailed([self._end or Failure(PotentialDataLoss())]))
+
+
+class _Response(proxyForInterface(IResponse)):  # type: ignore[misc]
+    """A response that tells the receiver of its body how it has ended."""
+
+    def __init__(self, original: Any, connection: _Connection) -> None:
+        super().__init__(original)
+        self._connection = connection
+
+    def deliverBody(self, protocol: Protocol) -> None:  # noqa: N802
+        """Deliver the body to a protocol."""
+        self.original.deliverBody(_BodyReceiver(protocol, self._connection))
+
+
+class _BodyReceiver(Protocol):
+    """Forwards a body, and replaces an unknown end by the known one."""
+
+    def __init__(self, receiver: Protocol, connection: _Connection) -> None:
+        self._receiver = receiver
+        self._connection = connection
+
+    def makeConnection(self, transport: ITransport) -> None:  # noqa: N802
+        """Connect the receiver."""
+        self._receiver.makeConnection(transport)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Forward a part of the body."""
+        self._receiver.dataReceived(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Forward the end of the body."""
+        is_unknown = reason.check(PotentialDataLoss) is not None
+        self._receiver.connectionLost(
+            self._connection.explain_end() if is_unknown else reason
+        )
+
+
+class _ConnectionFactory(Factory):
+    """Builds connections that return to a pool when they are idle."""
+
+    noisy = False
+
+    def __init__(self, on_idle: Callable[[Any], None], endpoint: str) -> None:
+        self._on_idle = on_idle
+
+    def buildProtocol(self, addr: IAddress | None) -> _Connection:
+        """Return a new connection."""
+        return _Connection(self._on_idle)  # type: ignore[no-untyped-call]
+
+
+class _ConnectionPool(HTTPConnectionPool):
+    """A pool of such connections."""
+
+    _factory = _ConnectionFactory  # type: ignore[assignment]
+
+
+def make_connection_pool(
+    reactor: Any, max_idle: int = MAX_IDLE_CONNECTIONS
+) -> HTTPConnectionPool:
+    """Return a connection pool that doesn't retry requests.
+
+    :param max_idle: maximum number of idle connections kept for each host
+    """
+    pool = _ConnectionPool(reactor)  # type: ignore[no-untyped-call]
+    pool.maxPersistentPerHost = max_idle
+    pool.retryAutomatically = False
+    return pool
--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -14,8 +14,9 @@
 from twisted.web.client import Agent, ResponseDone
 
 from pondquay.streams import Frame
+from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
-from pondquay_daemon.platform import NETWORK_ERRORS, OK, make_connection_pool
+from pondquay_daemon.platform import NETWORK_ERRORS, OK
 from pondquay_daemon.retryafter import read_backoff
 
 if TYPE_CHECKING:
--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -16,7 +16,6 @@
 )
 from twisted.web.client import (
     Agent,
-    HTTPConnectionPool,
     RequestGenerationFailed,
     RequestTransmissionFailed,
     ResponseFailed,
@@ -34,6 +33,7 @@
     Unreachable,
     Write,
 )
+from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.logs import Level, log_event
 
 if TYPE_CHECKING:
@@ -47,7 +47,6 @@
 OK = 200
 CONFLICT = 409
 TOO_MANY_REQUESTS = 429
-MAX_IDLE_CONNECTIONS = 8
 
 NETWORK_ERRORS = (
     ConnectError,
@@ -88,19 +87,6 @@
 _ROWS_ADAPTER: TypeAdapter[list[Row]] = TypeAdapter(list[Row])
 
 
-def make_connection_pool(
-    reactor: Any, max_idle: int = MAX_IDLE_CONNECTIONS
-) -> HTTPConnectionPool:
-    """Return a connection pool that doesn't retry requests.
-
-    :param max_idle: maximum number of idle connections kept for each host
-    """
-    pool = HTTPConnectionPool(reactor, persistent=True)
-    pool.maxPersistentPerHost = max_idle
-    pool.retryAutomatically = False
-    return pool
-
-
 class Platform:
     """Client of the platform.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/services.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/services.py
@@ -9,8 +9,9 @@
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.web.client import Agent
 
+from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError
-from pondquay_daemon.platform import NETWORK_ERRORS, make_connection_pool
+from pondquay_daemon.platform import NETWORK_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
