--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
@@ -45,6 +45,7 @@
     metrics.load_level.set(int(detector.level))
     metrics.added_delay.set(detector.delay)
     metrics.kept.set(buffers.total)
+    metrics.bodies_waiting.set(buffers.count_waiting())
     metrics.unread.set(buffers.count_unread())
     metrics.broken_off.set(buffers.discarded)
     metrics.waiting.set(queues.count_waiting())
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -13,6 +13,7 @@
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
+from pondquay_daemon.relay.requestbodies import RequestBody
 from pondquay_daemon.relay.writing import PausingWriter
 
 if TYPE_CHECKING:
@@ -30,8 +31,15 @@
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
+SERVICE_UNAVAILABLE = 503
 # Bytes that a caller may send while it waits for a response.
 MAX_READ_AHEAD_BYTES = 1 << 20
+# Part of the time left to a request for which its body may wait for room. The rest lets
+# its caller try another instance.
+MAX_WAIT_FRACTION = 0.5
+# Time for which a caller that sends a body may go on after its request was refused. A
+# close with unread data would reset the connection, and with it the refusal.
+LINGER_SECONDS = 1.0
 
 
 class RequestHandler(ABC):
@@ -45,6 +53,17 @@
     def limits(self) -> CallerLimits:
         """Return the current limits of requests."""
 
+    def find_time_limit(self, head: RequestHead) -> float | None:
+        """Return the seconds from its arrival in which a request must be served.
+
+        :returns: ``None`` if there is no limit, or if the request will be refused
+        """
+        return None
+
+    def refuse_body(self, head: RequestHead, response: CallerResponse) -> None:
+        """Refuse a request, since there is no room for its body."""
+        response.send_complete(SERVICE_UNAVAILABLE, [], b"")
+
 
 class CallerResponse:
     """The response to one request.
@@ -138,17 +157,15 @@
         self._http = ServerHttp(limits.header_bytes)
         self._timer: IDelayedCall | None = None
         self._head: RequestHead | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = RequestBody(server.buffers, self._pause_body, self._resume_body)
+        # Time by which the body must be complete, ``None`` while it is not known.
+        self._body_until: float | None = None
         self._arrived_at: float | None = None
         self._response: CallerResponse | None = None
         self._no_body = False
         self._refused = False
         self._unsent = server.buffers.open(self.break_off)
-        # The body is kept until the response ends, as the request may be sent again.
-        self._request_buffer = server.buffers.open_work()
         self._writer: PausingWriter | None = None
-        self._waits_for_room = False
 
     @property
     def idle(self) -> bool:
@@ -233,7 +250,7 @@
         :param first: first bytes of the body
         :returns: the time of writing, in seconds
         """
-        if self._server.stopping or self._server.closing:
+        if self._server.stopping or self._server.closing or self._refused:
             headers = [*headers, (b"Connection", b"close")]
         head = self._http.send(h11.Response(status_code=status, headers=headers))
         chunks = [head or b""]
@@ -253,8 +270,11 @@
         """Write the end of a response, then read the next request or close."""
         out = self._http.send(h11.EndOfMessage())
         self._response = None
-        self._request_buffer.resize(0)
+        self._body.discard()
         self._write(out)
+        if self._refused:
+            self._start_timer(LINGER_SECONDS, self.close)
+            return
         if self._http.our_state is not h11.DONE or (
             self._http.their_state is not h11.DONE
         ):
@@ -285,7 +305,7 @@
             self._writer.write(data)
 
     def _discard_kept(self) -> None:
-        self._request_buffer.resize(0)
+        self._body.discard()
         if self._writer is not None:
             self._writer.stop()
 
@@ -298,6 +318,7 @@
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 self._send_continue()
+                self._limit_body()
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self.close()
@@ -312,20 +333,13 @@
                 return
             self._head = RequestHead(event.method, event.target, headers)
             self._no_body = event.method == b"HEAD"
-            self._body = []
-            self._body_size = 0
-            # A body may take longer than a head, up to the idle timeout.
-            self._start_timer(
-                self._handler.limits().idle_timeout, self._on_read_timeout
-            )
+            self._body_until = None
         elif isinstance(event, h11.Data):
-            self._body_size += len(event.data)
-            if self._body_size > self._handler.limits().body_bytes:
+            size = self._body.size + len(event.data)
+            if size > self._handler.limits().body_bytes:
                 self._refuse(BODY_TOO_LARGE)
                 return
-            self._body.append(bytes(event.data))
-            self._request_buffer.resize(self._body_size)
-            self._wait_for_room()
+            self._body.add(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._begin_response()
 
@@ -334,8 +348,8 @@
         head, self._head = self._head, None
         if head is None or self._arrived_at is None:
             return
-        body = b"".join(self._body)
-        self._body = []
+        self._body_until = None
+        body = self._body.take()
         self._response = CallerResponse(self, self._arrived_at)
         self._handler.handle(head, body, self._response)
 
@@ -350,30 +364,66 @@
         """Send an error response to an invalid request, and close the connection."""
         self._refused = True
         self._stop_timer()
+        log_event(
+            "request-rejected", Level.WARNING, status=status, body=self._body.size
+        )
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             http_response = h11.Response(status_code=status, headers=headers)
             self._write(self._http.send(http_response))
         self._response = None
-        self._request_buffer.resize(0)
+        self._body.discard()
         self.close()
 
-    def _wait_for_room(self) -> None:
-        """Read no further part of a body until there is room for it."""
-        if self._waits_for_room or self._server.buffers.has_room:
+    def _limit_body(self) -> None:
+        """Limit the time until a body that has begun is complete."""
+        head = self._head
+        if head is None or self._arrived_at is None or self._body_until is not None:
             return
-        self._waits_for_room = True
+        # A body may take longer than a head, but not until its request is overdue.
+        now = self._clock.seconds()
+        self._body_until = now + self._handler.limits().idle_timeout
+        seconds = self._handler.find_time_limit(head)
+        if seconds is not None:
+            self._body_until = min(self._body_until, self._arrived_at + seconds)
+        if self._body.waiting:
+            self._limit_wait()
+        else:
+            self._start_timer(self._body_until - now, self._on_read_timeout)
+
+    def _pause_body(self) -> None:
+        """Read no more, since there is no room for more of the body."""
         cast("Server", self.transport).pauseProducing()
-        self._server.buffers.wait_for_room(self._resume_reading)
+        if self._body_until is not None:
+            self._limit_wait()
+
+    def _limit_wait(self) -> None:
+        """Limit the time for which the body waits for room."""
+        remaining = (self._body_until or 0.0) - self._clock.seconds()
+        self._start_timer(remaining * MAX_WAIT_FRACTION, self._on_no_room)
 
-    def _resume_reading(self) -> None:
-        self._waits_for_room = False
-        if self in self._server.connections:
-            cast("Server", self.transport).resumeProducing()
+    def _resume_body(self) -> None:
+        """Read on, since there is room for more of the body."""
+        if self not in self._server.connections:
+            return
+        cast("Server", self.transport).resumeProducing()
+        if self._body_until is not None:
+            remaining = self._body_until - self._clock.seconds()
+            self._start_timer(remaining, self._on_read_timeout)
+
+    def _on_no_room(self) -> None:
+        """Refuse the request, and read what its caller still sends."""
+        head = self._head
+        if head is None or self._arrived_at is None:
+            return
+        self._refused = True
+        self._body.discard()
+        cast("Server", self.transport).resumeProducing()
+        self._handler.refuse_body(head, CallerResponse(self, self._arrived_at))
 
     def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
-        self._timer = self._clock.callLater(seconds, callback)
+        self._timer = self._clock.callLater(max(0.0, seconds), callback)
 
     def _stop_timer(self) -> None:
         timer, self._timer = self._timer, None
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
@@ -8,6 +8,7 @@
 from pondquay.routes.entities import CallerLimits
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import (
+    RETRY_SOON_SECONDS,
     UNAVAILABLE,
     Refusal,
     admit_request,
@@ -74,6 +75,17 @@
         table = self._configuration.table
         return CallerLimits() if table is None else table.configuration.limits
 
+    def find_time_limit(self, head: RequestHead) -> float | None:
+        """Return the time that the request's route and its caller allow."""
+        admitted = self._admit(head)
+        return None if isinstance(admitted, Refusal) else admitted.seconds
+
+    def refuse_body(self, head: RequestHead, response: CallerResponse) -> None:
+        """Refuse a request, since there is no room for its body."""
+        refusal = Refusal(UNAVAILABLE, "no room for the body", RETRY_SOON_SECONDS)
+        attempt = self._components.border.name_request(head)
+        self._refuse(ReceivedRequest(head, b"", response), refusal, attempt)
+
     def handle(self, head: RequestHead, body: bytes, response: CallerResponse) -> None:
         """Begin to serve a request."""
         components = self._components
@@ -83,13 +95,7 @@
             send_refusal(components.border, response, "", refusal)
             return
         request = ReceivedRequest(head, body, response)
-        admitted = admit_request(
-            head,
-            self._configuration.table,
-            components.border,
-            components.random,
-            is_fresh=self._is_configuration_fresh(),
-        )
+        admitted = self._admit(head)
         if isinstance(admitted, Refusal):
             self._refuse(request, admitted, "")
             return
@@ -103,6 +109,15 @@
         else:
             self._run(request, admitted)
 
+    def _admit(self, head: RequestHead) -> Admission | Refusal:
+        return admit_request(
+            head,
+            self._configuration.table,
+            self._components.border,
+            self._components.random,
+            is_fresh=self._is_configuration_fresh(),
+        )
+
     async def _resume(self, request: ReceivedRequest, admitted: Admission) -> None:
         """Serve a request that takes a stream up, where the stream can go on."""
         resumed = await self._resumer.resume(admitted)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -154,6 +154,9 @@
         self.kept = self._gauge(
             "kept_bytes", "Bytes kept for callers, upstreams and peers"
         )
+        self.bodies_waiting = self._gauge(
+            "bodies_waiting", "Bodies of requests that wait for room"
+        )
         self.unread = self._gauge(
             "unread_connections", "Connections whose other end has stopped reading"
         )
--- a/packages/pondquay/src/pondquay/routing/buffers.py
+++ b/packages/pondquay/src/pondquay/routing/buffers.py
@@ -3,6 +3,10 @@
 One limit bounds the bytes of all connections. Above it, connections are broken off
 whose other end has read nothing for the longest time, plain responses before streams.
 Nothing else gives way: a connection that is being read is never broken off.
+
+Bodies of requests grow only while there is room. Since each holds what it has until it
+is complete and served, several could fill the room together and wait for each other.
+So one of them at a time may grow beyond the limit.
 """
 
 from __future__ import annotations
@@ -77,7 +81,10 @@
         self.total = 0
         self.discarded = 0
         self._filled: set[Buffer] = set()
-        self._waiting: list[Callable[[], None]] = []
+        # In the order in which they began to wait.
+        self._waiting: dict[Buffer, Callable[[], None]] = {}
+        # The buffer that may grow beyond the limit.
+        self._exempt: Buffer | None = None
 
     @property
     def has_room(self) -> bool:
@@ -108,10 +115,10 @@
         if size:
             self._filled.add(buffer)
         else:
-            self._filled.discard(buffer)
+            self._release(buffer)
         if grows:
             self._discard_surplus()
-        elif self._waiting and self.has_room:
+        elif self._waiting:
             self._wake()
 
     def choose_discarded(self) -> list[Buffer]:
@@ -128,9 +135,28 @@
                 break
         return chosen
 
-    def wait_for_room(self, wake: Callable[[], None]) -> None:
-        """Call a function once there is room."""
-        self._waiting.append(wake)
+    def may_grow(self, buffer: Buffer) -> bool:
+        """Return whether more of a request may be read into a buffer.
+
+        Without room, the first buffer that asks may grow until it is emptied.
+        """
+        if self.has_room:
+            return True
+        if self._exempt is None:
+            self._exempt = buffer
+        return self._exempt is buffer
+
+    def wait_for_room(self, buffer: Buffer, wake: Callable[[], None]) -> None:
+        """Call a function once a buffer may grow, unless it is emptied before."""
+        self._waiting[buffer] = wake
+
+    def stop_waiting(self, buffer: Buffer) -> None:
+        """Let a buffer wait no longer, since it will not grow."""
+        self._waiting.pop(buffer, None)
+
+    def count_waiting(self) -> int:
+        """Return the number of buffers that wait until they may grow."""
+        return len(self._waiting)
 
     def count_unread(self) -> int:
         """Return the number of connections whose other end has stopped reading."""
@@ -141,10 +167,25 @@
             self.discarded += 1
             buffer.discard()
 
+    def _release(self, buffer: Buffer) -> None:
+        """Forget a buffer that was emptied."""
+        self._filled.discard(buffer)
+        self.stop_waiting(buffer)
+        if self._exempt is buffer:
+            self._exempt = None
+
     def _wake(self) -> None:
-        waiting, self._waiting = self._waiting, []
-        for wake in waiting:
-            wake()
+        """Let all buffers grow if there is room, otherwise the one that waits longest.
+
+        At most one may grow without room.
+        """
+        if self.has_room:
+            waiting, self._waiting = self._waiting, {}
+            for wake in waiting.values():
+                wake()
+        elif self._exempt is None:
+            self._exempt = next(iter(self._waiting))
+            self._waiting.pop(self._exempt)()
 
 
 def choose_limit(memory: float | None) -> int:
