--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -169,6 +169,11 @@
         return None
 
 
+def _is_refusal(response: Any) -> bool:
+    """Return whether an engine refuses to start or resume a stream."""
+    return response.code in CLIENT_ERRORS or response.code in REFUSALS
+
+
 def _read_backoff(response: Any) -> float:
     """Return the back-off in seconds that an engine requests, 0 if it requests none."""
     if response.code != SERVICE_UNAVAILABLE:
@@ -227,6 +232,11 @@
             raise NotSentError(str(error)) from error
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
+        # Only a refusal that names the stream is not a late copy of another one.
+        names = response.headers.getRawHeaders(STREAM_HEADER, [])
+        if _is_refusal(response) and names != [stream]:
+            await treq.content(response)
+            raise MayHaveRunError(f"status {response.code} for another stream")
         return await self._receive(response, on_frame)
 
     async def resume(
@@ -249,7 +259,7 @@
         return await self._receive(response, on_frame)
 
     async def _receive(self, response: Any, on_frame: Callable[[Frame], None]) -> bool:
-        if response.code in CLIENT_ERRORS or response.code in REFUSALS:
+        if _is_refusal(response):
             await treq.content(response)
             raise RefusedError(response.code, _read_backoff(response))
         if response.code != OK:
--- a/packages/pondquay-daemon/src/pondquay_daemon/services.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/services.py
@@ -85,6 +85,9 @@
             raise NotSentError(str(error)) from error
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
+        # A service that names the call in its response may repeat an earlier one late.
+        if response.headers.getRawHeaders(REQUEST_HEADER, [name]) != [name]:
+            raise MayHaveRunError("a response to another call")
         forwarded = {
             name: values[0].decode("latin-1")
             for name in FORWARDED_RESPONSE_HEADERS
--- /dev/null
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -0,0 +1,42 @@
+"""Responses of engines, on real sockets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from pondquay_daemon.engines import Completion, Engines
+from pondquay_daemon.errors import MayHaveRunError, RefusedError
+
+from .singleresponses import run_call
+
+COMPLETION = Completion("m", "v1", (), 10, "normal", "")
+REFUSAL = b"HTTP/1.1 %d No\r\n%bContent-Length: 2\r\n\r\n{}"
+OWN_NAME = b"Pondquay-Stream: s1\r\n"
+
+
+def start_stream(response: bytes) -> Any:
+    """Return what the start of a stream gives at an engine with this response."""
+    return run_call(
+        response,
+        lambda transport: None,
+        lambda reactor, url: Engines(reactor).start(
+            url, "s1", COMPLETION, lambda frame: None
+        ),
+    )
+
+
+@pytest.mark.parametrize("status", [404, 409, 429, 503])
+def test_a_refusal_that_names_the_stream_proves_that_it_did_not_start(
+    status: int,
+) -> None:
+    assert start_stream(REFUSAL % (status, OWN_NAME)).check(RefusedError)
+
+
+# Guards against a late copy of another stream's refusal, after which this one would be
+# started again elsewhere.
+@pytest.mark.parametrize("name", [b"", b"Pondquay-Stream: s0\r\n"])
+@pytest.mark.parametrize("status", [404, 409, 429, 503])
+def test_a_refusal_of_another_stream_proves_nothing(status: int, name: bytes) -> None:
+    assert start_stream(REFUSAL % (status, name)).check(MayHaveRunError)
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -154,6 +154,7 @@
             return Deferred()
         body = read_body(request)
         name = request.getHeader(STREAM_HEADER) or token_hex(8)
+        request.setHeader(STREAM_HEADER, name)
         if self.faults.refuse:
             return self._refuse(request)
         if body["model"] != self.model or body["version"] not in self.versions:
