--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -54,7 +54,10 @@
     requested, ``hang`` never responds, ``slow`` responds late, ``lose-answer`` runs
     requests and drops their connections, ``cut`` breaks streams after two events,
     ``unsigned`` omits the signature, ``foreign`` names another attempt in responses,
-    and ``surplus`` sends each response twice unless it is streamed.
+    and ``surplus`` sends each response twice unless it is streamed. ``late-refusal``
+    rejects the first request of each connection, and repeats that while it works on the
+    next one. ``unframed`` responds without a length, and resets every second connection
+    half-way.
     """
 
     NONE = "none"
@@ -67,6 +70,8 @@
     UNSIGNED = "unsigned"
     FOREIGN = "foreign"
     SURPLUS = "surplus"
+    LATE_REFUSAL = "late-refusal"
+    UNFRAMED = "unframed"
 
 
 MEMORY_HEADERS = (
@@ -135,6 +140,7 @@
         accept them
     :ivar limit: rate limit in all responses, in requests per second, ``None`` for none
     :ivar delay_factor: factor of all delays, above 1 for a slow replica
+    :ivar unframed: number of responses without a length
     :ivar on_crash: callback for a crash of the replica
     """
 
@@ -152,6 +158,7 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     connections: set[ReplicaConnection] = field(default_factory=set)
+    unframed: int = 0
     on_crash: Callable[[], None] | None = None
 
     def crash(self) -> None:
@@ -172,6 +179,9 @@
         self._body = b""
         self._run: Run | None = None
         self._timer: Any = None
+        # The refusal of an earlier request, which is sent again late.
+        self._refusal = b""
+        self._refusal_timer: Any = None
 
     def connectionMade(self) -> None:
         """Add the connection to those of the replica."""
@@ -191,8 +201,9 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Stop the response and record an unfinished run as dropped."""
         self._replica.connections.discard(self)
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._refusal_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         if self._run is not None and self._run.ended == "running":
             self._run.ended = "dropped"
 
@@ -230,6 +241,9 @@
         if replica.fault is ReplicaFault.FULL or replica.backoff:
             self._reject()
             return
+        if replica.fault is ReplicaFault.LATE_REFUSAL and not self._refusal:
+            self._refusal = self._reject()
+            return
         assert self._request is not None
         self._run = Run(
             self._header("X-Pondquay-Attempt-Id"),
@@ -250,6 +264,10 @@
         seconds = SLOW_RESPONSE_DELAY_SECONDS if slow else RESPONSE_DELAY_SECONDS
         seconds *= replica.delay_factor
         self._timer = reactor.callLater(seconds, self._respond, self._run)
+        if self._refusal:
+            self._refusal_timer = reactor.callLater(
+                seconds / 2, self._write, self._refusal
+            )
 
     def _record_arrival(self) -> None:
         replica = self._replica
@@ -264,11 +282,15 @@
         )
         replica.arrivals.append(arrival)
 
-    def _reject(self) -> None:
+    def _reject(self) -> bytes:
+        """Reject a request without running it.
+
+        :returns: the response
+        """
         headers = [*self._echo(), ("X-Pondquay-Not-Executed", "1")]
         if self._replica.backoff:
             headers.append(("Retry-After", str(self._replica.backoff)))
-        self._send_complete(503, headers, b"")
+        return self._send_complete(503, headers, b"")
 
     def _respond(self, run: Run) -> None:
         fault = self._replica.fault
@@ -279,6 +301,9 @@
             cast("Any", self.transport).abortConnection()
             return
         last_event = int(self._header("X-Test-Events") or 0)
+        if fault is ReplicaFault.UNFRAMED and not self._header("X-Test-Bytes"):
+            self._send_unframed(run, last_event)
+            return
         if last_event:
             self._send_head()
             if any(part.startswith(CRASHING_PART_PREFIX) for part in run.parts):
@@ -295,6 +320,28 @@
         body = body.ljust(int(self._header("X-Test-Bytes") or 0), PADDING)
         self._send_complete(status, self._attempt_headers(), body)
 
+    def _send_unframed(self, run: Run, last_event: int) -> None:
+        """Send a response without a length, and end or reset the connection."""
+        self._replica.unframed += 1
+        is_reset = self._replica.unframed % 2 == 0
+        pieces = [
+            format_event(number, self._replica.software)
+            for number in range(run.first, last_event + 1)
+        ] or [f"{run.replica}:".encode(), run.attempt.encode()]
+        sent = pieces[: len(pieces) // 2] if is_reset else pieces
+        run.events = len(sent) if last_event else 0
+        run.ended = "cut" if is_reset else "200"
+        headers = [*self._attempt_headers(), *self._state_headers()]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        head = f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+        transport = cast("Any", self.transport)
+        # The transport would discard what it has not sent before a reset.
+        transport.getHandle().sendall(head + b"".join(sent))
+        if is_reset:
+            transport.abortConnection()
+        else:
+            transport.loseConnection()
+
     def _echo(self) -> list[tuple[str, str]]:
         """Return the header that names the request to which a response belongs."""
         return [("X-Pondquay-Attempt-Id", self._header("X-Pondquay-Attempt-Id"))]
@@ -348,7 +395,8 @@
 
     def _send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
+    ) -> bytes:
+        """Send a response with a length, and return it."""
         length = ("Content-Length", str(len(body)))
         all_headers = [*headers, *self._state_headers(), length]
         response = h11.Response(status_code=status, headers=all_headers)
@@ -357,6 +405,7 @@
         out += self._http.send(h11.EndOfMessage()) or b""
         self._write(out * 2 if self._replica.fault is ReplicaFault.SURPLUS else out)
         self._read_next()
+        return out
 
     def _read_next(self) -> None:
         self._http.start_next_cycle()
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -185,7 +185,7 @@
                 self._schedule(
                     fault.seconds, lambda: fleet.control("store", fault="none")
                 )
-            case FaultKind.REPLICA:
+            case FaultKind.REPLICA | FaultKind.WRONG_RESPONSES:
                 fleet.control("replica", name=target, fault=fault.fault)
                 self._schedule(
                     fault.seconds,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -50,6 +50,7 @@
     SLOW_REPLICA = "slow-replica"
     SURGE = "surge"
     PARTITION = "partition"
+    WRONG_RESPONSES = "wrong-responses"
     UPGRADE = "upgrade"
     DOWNGRADE = "take-back"
 
@@ -73,6 +74,7 @@
     FaultKind.SURGE,
 )
 PARTITION_KINDS = (FaultKind.PARTITION,)
+RESPONSE_KINDS = (FaultKind.WRONG_RESPONSES,)
 # Planned at fixed times, not at random ones.
 REPLACEMENT_KINDS = (FaultKind.UPGRADE, FaultKind.DOWNGRADE)
 BASE_KINDS = tuple(
@@ -85,6 +87,7 @@
         *LIMIT_KINDS,
         *LOAD_KINDS,
         *PARTITION_KINDS,
+        *RESPONSE_KINDS,
         *REPLACEMENT_KINDS,
     )
 )
@@ -102,6 +105,15 @@
 LOAD_INTERVAL_SECONDS = 3.0
 PARTITION_SEED_OFFSET = 5_000_000
 PARTITION_INTERVAL_SECONDS = 3.0
+RESPONSE_SEED_OFFSET = 6_000_000
+RESPONSE_INTERVAL_SECONDS = 2.0
+# Faults of replicas with a group, and so a random generator, of their own.
+RESPONSE_FAULTS = (ReplicaFault.LATE_REFUSAL, ReplicaFault.UNFRAMED)
+BASE_REPLICA_FAULTS = tuple(
+    fault
+    for fault in ReplicaFault
+    if fault not in (ReplicaFault.NONE, *RESPONSE_FAULTS)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +156,7 @@
         (LIMIT_KINDS, seed + LIMIT_SEED_OFFSET, LIMIT_INTERVAL_SECONDS),
         (LOAD_KINDS, seed + LOAD_SEED_OFFSET, LOAD_INTERVAL_SECONDS),
         (PARTITION_KINDS, seed + PARTITION_SEED_OFFSET, PARTITION_INTERVAL_SECONDS),
+        (RESPONSE_KINDS, seed + RESPONSE_SEED_OFFSET, RESPONSE_INTERVAL_SECONDS),
     ):
         random = Random(group_seed)
         at = random.uniform(0.2, 1.0)
@@ -182,7 +195,8 @@
     faults: dict[FaultKind, tuple[Sequence[str], Sequence[str]]] = {
         FaultKind.STORE: ([""], _list_faults(StoreFault)),
         FaultKind.STORE_PROXY: (relays, _list_faults(ProxyFault)),
-        FaultKind.REPLICA: (replicas, _list_faults(ReplicaFault)),
+        FaultKind.REPLICA: (replicas, BASE_REPLICA_FAULTS),
+        FaultKind.WRONG_RESPONSES: (replicas, RESPONSE_FAULTS),
         FaultKind.REPLICA_PROXY: (replicas, _list_faults(ProxyFault)),
         FaultKind.DRAIN: (replicas, [""]),
         FaultKind.LEAVE: (replicas, [""]),
