--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/admission.py
@@ -15,7 +15,7 @@
     from pondquay.routes.entities import Route, RoutedWorkspace
     from pondquay.routes.table import RouteTable
     from pondquay_daemon.relay.border import Border
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead, RequestMetadata
 
 BAD_REQUEST = 400
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -10,7 +10,7 @@
 from pondquay.routing.buffers import BufferPool, Content
 from pondquay.streamevents import StreamOrderError
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.egress import Exchange, ExchangeListener
+from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
 from pondquay_daemon.relay.heads import (
     drop_connection_headers,
@@ -39,7 +39,7 @@
     from pondquay_daemon.relay.border import Border
     from pondquay_daemon.relay.egress import EgressPool
     from pondquay_daemon.relay.errors import BrokenExchangeError
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import (
         HeaderList,
         ResponseHead,
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from collections import defaultdict
 from typing import TYPE_CHECKING, Any, cast
 
@@ -16,6 +15,7 @@
 from pondquay_daemon.relay.chunkedhttp import ClientHttp
 from pondquay_daemon.relay.dialing import DirectDialer
 from pondquay_daemon.relay.errors import BrokenExchangeError
+from pondquay_daemon.relay.exchanges import ExchangeConnection
 from pondquay_daemon.relay.heads import keep_alive_seconds, wants_close
 from pondquay_daemon.relay.messages import ResponseHead
 from pondquay_daemon.relay.tunnels import GatewayLost, TunnelTransport
@@ -26,7 +26,8 @@
     from twisted.python.failure import Failure
 
     from pondquay.addresses import Address
-    from pondquay_daemon.relay.dialing import Dialer, DialFailure
+    from pondquay_daemon.relay.dialing import Dialer
+    from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
     from pondquay_daemon.relay.messages import HeaderList
 
 MAX_RESPONSE_HEAD_BYTES = 65536
@@ -39,37 +40,14 @@
 IDLE_MARGIN_SECONDS = 0.6
 
 
-class ExchangeListener(ABC):
-    """Receives the events of an exchange; none after ``on_end`` or ``on_error``."""
-
-    @abstractmethod
-    def on_head(self, head: ResponseHead) -> None:
-        """Handle the head of the response."""
-
-    @abstractmethod
-    def on_body(self, data: bytes) -> None:
-        """Handle a part of the response's body."""
-
-    @abstractmethod
-    def on_end(self) -> None:
-        """Handle the end of a complete response."""
-
-    @abstractmethod
-    def on_error(self, error: BrokenExchangeError) -> None:
-        """Handle a failure; no complete response will follow."""
-
-
 @implementer(IPushProducer)
-class EgressConnection(Protocol):
+class EgressConnection(Protocol, ExchangeConnection):
     """A connection that carries one exchange after another.
 
     A body is written only as fast as its upstream reads.
 
     :ivar open: whether the connection is established
-    :ivar gateway: name of the peer through which it passes, empty if it is direct
     :ivar sent: whether any byte of the current exchange was sent
-    :ivar exchanges: number of exchanges that it has begun
-    :ivar refused: names of the requests that the upstream refused on it
     :ivar idle_timer: closes the connection once it has been idle for too long
     """
 
@@ -276,84 +254,6 @@
             exchange.start_on(self)
 
 
-class Exchange:
-    """One request and its response, on a pooled connection or a new one.
-
-    :param name: the name by which its response is recognized, ``None`` if it has none
-    """
-
-    def __init__(
-        self,
-        listener: ExchangeListener,
-        method: bytes,
-        target: bytes,
-        headers: HeaderList,
-        body: bytes = b"",
-        *,
-        name: str | None = None,
-    ) -> None:
-        self.name = name
-        self._listener = listener
-        self._request = (method, target, headers, body)
-        self._connection: EgressConnection | None = None
-        self._cancelled = False
-
-    @property
-    def sent(self) -> bool:
-        """Whether the request was handed to a connection."""
-        return self._connection is not None
-
-    @property
-    def reused(self) -> bool:
-        """Whether its connection carried another exchange before."""
-        return self._connection is not None and self._connection.exchanges > 1
-
-    @property
-    def gateway(self) -> str:
-        """Name of the peer through which it passes, empty if none."""
-        return "" if self._connection is None else self._connection.gateway
-
-    def start_on(self, connection: EgressConnection) -> None:
-        """Send the request on a connection."""
-        if self._cancelled:
-            connection.drop()
-            return
-        self._connection = connection
-        connection.begin(self._listener, *self._request)
-
-    def fail_connect(self, failure: DialFailure) -> None:
-        """Report that no connection could be established."""
-        if not self._cancelled:
-            error = BrokenExchangeError(
-                failure.reason, sent=False, refused=failure.refused
-            )
-            self._listener.on_error(error)
-
-    def note_refused(self) -> None:
-        """Send no later request with the same name on its connection.
-
-        A late copy of the refusal could not be told from a response to that request.
-        """
-        if self._connection is not None and self.name is not None:
-            self._connection.refused.add(self.name)
-
-    def pause_reading(self) -> None:
-        """Stop reading the response."""
-        if self._connection is not None:
-            self._connection.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read the response again."""
-        if self._connection is not None:
-            self._connection.resume_reading()
-
-    def cancel(self) -> None:
-        """Close the exchange's connection, without notifying the listener."""
-        self._cancelled = True
-        if self._connection is not None:
-            self._connection.drop()
-
-
 class EgressPool:
     """Opens connections, and keeps idle ones by address for reuse.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from pondquay.tables import OutcomeUnknown, Unreachable
-from pondquay_daemon.relay.egress import Exchange, ExchangeListener
+from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IReactorTime
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, cast
 
 import h11
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
-from pondquay.routing.buffers import BufferPool, Content
+from pondquay.routing.buffers import BufferPool
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
+from pondquay_daemon.relay.handlers import CallerConnection, CallerResponse
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
 from pondquay_daemon.relay.requestbodies import RequestBody
@@ -23,15 +23,13 @@
     from twisted.internet.tcp import Server
     from twisted.python.failure import Failure
 
-    from pondquay.routes.entities import CallerLimits
-    from pondquay_daemon.relay.flowcontrol import FlowListener
+    from pondquay_daemon.relay.handlers import RequestHandler
     from pondquay_daemon.relay.messages import HeaderList
 
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
-SERVICE_UNAVAILABLE = 503
 # Bytes that a caller may send while it waits for a response.
 MAX_READ_AHEAD_BYTES = 1 << 20
 # Part of the time left to a request for which its body may wait for room. The rest lets
@@ -42,109 +40,7 @@
 LINGER_SECONDS = 1.0
 
 
-class RequestHandler(ABC):
-    """Handles requests that have been read."""
-
-    @abstractmethod
-    def handle(self, head: RequestHead, body: bytes, response: CallerResponse) -> None:
-        """Begin to serve a request."""
-
-    @abstractmethod
-    def limits(self) -> CallerLimits:
-        """Return the current limits of requests."""
-
-    def find_time_limit(self, head: RequestHead) -> float | None:
-        """Return the seconds from its arrival in which a request must be served.
-
-        :returns: ``None`` if there is no limit, or if the request will be refused
-        """
-        return None
-
-    def refuse_body(self, head: RequestHead, response: CallerResponse) -> None:
-        """Refuse a request, since there is no room for its body."""
-        response.send_complete(SERVICE_UNAVAILABLE, [], b"")
-
-
-class CallerResponse:
-    """The response to one request.
-
-    :param arrived_at: time at which the first byte of the request was read, in seconds
-    :ivar open: whether the caller is connected and the response is incomplete
-    :ivar started: whether the head was sent
-    :ivar began_at: time at which the head was written, in seconds, ``None`` before
-    :ivar on_disconnect: called once if the caller disconnects before the response ends
-    :ivar content: what the response is, which decides when it gives way
-    :ivar flow: is told when the caller stops reading the response, and when it goes on
-    """
-
-    def __init__(self, connection: IngressConnection, arrived_at: float) -> None:
-        self._connection = connection
-        self.arrived_at = arrived_at
-        self.open = True
-        self.started = False
-        self.began_at: float | None = None
-        self.on_disconnect: Callable[[], None] | None = None
-        self.content = Content.RESPONSE
-        self.flow: FlowListener | None = None
-
-    @property
-    def paused(self) -> bool:
-        """Whether the caller has stopped reading."""
-        return self.open and self._connection.paused
-
-    def send_complete(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete response."""
-        if not self.open:
-            return
-        framing = (
-            [] if status in (204, 304) else [(b"Content-Length", b"%d" % len(body))]
-        )
-        self.begin(status, headers + framing)
-        if body:
-            self.send(body)
-        self.finish()
-
-    def begin(self, status: int, headers: HeaderList, first: bytes = b"") -> None:
-        """Send the head of a response, and optionally the first bytes of its body."""
-        if self.open:
-            self.started = True
-            self.began_at = self._connection.write_head(status, headers, first)
-
-    def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if self.open:
-            self._connection.write_data(data)
-
-    def finish(self) -> None:
-        """End a complete response."""
-        if self.open:
-            self.open = False
-            self._connection.finish_response()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the response cannot seem complete."""
-        if self.open:
-            self.open = False
-            self._connection.abort()
-
-    def note_flow_change(self) -> None:
-        """Note that the caller has stopped reading, or goes on."""
-        if self.flow is None or not self.open:
-            return
-        if self.paused:
-            self.flow.on_paused()
-        else:
-            self.flow.on_resumed()
-
-    def note_disconnected(self) -> None:
-        """Note that the caller has disconnected."""
-        if self.open:
-            self.open = False
-            if self.on_disconnect is not None:
-                self.on_disconnect()
-
-
-class IngressConnection(Protocol):
+class IngressConnection(Protocol, CallerConnection):
     """A caller's connection, which carries one request after another."""
 
     def __init__(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
@@ -14,7 +14,7 @@
     admit_request,
     send_refusal,
 )
-from pondquay_daemon.relay.ingress import RequestHandler
+from pondquay_daemon.relay.handlers import RequestHandler
 from pondquay_daemon.relay.requests import RequestRun
 from pondquay_daemon.tasks import spawn
 
@@ -22,7 +22,7 @@
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.components import RelayComponents
     from pondquay_daemon.relay.feeds import TableFeed
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.knowledge import ConfigurationView
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/plainresponses.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/plainresponses.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from pondquay.routing.buffers import Buffer
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import ResponseHead
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/readiness.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/readiness.py
@@ -6,12 +6,12 @@
 
 from pondquay.routes.entities import CallerLimits
 from pondquay_daemon.relay.admission import UNAVAILABLE
-from pondquay_daemon.relay.ingress import RequestHandler
+from pondquay_daemon.relay.handlers import RequestHandler
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
 
 OK = 200
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/reports.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reports.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from pondquay.routes.entities import CallerLimits
-from pondquay_daemon.relay.ingress import RequestHandler
+from pondquay_daemon.relay.handlers import RequestHandler
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
     from typing import Any
 
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
 
 OK = 200
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -43,7 +43,7 @@
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
     from pondquay_daemon.relay.components import RelayComponents
-    from pondquay_daemon.relay.ingress import CallerResponse
+    from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.outcomes import Outcome
 
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -28,8 +28,9 @@
 from pondquay.routing.upstreamrecords import UpstreamRecord
 from pondquay_daemon.ratelimits import read_rate_limit
 from pondquay_daemon.relay.border import Border, StoreNames
+from pondquay_daemon.relay.handlers import CallerResponse, RequestHandler
 from pondquay_daemon.relay.heads import find_header, list_values
-from pondquay_daemon.relay.ingress import CallerResponse, IngressServer, RequestHandler
+from pondquay_daemon.relay.ingress import IngressServer
 from pondquay_daemon.relay.messages import (
     RequestMetadata,
     ResponseMetadata,
--- a/packages/pondquay-daemon/tests/relay/test_egress.py
+++ b/packages/pondquay-daemon/tests/relay/test_egress.py
@@ -9,7 +9,8 @@
 from twisted.python.failure import Failure
 
 from pondquay.addresses import Address
-from pondquay_daemon.relay.egress import EgressPool, Exchange, ExchangeListener
+from pondquay_daemon.relay.egress import EgressPool
+from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 
 from .slowreading import LIMIT_BYTES, SlowTransport, body_of
 
--- a/packages/pondquay-daemon/tests/relay/test_resets.py
+++ b/packages/pondquay-daemon/tests/relay/test_resets.py
@@ -15,7 +15,8 @@
 from pondquay.routing.gateways import Gateway
 from pondquay_daemon.reactor import EagerWriteReactor
 from pondquay_daemon.relay.dialing import Dialer, DirectDialer
-from pondquay_daemon.relay.egress import EgressPool, Exchange, ExchangeListener
+from pondquay_daemon.relay.egress import EgressPool
+from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 from pondquay_daemon.relay.tunnelmessages import OpenTunnel
 from pondquay_daemon.relay.tunnels import open_tunnel
 from pondquay_daemon.relay.tunnelserver import TunnelServer
