--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -126,7 +126,7 @@
             argument for mapping in mappings for argument in ("--map", mapping)
         ]
         arguments += ["--control", str(self._proxy_control_port)]
-        self.spawn("proxy", "pondquay_standins.soak.proxies", {}, *arguments)
+        self.spawn("proxy", "pondquay_standins.soak.proxycommand", {}, *arguments)
         url = f"http://{HOST}:{self._proxy_control_port}/ready"
         wait_until(lambda: call_http("GET", url).status == 200, "the proxy")
         for name in REPLICAS:
--- a/packages/pondquay-standins/tests/soak/test_proxies.py
+++ b/packages/pondquay-standins/tests/soak/test_proxies.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 from pondquay_standins.soak import proxies
 from pondquay_standins.soak.proxies import (
@@ -54,3 +57,54 @@
     assert target_transport.value() == b"123"
     client_end.dataReceived(b"4")
     assert target_transport.value() == b"1234"
+
+
+@pytest.fixture
+def resetting() -> tuple[PortMapping, ProxyEnd, Mock]:
+    """Return a mapping, an end that dropping faults affect and the other transport."""
+    mapping = PortMapping(0)
+    dropping = frozenset({ProxyFault.NO_RESPONSES})
+    end, other = ProxyEnd(mapping, dropping), ProxyEnd(mapping, frozenset())
+    transport = Mock()
+    end.makeConnection(StringTransport())
+    other.makeConnection(transport)
+    end.join(other)
+    return mapping, end, transport
+
+
+# Guards against a reset that the relay sees as an orderly close.
+@pytest.mark.parametrize(
+    ("error", "method"),
+    [(ConnectionLost(), "abortConnection"), (ConnectionDone(), "loseConnection")],
+)
+def test_a_connection_ends_as_that_of_the_other_side(
+    resetting: tuple[PortMapping, ProxyEnd, Mock], error: Exception, method: str
+) -> None:
+    _, end, transport = resetting
+    end.connectionLost(Failure(error))
+    assert [call[0] for call in transport.method_calls] == [method]
+
+
+# Guards against a response that is cut off by an orderly close.
+def test_an_orderly_close_follows_delayed_bytes(
+    clock: Clock, resetting: tuple[PortMapping, ProxyEnd, Mock]
+) -> None:
+    mapping, end, transport = resetting
+    mapping.set_fault(ProxyFault.DELAY)
+    end.dataReceived(b"1")
+    end.dataReceived(b"2")
+    end.connectionLost(Failure(ConnectionDone()))
+    assert not transport.method_calls
+    clock.advance(DELAY_SECONDS)
+    calls = [call[0] for call in transport.method_calls]
+    assert calls == ["write", "write", "loseConnection"]
+
+
+def test_a_connection_that_lost_bytes_ends_by_a_reset(
+    resetting: tuple[PortMapping, ProxyEnd, Mock],
+) -> None:
+    mapping, end, transport = resetting
+    mapping.set_fault(ProxyFault.NO_RESPONSES)
+    end.dataReceived(b"1")
+    end.connectionLost(Failure(ConnectionDone()))
+    assert [call[0] for call in transport.method_calls] == ["abortConnection"]
