--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -174,6 +174,12 @@
     return response.code in CLIENT_ERRORS or response.code in REFUSALS
 
 
+def _names_stream(response: Any, stream: str) -> bool:
+    """Return whether a response names a stream; a late copy of another one does not."""
+    names: list[str] = response.headers.getRawHeaders(STREAM_HEADER, [])
+    return names == [stream]
+
+
 def _read_backoff(response: Any) -> float:
     """Return the back-off in seconds that an engine requests, 0 if it requests none."""
     if response.code != SERVICE_UNAVAILABLE:
@@ -232,9 +238,7 @@
             raise NotSentError(str(error)) from error
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
-        # Only a refusal that names the stream is not a late copy of another one.
-        names = response.headers.getRawHeaders(STREAM_HEADER, [])
-        if _is_refusal(response) and names != [stream]:
+        if _is_refusal(response) and not _names_stream(response, stream):
             await treq.content(response)
             raise MayHaveRunError(f"status {response.code} for another stream")
         return await self._receive(response, on_frame)
@@ -271,21 +275,27 @@
 
     async def query_status(self, url: str, stream: str) -> StreamStatus:
         """Return the status of a stream without changing it."""
-        return await self._request_status("GET", f"{url}/v1/streams/{stream}/status")
+        return await self._request_status("GET", url, stream, "status")
 
     async def cancel(self, url: str, stream: str) -> StreamStatus:
         """Cancel a stream permanently, even if it has not arrived yet.
 
         A stream that has finished stays finished and is reported as such.
         """
-        return await self._request_status("POST", f"{url}/v1/streams/{stream}/cancel")
+        return await self._request_status("POST", url, stream, "cancel")
 
-    async def _request_status(self, method: str, url: str) -> StreamStatus:
+    async def _request_status(
+        self, method: str, url: str, stream: str, action: str
+    ) -> StreamStatus:
         try:
             response = await self._http.request(
-                method, url, timeout=REQUEST_TIMEOUT_SECONDS
+                method,
+                f"{url}/v1/streams/{stream}/{action}",
+                timeout=REQUEST_TIMEOUT_SECONDS,
             )
             content = await treq.json_content(response)
+            if not _names_stream(response, stream):
+                return StreamStatus(StreamState.UNREACHABLE)
             return StreamStatus(
                 StreamState(content["state"]),
                 int(content.get("tokens", 0)),
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pondquay_daemon.engines import Completion, Engines
+from pondquay_daemon.engines import Completion, Engines, StreamState
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
 
 from .singleresponses import run_call
@@ -40,3 +40,28 @@
 @pytest.mark.parametrize("status", [404, 409, 429, 503])
 def test_a_refusal_of_another_stream_proves_nothing(status: int, name: bytes) -> None:
     assert start_stream(REFUSAL % (status, name)).check(MayHaveRunError)
+
+
+CANCELLED = b'{"state": "cancelled", "started": false}'
+STATUS = b"HTTP/1.1 200 OK\r\n%bContent-Length: 40\r\n\r\n" + CANCELLED
+
+
+def cancel_stream(response: bytes) -> Any:
+    """Return the status of a stream by the response to its cancellation."""
+    return run_call(
+        response,
+        lambda transport: None,
+        lambda reactor, url: Engines(reactor).cancel(url, "s1"),
+    )
+
+
+def test_a_cancellation_is_known_by_the_name_of_the_stream() -> None:
+    status = cancel_stream(STATUS % OWN_NAME)
+    assert (status.state, status.started) == (StreamState.CANCELLED, False)
+
+
+# Guards against a late copy of the response to another cancellation, after which the
+# stream would run twice.
+@pytest.mark.parametrize("name", [b"", b"Pondquay-Stream: s0\r\n"])
+def test_a_cancellation_of_another_stream_proves_nothing(name: bytes) -> None:
+    assert cancel_stream(STATUS % name).state is StreamState.UNREACHABLE
--- a/packages/pondquay-standins/src/pondquay_standins/engine.py
+++ b/packages/pondquay-standins/src/pondquay_standins/engine.py
@@ -293,6 +293,7 @@
             return Deferred()
         stream = self.streams.get(name)
         if stream is None:
+            request.setHeader(STREAM_HEADER, name)
             return write_body(request, {"state": "unknown", "boot": self.boot})
         state = "running" if stream.state == "waiting" else stream.state
         return self._write_status(request, state, stream)
@@ -324,6 +325,7 @@
             "started": stream.started,
             "boot": self.boot,
         }
+        request.setHeader(STREAM_HEADER, stream.name)
         return write_body(request, status)
 
     # Load, orders and faults
