--- a/packages/pondquay-standins/src/pondquay_standins/soak/proxies.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/proxies.py
@@ -113,7 +113,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the other end in the same way, unless the fault is ``SILENT``.
 
-        An orderly close follows all bytes. Without some of them it would be a lie.
+        An orderly close follows all bytes. If some were dropped, it becomes a reset.
         """
         self.mapping.ends.discard(self)
         if self.other is None or self.mapping.fault is ProxyFault.SILENT:
