--- a/packages/pondquay-daemon/src/pondquay_daemon/calls.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/calls.py
@@ -71,6 +71,7 @@
     OVER_CAPACITY = "over_capacity"
     NOT_READY = "not_ready"
     PLATFORM_UNREACHABLE = "platform_unreachable"
+    TOKENS_HELD = "tokens_held"
     REQUEST_RUNNING = "request_running"
     REQUEST_RAN = "request_ran"
     KEY_REUSED = "key_reused"
@@ -83,6 +84,7 @@
     RefusalCode.OVER_CAPACITY: 429,
     RefusalCode.NOT_READY: 503,
     RefusalCode.PLATFORM_UNREACHABLE: 503,
+    RefusalCode.TOKENS_HELD: 503,
     RefusalCode.REQUEST_RUNNING: 409,
     RefusalCode.REQUEST_RAN: 409,
     RefusalCode.KEY_REUSED: 409,
--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -38,7 +38,8 @@
 FLUSH_INTERVAL_SECONDS = 2.0
 MAINTAIN_INTERVAL_SECONDS = 1.0
 MAX_RESERVE_ATTEMPTS = 4
-RECALL_WAIT_SECONDS = 0.15
+# Waits after successive recalls; a peer needs a write of the table to return tokens.
+RECALL_WAITS_SECONDS = (0.15, 0.3, 0.6)
 # Limits how long a request waits for the table; tokens that arrive later are kept.
 REFILL_TIMEOUT_SECONDS = 0.2
 SETTLE_TIMEOUT_SECONDS = 2.0
@@ -49,11 +50,14 @@
 
     ``EXHAUSTED``: the remaining budget does not cover the request;
     ``UNREACHABLE``: the held tokens do not suffice and the table does not respond in
-    time, or no witness acknowledges the attempt
+    time, or no witness acknowledges the attempt;
+    ``HELD_ELSEWHERE``: the remaining budget covers the request, but running requests or
+    peers hold the tokens and have not returned them in time
     """
 
     EXHAUSTED = "exhausted"
     UNREACHABLE = "unreachable"
+    HELD_ELSEWHERE = "held-elsewhere"
 
 
 @dataclass(slots=True)
@@ -117,26 +121,14 @@
         :param boot: incarnation of the upstream
         """
         self.manager.demands.note(request.workspace, tokens)
-        recalled = False
         for _ in range(MAX_RESERVE_ATTEMPTS):
             attempt = self.holder.reserve(
                 request, tokens, upstream, self.manager.is_usable, boot
             )
             if attempt is None:
-                refill = await wait_at_most(
-                    self._request_refill(request.workspace, tokens),
-                    REFILL_TIMEOUT_SECONDS,
-                    self.clock,
-                    RefillResult.UNREACHABLE,
-                )
-                if refill is RefillResult.EXHAUSTED and not recalled:
-                    recalled = True
-                    await self._recall(request.workspace, tokens)
-                    continue
-                if refill is RefillResult.EXHAUSTED:
-                    return Failure(BudgetRefusal.EXHAUSTED)
-                if refill is RefillResult.UNREACHABLE:
-                    return Failure(BudgetRefusal.UNREACHABLE)
+                refusal = await self._obtain_tokens(request.workspace, tokens)
+                if refusal is not None:
+                    return Failure(refusal)
                 continue
             if attempt.state is AttemptState.ACKNOWLEDGED:
                 return Success(attempt)
@@ -146,6 +138,31 @@
             self._schedule_send()
         return Failure(BudgetRefusal.UNREACHABLE)
 
+    async def _obtain_tokens(self, workspace: str, tokens: int) -> BudgetRefusal | None:
+        """Refill the grant for a request; recall tokens of peers if too few are free.
+
+        :returns: the reason if the request cannot be served, ``None`` if a grant has
+            changed
+        """
+        for seconds in (*RECALL_WAITS_SECONDS, None):
+            refill = await wait_at_most(
+                self._request_refill(workspace, tokens),
+                REFILL_TIMEOUT_SECONDS,
+                self.clock,
+                RefillResult.UNREACHABLE,
+            )
+            if refill is RefillResult.UNREACHABLE:
+                return BudgetRefusal.UNREACHABLE
+            if refill is not RefillResult.EXHAUSTED:
+                return None
+            if not self.manager.may_cover(workspace, tokens):
+                return BudgetRefusal.EXHAUSTED
+            if seconds is not None and self._peers.connected():
+                self._peers.links.broadcast(Recall(workspace, tokens))
+                await sleep(seconds, self.clock)
+        log_event("tokens-held", Level.WARNING, workspace=workspace, tokens=tokens)
+        return BudgetRefusal.HELD_ELSEWHERE
+
     async def _request_acknowledgement(self, attempt: Attempt) -> bool:
         """Return whether the witness acknowledges an attempt in time."""
         waiter: Deferred[bool] = Deferred()
@@ -181,12 +198,6 @@
             spawn(self._refill(), "GrantTask")
         return waiter.refilled
 
-    async def _recall(self, workspace: str, tokens: int) -> None:
-        """Ask all peers to return unspent tokens, and wait ``RECALL_WAIT_SECONDS``."""
-        if self._peers.connected():
-            self._peers.links.broadcast(Recall(workspace, tokens))
-            await sleep(RECALL_WAIT_SECONDS, self.clock)
-
     async def _handle_recall(self, recall: Recall) -> None:
         async with self._lock:
             await self._platform.run(self.manager.handle_recall(recall))
--- a/packages/pondquay-daemon/src/pondquay_daemon/progress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/progress.py
@@ -54,6 +54,12 @@
         return progress.refusal(
             RefusalCode.BUDGET_EXHAUSTED, "the prepaid budget cannot bear the request"
         )
+    if reason is BudgetRefusal.HELD_ELSEWHERE:
+        return progress.refusal(
+            RefusalCode.TOKENS_HELD,
+            "other instances or running requests hold the remaining tokens",
+            RETRY_SECONDS,
+        )
     return progress.refusal(
         RefusalCode.PLATFORM_UNREACHABLE,
         "no tokens are at hand and the platform does not answer",
--- a/packages/pondquay/src/pondquay/budgets/manager.py
+++ b/packages/pondquay/src/pondquay/budgets/manager.py
@@ -28,7 +28,7 @@
 from pondquay.tables import Unreachable, read_rows
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from pondquay.budgets.directory import WitnessDirectory
     from pondquay.budgets.holder import Holder
@@ -130,16 +130,33 @@
         if planned:
             yield from self._adjust(planned)
 
+    def may_cover(self, workspace: str, tokens: int) -> bool:
+        """Return whether a request may fit into the tokens that are not known as used.
+
+        Peers and running requests may hold them.
+        """
+        budget = self.demands.find(workspace).budget
+        if budget is None:
+            return False
+        own = self.holder.of_workspace(workspace)
+        unreported = sum(holding.spent - holding.reported for holding in own)
+        return tokens <= budget.remaining - unreported
+
     def handle_recall(self, recall: Recall) -> Program[None]:
         """Return half of the free tokens because another instance needs some.
 
-        At least the requested tokens are returned, or all that are free.
+        At least the requested tokens are returned, or all that are free. Without any,
+        the tokens used are reported, so that no instance expects them to be returned.
         """
         own = self.holder.of_workspace(recall.workspace)
         free = sum(holding.free for holding in own)
         tokens = min(free, max(free // 2, recall.tokens))
         if tokens:
             yield from self.return_tokens(recall.workspace, tokens)
+            return
+        reports = self._plan_reports(own, lambda held: held.spent > held.reported)
+        if reports:
+            yield from self._adjust(reports)
 
     def _plan_refill(self, workspace: str, tokens: Sequence[int]) -> list[Adjustment]:
         requested = sum(tokens)
@@ -350,16 +367,22 @@
             return [self._make_adjustment(self._choose_holding(workspace), delta)]
         if delta < 0:
             return self._plan_return(own, -delta)
+        return self._plan_reports(own, self._is_worth_reporting)
+
+    def _plan_reports(
+        self, holdings: Sequence[Holding], is_outdated: Callable[[Holding], bool]
+    ) -> list[Adjustment]:
+        """Plan updates of the figures in the rows of open grants."""
         return [
             self._make_adjustment(holding, 0)
-            for holding in own
-            if self._is_worth_reporting(holding) and not self._is_pending(holding)
+            for holding in holdings
+            if holding.state is HoldingState.OPEN
+            and is_outdated(holding)
+            and not self._is_pending(holding)
         ]
 
     def _is_worth_reporting(self, holding: Holding) -> bool:
-        """Return whether the figures in a grant's row are outdated."""
-        if holding.state is not HoldingState.OPEN:
-            return False
+        """Return whether the figures in a grant's row are too inaccurate."""
         demand = self._demand_of(holding)
         drift = abs(demand - holding.demand) > REPORT_DRIFT_FRACTION * max(
             demand, holding.demand
