--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -5,8 +5,9 @@
 requests that were lost with it. If the check is inconclusive, the upstream counts as
 crashed if its row is removed from the list soon after the connection broke.
 
-Each crash is recorded for the contents of the lost requests, and for the parts of the
-prompts of those that were about to be written.
+Each crash is recorded for the contents of the lost requests and for the parts of their
+prompts, separately for requests that were about to be written and for those without a
+response, which may have been waiting.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from pondquay.routing.crashes import CRASHES_TO_BLOCK, CrashHistory
 from pondquay.routing.partcrashes import PartCrashes
 from pondquay.routing.rendezvous import score_pair
+from pondquay.routing.waitingparts import WaitingPartCrashes
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.admission import UNAVAILABLE, Refusal
 from pondquay_daemon.relay.connectioncheck import (
@@ -29,6 +31,7 @@
 )
 from pondquay_daemon.relay.crashsharing import CrashSharing
 from pondquay_daemon.relay.dialing import CONNECT_SECONDS
+from pondquay_daemon.relay.partsuspicion import PartSuspicion
 from pondquay_daemon.tasks import wait_at_most
 
 if TYPE_CHECKING:
@@ -50,6 +53,9 @@
 MAX_CHECK_WAIT_SECONDS = CHECK_DELAY_SECONDS + CONNECT_SECONDS + MIN_OPEN_SECONDS
 # Maximum number of contents of lost requests that are recorded per upstream.
 MAX_PENDING_CONTENTS = 1024
+# Maximum number of suspected parts of requests without a response that are recorded per
+# upstream, as each is reported to all peers.
+MAX_WAITING_PARTS = 64
 BLOCKED_REASON = "upstreams crashed under this request"
 BLOCKED_PART_REASON = "upstreams crashed under a part of this prompt"
 
@@ -61,12 +67,14 @@
     :param since: time of the first loss since the previous check, in seconds
     :param contents: contents of the requests that were lost
     :param parts: parts of prompts of those that were about to be written
+    :param waiting: suspected parts of prompts of those without a response
     :param checked: fires once the address has been checked
     """
 
     since: float
     contents: set[bytes] = field(default_factory=set)
     parts: set[bytes] = field(default_factory=set)
+    waiting: set[bytes] = field(default_factory=set)
     checked: Deferred[None] = field(default_factory=Deferred)
 
 
@@ -88,8 +96,10 @@
     :param persist: updates the table's row of a content that is or was blocked
     :param announce_parts: sends reports on parts of prompts to all peers
     :param persist_part: updates the table's row of such a part
+    :param announce_waiting: sends reports on parts whose responses had not begun
     :ivar contents: shares the crashes under requests
     :ivar parts: shares the crashes under parts of prompts
+    :ivar waiting_parts: shares those under parts whose responses had not begun
     """
 
     def __init__(
@@ -102,6 +112,7 @@
         persist: Callable[[CrashReport], None],
         announce_parts: Callable[[Iterable[CrashReport]], None],
         persist_part: Callable[[CrashReport], None],
+        announce_waiting: Callable[[Iterable[CrashReport]], None],
         metrics: RelayMetrics,
     ) -> None:
         self._reactor = reactor
@@ -114,15 +125,29 @@
         self.contents = CrashSharing(
             "content", self.history, ranks_first, announce, persist, lambda: None
         )
-        self._part_crashes = PartCrashes(reactor.seconds, ranks_first, self.history)
+        begun = PartCrashes(reactor.seconds, ranks_first, self.history)
         self.parts = CrashSharing(
             "part",
-            self._part_crashes.history,
+            begun.history,
             ranks_first,
             announce_parts,
             persist_part,
             self._recheck_running,
         )
+        self._waiting = WaitingPartCrashes(reactor.seconds, ranks_first, begun)
+        self.waiting_parts = CrashSharing(
+            "waiting-part",
+            self._waiting.history,
+            ranks_first,
+            announce_waiting,
+            # Weak evidence is not kept beyond the loss of all instances.
+            lambda report: None,
+            self._recheck_running,
+        )
+        self._suspicions = (
+            PartSuspicion(begun, self.parts),
+            PartSuspicion(self._waiting, self.waiting_parts),
+        )
         self._running: set[RunningRequest] = set()
         self._broken: dict[str, _BrokenUpstream] = {}
 
@@ -139,14 +164,19 @@
             request.recheck()
 
     def note_broken(
-        self, upstream: KnownUpstream, content: bytes, parts: Collection[bytes] = ()
+        self,
+        upstream: KnownUpstream,
+        content: bytes,
+        parts: Collection[bytes] = (),
+        began: bool = True,
     ) -> None:
         """Record that a request was lost, so that its upstream is checked for a crash.
 
         Upstreams that leave or are missing from the list are ignored, since they are
         expected to exit.
 
-        :param parts: shared parts of its prompt, if it was about to be written
+        :param parts: shared parts of its prompt
+        :param began: whether its response had begun
         """
         if upstream.leaving or upstream.missing_since is not None:
             return
@@ -156,14 +186,20 @@
             self._drop_expired()
             earlier = broken or _BrokenUpstream(0.0)
             broken = _BrokenUpstream(
-                self._reactor.seconds(), earlier.contents, earlier.parts
+                self._reactor.seconds(),
+                earlier.contents,
+                earlier.parts,
+                earlier.waiting,
             )
             self._broken[name] = broken
             address = upstream.record.address
             self._reactor.callLater(CHECK_DELAY_SECONDS, self._check, name, address)
         if len(broken.contents) < MAX_PENDING_CONTENTS:
             broken.contents.add(content)
-            broken.parts.update(parts)
+            if began:
+                broken.parts.update(parts)
+            elif len(broken.waiting) < MAX_WAITING_PARTS:
+                broken.waiting.update(self._waiting.select_suspects(parts))
 
     async def wait_for_check(
         self, content: bytes, parts: Collection[bytes] = ()
@@ -211,9 +247,8 @@
 
     def note_parts_served(self, parts: Collection[bytes]) -> None:
         """Record that a request whose prompt has these parts completed."""
-        before = {part for part in parts if self.parts.history.check(part)}
-        for report in self._part_crashes.note_served(parts):
-            self.parts.share_cleared(report, was_blocked=report.content in before)
+        for suspicion in self._suspicions:
+            suspicion.note_served(parts)
 
     def check(self, content: bytes) -> Refusal | None:
         """Return a refusal if the content is blocked, ``None`` otherwise."""
@@ -224,28 +259,31 @@
 
     def check_parts(self, parts: Collection[bytes]) -> Refusal | None:
         """Return a refusal if a part of the prompt is blocked, ``None`` otherwise."""
-        blocked = self._part_crashes.check(parts)
-        if blocked is None:
-            return None
-        return Refusal(UNAVAILABLE, BLOCKED_PART_REASON, blocked.retry_after)
+        for suspicion in self._suspicions:
+            blocked = suspicion.crashes.check(parts)
+            if blocked is not None:
+                return Refusal(UNAVAILABLE, BLOCKED_PART_REASON, blocked.retry_after)
+        return None
 
     def start_trial(self, content: bytes, parts: Collection[bytes] = ()) -> bool:
         """Start a trial of a blocked request if one is due; return whether it was."""
-        if self._part_crashes.check(parts, content) is None:
-            report, sharing = self.history.start_trial(content), self.contents
-        elif self.history.check(content) is None:
-            report, sharing = self._part_crashes.start_trial(parts), self.parts
-        else:
-            # Another request shows as well whether the part crashes upstreams.
-            return False
+        for suspicion in self._suspicions:
+            if suspicion.crashes.check(parts, content) is None:
+                continue
+            if self.history.check(content) is not None:
+                # Another request shows as well whether the part crashes upstreams.
+                return False
+            return suspicion.start_trial(parts)
+        report = self.history.start_trial(content)
         if report is None:
             return False
-        sharing.share_trial(report)
+        self.contents.share_trial(report)
         return True
 
     def describe(self) -> list[dict[str, object]]:
         """Return the contents and parts that are blocked, for operators."""
-        return self.contents.describe() + self.parts.describe()
+        sharings = (self.contents, self.parts, self.waiting_parts)
+        return [entry for sharing in sharings for entry in sharing.describe()]
 
     def _check(self, upstream: str, address: Address) -> None:
         check_connection(
@@ -277,9 +315,11 @@
             why=reason,
             requests=len(broken.contents),
             parts=len(broken.parts),
+            waiting_parts=len(broken.waiting),
         )
         self.contents.note_crash(broken.contents, upstream)
         self.parts.note_crash(broken.parts, upstream)
+        self.waiting_parts.note_crash(broken.waiting, upstream)
 
     def _ranks_first(self, content: bytes) -> bool:
         """Return whether rendezvous hashing ranks this instance first for a content."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -109,9 +109,7 @@
         """
         if lost.streamed >= SUSPECT_STREAM_SECONDS:
             return
-        # A request without the head of a response was waiting at the upstream.
-        parts = self._parts if lost.began else ()
-        self._monitor.note_broken(upstream, self.content, parts)
+        self._monitor.note_broken(upstream, self.content, self._parts, lost.began)
 
     async def wait_for_check(self) -> None:
         """Wait for pending checks that may cause the request to be refused."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/partcrashlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/partcrashlinks.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, ClassVar
 
 from pondquay_daemon.relay.crashsharing import FROM_PEER
-from pondquay_daemon.relay.peermessages import PartCrashReports
+from pondquay_daemon.relay.peermessages import PartCrashReports, WaitingPartReports
 from pondquay_daemon.relay.peertopics import PeerTopic
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
     ``connect`` has to be called before the first link opens.
     """
 
+    REPORTS: ClassVar[type[PartCrashReports]] = PartCrashReports
     MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (PartCrashReports,)
 
     _parts: CrashSharing
@@ -38,12 +39,12 @@
 
     def announce(self, reports: Iterable[CrashReport]) -> None:
         """Announce reports to all peers."""
-        self._mesh.broadcast(PartCrashReports.pack(reports))
+        self._mesh.broadcast(self.REPORTS.pack(reports))
 
     def make_greeting(self) -> PartCrashReports | None:
         """Return the known reports, if there are any."""
         reports = self._parts.list_announced()
-        return PartCrashReports.pack(reports) if reports else None
+        return self.REPORTS.pack(reports) if reports else None
 
     def note_supported(self, link: PeerLink) -> None:
         """Do nothing: a peer that does not know the message passes over it."""
@@ -60,3 +61,10 @@
     def list_requested(self) -> Collection[str]:
         """Return no instance: reports are forwarded along existing links."""
         return ()
+
+
+class WaitingPartLinks(PartCrashLinks):
+    """Exchanges reports of parts whose responses had not begun."""
+
+    REPORTS: ClassVar[type[PartCrashReports]] = WaitingPartReports
+    MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (WaitingPartReports,)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -11,7 +11,7 @@
 
 import zlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Annotated, Any, ClassVar, TypeAlias, get_args
+from typing import TYPE_CHECKING, Annotated, Any, ClassVar, Self, TypeAlias, get_args
 
 import msgpack
 from msgspec import Meta
@@ -425,7 +425,7 @@
     crashes: list[tuple[Content, Ages, Lives, Count]]
 
     @classmethod
-    def pack(cls, reports: Iterable[CrashReport]) -> PartCrashReports:
+    def pack(cls, reports: Iterable[CrashReport]) -> Self:
         """Return the message for some reports."""
         return cls([_pack_crash(report) for report in reports])
 
@@ -434,6 +434,13 @@
         return [_unpack_crash(packed) for packed in self.crashes]
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingPartReports(PartCrashReports):
+    """Reports parts of prompts whose responses had not begun when upstreams crashed."""
+
+    CODE: ClassVar[int] = 33
+
+
 PeerMessage: TypeAlias = (
     Hello
     | SupportedMessages
@@ -459,6 +466,7 @@
     | StreamReply
     | SoftwareSeen
     | PartCrashReports
+    | WaitingPartReports
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -35,7 +35,7 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
-from pondquay_daemon.relay.partcrashlinks import PartCrashLinks
+from pondquay_daemon.relay.partcrashlinks import PartCrashLinks, WaitingPartLinks
 from pondquay_daemon.relay.peerdispatcher import PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -142,6 +142,7 @@
             directory.software,
         )
         self._part_crash_links = PartCrashLinks(self._peers)
+        self._waiting_part_links = WaitingPartLinks(self._peers)
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -204,6 +205,7 @@
         self._crash_rows = self._make_crash_rows(CONTENTS_TABLE, crashes.contents)
         self._part_crash_rows = self._make_crash_rows(PARTS_TABLE, crashes.parts)
         self._part_crash_links.connect(crashes.parts)
+        self._waiting_part_links.connect(crashes.waiting_parts)
         names = border.store_names
         self._feed = TableFeed(
             reactor,
@@ -303,6 +305,7 @@
             lambda report: self._crash_rows.schedule_write(report),
             self._part_crash_links.announce,
             lambda report: self._part_crash_rows.schedule_write(report),
+            self._waiting_part_links.announce,
             self._metrics,
         )
 
--- a/packages/pondquay-daemon/tests/relay/crashingparts.py
+++ b/packages/pondquay-daemon/tests/relay/crashingparts.py
@@ -100,6 +100,7 @@
     :ivar sound: whether engines no longer crash under the part
     :ivar full: engines that begin no run
     :ivar ending: how responses end if their engine crashes
+    :ivar late_heads: whether engines send the head of a response with its first event
     """
 
     crashes: list[float] = field(default_factory=list)
@@ -109,6 +110,7 @@
     sound: bool = False
     full: set[str] = field(default_factory=set)
     ending: Ending = Ending.RESET
+    late_heads: bool = False
     random: Random = field(default_factory=lambda: Random(67))
     _numbers: Any = field(default_factory=lambda: count(1))
     _lives: Counter[str] = field(default_factory=Counter)
@@ -243,6 +245,10 @@
 
     def _begin(self, run: Run, now: float) -> None:
         run.began_at = now
+        if not self.late_heads:
+            self._send_head(run)
+
+    def _send_head(self, run: Run) -> None:
         head = HEAD if self.ending is Ending.RESET else UNFRAMED_HEAD
         run.connection.protocol.dataReceived(head % run.attempt.encode())
 
@@ -254,6 +260,8 @@
             else:
                 self._end_connection(run.connection)
             return
+        if self.late_heads and not run.events:
+            self._send_head(run)
         run.events += 1
         event = b"id: %d\ndata: x\n\n" % run.events
         if self.ending is Ending.RESET:
--- a/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
@@ -49,6 +49,7 @@
         self.stored: list[CrashReport] = []
         self.announced_parts: list[CrashReport] = []
         self.stored_parts: list[CrashReport] = []
+        self.announced_waiting: list[CrashReport] = []
         self.monitor = CrashMonitor(
             self.clock,
             DirectDialer(self.clock),
@@ -58,6 +59,7 @@
             self.stored.append,
             self.announced_parts.extend,
             self.stored_parts.append,
+            self.announced_waiting.extend,
             RelayMetrics(Counter()),
         )
 
--- a/packages/pondquay-lab/src/pondquay_lab/partruns.py
+++ b/packages/pondquay-lab/src/pondquay_lab/partruns.py
@@ -18,6 +18,7 @@
 
 from pondquay.routing.crashes import CRASHES_TO_BLOCK
 from pondquay.routing.partcrashes import PartCrashes
+from pondquay.routing.waitingparts import WaitingPartCrashes
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,6 +35,9 @@
 CRASHING_PART = b"crashing"
 # Requests whose verdicts are compared after the part is refused.
 SAMPLE = 50
+CRASH_INTERVAL_SECONDS = 1.0
+# Upstreams that end together for another reason.
+ENDING_TOGETHER = 10
 # A rule that has not refused the part by then never does.
 MAX_CRASHES = 20
 
@@ -99,7 +103,40 @@
         return self.parts.check(prompt) is not None
 
 
-RULES: tuple[type[CountRule], ...] = (CountRule, ServedRule, ExplanationRule)
+class WaitingRule(Rule):
+    """The rule in use for upstreams that crash before a response begins."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._begun = PartCrashes(lambda: self._now, lambda part: False)
+        self.parts = WaitingPartCrashes(
+            lambda: self._now, lambda part: False, self._begun
+        )
+
+    def note_crash(self, upstream: str, prompts: Sequence[list[bytes]]) -> None:
+        """Count the crash for all parts that may be suspected."""
+        self.note_simultaneous_crash(upstream, prompts)
+        self._now += CRASH_INTERVAL_SECONDS
+
+    def note_simultaneous_crash(
+        self, upstream: str, prompts: Sequence[list[bytes]]
+    ) -> None:
+        """Count a crash, at the time of the next one."""
+        parts = {part for prompt in prompts for part in prompt}
+        for part in self.parts.select_suspects(parts):
+            self.parts.history.note_crash(part, upstream)
+
+    def note_served(self, prompt: list[bytes]) -> None:
+        """Clear all parts of the prompt."""
+        self._begun.note_served(prompt)
+        self.parts.note_served(prompt)
+
+    def refuses(self, prompt: list[bytes]) -> bool:
+        """Return whether any part is blamed."""
+        return self.parts.check(prompt) is not None
+
+
+RULES: tuple[type[Rule], ...] = (CountRule, ServedRule, ExplanationRule, WaitingRule)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +197,24 @@
     return crashes, fmean(rule.refuses(prompt) for prompt in sound)
 
 
+def run_joint_ends(load: Load, draws: int = DRAWS) -> list[float]:
+    """End several upstreams at once, with requests that wait there.
+
+    :returns: the fraction of sound requests that are refused then, of each draw
+    """
+    refused = []
+    for seed in range(draws):
+        random, rule = Random(seed), WaitingRule()
+        for _ in range(SERVED_BEFORE if load.warm else 0):
+            rule.note_served(_draw_sound(random))
+        for number in range(ENDING_TOGETHER):
+            waiting = [_draw_sound(random) for _ in range(load.neighbours)]
+            rule.note_simultaneous_crash(f"u{number}", waiting)
+        sound = [_draw_sound(random) for _ in range(SAMPLE)]
+        refused.append(fmean(rule.refuses(prompt) for prompt in sound))
+    return refused
+
+
 def _send_sound(rule: Rule, random: Random) -> None:
     prompt = _draw_sound(random)
     if not rule.refuses(prompt):
@@ -187,6 +242,8 @@
                 f"{max(totals.crashes)} {fmean(totals.refused):.4f}",
                 flush=True,
             )
+    for load in list_loads():
+        print(f"{load}: joint ends: {fmean(run_joint_ends(load)):.4f}", flush=True)
 
 
 def list_loads() -> list[Load]:
--- a/packages/pondquay-lab/tests/test_partruns.py
+++ b/packages/pondquay-lab/tests/test_partruns.py
@@ -11,7 +11,9 @@
     ExplanationRule,
     Load,
     ServedRule,
+    WaitingRule,
     run_draws,
+    run_joint_ends,
 )
 
 DRAWS = 20
@@ -46,3 +48,21 @@
     assert fmean(run_draws(ServedRule, load, DRAWS).crashes) > 2 * BORNE_CRASHES
     found = run_draws(ExplanationRule, load, DRAWS)
     assert fmean(found.crashes) <= BORNE_CRASHES
+
+
+@pytest.mark.parametrize("neighbours", [1, 8, 64])
+def test_a_part_is_found_though_upstreams_crash_before_responses_begin(
+    neighbours: int,
+) -> None:
+    totals = run_draws(WaitingRule, Load(neighbours, completed=2), DRAWS)
+    assert max(totals.crashes) <= BORNE_CRASHES + MAX_LATE
+    assert fmean(totals.refused) <= MAX_REFUSED_FRACTION
+
+
+@pytest.mark.parametrize("neighbours", [1, 8, 64])
+@pytest.mark.parametrize("warm", [False, True])
+def test_upstreams_that_end_together_cause_no_refusals(
+    neighbours: int, warm: bool
+) -> None:
+    load = Load(neighbours, completed=0, warm=warm)
+    assert run_joint_ends(load, DRAWS) == [0.0] * DRAWS
--- a/packages/pondquay/src/pondquay/routing/partcrashes.py
+++ b/packages/pondquay/src/pondquay/routing/partcrashes.py
@@ -32,6 +32,28 @@
 MAX_SERVED = MAX_SUSPECTED
 
 
+class ServedParts:
+    """The parts of prompts that were served here most recently."""
+
+    def __init__(self) -> None:
+        # The most recently served part is last.
+        self._parts: dict[bytes, None] = {}
+
+    def __contains__(self, part: bytes) -> bool:
+        return part in self._parts
+
+    def __len__(self) -> int:
+        return len(self._parts)
+
+    def note(self, parts: Iterable[bytes]) -> None:
+        """Record that a run of a request with these parts completed."""
+        for part in parts:
+            self._parts.pop(part, None)
+            self._parts[part] = None
+        while len(self._parts) > MAX_SERVED:
+            del self._parts[next(iter(self._parts))]
+
+
 class PartCrashes:
     """The parts of prompts under which upstreams crashed, as one instance knows them.
 
@@ -50,25 +72,22 @@
     ) -> None:
         self._contents = contents
         self.history = CrashHistory(clock, may_run_trial)
+        self.served = ServedParts()
         self._blocked: dict[bytes, CrashReport] = {}
-        self._blocked_at = 0
-        # The most recently served part is last.
-        self._served: dict[bytes, None] = {}
+        self._blocked_at: tuple[int, ...] = ()
 
-    def note_served(self, parts: Iterable[bytes]) -> list[CrashReport]:
+    def note_served(self, parts: Collection[bytes]) -> list[CrashReport]:
         """Record that a run of a request with these parts completed.
 
         :returns: the reports to send to peers
         """
-        reports = []
-        for part in parts:
-            self._served.pop(part, None)
-            self._served[part] = None
-            if (report := self.history.note_served(part)) is not None:
-                reports.append(report)
-        while len(self._served) > MAX_SERVED:
-            del self._served[next(iter(self._served))]
-        return reports
+        self.served.note(parts)
+        return self._clear(parts)
+
+    def _clear(self, parts: Iterable[bytes]) -> list[CrashReport]:
+        """Clear parts of all crashes known by now; return the changed reports."""
+        reports = (self.history.note_served(part) for part in parts)
+        return [report for report in reports if report is not None]
 
     def find_blamed(
         self, parts: Collection[bytes], content: bytes = b""
@@ -114,12 +133,21 @@
 
         Only the differences of ages matter, which do not change.
         """
-        if self._blocked_at != self.history.changes:
-            reports = self.history.blocked()
+        changes = self._count_changes()
+        if self._blocked_at != changes:
+            reports = self._select_blocked()
             self._blocked = {report.content: report for report in reports}
-            self._blocked_at = self.history.changes
+            self._blocked_at = changes
         return self._blocked
 
+    def _count_changes(self) -> tuple[int, ...]:
+        """Return numbers that differ whenever the blocked parts may have changed."""
+        return (self.history.changes,)
+
+    def _select_blocked(self) -> list[CrashReport]:
+        """Return the reports of the blocked parts."""
+        return self.history.blocked()
+
     def _is_blamed(
         self, part: bytes, own: set[bytes], blocked: dict[bytes, CrashReport]
     ) -> bool:
@@ -129,12 +157,12 @@
         """
         report = blocked[part]
         others = [other for key, other in blocked.items() if key not in own]
-        served = [other for other in others if other.content in self._served]
-        unserved = [other for other in others if other.content not in self._served]
+        served = [other for other in others if other.content in self.served]
+        unserved = [other for other in others if other.content not in self.served]
         if self._contents is not None:
             contents = self._contents.blocked()
             unserved += [other for other in contents if other.content not in own]
-        if part not in self._served:
+        if part not in self.served:
             is_certain = len(report.uncleared) >= MAX_EXPLAINED_CRASHES
             return is_certain or not any(_explains(other, report) for other in unserved)
         if any(_explains(other, report) for other in served):
