--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -19,9 +19,7 @@
 from pondquay_daemon.relay.activitylinks import ActivityLinks
 from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
 from pondquay_daemon.relay.components import RelayComponents
-from pondquay_daemon.relay.crashmonitor import CrashMonitor
-from pondquay_daemon.relay.crashrows import CONTENTS_TABLE, PARTS_TABLE, CrashRows
-from pondquay_daemon.relay.crashsharing import FROM_STORE, CrashSharing
+from pondquay_daemon.relay.crashtracking import CrashTracking
 from pondquay_daemon.relay.evacuationview import EvacuationView
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
@@ -35,7 +33,6 @@
 from pondquay_daemon.relay.members import MemberList
 from pondquay_daemon.relay.overloadmonitor import OverloadMonitor
 from pondquay_daemon.relay.overloadrefusals import OverloadRefusals
-from pondquay_daemon.relay.partcrashlinks import PartCrashLinks, WaitingPartLinks
 from pondquay_daemon.relay.peerdispatcher import PeerDispatcher
 from pondquay_daemon.relay.peers import PeerMesh
 from pondquay_daemon.relay.permitlinks import PermitLinks
@@ -77,8 +74,6 @@
 # Time for a slow or repeated poll.
 SLOW_POLL_SECONDS = 1.0
 MEMBERS_POLL_SECONDS = 2.0
-# Peers report crashes sooner, except to instances that are cut off from them.
-CRASHES_POLL_SECONDS = 1.0
 
 
 class Relay:
@@ -141,8 +136,14 @@
             settings.domain,
             directory.software,
         )
-        self._part_crash_links = PartCrashLinks(self._peers)
-        self._waiting_part_links = WaitingPartLinks(self._peers)
+        self._crashes = CrashTracking(
+            reactor,
+            self._paths.dialer,
+            settings.instance,
+            self._peers,
+            self._store,
+            metrics,
+        )
         self._withdrawals = WithdrawalMonitor(
             reactor,
             settings.instance,
@@ -180,7 +181,7 @@
             self._peers.announce_departure,
             self._paths.announce_backoff,
             self._announce_load,
-            self._make_crash_monitor(),
+            self._crashes.monitor,
             permits,
             BufferPool(choose_limit(settings.memory)),
             activity,
@@ -193,7 +194,7 @@
             border,
             directory,
             self._peers.announce_departure,
-            self._components.crashes.note_row_removed,
+            self._crashes.monitor.note_row_removed,
         )
         self._evacuations = EvacuationView(
             border,
@@ -201,11 +202,6 @@
             self._configuration.cold_seconds,
             self._peers.announce_evacuation,
         )
-        crashes = self._components.crashes
-        self._crash_rows = self._make_crash_rows(CONTENTS_TABLE, crashes.contents)
-        self._part_crash_rows = self._make_crash_rows(PARTS_TABLE, crashes.parts)
-        self._part_crash_links.connect(crashes.parts)
-        self._waiting_part_links.connect(crashes.waiting_parts)
         names = border.store_names
         self._feed = TableFeed(
             reactor,
@@ -227,7 +223,7 @@
             self._configuration,
             self._accounts,
             self._evacuations,
-            self._components.crashes,
+            self._crashes.monitor,
         )
         overload_refusals = OverloadRefusals(
             self.overload,
@@ -295,39 +291,6 @@
             activity,
         )
 
-    def _make_crash_monitor(self) -> CrashMonitor:
-        return CrashMonitor(
-            self._reactor,
-            self._paths.dialer,
-            self._settings.instance,
-            lambda: self._peers.domains,
-            self._peers.announce_crashes,
-            lambda report: self._crash_rows.schedule_write(report),
-            self._part_crash_links.announce,
-            lambda report: self._part_crash_rows.schedule_write(report),
-            self._waiting_part_links.announce,
-            self._metrics,
-        )
-
-    def _make_crash_rows(self, table: str, sharing: CrashSharing) -> CrashRows:
-        return CrashRows(
-            self._reactor,
-            self._store,
-            table,
-            lambda report: sharing.receive(report, FROM_STORE),
-            sharing.history.find,
-        )
-
-    def _make_crash_feed(self, table: str, rows: CrashRows) -> TableFeed:
-        return TableFeed(
-            self._reactor,
-            self._store,
-            table,
-            rows,
-            lambda: CRASHES_POLL_SECONDS,
-            rereads=False,
-        )
-
     def _make_slow_feeds(self) -> list[TableFeed]:
         """Return the feeds of tables whose changes are not urgent."""
         return [
@@ -340,8 +303,7 @@
                 rereads=False,
                 latest_only=True,
             ),
-            self._make_crash_feed(CONTENTS_TABLE, self._crash_rows),
-            self._make_crash_feed(PARTS_TABLE, self._part_crash_rows),
+            *self._crashes.feeds,
             TableFeed(
                 self._reactor,
                 self._store,
@@ -404,7 +366,7 @@
             "malformed": {
                 row: error for row, (_, error) in self._upstreams.malformed.items()
             },
-            "crashes": self._components.crashes.describe(),
+            "crashes": self._crashes.monitor.describe(),
             "accounts": self._accounts.describe(),
         }
 
