--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gauges.py
@@ -28,6 +28,7 @@
     crashes = components.crashes
     metrics.blocked.set(len(crashes.history.blocked()))
     metrics.blocked_parts.set(len(crashes.parts.history.blocked()))
+    metrics.blocked_waiting_parts.set(len(crashes.waiting_parts.history.blocked()))
 
 
 def _update_account_gauges(components: RelayComponents) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -131,6 +131,11 @@
             "Parts of prompts under which upstreams crashed; requests are refused for"
             " them",
         )
+        self.blocked_waiting_parts = self._gauge(
+            "blocked_waiting_parts",
+            "Parts of prompts of requests without a response when upstreams crashed;"
+            " requests are refused for them",
+        )
         self.unspent = self._gauge(
             "unspent_tokens", "Tokens that can be reserved now, all workspaces"
         )
