--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -198,8 +198,10 @@
             broken.contents.add(content)
             if began:
                 broken.parts.update(parts)
-            elif len(broken.waiting) < MAX_WAITING_PARTS:
-                broken.waiting.update(self._waiting.select_suspects(parts))
+            else:
+                room = MAX_WAITING_PARTS - len(broken.waiting)
+                suspects = self._waiting.select_suspects(parts)
+                broken.waiting.update(suspects[:room])
 
     async def wait_for_check(
         self, content: bytes, parts: Collection[bytes] = ()
--- a/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashmonitor.py
@@ -22,6 +22,7 @@
 from pondquay_daemon.relay.connectioncheck import MIN_OPEN_SECONDS
 from pondquay_daemon.relay.crashmonitor import (
     CHECK_DELAY_SECONDS,
+    MAX_WAITING_PARTS,
     ROW_REMOVAL_SECONDS,
     CrashMonitor,
 )
@@ -184,3 +185,14 @@
     assert not harness.monitor.start_trial(CONTENT, [PART])
     assert harness.monitor.start_trial(b"d" * 16, [PART])
     assert not harness.monitor.start_trial(b"d" * 16, [PART])
+
+
+# Guards against a crash that causes reports on each of hundreds of parts of a prompt.
+def test_reports_on_parts_without_a_response_are_bounded(
+    harness: MonitorHarness,
+) -> None:
+    parts = [b"%016d" % number for number in range(2 * MAX_WAITING_PARTS)]
+    harness.monitor.note_broken(make_upstream(), CONTENT, parts, began=False)
+    harness.refuse()
+    assert len(harness.announced_waiting) == MAX_WAITING_PARTS
+    assert harness.announced_parts == []
