--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -167,12 +167,7 @@
             directory,
             self._make_placement(directory, permits, activity),
             self._accounts,
-            RetryShare(
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                bounds.retry_window,
-                lambda: self._members.count,
-            ),
+            self._make_retry_share(),
             Random(),
             metrics,
             settings.policy,
@@ -269,6 +264,17 @@
             self._metrics,
         )
 
+    def _make_retry_share(self) -> RetryShare:
+        bounds = self._settings.bounds
+        wait = 0.0 if self._settings.first_start else bounds.retry_window
+        return RetryShare(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window,
+            lambda: self._members.count,
+            self._reactor.seconds() + wait,
+        )
+
     def _make_placement(
         self,
         directory: UpstreamDirectory,
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -325,6 +325,7 @@
                 self.domain,
                 *ports,
                 tunnels=Address(self.host, TUNNELS_PORT),
+                first_start=True,
             ),
             RelayMetrics(Counter()),
         )
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -3,7 +3,8 @@
 In any time window, the retries that a service receives from all instances together are
 at most a fraction of its requests plus a fixed number. Each instance applies the
 fraction to its own requests and uses only its share of the fixed number, so the total
-is also bounded in a partition.
+is also bounded in a partition. An instance may follow one that has ended, which may
+have used the same share, so it uses none of it until a window has passed.
 """
 
 from __future__ import annotations
@@ -20,9 +21,9 @@
 # into different windows.
 SAFETY_FACTOR = 0.75
 # Minimum number of shares into which the fixed number is divided, since instances may
-# be added or replaced before this one knows of them.
+# be added before this one knows of them.
 MIN_SHARES = 16
-# Shares per known instance, since instances may be added or replaced.
+# Shares per known instance, since instances may be added.
 SPARE_RATIO = 1.25
 
 
@@ -48,15 +49,22 @@
     :param window: length of the window, in seconds
     :param instances: returns the number of known instances; while it is 0, none of
         ``extra`` is used
+    :param usable_from: time from which ``extra`` is used, in seconds
     """
 
     def __init__(
-        self, ratio: float, extra: float, window: float, instances: Callable[[], int]
+        self,
+        ratio: float,
+        extra: float,
+        window: float,
+        instances: Callable[[], int],
+        usable_from: float = 0.0,
     ) -> None:
         self._ratio = ratio * SAFETY_FACTOR
         self._extra = extra
         self._instances = instances
         self._window = window
+        self._usable_from = usable_from
         self._attempts: dict[str, _Attempts] = defaultdict(_Attempts)
 
     def note_first(self, service: str, now: float) -> None:
@@ -67,15 +75,15 @@
         """Use one further attempt; return ``False`` if none is left."""
         attempts = self._attempts[service]
         attempts.drop_before(now - self._window)
-        allowed = self._ratio * len(attempts.first) + self._share()
+        allowed = self._ratio * len(attempts.first) + self._share(now)
         if len(attempts.further) + 1 > allowed:
             return False
         attempts.further.append(now)
         return True
 
-    def _share(self) -> float:
+    def _share(self, now: float) -> float:
         """Return this instance's share of the fixed number."""
         instances = self._instances()
-        if instances == 0:
+        if instances == 0 or now < self._usable_from:
             return 0.0
         return self._extra / max(MIN_SHARES, ceil(SPARE_RATIO * instances))
--- a/packages/pondquay/tests/routing/test_retryshares.py
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -60,3 +60,26 @@
 def test_the_fixed_number_is_not_used_before_the_fleet_is_known() -> None:
     share = RetryShare(0.2, EXTRA, WINDOW, lambda: 0)
     assert not share.spend("judge", 0.0)
+
+
+# Guards against repeats beyond the fleet's share while instances are replaced.
+@given(
+    st.integers(1, 400),
+    st.lists(st.floats(0, 1.5 * WINDOW), max_size=4),
+    st.sampled_from([EXTRA, 202.0, 1000.0]),
+)
+def test_replaced_instances_do_not_use_the_fixed_number_again(
+    instances: int, lifetimes: list[float], extra: float
+) -> None:
+    taken: list[tuple[float, int]] = []
+    now = 0.0
+    for number, lifetime in enumerate([*lifetimes, 0.0]):
+        usable_from = now + WINDOW if number else now
+        share = RetryShare(0.0, extra, WINDOW, lambda: instances, usable_from)
+        for at in (now, now + lifetime):
+            retries = sum(share.spend("judge", at) for _ in range(int(extra) + 1))
+            taken.append((at, retries * instances))
+        now += lifetime
+    for end, _ in taken:
+        in_window = sum(number for at, number in taken if end - WINDOW <= at <= end)
+        assert in_window <= extra
