--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/accounts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from random import uniform
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -16,13 +15,14 @@
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.relay.allotmentrows import AllotmentRows
 from pondquay_daemon.relay.demandholders import DemandHolders
+from pondquay_daemon.relay.entryremovals import EntryRemovals
 from pondquay_daemon.relay.feeds import TableListener
 from pondquay_daemon.relay.loans import Loans, LoanSearch
+from pondquay_daemon.relay.tokentransfers import TokenTransfers
 from pondquay_daemon.tasks import Task, sleep, spawn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-    from typing import Any
+    from collections.abc import Callable
 
     from twisted.internet.interfaces import IReactorTime
 
@@ -42,9 +42,6 @@
 # Retry delay of callers that are refused while the table is unreachable.
 OUTAGE_RETRY_SECONDS = 2.0
 RETURN_UNSPENT_ATTEMPTS = 4
-# Period over which instances that no longer hold allotments remove their entries. After
-# a failure of links, these are many instances at once.
-REMOVAL_SPREAD_SECONDS = 5.0
 # Several lenders may write a row at the same time, of which one succeeds per round.
 WRITE_ATTEMPTS = 10
 
@@ -86,8 +83,8 @@
         self._accounts: dict[str, Account] = {}
         self._writing: set[str] = set()
         self._unread: set[str] = set()
-        self._refilling: set[str] = set()
-        self._removal_at: dict[str, float] = {}
+        self._removals = EntryRemovals(clock)
+        self._transfers = TokenTransfers(clock, self._loans, reachable, metrics)
         self._closed = False
         self._startup_ends_at = 0.0
 
@@ -142,7 +139,7 @@
 
     def planned_removals(self) -> int:
         """Return the number of idle entries that this instance is about to remove."""
-        return len(self._removal_at)
+        return len(self._removals)
 
     def describe(self) -> dict[str, dict[str, int]]:
         """Return the state of each workspace's account, for operators."""
@@ -237,51 +234,10 @@
         account = self._accounts.get(workspace)
         if account is None or self._closed:
             return 0
-        if account.unspent < tokens:
-            request_tokens(account, tokens)
-            if headroom:
-                self._start_refill(workspace, account, tokens)
-        lent = account.lend_headroom(tokens, headroom)
-        if headroom:
-            # The row does not record demand of borrowers, so it counts as this
-            # instance's demand.
-            account.demand.note_lent(max(tokens, lent), self.clock.seconds())
-        if lent:
-            self._metrics.loans.labels("lent").inc(lent)
-            log_event("tokens-lent", workspace=workspace, tokens=lent)
+        lent = self._transfers.lend(workspace, account, tokens, headroom)
         self._schedule_adjustment(workspace)
         return lent
 
-    def _start_refill(self, workspace: str, account: Account, tokens: int) -> None:
-        """Borrow on behalf of a borrower, unless the table has the tokens.
-
-        This is not done for other lenders, since lenders would then borrow from each
-        other in a cycle.
-        """
-        if not self._loans.lends(workspace):
-            return
-        if self._reachable() and tokens <= account.max_headroom():
-            return
-        self._start_borrowing(workspace, self._loans.refill(account, workspace, tokens))
-
-    def _start_borrowing(
-        self, workspace: str, borrowing: Coroutine[Any, Any, None]
-    ) -> None:
-        """Borrow in the background, at most once at a time per workspace."""
-        if workspace in self._refilling:
-            borrowing.close()
-            return
-        self._refilling.add(workspace)
-        spawn(self._borrow(workspace, borrowing), "AccountBook")
-
-    async def _borrow(
-        self, workspace: str, borrowing: Coroutine[Any, Any, None]
-    ) -> None:
-        try:
-            await borrowing
-        finally:
-            self._refilling.discard(workspace)
-
     def co_lenders(self) -> frozenset[str]:
         """Return the instances that lend for the same workspaces as this instance."""
         return self._loans.co_lenders(self._accounts)
@@ -295,11 +251,7 @@
         """
         account = self._accounts.get(workspace)
         if account is not None:
-            account.receive_loan(tokens)
-            if returned:
-                account.demand.note_returned(tokens, self.clock.seconds())
-            self._metrics.loans.labels("borrowed").inc(tokens)
-            log_event("tokens-borrowed", workspace=workspace, tokens=tokens)
+            self._transfers.receive(workspace, account, tokens, returned=returned)
 
     def settle(self, workspace: str, reserved: int, used: int) -> None:
         """Replace a reservation by the tokens that were used."""
@@ -354,9 +306,9 @@
         account = self._accounts[name]
         holds = self._update_holding(name, account)
         if holds:
-            self._removal_at.pop(name, None)
+            self._removals.cancel(name)
         else:
-            self._adjust_loans(name, account)
+            self._transfers.adjust(name, account)
         if not self._reachable():
             return
         if name in self._unread:
@@ -366,7 +318,7 @@
         elif holds:
             is_due = self._has_plan(account)
         else:
-            is_due = self._is_removal_due(name, account)
+            is_due = self._removals.is_due(name, account)
         if is_due:
             self._writing.add(name)
             spawn(self._adjust(name), "AccountBook")
@@ -384,25 +336,6 @@
             self._demand_holders.update(name, account)
         return name in self._demand_holders
 
-    def _is_removal_due(self, name: str, account: Account) -> bool:
-        """Return whether to remove this instance's entry, which it no longer needs."""
-        if not has_idle_entry(account):
-            self._removal_at.pop(name, None)
-            return False
-        now = self.clock.seconds()
-        latest = now + REMOVAL_SPREAD_SECONDS
-        # The time is kept until the entry is gone or in use again, so a removal that
-        # failed is repeated without another delay.
-        return now >= self._removal_at.setdefault(name, uniform(now, latest))
-
-    def _adjust_loans(self, name: str, account: Account) -> None:
-        """Return surplus tokens of a borrower, or borrow more headroom."""
-        if account.unspent <= 0 and not account.demand.largest:
-            return
-        self._loans.return_surplus(name, account)
-        if self._loans.needs_top_up(account):
-            self._start_borrowing(name, self._loans.top_up(account, name))
-
     def _may_claim(self, account: Account) -> bool:
         """Return whether this instance may claim an allotment now.
 
