--- a/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
@@ -3,6 +3,9 @@
 The client of Twisted reports ``PotentialDataLoss`` for each response that ends with its
 connection, whether that was closed in an orderly way or reset, and treq takes it for
 complete. Here such a response is complete only after an orderly close.
+
+That client limits a line of a head, but neither the number of lines nor of interim
+heads. Here their bytes are limited together.
 """
 
 from __future__ import annotations
@@ -13,7 +16,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.components import proxyForInterface
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import BODY, DONE, HTTP11ClientProtocol
 from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
 from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IResponse
@@ -25,17 +28,30 @@
     from twisted.internet.interfaces import IAddress, ITransport
 
 MAX_IDLE_CONNECTIONS = 8
+# For the head of a response and all interim heads before it; as in the relay.
+MAX_HEAD_BYTES = 65536
 
 
 class _Connection(HTTP11ClientProtocol):
-    """A connection that keeps the reason of its end."""
+    """A connection that keeps the reason of its end, and limits heads."""
 
     _end: Failure | None = None
+    _head_bytes = 0
 
     def request(self, request: Any) -> Deferred[Any]:
         """Send a request, and return its response once the head has arrived."""
+        self._head_bytes = 0
         return super().request(request).addCallback(_Response, self)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Parse received bytes; abort the connection if a head has too many."""
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        if self._parser is None or self._parser.state in (BODY, DONE):
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES and self.transport is not None:
+            self.transport.abortConnection()  # type: ignore[attr-defined]
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Keep the reason, then end the response in progress."""
         self._end = reason
--- /dev/null
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -0,0 +1,135 @@
+"""Upstreams and a platform that send bytes without end, on real sockets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from pondquay.tables import OutcomeUnknown, Read, Transaction, Unreachable
+from pondquay_daemon.engines import Completion, Engines, StreamState
+from pondquay_daemon.errors import MayHaveRunError
+from pondquay_daemon.platform import Platform
+from pondquay_daemon.services import ServiceCall, Services
+
+from .endlessresponses import EndlessCall, run_endless_call
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Generator
+
+COMPLETION = Completion("m", "v1", (), 10, "normal", "b1")
+PLATFORM_SECONDS = 5.0
+
+
+def start_stream(reactor: Any, url: str) -> Any:
+    return Engines(reactor).start(url, "s1", COMPLETION, lambda frame: None)
+
+
+def resume_stream(reactor: Any, url: str) -> Any:
+    return Engines(reactor).resume(url, "s1", 0, lambda frame: None)
+
+
+def cancel_stream(reactor: Any, url: str) -> Any:
+    return Engines(reactor).cancel(url, "s1")
+
+
+def query_stream(reactor: Any, url: str) -> Any:
+    return Engines(reactor).query_status(url, "s1")
+
+
+def read_load(reactor: Any, url: str) -> Any:
+    return Engines(reactor).read_load(url)
+
+
+def get_page(reactor: Any, url: str) -> Any:
+    call = ServiceCall("GET", "page", b"", {})
+    return Services(reactor).call(url, "r1-1", call)
+
+
+def post_page(reactor: Any, url: str) -> Any:
+    call = ServiceCall("POST", "page", b"{}", {})
+    return Services(reactor).call(url, "r1-1", call)
+
+
+def _connect(reactor: Any, url: str) -> Platform:
+    return Platform(reactor, url, "hall-a", PLATFORM_SECONDS)
+
+
+def _make(call: Read | Transaction) -> Generator[Any, Any, Any]:
+    return (yield call)
+
+
+def read_table(reactor: Any, url: str) -> Any:
+    return _connect(reactor, url).run(_make(Read(("k",), ())))
+
+
+def write_table(reactor: Any, url: str) -> Any:
+    return _connect(reactor, url).run(_make(Transaction("t", (), ())))
+
+
+def list_instances(reactor: Any, url: str) -> Any:
+    return _connect(reactor, url).list_instances()
+
+
+def load_object(reactor: Any, url: str) -> Any:
+    return _connect(reactor, url).load_object("k")
+
+
+def store_object(reactor: Any, url: str) -> Any:
+    return _connect(reactor, url).store_object("k", b"content")
+
+
+def may_have_run(result: Any) -> bool:
+    return bool(result.check(MayHaveRunError))
+
+
+def is_unreachable_stream(result: Any) -> bool:
+    return bool(result.state is StreamState.UNREACHABLE)
+
+
+def is_none(result: Any) -> bool:
+    return result is None
+
+
+# Each call, and what it gives without a valid response.
+CALLS = {
+    start_stream: may_have_run,
+    resume_stream: may_have_run,
+    cancel_stream: is_unreachable_stream,
+    query_stream: is_unreachable_stream,
+    read_load: is_none,
+    get_page: may_have_run,
+    post_page: may_have_run,
+    read_table: lambda result: isinstance(result, Unreachable),
+    write_table: lambda result: isinstance(result, OutcomeUnknown),
+    list_instances: is_none,
+    load_object: is_none,
+    store_object: lambda result: result is False,
+}
+every_call = pytest.mark.parametrize(
+    "call", CALLS, ids=[call.__name__ for call in CALLS]
+)
+
+
+def check_failed(made: EndlessCall, call: Callable[..., Any]) -> None:
+    """Check that a call has failed as it must and has closed its connection."""
+    assert made.result is not None or CALLS[call] is is_none
+    assert CALLS[call](made.result)
+    assert made.is_bounded
+
+
+HEADS = {
+    "line": (b"HTTP/1.1 200 OK\r\nX: ", b"x"),
+    "lines": (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n"),
+    "continued line": (b"HTTP/1.1 200 OK\r\nX: y\r\n", b" y\r\n"),
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+
+
+# Guards against a head without end that is kept in memory until the call's time-out.
+@every_call
+@pytest.mark.parametrize(("head", "part"), HEADS.values(), ids=HEADS)
+def test_a_head_without_end_closes_its_connection(
+    head: bytes, part: bytes, call: Callable[..., Any]
+) -> None:
+    check_failed(run_endless_call(head, part, call), call)
