--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
@@ -0,0 +1,71 @@
+"""Bodies of responses, read within a limit of bytes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone, ResponseFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+
+class BodyTooLongError(Exception):
+    """A body has more bytes than a response of its kind needs."""
+
+
+def abort_body(receiver: Protocol) -> None:
+    """Abort the connection of a body that a protocol receives, unless it has ended."""
+    transport: Any = receiver.transport
+    if transport is not None:
+        transport.abortConnection()
+
+
+class _Collector(Protocol):
+    """Collects a body, and aborts the connection of one that is too long.
+
+    :ivar collected: fires with the body; its cancellation aborts the connection
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.collected: Deferred[bytes] = Deferred(lambda _: abort_body(self))
+
+    def dataReceived(self, data: bytes) -> None:
+        """Collect a part."""
+        if self.collected.called:
+            return
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            abort_body(self)
+            self._fail(BodyTooLongError(f"over {self._max_bytes} bytes"))
+            return
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Report the body if it is complete."""
+        if self.collected.called:
+            return
+        if reason.check(ResponseDone):
+            self.collected.callback(b"".join(self._parts))
+        else:
+            self.collected.errback(reason)
+
+    def _fail(self, error: Exception) -> None:
+        self._parts.clear()
+        self.collected.errback(Failure(ResponseFailed([Failure(error)])))
+
+
+def read_body(response: Any, max_bytes: int) -> Awaitable[bytes]:
+    """Return the complete body of an unbuffered response.
+
+    :raises ResponseFailed: if it is incomplete or has more than ``max_bytes``
+    """
+    collector = _Collector(max_bytes)
+    response.deliverBody(collector)
+    return collector.collected
--- a/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
@@ -26,6 +26,7 @@
 
     from twisted.internet.defer import Deferred
     from twisted.internet.interfaces import IAddress, ITransport
+    from twisted.web._newclient import HTTPClientParser
 
 MAX_IDLE_CONNECTIONS = 8
 # For the head of a response and all interim heads before it; as in the relay.
@@ -41,7 +42,10 @@
     def request(self, request: Any) -> Deferred[Any]:
         """Send a request, and return its response once the head has arrived."""
         self._head_bytes = 0
-        return super().request(request).addCallback(_Response, self)
+        return super().request(request).addCallback(self._wrap)
+
+    def _wrap(self, response: Any) -> _Response:
+        return _Response(response, self, self._parser)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; abort the connection if a head has too many."""
@@ -57,6 +61,14 @@
         self._end = reason
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
+    def abort_response(self, parser: HTTPClientParser | None) -> None:
+        """Abort the connection unless the response of a parser has ended.
+
+        The connection may carry another request by then.
+        """
+        if parser is not None and parser is self._parser:
+            self.transport.abortConnection()  # type: ignore[union-attr]
+
     def explain_end(self) -> Failure:
         """Return why a response that ends with this connection has ended."""
         if self._end is not None and self._end.check(ConnectionDone):
@@ -67,25 +79,36 @@
 class _Response(proxyForInterface(IResponse)):  # type: ignore[misc]
     """A response that tells the receiver of its body how it has ended."""
 
-    def __init__(self, original: Any, connection: _Connection) -> None:
+    def __init__(
+        self, original: Any, connection: _Connection, parser: HTTPClientParser | None
+    ) -> None:
         super().__init__(original)
         self._connection = connection
+        self._parser = parser
 
     def deliverBody(self, protocol: Protocol) -> None:  # noqa: N802
-        """Deliver the body to a protocol."""
-        self.original.deliverBody(_BodyReceiver(protocol, self._connection))
+        """Deliver the body to a protocol, whose transport can abort the connection."""
+        receiver = _BodyReceiver(protocol, self._connection, self._parser)
+        self.original.deliverBody(receiver)
 
 
 class _BodyReceiver(Protocol):
     """Forwards a body, and replaces an unknown end by the known one."""
 
-    def __init__(self, receiver: Protocol, connection: _Connection) -> None:
+    def __init__(
+        self,
+        receiver: Protocol,
+        connection: _Connection,
+        parser: HTTPClientParser | None,
+    ) -> None:
         self._receiver = receiver
         self._connection = connection
+        self._parser = parser
 
     def makeConnection(self, transport: ITransport) -> None:  # noqa: N802
         """Connect the receiver."""
-        self._receiver.makeConnection(transport)
+        body_transport: Any = _BodyTransport(transport, self._connection, self._parser)
+        self._receiver.makeConnection(body_transport)
 
     def dataReceived(self, data: bytes) -> None:
         """Forward a part of the body."""
@@ -99,6 +122,27 @@
         )
 
 
+class _BodyTransport:
+    """The transport of a body, which can also abort the connection."""
+
+    def __init__(
+        self,
+        original: Any,
+        connection: _Connection,
+        parser: HTTPClientParser | None,
+    ) -> None:
+        self._original = original
+        self._connection = connection
+        self._parser = parser
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Abort the connection unless the body has ended."""
+        self._connection.abort_response(self._parser)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._original, name)
+
+
 class _ConnectionFactory(Factory):
     """Builds connections that return to a pool when they are idle."""
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/services.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/services.py
@@ -9,15 +9,20 @@
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.web.client import Agent
 
+from pondquay_daemon.bodies import read_body
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError
 from pondquay_daemon.platform import NETWORK_ERRORS
+from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 CONNECT_SECONDS = 1.0
+# From the call to the last byte of its response.
 RESPONSE_TIMEOUT_SECONDS = 30.0
+# The largest body that the settings allow for requests.
+MAX_RESPONSE_BYTES = 64 << 20
 REQUEST_HEADER = "Pondquay-Request"
 FORWARDED_RESPONSE_HEADERS = (
     "content-type",
@@ -65,8 +70,14 @@
 
         :param name: the attempt's name, for the service's logs
         :raises NotSentError: if no byte was written
-        :raises MayHaveRunError: if there was no response or an incomplete one
+        :raises MayHaveRunError: if there was no response or an incomplete one in time,
+            or one of more than ``MAX_RESPONSE_BYTES``
         """
+        return await finish_within(
+            RESPONSE_TIMEOUT_SECONDS, self._reactor, self._call(url, name, call)
+        )
+
+    async def _call(self, url: str, name: str, call: ServiceCall) -> ServiceResponse:
         headers: dict[bytes | str, bytes | str] = {REQUEST_HEADER: name}
         headers.update(call.headers)
         try:
@@ -75,12 +86,10 @@
                 f"{url}/{call.path}",
                 data=call.body or None,
                 headers=headers,
-                timeout=RESPONSE_TIMEOUT_SECONDS,
                 allow_redirects=False,
+                unbuffered=True,
             )
-            body = await treq.content(response).addTimeout(
-                RESPONSE_TIMEOUT_SECONDS, self._reactor
-            )
+            body = await read_body(response, MAX_RESPONSE_BYTES)
         except (ConnectError, ConnectingCancelledError) as error:
             raise NotSentError(str(error)) from error
         except NETWORK_ERRORS as error:
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -101,6 +101,18 @@
             timer.cancel()
 
 
+async def finish_within(
+    seconds: float, clock: IReactorTime, coroutine: Coroutine[Deferred[Any], Any, T]
+) -> T:
+    """Return the result of a coroutine; cancel what it waits for after a timeout.
+
+    What the coroutine makes of the cancellation is the result.
+
+    :raises TimeoutError: if it makes nothing of it
+    """
+    return await Deferred.fromCoroutine(coroutine).addTimeout(seconds, clock)
+
+
 async def sleep(seconds: float, clock: IReactorTime) -> None:
     """Wait for a number of seconds."""
     deferred: Deferred[None] = Deferred()
--- a/packages/pondquay-daemon/tests/test_endless_responses.py
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pondquay.tables import OutcomeUnknown, Read, Transaction, Unreachable
+from pondquay_daemon import services
 from pondquay_daemon.engines import Completion, Engines, StreamState
 from pondquay_daemon.errors import MayHaveRunError
 from pondquay_daemon.platform import Platform
@@ -133,3 +134,50 @@
     head: bytes, part: bytes, call: Callable[..., Any]
 ) -> None:
     check_failed(run_endless_call(head, part, call), call)
+
+
+CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+BODIES = {
+    "with a length": (b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n", b"x"),
+    "without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "in chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", CHUNK),
+}
+every_body = pytest.mark.parametrize(("head", "part"), BODIES.values(), ids=BODIES)
+SERVICE_CALLS = pytest.mark.parametrize("call", [get_page, post_page])
+DRIP_SECONDS = 0.01
+# Many drips.
+TIMEOUT_SECONDS = 0.3
+
+
+# Guards against a response without end that is kept in memory until its time-out and
+# beyond.
+@SERVICE_CALLS
+@every_body
+def test_a_body_without_end_closes_its_connection(
+    head: bytes, part: bytes, call: Callable[..., Any]
+) -> None:
+    check_failed(run_endless_call(head, part, call), call)
+
+
+# Guards against a call that takes its time-out twice, and a connection that stays open
+# after it.
+@SERVICE_CALLS
+@every_body
+def test_a_dripping_body_ends_with_the_timeout_of_its_call(
+    monkeypatch: pytest.MonkeyPatch,
+    head: bytes,
+    part: bytes,
+    call: Callable[..., Any],
+) -> None:
+    monkeypatch.setattr(services, "RESPONSE_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    check_failed(run_endless_call(head, part, call, DRIP_SECONDS), call)
+
+
+# Guards against a head whose drips renew the time-out.
+@SERVICE_CALLS
+def test_a_dripping_head_ends_with_the_timeout_of_its_call(
+    monkeypatch: pytest.MonkeyPatch, call: Callable[..., Any]
+) -> None:
+    monkeypatch.setattr(services, "RESPONSE_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    made = run_endless_call(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", call, DRIP_SECONDS)
+    check_failed(made, call)
