--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -191,7 +191,8 @@
         # nothing ran says nothing about this request unless it names it.
         if metadata.attempt != self._attempt:
             self._log_mismatch(head, metadata)
-            self._fail("a response to another request")
+            if self._exchange is None or not self._exchange.skip_copy(metadata.attempt):
+                self._fail("a response to another request")
             return
         self._report_signals(metadata)
         if metadata.not_run or metadata.misdirected:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/egress.py
@@ -33,6 +33,10 @@
 MAX_RESPONSE_HEAD_BYTES = 65536
 # Refusals after which a connection is closed rather than kept.
 MAX_REFUSALS = 100
+# Copies of earlier responses that are ignored before the response to a request, and the
+# bytes of their bodies.
+MAX_SKIPPED_RESPONSES = 2
+MAX_SKIPPED_BYTES = 65536
 # Upper limit of the idle time of a connection, whatever its peer allows.
 MAX_IDLE_SECONDS = 4.0
 # Subtracted from the peer's keep-alive time, so that the peer does not close a
@@ -52,6 +56,7 @@
     """
 
     def __init__(self, pool: EgressPool, address: Address) -> None:
+        super().__init__()
         self._pool = pool
         self.address = address
         self._http = ClientHttp(MAX_RESPONSE_HEAD_BYTES)
@@ -59,10 +64,11 @@
         self._keep_alive: int | None = None
         self._close_after = False
         self.open = False
-        self.gateway = ""
         self.sent = False
-        self.exchanges = 0
-        self.refused: set[str] = set()
+        self._method = b""
+        self._skipped = 0
+        self._skipped_bytes = 0
+        self._is_skipping = False
         self.idle_timer: IDelayedCall | None = None
         self._unwritten = memoryview(b"")
         self._is_writing = False
@@ -86,6 +92,7 @@
     ) -> None:
         """Send a request, with framing headers added."""
         self._listener = listener
+        self._method = method
         self.exchanges += 1
         framing = [(b"Content-Length", b"%d" % len(body))]
         if not body and method in (b"GET", b"HEAD", b"DELETE"):
@@ -111,6 +118,18 @@
             cast("Client", self.transport).registerProducer(self, True)
             self._write_body()
 
+    def skip_response(self) -> bool:
+        """Ignore the response whose head was read, and read a further one.
+
+        :returns: whether a further one can be read
+        """
+        is_sent = self._http.our_state is h11.DONE
+        if not is_sent or self._skipped >= MAX_SKIPPED_RESPONSES:
+            return False
+        self._skipped += 1
+        self._is_skipping = True
+        return True
+
     def pause_reading(self) -> None:
         """Stop reading the response; neither its end nor its failure is noticed."""
         if self.open and not self._is_paused:
@@ -204,13 +223,38 @@
             self._keep_alive = keep_alive_seconds(headers)
             self._close_after = wants_close(headers)
             listener.on_head(ResponseHead(event.status_code, event.reason, headers))
+        elif isinstance(event, h11.Data) and self._is_skipping:
+            self._skip_data(len(event.data))
         elif isinstance(event, h11.Data):
             listener.on_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and self._is_skipping:
+            self._read_next_response()
         elif isinstance(event, h11.EndOfMessage):
             self._finish(listener)
         elif isinstance(event, h11.ConnectionClosed):
             self._fail("closed without a response", sent=self.sent)
 
+    def _skip_data(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail("a copy of an earlier response without an end", sent=True)
+
+    def _read_next_response(self) -> None:
+        """Read what follows an ignored response as the response to the request."""
+        self._is_skipping = False
+        received, is_closed = self._http.trailing_data
+        # The parser expects a response only after a request. Of the request, only the
+        # method has a meaning for the framing of its response.
+        self._http = ClientHttp(MAX_RESPONSE_HEAD_BYTES)
+        headers = [(b"Host", b"")]
+        request = h11.Request(method=self._method, target=b"/", headers=headers)
+        self._http.send(request)
+        self._http.send(h11.EndOfMessage())
+        if received:
+            self._http.receive_data(received)
+        if is_closed:
+            self._http.receive_data(b"")
+
     def _finish(self, listener: ExchangeListener) -> None:
         self._listener = None
         self.resume_reading()
@@ -220,6 +264,7 @@
             and not surplus
             and not closed
             and not self._close_after
+            and not self._skipped
             and len(self.refused) < MAX_REFUSALS
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/exchanges.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/exchanges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import deque
 from typing import TYPE_CHECKING
 
 from pondquay_daemon.relay.errors import BrokenExchangeError
@@ -32,17 +33,24 @@
         """Handle a failure; no complete response will follow."""
 
 
+# Latest requests of a connection whose names are kept.
+MAX_NAMES = 16
+
+
 class ExchangeConnection(ABC):
     """A connection that carries one exchange after another.
 
     :ivar gateway: name of the peer through which it passes, empty if it is direct
     :ivar exchanges: number of exchanges that it has begun
+    :ivar names: names of its latest requests
     :ivar refused: names of the requests that the upstream refused on it
     """
 
-    gateway: str
-    exchanges: int
-    refused: set[str]
+    def __init__(self) -> None:
+        self.gateway = ""
+        self.exchanges = 0
+        self.names: deque[str] = deque(maxlen=MAX_NAMES)
+        self.refused: set[str] = set()
 
     @abstractmethod
     def begin(
@@ -55,6 +63,13 @@
     ) -> None:
         """Send a request, with framing headers added."""
 
+    @abstractmethod
+    def skip_response(self) -> bool:
+        """Ignore the response whose head was read, and read a further one.
+
+        :returns: whether a further one can be read
+        """
+
     @abstractmethod
     def pause_reading(self) -> None:
         """Stop reading the response; neither its end nor its failure is noticed."""
@@ -111,6 +126,8 @@
             connection.drop()
             return
         self._connection = connection
+        if self.name is not None:
+            connection.names.append(self.name)
         connection.begin(self._listener, *self._request)
 
     def fail_connect(self, failure: DialFailure) -> None:
@@ -129,6 +146,17 @@
         if self._connection is not None and self.name is not None:
             self._connection.refused.add(self.name)
 
+    def skip_copy(self, name: str) -> bool:
+        """Ignore the response that has begun if it repeats one to an earlier request.
+
+        :param name: name of the request to which it belongs
+        :returns: whether a further response is read
+        """
+        connection = self._connection
+        if connection is None or name == self.name or name not in connection.names:
+            return False
+        return connection.skip_response()
+
     def pause_reading(self) -> None:
         """Stop reading the response."""
         if self._connection is not None:
