--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -232,6 +232,7 @@
                 data=json.dumps(body).encode(),
                 headers=headers,
                 timeout=ACCEPT_TIMEOUT_SECONDS,
+                allow_redirects=False,
                 unbuffered=True,
             )
         except (ConnectError, ConnectingCancelledError) as error:
@@ -256,6 +257,7 @@
             response = await self._http.get(
                 f"{url}/v1/streams/{stream}?offset={offset}",
                 timeout=ACCEPT_TIMEOUT_SECONDS,
+                allow_redirects=False,
                 unbuffered=True,
             )
         except NETWORK_ERRORS as error:
@@ -292,6 +294,7 @@
                 method,
                 f"{url}/v1/streams/{stream}/{action}",
                 timeout=REQUEST_TIMEOUT_SECONDS,
+                allow_redirects=False,
             )
             content = await treq.json_content(response)
             if not _names_stream(response, stream):
@@ -309,7 +312,9 @@
         """Return an upstream's load report, ``None`` if there is no valid response."""
         try:
             response = await self._http.get(
-                f"{url}/v1/load", timeout=REQUEST_TIMEOUT_SECONDS
+                f"{url}/v1/load",
+                timeout=REQUEST_TIMEOUT_SECONDS,
+                allow_redirects=False,
             )
             content: dict[str, Any] = await treq.json_content(response)
             return content if response.code == OK else None
--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -183,6 +183,7 @@
                 f"{self._url}/objects/{key}",
                 headers=self._headers,
                 timeout=self._timeout,
+                allow_redirects=False,
             )
             content: bytes = await treq.content(response)
         except NETWORK_ERRORS:
@@ -200,6 +201,7 @@
                 data=content,
                 headers=self._headers,
                 timeout=self._timeout,
+                allow_redirects=False,
             )
             await treq.content(response)
         except NETWORK_ERRORS:
@@ -212,13 +214,17 @@
             data=json.dumps(body).encode(),
             headers=self._headers,
             timeout=self._timeout,
+            allow_redirects=False,
         )
         content = await treq.content(response).addTimeout(self._timeout, self._reactor)
         return response.code, json.loads(content or b"null")
 
     async def _get(self, path: str) -> tuple[int, Any]:
         response = await self._http.get(
-            self._url + path, headers=self._headers, timeout=self._timeout
+            self._url + path,
+            headers=self._headers,
+            timeout=self._timeout,
+            allow_redirects=False,
         )
         content = await treq.content(response).addTimeout(self._timeout, self._reactor)
         return response.code, json.loads(content)
--- a/packages/pondquay-daemon/tests/conftest.py
+++ b/packages/pondquay-daemon/tests/conftest.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
 
@@ -29,3 +31,11 @@
             f"key_file = {key}",
         ]
     )
+
+
+@pytest.fixture
+def closed_url() -> Iterator[str]:
+    """Return the URL of a port that refuses connections."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        yield f"http://127.0.0.1:{unused.getsockname()[1]}"
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -14,6 +14,9 @@
 COMPLETION = Completion("m", "v1", (), 10, "normal", "")
 REFUSAL = b"HTTP/1.1 %d No\r\n%bContent-Length: 2\r\n\r\n{}"
 OWN_NAME = b"Pondquay-Stream: s1\r\n"
+REDIRECTION = (
+    b"HTTP/1.1 303 See Other\r\n%bLocation: %b/other\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 def start_stream(response: bytes) -> Any:
@@ -65,3 +68,10 @@
 @pytest.mark.parametrize("name", [b"", b"Pondquay-Stream: s0\r\n"])
 def test_a_cancellation_of_another_stream_proves_nothing(name: bytes) -> None:
     assert cancel_stream(STATUS % name).state is StreamState.UNREACHABLE
+
+
+# Guards against a redirection that is followed after the stream was sent: where it
+# leads to a closed port, the stream seems not to have been sent.
+def test_a_redirected_stream_may_have_run(closed_url: str) -> None:
+    response = REDIRECTION % (OWN_NAME, closed_url.encode())
+    assert start_stream(response).check(MayHaveRunError)
