--- a/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
@@ -12,6 +12,12 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
+    from twisted.internet.interfaces import IReactorTime
+
+# An explanation that comes with a status is short and complete.
+MAX_DISCARDED_BYTES = 65536
+MAX_DISCARD_SECONDS = 1.0
+
 
 class BodyTooLongError(Exception):
     """A body has more bytes than a response of its kind needs."""
@@ -69,3 +75,31 @@
     collector = _Collector(max_bytes)
     response.deliverBody(collector)
     return collector.collected
+
+
+class _Discarder(Protocol):
+    """Ignores a body, and aborts the connection of one that does not end soon."""
+
+    def __init__(self, clock: IReactorTime) -> None:
+        self._left = MAX_DISCARDED_BYTES
+        self._timer = clock.callLater(MAX_DISCARD_SECONDS, abort_body, self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Count a part."""
+        self._left -= len(data)
+        if self._left < 0:
+            abort_body(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Stop waiting for the end."""
+        if self._timer.active():
+            self._timer.cancel()
+
+
+def discard_body(response: Any, clock: IReactorTime) -> None:
+    """Ignore the body of an unbuffered response, without a wait for its end.
+
+    The connection is used again if the body ends within ``MAX_DISCARD_SECONDS`` and
+    ``MAX_DISCARDED_BYTES``, and aborted otherwise.
+    """
+    response.deliverBody(_Discarder(clock))
--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -14,6 +14,7 @@
 from twisted.web.client import Agent, ResponseDone
 
 from pondquay.streams import Frame
+from pondquay_daemon.bodies import discard_body
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK
@@ -240,7 +241,7 @@
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
         if _is_refusal(response) and not _names_stream(response, stream):
-            await treq.content(response)
+            discard_body(response, self._reactor)
             raise MayHaveRunError(f"status {response.code} for another stream")
         return await self._receive(response, on_frame)
 
@@ -266,10 +267,10 @@
 
     async def _receive(self, response: Any, on_frame: Callable[[Frame], None]) -> bool:
         if _is_refusal(response):
-            await treq.content(response)
+            discard_body(response, self._reactor)
             raise RefusedError(response.code, _read_backoff(response))
         if response.code != OK:
-            await treq.content(response)
+            discard_body(response, self._reactor)
             raise MayHaveRunError(f"status {response.code}")
         receiver = FrameReceiver(on_frame, self._reactor)
         response.deliverBody(receiver)
--- a/packages/pondquay-daemon/tests/singleresponses.py
+++ b/packages/pondquay-daemon/tests/singleresponses.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
+from twisted.internet import task
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
@@ -11,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
+    from contextlib import AbstractContextManager
 
     from twisted.internet.interfaces import IAddress
 
@@ -31,6 +34,15 @@
         self._end(self.transport)
 
 
+def write_bodies(reactor: Any) -> AbstractContextManager[Any]:
+    """Let a reactor write the bodies of requests.
+
+    The process's cooperator writes them, and its own reactor does not run in tests.
+    """
+    cooperator = task.Cooperator(scheduler=lambda step: reactor.callLater(0, step))
+    return patch.object(task, "_theCooperator", cooperator)
+
+
 def run_call(
     response: bytes,
     end: Callable[[Any], None],
@@ -59,6 +71,7 @@
 
     reactor.callWhenRunning(start)
     reactor.callLater(MAX_TEST_SECONDS, reactor.stop)
-    reactor.run(installSignalHandlers=False)
+    with write_bodies(reactor):
+        reactor.run(installSignalHandlers=False)
     (result,) = results
     return result
--- a/packages/pondquay-daemon/tests/test_endless_responses.py
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -9,7 +9,7 @@
 from pondquay.tables import OutcomeUnknown, Read, Transaction, Unreachable
 from pondquay_daemon import services
 from pondquay_daemon.engines import Completion, Engines, StreamState
-from pondquay_daemon.errors import MayHaveRunError
+from pondquay_daemon.errors import MayHaveRunError, RefusedError
 from pondquay_daemon.platform import Platform
 from pondquay_daemon.services import ServiceCall, Services
 
@@ -181,3 +181,39 @@
     monkeypatch.setattr(services, "RESPONSE_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
     made = run_endless_call(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", call, DRIP_SECONDS)
     check_failed(made, call)
+
+
+REFUSAL = b"HTTP/1.1 %d No\r\nPondquay-Stream: %b\r\n"
+REFUSAL_BODIES = {
+    "with a length": (b"Content-Length: 9999999999\r\n\r\n", b"x"),
+    "without a length": (b"\r\n", b"x"),
+    "in chunks": (b"Transfer-Encoding: chunked\r\n\r\n", CHUNK),
+}
+every_refusal_body = pytest.mark.parametrize(
+    ("head", "part"), REFUSAL_BODIES.values(), ids=REFUSAL_BODIES
+)
+every_pause = pytest.mark.parametrize("pause", [0.0, DRIP_SECONDS])
+
+
+# Guards against a request that is held until the body of a refusal ends.
+@every_refusal_body
+@every_pause
+@pytest.mark.parametrize("status", [409, 503])
+def test_a_refusal_without_end_counts_by_its_head(
+    status: int, head: bytes, part: bytes, pause: float
+) -> None:
+    made = run_endless_call(REFUSAL % (status, b"s1") + head, part, start_stream, pause)
+    assert made.result.check(RefusedError)
+    assert made.is_bounded
+
+
+# Guards against a refusal of another stream, or a failure, whose body holds a request.
+@every_refusal_body
+@every_pause
+@pytest.mark.parametrize(("status", "name"), [(503, b"s0"), (500, b"s1")])
+def test_a_failure_without_end_proves_nothing(
+    status: int, name: bytes, head: bytes, part: bytes, pause: float
+) -> None:
+    made = run_endless_call(REFUSAL % (status, name) + head, part, start_stream, pause)
+    assert made.result.check(MayHaveRunError)
+    assert made.is_bounded
