--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/__main__.py
@@ -0,0 +1,87 @@
+"""The command ``python -m pondquay_standins.hostile``."""
+
+from __future__ import annotations
+
+import sys
+from argparse import ArgumentParser
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import replace
+
+from pondquay_standins.hostile.behaviours import list_behaviours
+from pondquay_standins.hostile.runs import HostilePlan, HostileResult, run_plan
+from pondquay_standins.soak.__main__ import install_signal_handlers
+from pondquay_standins.soak.builds import CommitBuild
+
+DEFAULT_SECONDS = 6.0
+MAX_SHOWN = 5
+# Behaviours whose responses pass through a gateway as well.
+THROUGH_GATEWAY = (
+    "refusal",
+    "refusal-copy-while",
+    "refusal-reset-in-body",
+    "closed-running",
+    "reset-answer",
+    "no-length",
+    "freeze",
+)
+SIGNALS = ("SIGTERM", "SIGKILL", "SIGHUP", "SIGKILL", "SIGTERM", "SIGHUP", "SIGKILL")
+
+
+def list_plans(seed: int, seconds: float) -> list[HostilePlan]:
+    """Return a plan for each behaviour, some also with gateways or signals."""
+    plans = [HostilePlan(name, seed, seconds) for name in list_behaviours()]
+    plans += [
+        HostilePlan(name, seed, seconds, cut_off=True) for name in THROUGH_GATEWAY
+    ]
+    plans += [
+        HostilePlan(name, seed, 2 * seconds, signals=SIGNALS)
+        for name in ("sound", "refusal", "refusal-copy-while", "closed-running")
+    ]
+    return plans
+
+
+def run_all(plans: list[HostilePlan], jobs: int) -> list[HostileResult]:
+    """Run all plans and print each result."""
+
+    def run(plan: HostilePlan) -> HostileResult:
+        result = run_plan(plan)
+        print(result, flush=True)
+        for finding in result.findings[:MAX_SHOWN]:
+            print(f"    {finding}", flush=True)
+        for error in result.errors[:MAX_SHOWN]:
+            print(f"    {error}", flush=True)
+        return result
+
+    with ThreadPoolExecutor(jobs) as executor:
+        return list(executor.map(run, plans))
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run behaviours and print what they broke.
+
+    :returns: exit status, 0 if no rule was broken, 1 if one was
+    """
+    parser = ArgumentParser(prog="python -m pondquay_standins.hostile")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--only", nargs="*", help="names of behaviours")
+    parser.add_argument("--from", dest="commit", help="run relays of this commit")
+    options = parser.parse_args(arguments)
+    plans = list_plans(options.seed, options.seconds)
+    if options.only:
+        plans = [plan for plan in plans if plan.behaviour in options.only]
+    with ExitStack() as stack:
+        if options.commit:
+            build = stack.enter_context(CommitBuild(options.commit))
+            plans = [replace(plan, environment=build.environment) for plan in plans]
+        results = run_all(plans, options.jobs)
+    broken = [result for result in results if result.findings]
+    print(f"{len(results)} runs, {len(broken)} broke a rule")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    install_signal_handlers()
+    sys.exit(main())
--- /dev/null
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/checks.py
@@ -0,0 +1,143 @@
+"""Checks of what callers received against what ran."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pondquay_standins.hostile.callers import EVENT
+from pondquay_standins.hostile.exchanges import format_event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from pondquay_standins.hostile.callers import HostileCall
+    from pondquay_standins.hostile.exchanges import Visit
+
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+RETRY_RATIO = 0.2
+RETRY_WINDOW_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken rule.
+
+    :ivar rule: name of the rule
+    :ivar attempt: the request that broke it
+    """
+
+    rule: str
+    attempt: str
+    details: str
+
+
+def find_all(
+    calls: Sequence[HostileCall], visits: Sequence[Visit], retry_extra: float
+) -> list[Finding]:
+    """Return all broken rules of one run."""
+    by_attempt: dict[str, list[Visit]] = defaultdict(list)
+    for visit in visits:
+        by_attempt[visit.attempt].append(visit)
+    findings = [
+        Finding("UNASKED", visit.attempt, visit.wrong)
+        for visit in visits
+        if visit.wrong
+    ]
+    known = {call.attempt for call in calls}
+    findings += [
+        Finding("UNASKED", visit.attempt, "no caller sent it")
+        for visit in visits
+        if visit.ran and visit.attempt not in known
+    ]
+    for call in calls:
+        findings += check_call(call, by_attempt.get(call.attempt, []))
+    return findings + check_repeats(calls, by_attempt, retry_extra)
+
+
+def check_call(call: HostileCall, visits: Sequence[Visit]) -> list[Finding]:
+    """Return the rules that one request broke."""
+    runs = [visit for visit in visits if visit.ran]
+    route, replicas = call.route, {run.replica for run in runs}
+    places = ", ".join(
+        f"{visit.replica} {'ran' if visit.ran else 'refused'}" for visit in visits
+    )
+    details = f"{route.name}, {call.status}: {places}"
+    findings = []
+    if not route.repeatable:
+        if call.status in PROMISING_STATUSES and runs:
+            findings.append(Finding("REFUSED", call.attempt, details))
+        if len(runs) > 1:
+            findings.append(Finding("TWICE", call.attempt, details))
+    if len(replicas) > route.attempts:
+        findings.append(Finding("BUDGET attempts", call.attempt, details))
+    if call.status and not _is_own(call, runs):
+        findings.append(
+            Finding("MIXED", call.attempt, f"{details}; {call.body[:60]!r}")
+        )
+    return findings
+
+
+def _is_own(call: HostileCall, runs: Sequence[Visit]) -> bool:
+    """Return whether a response is the request's own, and whole if it seems whole."""
+    if call.name not in ("", call.attempt):
+        return False
+    signer = call.signature.removeprefix("sig.")
+    signed = [run for run in runs if run.replica == signer]
+    if not 200 <= call.status < 300:
+        return not signer or call.status in {run.status for run in signed}
+    if not signed or not call.name:
+        return False
+    if not call.complete:
+        return True
+    if not call.events:
+        whole = any(run.status == call.status and run.whole for run in signed)
+        return whole and call.body == f"{signer}:{call.attempt}".encode()
+    numbers = [int(number) for number, _, _ in EVENT.findall(call.body)]
+    expected = b"".join(format_event(call.attempt, number) for number in numbers)
+    return call.body == expected and numbers == list(range(1, call.events + 1))
+
+
+def check_repeats(
+    calls: Iterable[HostileCall],
+    by_attempt: Mapping[str, Sequence[Visit]],
+    retry_extra: float,
+) -> list[Finding]:
+    """Return the spans in which a service received too many repeats.
+
+    The requests of a span are those of the window that ends with it, of the window
+    before, or of the one half a window before, whichever are most.
+    """
+    requests: dict[str, list[float]] = defaultdict(list)
+    repeats: dict[str, list[float]] = defaultdict(list)
+    for call in calls:
+        requests[call.route.service].append(call.began)
+        ordered = sorted(visit.at for visit in by_attempt.get(call.attempt, []))
+        repeats[call.route.service] += ordered[1:]
+    findings = []
+    for service, times in repeats.items():
+        times.sort()
+        sent = sorted(requests[service])
+        worst = 0.0
+        for first, at in enumerate(times):
+            until = at + RETRY_WINDOW_SECONDS
+            count = bisect_left(times, until) - first
+            base = max(
+                _count(sent, at - shift, until - shift)
+                for shift in (0, RETRY_WINDOW_SECONDS / 2, RETRY_WINDOW_SECONDS)
+            )
+            worst = max(worst, count - RETRY_RATIO * base - retry_extra)
+        if worst > 0:
+            findings.append(Finding("BUDGET share", service, f"{worst:.1f} too many"))
+    return findings
+
+
+def _count(times: Sequence[float], begin: float, end: float) -> int:
+    return bisect_left(times, end) - bisect_left(times, begin)
+
+
+def count_statuses(calls: Iterable[HostileCall]) -> Counter[int]:
+    """Return how many calls ended with each status."""
+    return Counter(call.status for call in calls)
