--- a/packages/pondquay-standins/src/pondquay_standins/hostile/behaviours.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/behaviours.py
@@ -21,6 +21,7 @@
 
 PROMISING_STATUSES = (408, 421, 429, 503)
 OLDER_ATTEMPT = "older-1"
+OK = 200
 FREEZE_SECONDS = 1.0
 MAX_CONNECTIONS = 2
 FRAMINGS = ("length", "close", "chunked", "none", "interim")
@@ -224,6 +225,36 @@
         exchange.end()
 
 
+class PartBefore(Behaviour):
+    """Sends a part of another response's head before its own response.
+
+    :param status: status of the other response
+    :param own: status of its own response
+    """
+
+    def __init__(self, status: int, own: int) -> None:
+        self._status = status
+        self._own = own
+
+    def misbehave(self, exchange: HostileExchange) -> None:
+        """Run it, and respond after the part."""
+        exchange.begin_run()
+        random = exchange.replica.random
+        name = ("X-Pondquay-Attempt-Id", OLDER_ATTEMPT)
+        promise = ("X-Pondquay-Not-Executed", "1")
+        headers = [promise, name] if self._status != OK else [name]
+        other = format_response(self._status, headers)
+        part = other[: random.randrange(1, len(other))]
+        body = f"{exchange.replica.name}:{exchange.attempt}".encode()
+        response = format_response(self._own, exchange.sign(), body)
+
+        def send() -> None:
+            exchange.visit.status, exchange.visit.whole = self._own, True
+            exchange.refuse(part + response)
+
+        exchange.later(RUN_SECONDS, send)
+
+
 class EarlyRefusal(Behaviour):
     """Refuses requests before their bodies are read, and reads on later."""
 
@@ -469,6 +500,8 @@
         "refusal-on-other-connections": OtherConnectionCopies,
         "refusal-then-bytes": RefusalThenBytes,
         "refusal-before-body": EarlyRefusal,
+        "part-of-refusal-before-success": partial(PartBefore, 503, 200),
+        "part-of-success-before-failure": partial(PartBefore, 200, 500),
         "own-failure": OwnFailure,
         "no-length": Unframed,
         "few-connections": FewConnections,
