--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
@@ -28,11 +27,13 @@
     Unsent,
 )
 from pondquay_daemon.relay.plainresponses import PlainResponse
+from pondquay_daemon.relay.silencewatch import SilenceWatch
+from pondquay_daemon.relay.unusedbodies import UnusedBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IReactorTime
 
     from pondquay.addresses import Address
     from pondquay.routing.buffers import Buffer
@@ -44,36 +45,10 @@
         HeaderList,
         ResponseHead,
         ResponseMetadata,
-        UpstreamSignals,
     )
     from pondquay_daemon.relay.outcomes import Outcome
     from pondquay_daemon.relay.streamprogress import StreamProgress
-
-
-class UpstreamListener(ABC):
-    """Observes an upstream while an attempt is in progress there."""
-
-    @abstractmethod
-    def on_data(self) -> None:
-        """Handle the arrival of any data."""
-
-    @abstractmethod
-    def on_response(self) -> None:
-        """Handle a response to the request, whose prompt is therefore prefilled."""
-
-    @abstractmethod
-    def on_pause(self, seconds: float) -> None:
-        """Handle a pause between two events.
-
-        :param seconds: length of the pause
-        """
-
-    @abstractmethod
-    def on_signals(self, signals: UpstreamSignals, *, tunnelled: bool) -> None:
-        """Handle the signals of a response that is certainly from this upstream.
-
-        :param tunnelled: whether the response came through a peer
-        """
+    from pondquay_daemon.relay.upstreamlisteners import UpstreamListener
 
 
 class Attempt(ExchangeListener, FlowListener):
@@ -114,9 +89,8 @@
         self._streaming = False
         self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
-        self._silence_timer: IDelayedCall | None = None
-        self._checking_silence = False
-        self._silence_seconds = 0.0
+        self._silence: SilenceWatch | None = None
+        self._unused_body: UnusedBody | None = None
         self._may_retry: Callable[[], bool] | None = None
 
     def run(
@@ -143,12 +117,14 @@
         :param may_retry: called after each such period once the request is sent;
             returns whether it may be sent elsewhere, otherwise the attempt continues
         """
-        self._silence_seconds = seconds
         self._may_retry = may_retry
-        self._silence_timer = self._clock.callLater(seconds, self._on_silence)
+        self._silence = SilenceWatch(self._clock, seconds, self._handle_silence)
 
     def stop(self) -> None:
         """End the attempt immediately."""
+        if self._not_run is not None:
+            self._end(self._not_run, cancel=True)
+            return
         sent = self._exchange is not None and self._exchange.sent
         self._end(Stopped(sent), cancel=True)
 
@@ -179,7 +155,7 @@
         self._pauses.end(self._clock.seconds())
         if self._progress is not None:
             self._progress.restart_pause()
-        self._restart_silence_timer()
+        self._restart_silence()
         if self._exchange is not None:
             self._exchange.resume_reading()
 
@@ -199,12 +175,17 @@
             self._not_run = NotRun(head.status, metadata.misdirected)
             if self._exchange is not None:
                 self._exchange.note_refused()
+            self._ignore_body(self._not_run)
             return
         if head.status in SUCCESS_STATUSES and not metadata.signed:
             self._fail("a success without an upstream's signature")
             return
         self._upstream.on_response()
         self._head = head
+        # Responses with these statuses are never forwarded.
+        if head.status in NOT_RUN_STATUSES:
+            self._ignore_body(Lost("a refusal without an end", began=True))
+            return
         self._streaming = self._progress is not None and head.status in SUCCESS_STATUSES
         if self._streaming:
             self._response.content = Content.STREAM
@@ -213,6 +194,9 @@
     def on_body(self, data: bytes) -> None:
         """Forward complete events of a stream, or keep a part of a plain response."""
         self._note_activity()
+        if self._unused_body is not None:
+            self._unused_body.add(data)
+            return
         if not self._streaming:
             self._collect(data)
             return
@@ -323,13 +307,19 @@
     def _collect(self, data: bytes) -> None:
         """Keep a part of a plain response, or forward it if it is too long."""
         head = self._head
-        # Responses with these statuses are never forwarded.
-        if head is None or head.status in NOT_RUN_STATUSES:
-            return
-        if self._plain.add(data):
+        if head is not None and self._plain.add(data):
             self._follow_caller()
             self._plain.forward(head)
 
+    def _ignore_body(self, outcome: Outcome) -> None:
+        """Read the body only within bounds, beyond which the attempt ends.
+
+        :param outcome: the outcome if the body exceeds the bounds
+        """
+        self._unused_body = UnusedBody(
+            self._clock, lambda: self._end(outcome, cancel=True)
+        )
+
     def _follow_caller(self) -> None:
         """Read the upstream only while the caller reads."""
         self._response.flow = self
@@ -351,33 +341,19 @@
 
     def _note_activity(self) -> None:
         self._upstream.on_data()
-        self._restart_silence_timer()
+        self._restart_silence()
 
-    def _restart_silence_timer(self) -> None:
-        if self._silence_timer is None or not self._silence_timer.active():
-            return
-        if self._checking_silence:
-            self._checking_silence = False
-            self._silence_timer.cancel()
-            self._silence_timer = self._clock.callLater(
-                self._silence_seconds, self._on_silence
-            )
-        else:
-            self._silence_timer.reset(self._silence_seconds)
-
-    def _on_silence(self) -> None:
-        # After a stall of the process, timers fire before waiting data is read, so the
-        # decision is deferred by one iteration of the event loop.
-        self._checking_silence = True
-        self._silence_timer = self._clock.callLater(0, self._handle_silence)
+    def _restart_silence(self) -> None:
+        if self._silence is not None:
+            self._silence.restart()
 
-    def _handle_silence(self) -> None:
-        self._checking_silence = False
+    def _handle_silence(self) -> bool:
+        """End the attempt, or return that the upstream is to be watched on."""
         if self._exchange is not None and not self._exchange.sent:
             # Nothing has run without a connection, so this does not count as one of the
             # route's attempts.
             self._end(Unsent("no connection in time"), cancel=True)
-            return
+            return False
         # Nothing can be sent elsewhere once a part of a plain response was forwarded.
         may_end = not self.passing_on and self._pauses.paused_at is None
         if may_end and self._may_retry is not None and self._may_retry():
@@ -388,14 +364,14 @@
                 streamed=self._streaming_seconds(),
             )
             self._end(lost, cancel=True)
-            return
-        self._silence_timer = self._clock.callLater(
-            self._silence_seconds, self._on_silence
-        )
+            return False
+        return True
 
     def _end(self, outcome: Outcome, *, cancel: bool = False) -> None:
-        if self._silence_timer is not None and self._silence_timer.active():
-            self._silence_timer.cancel()
+        if self._silence is not None:
+            self._silence.stop()
+        if self._unused_body is not None:
+            self._unused_body.stop()
         if cancel and self._exchange is not None:
             self._exchange.cancel()
         if self._progress is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
@@ -7,8 +7,8 @@
 from pondquay.routing.pace import normalize_interval
 from pondquay.routing.upstreamrecords import Departure
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.relay.attempts import UpstreamListener
 from pondquay_daemon.relay.dialing import CONNECT_SECONDS
+from pondquay_daemon.relay.upstreamlisteners import UpstreamListener
 
 if TYPE_CHECKING:
     from pondquay.routing.knownupstreams import KnownUpstream
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import TYPE_CHECKING, Any
 from unittest.mock import Mock
@@ -84,6 +84,7 @@
     make_route("read", RequestKind.REPEATABLE),
     make_route("once", RequestKind.ONCE),
     make_route("stream", RequestKind.STREAMING),
+    replace(make_route("live", RequestKind.STREAMING), resumable=False),
     make_route("paid", RequestKind.STREAMING, ENGINE),
 )
 WORKSPACE = RoutedWorkspace("moderators", ("key",), prepaid=1_000_000)
--- a/packages/pondquay-daemon/tests/relay/test_attempts.py
+++ b/packages/pondquay-daemon/tests/relay/test_attempts.py
@@ -9,7 +9,7 @@
 
 from pondquay.addresses import Address
 from pondquay.streamevents import EventReader
-from pondquay_daemon.relay.attempts import Attempt, UpstreamListener
+from pondquay_daemon.relay.attempts import Attempt
 from pondquay_daemon.relay.errors import BrokenExchangeError
 from pondquay_daemon.relay.messages import (
     NO_SIGNALS,
@@ -19,6 +19,7 @@
 )
 from pondquay_daemon.relay.outcomes import Lost, NotRun
 from pondquay_daemon.relay.streamprogress import StreamProgress
+from pondquay_daemon.relay.upstreamlisteners import UpstreamListener
 
 if TYPE_CHECKING:
     from pondquay_daemon.relay.messages import HeaderList
