--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -40,6 +40,7 @@
     from pondquay.addresses import Address
     from pondquay.routing.crashes import CrashReport
     from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.crashsharing import Trial
     from pondquay_daemon.relay.dialing import Dialer
     from pondquay_daemon.relay.metrics import RelayMetrics
 
@@ -267,20 +268,19 @@
                 return Refusal(UNAVAILABLE, BLOCKED_PART_REASON, blocked.retry_after)
         return None
 
-    def start_trial(self, content: bytes, parts: Collection[bytes] = ()) -> bool:
-        """Start a trial of a blocked request if one is due; return whether it was."""
+    def start_trial(
+        self, content: bytes, parts: Collection[bytes] = ()
+    ) -> Trial | None:
+        """Start a trial of a blocked request, and return it if one is due."""
         for suspicion in self._suspicions:
             if suspicion.crashes.check(parts, content) is None:
                 continue
             if self.history.check(content) is not None:
                 # Another request shows as well whether the part crashes upstreams.
-                return False
+                return None
             return suspicion.start_trial(parts)
         report = self.history.start_trial(content)
-        if report is None:
-            return False
-        self.contents.share_trial(report)
-        return True
+        return None if report is None else self.contents.share_trial(report)
 
     def describe(self) -> list[dict[str, object]]:
         """Return the contents and parts that are blocked, for operators."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -14,6 +14,7 @@
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission, Refusal
     from pondquay_daemon.relay.crashmonitor import CrashMonitor
+    from pondquay_daemon.relay.crashsharing import Trial
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.outcomes import Lost
 
@@ -26,7 +27,8 @@
 class CrashPermit(RunningRequest):
     """Checks whether a request may be sent, as upstreams may crash under it.
 
-    It is a context manager, within which the request runs.
+    It is a context manager, within which the request runs. A trial that ends without a
+    run, as when no upstream is left, is given back.
 
     :param on_refused: called once a part of its prompt is blocked while it runs
     """
@@ -45,7 +47,8 @@
         self._head = head
         self._body = body
         self._digest = b""
-        self._on_trial = False
+        self._trial: Trial | None = None
+        self._may_have_run = False
         self._parts = tuple(
             digest_part(admission.service, name)
             for name in list_shared(admission.metadata.prefix)
@@ -55,8 +58,11 @@
         self._monitor.add_running(self)
         return self
 
-    def __exit__(self, *_: object) -> None:
+    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
         self._monitor.remove_running(self)
+        # After an unexpected exception it is not known whether the request ran.
+        if self._trial is not None and kind is None and not self._may_have_run:
+            self._trial.give_back()
 
     @property
     def content(self) -> bytes:
@@ -73,29 +79,33 @@
         refusal = self._check()
         if refusal is None:
             return None
-        self._on_trial = self._monitor.start_trial(self.content, self._parts)
-        return None if self._on_trial else refusal
+        self._trial = self._monitor.start_trial(self.content, self._parts)
+        return refusal if self._trial is None else None
 
-    def check_send(self, sends: int) -> Refusal | None:
+    def check_send(self) -> Refusal | None:
         """Return a refusal if the request must not be sent, ``None`` otherwise.
 
-        The first send of a trial is always permitted.
-
-        :param sends: number of times that it has been sent
+        The first run of a trial is always permitted.
         """
-        return None if self._on_trial and not sends else self._check()
+        if self._trial is not None and not self._may_have_run:
+            return None
+        return self._check()
 
     def recheck(self) -> None:
         """Report that the request must not run any more, unless it is a trial.
 
         A content that is blocked may run on, as its completion clears it.
         """
-        if self._on_trial:
+        if self._trial is not None:
             return
         refusal = self._monitor.check_parts(self._parts)
         if refusal is not None:
             self._on_refused(refusal)
 
+    def note_run(self) -> None:
+        """Record that the request may have run at an upstream."""
+        self._may_have_run = True
+
     def note_served(self) -> None:
         """Record that the request completed."""
         self._monitor.note_parts_served(self._parts)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
@@ -23,6 +23,29 @@
 MAX_ANNOUNCED_SUSPECTED = 64
 
 
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """The trial of a blocked key, which has started.
+
+    :param kind: what the key is of, for the log
+    :param report: the key's report as of the start
+    """
+
+    kind: str
+    history: CrashHistory
+    report: CrashReport
+
+    def give_back(self) -> None:
+        """Let the trial start again soon, as its request did not run."""
+        log_event(
+            f"{self.kind}-not-tried",
+            Level.INFO,
+            trials=self.report.trials,
+            **{self.kind: self.report.content.hex()},
+        )
+        self.history.return_trial(self.report)
+
+
 @dataclass(slots=True)
 class CrashSharing:
     """Shares the crash reports of one kind: those of contents, or of prompt parts.
@@ -62,8 +85,8 @@
             self._log_decision(report, OWN_SOURCE)
             self.persist(report)
 
-    def share_trial(self, report: CrashReport) -> None:
-        """Share that a trial of a blocked key starts."""
+    def share_trial(self, report: CrashReport) -> Trial:
+        """Share that a trial of a blocked key starts, and return the trial."""
         log_event(
             f"{self.kind}-tried",
             Level.INFO,
@@ -72,6 +95,7 @@
         )
         self.announce([report])
         self.persist(report)
+        return Trial(self.kind, self.history, report)
 
     def receive(self, report: CrashReport, source: str) -> None:
         """Merge a report from a peer or the table.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomerecorder.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomerecorder.py
@@ -55,6 +55,8 @@
         """Record the outcome of an attempt."""
         now = self._components.clock.seconds()
         self._components.metrics.attempts.labels(type(outcome).__name__.lower()).inc()
+        if may_have_run(outcome):
+            self._crash_permit.note_run()
         if isinstance(outcome, NotRun):
             self._record_rejection(upstream, outcome, now)
         elif isinstance(outcome, Unsent):
@@ -128,6 +130,13 @@
             self._crash_permit.note_lost(upstream, lost)
 
 
+def may_have_run(outcome: Outcome) -> bool:
+    """Return whether an upstream may have run the request."""
+    if isinstance(outcome, Stopped):
+        return outcome.sent
+    return not isinstance(outcome, Unsent | NotRun)
+
+
 def is_served(outcome: Answered | PassedOn | Streamed) -> bool:
     """Return whether an upstream served the request, rather than failed it."""
     if isinstance(outcome, Answered):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/partsuspicion.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/partsuspicion.py
@@ -9,7 +9,7 @@
     from collections.abc import Collection
 
     from pondquay.routing.partcrashes import PartCrashes
-    from pondquay_daemon.relay.crashsharing import CrashSharing
+    from pondquay_daemon.relay.crashsharing import CrashSharing, Trial
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,10 +29,7 @@
         for report in self.crashes.note_served(parts):
             self.sharing.share_cleared(report, was_blocked=report.content in before)
 
-    def start_trial(self, parts: Collection[bytes]) -> bool:
-        """Start a trial of a refused request if one is due; return whether it was."""
+    def start_trial(self, parts: Collection[bytes]) -> Trial | None:
+        """Start a trial of a refused request, and return it if one is due."""
         report = self.crashes.start_trial(parts)
-        if report is None:
-            return False
-        self.sharing.share_trial(report)
-        return True
+        return None if report is None else self.sharing.share_trial(report)
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -270,7 +270,7 @@
 
     async def _choose_upstream(self, sends: int) -> KnownUpstream | Refusal:
         """Return the upstream to try next, or a refusal."""
-        refusal = self._crash_permit.check_send(sends)
+        refusal = self._crash_permit.check_send()
         if refusal is not None:
             return self._make_refusal(refusal.reason, refusal.retry_after)
         upstream = await self._sender.choose_upstream()
--- a/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
@@ -25,6 +25,10 @@
 # Path of requests that upstreams hold until ``answer_held`` is called.
 HELD_PATH = "/read/held"
 RESPONSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 PORT = 80
 HOSTS = tuple(f"10.0.0.{number}" for number in range(1, 7))
 # Time after which a crashed upstream restarts, under another name.
@@ -40,11 +44,13 @@
     :param relays: relays that connect to them and to each other; they share a clock
     :ivar crashed: names of the upstreams that crashed under that request, in order
     :ivar resetting: whether they reset connections on which they receive a request
+    :ivar rejecting: whether they reject all requests without running them
     """
 
     relays: list[RelaySide]
     crashed: list[str] = field(default_factory=list)
     resetting: bool = False
+    rejecting: bool = False
     links: RelayLinks = field(default_factory=RelayLinks)
     _incarnations: Counter[str] = field(default_factory=Counter)
     _restarts_at: dict[str, float] = field(default_factory=dict)
@@ -117,6 +123,8 @@
         sent = end.transport.value()
         if sent and self.resetting:
             end.end()
+        elif sent and self.rejecting:
+            end.send(REJECTION)
         elif CRASHING.encode() in sent:
             self.crashed.append(self.name(host))
             self.crash(host)
@@ -215,11 +223,8 @@
     assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
 
 
-def test_a_request_whose_upstreams_crashed_together_is_tried_again(
-    relay: RelaySide,
-) -> None:
-    """Several callers send the same request; upstreams crash for another reason."""
-    upstreams = start(relay)
+def crash_together(upstreams: Upstreams, relay: RelaySide) -> None:
+    """Crash upstreams at which several callers' identical requests are running."""
     for _ in range(6):
         relay.connect_caller(HELD_PATH)
     upstreams.run_for(0.1)
@@ -231,6 +236,14 @@
     relay.connect_caller(HELD_PATH)
     upstreams.run_for(1)
     assert relay.responses()[-1].startswith(b"HTTP/1.1 503")
+
+
+def test_a_request_whose_upstreams_crashed_together_is_tried_again(
+    relay: RelaySide,
+) -> None:
+    """Several callers send the same request; upstreams crash for another reason."""
+    upstreams = start(relay)
+    crash_together(upstreams, relay)
     upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
     for _ in range(2):
         relay.connect_caller(HELD_PATH)
@@ -240,6 +253,45 @@
         assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
 
 
+# Guards against a harmless request that is refused for minutes, since the request that
+# was to try it was refused for another reason.
+@pytest.mark.parametrize("reason", ["no upstream listens", "all upstreams reject"])
+def test_a_trial_that_does_not_run_is_repeated(relay: RelaySide, reason: str) -> None:
+    upstreams = start(relay)
+    crash_together(upstreams, relay)
+    upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
+    upstreams.rejecting = reason == "all upstreams reject"
+    if not upstreams.rejecting:
+        for host in HOSTS:
+            upstreams.crash(host)
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(RESTART_SECONDS)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 503")
+    assert upstreams.list_held_hosts() == []
+    upstreams.rejecting = False
+    upstreams.run_for(LINKED_SECONDS)
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(0.1)
+    upstreams.answer_held()
+    upstreams.run_for(0.1)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
+
+
+def test_a_trial_that_was_lost_is_not_repeated_soon(relay: RelaySide) -> None:
+    upstreams = start(relay)
+    crash_together(upstreams, relay)
+    upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
+    upstreams.resetting = True
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(RESTART_SECONDS)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 502")
+    upstreams.resetting = False
+    upstreams.run_for(LINKED_SECONDS)
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(0.1)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 503")
+
+
 def test_other_instances_receive_reports_of_crashes(relay: RelaySide) -> None:
     fleet = make_fleet(relay)
     upstreams = start(*fleet)
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -30,7 +30,8 @@
 # be waiting, the second when an unrelated fault should be over. There are no further
 # trials, since each may crash another upstream.
 TRIAL_DELAYS_SECONDS = (10.0, 120.0)
-# Minimum retry delay for callers; a trial takes about as long.
+# Minimum retry delay for callers; a trial takes about as long. Also the delay before a
+# trial is repeated whose request did not run.
 MIN_RETRY_SECONDS = 1.0
 # Retry delay for callers whose content gets no more trials.
 BLOCKED_RETRY_SECONDS = 600.0
@@ -128,6 +129,8 @@
 
     :param crashed: when each upstream crashed
     :param next_trial: when it may be tried again
+    :param returned: whether the request of the latest trial did not run, so that the
+        trial may start again
     """
 
     content: bytes
@@ -135,6 +138,23 @@
     cleared: frozenset[str]
     trials: int
     next_trial: float
+    returned: bool = False
+
+    @property
+    def completed_trials(self) -> int:
+        """The number of trials that may not start again."""
+        return self.trials - 1 if self.returned else self.trials
+
+    @property
+    def has_trial(self) -> bool:
+        """Whether a trial is left."""
+        return self.completed_trials < len(TRIAL_DELAYS_SECONDS)
+
+    def delay_trial(self, now: float) -> None:
+        """Delay the next trial by the time that its number requires."""
+        last = len(TRIAL_DELAYS_SECONDS) - 1
+        number = min(self.completed_trials, last)
+        self.next_trial = now + TRIAL_DELAYS_SECONDS[number]
 
     def describe(self, now: float) -> CrashReport:
         """Return the state as a report; unless refused, without expired crashes."""
@@ -247,9 +267,10 @@
         if merged == before:
             return False
         self.changes += 1
+        if merged.trials != before.trials:
+            entry.returned = False
         if merged.crashed != before.crashed or merged.trials != before.trials:
-            last = len(TRIAL_DELAYS_SECONDS) - 1
-            entry.next_trial = now + TRIAL_DELAYS_SECONDS[min(merged.trials, last)]
+            entry.delay_trial(now)
         self._suspected.pop(content, None)
         self._blocked.pop(content, None)
         entries = self._blocked if merged.blocked else self._suspected
@@ -262,7 +283,7 @@
         entry = self._blocked.get(content)
         if entry is None:
             return None
-        if entry.trials >= len(TRIAL_DELAYS_SECONDS):
+        if not entry.has_trial:
             return Blocked(BLOCKED_RETRY_SECONDS)
         # Only one instance runs a trial that is due; the next retry may reach it.
         return Blocked(max(MIN_RETRY_SECONDS, entry.next_trial - self._clock()))
@@ -276,12 +297,28 @@
         entry = self._blocked.get(content)
         if entry is None or not self._may_run_trial(content):
             return None
-        trials = entry.trials
-        if trials >= len(TRIAL_DELAYS_SECONDS) or self._clock() < entry.next_trial:
+        now = self._clock()
+        if not entry.has_trial or now < entry.next_trial:
             return None
-        self.receive(CrashReport(content, frozenset(), trials=trials + 1))
+        if entry.returned:
+            entry.returned = False
+            entry.delay_trial(now)
+        else:
+            self.receive(CrashReport(content, frozenset(), trials=entry.trials + 1))
         return self.find(content)
 
+    def return_trial(self, started: CrashReport) -> None:
+        """Let a trial start again soon, as its request did not run.
+
+        Other instances are not told, since only one runs the trials.
+
+        :param started: the report that ``start_trial`` returned
+        """
+        entry = self._blocked.get(started.content)
+        if entry is not None and entry.trials == started.trials:
+            entry.returned = True
+            entry.next_trial = self._clock() + MIN_RETRY_SECONDS
+
     def _find(self, content: bytes) -> _Entry | None:
         return self._blocked.get(content) or self._suspected.get(content)
 
--- a/packages/pondquay/tests/routing/test_crashes.py
+++ b/packages/pondquay/tests/routing/test_crashes.py
@@ -14,14 +14,17 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pondquay.routing.crashes import (
+    BLOCKED_RETRY_SECONDS,
     CRASH_WINDOW_SECONDS,
     CRASHES_TO_BLOCK,
     MAX_BLOCKED,
     MAX_REPORT_AGE_SECONDS,
     MAX_SUSPECTED,
     MAX_UPSTREAMS,
+    MIN_RETRY_SECONDS,
     RETENTION_SECONDS,
     TRIAL_DELAYS_SECONDS,
+    Blocked,
     CrashHistory,
     CrashReport,
 )
@@ -282,6 +285,70 @@
     assert runner.check(b"a") is not None
 
 
+def test_a_trial_that_did_not_run_is_started_again() -> None:
+    clock = Clock()
+    history = make_history(clock)
+    crash(history, b"a", "u1", "u2", "u3")
+    for _ in range(10 * len(TRIAL_DELAYS_SECONDS)):
+        clock.now += TRIAL_DELAYS_SECONDS[0]
+        started = history.start_trial(b"a")
+        assert started is not None
+        assert started.trials == 1
+        assert history.start_trial(b"a") is None
+        history.return_trial(started)
+        assert history.start_trial(b"a") is None
+        assert history.check(b"a") == Blocked(MIN_RETRY_SECONDS)
+    trials = 0
+    for _ in range(10):
+        clock.now += TRIAL_DELAYS_SECONDS[-1]
+        trials += history.start_trial(b"a") is not None
+    assert trials == len(TRIAL_DELAYS_SECONDS)
+
+
+def test_the_last_trial_can_be_returned_as_well() -> None:
+    clock = Clock()
+    history = make_history(clock)
+    crash(history, b"a", "u1", "u2", "u3")
+    started: CrashReport | None = None
+    for _ in TRIAL_DELAYS_SECONDS:
+        clock.now += TRIAL_DELAYS_SECONDS[-1]
+        started = history.start_trial(b"a")
+    assert started is not None
+    assert history.check(b"a") == Blocked(BLOCKED_RETRY_SECONDS)
+    history.return_trial(started)
+    assert history.check(b"a") == Blocked(MIN_RETRY_SECONDS)
+    clock.now += MIN_RETRY_SECONDS
+    assert history.start_trial(b"a") is not None
+    assert history.check(b"a") == Blocked(BLOCKED_RETRY_SECONDS)
+
+
+def test_a_crash_delays_a_returned_trial_as_it_delays_the_first() -> None:
+    clock = Clock()
+    history = make_history(clock)
+    crash(history, b"a", "u1", "u2", "u3")
+    clock.now += TRIAL_DELAYS_SECONDS[0]
+    started = history.start_trial(b"a")
+    assert started is not None
+    history.return_trial(started)
+    crash(history, b"a", "u4")
+    assert history.check(b"a") == Blocked(TRIAL_DELAYS_SECONDS[0])
+
+
+def test_a_trial_is_not_returned_after_another_or_after_a_run() -> None:
+    clock = Clock()
+    history = make_history(clock)
+    crash(history, b"a", "u1", "u2", "u3")
+    clock.now += TRIAL_DELAYS_SECONDS[0]
+    started = history.start_trial(b"a")
+    assert started is not None
+    history.receive(replace(started, trials=started.trials + 1))
+    history.return_trial(started)
+    assert history.check(b"a") == Blocked(BLOCKED_RETRY_SECONDS)
+    history.note_served(b"a")
+    history.return_trial(started)
+    assert history.check(b"a") is None
+
+
 def test_refused_callers_get_the_delay_until_the_next_trial() -> None:
     clock = Clock()
     history = make_history(clock)
