--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from pondquay_daemon.relay.headlimits import HeadLimits
+
 CRLF = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 CHUNKED = (b"transfer-encoding", b"chunked")
@@ -51,6 +53,7 @@
 
     def __init__(self, max_head_bytes: int) -> None:
         super().__init__(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
+        self._limits = HeadLimits(max_head_bytes)
         self._is_head = False
         # Whether h11 has read nothing of a chunked body that has begun.
         self._in_chunks = False
@@ -76,6 +79,7 @@
         if data and self.their_state is h11.SEND_RESPONSE:
             head, end, self._ahead = data.partition(HEAD_END)
             data = head + end
+            self._limits.add(data)
         super().receive_data(data)
 
     def next_event(self) -> Any:
@@ -85,7 +89,10 @@
             return h11.Data(data=content)
         if self._in_chunks:
             return h11.NEED_DATA
+        is_in_head = self.their_state is h11.SEND_RESPONSE
         event = super().next_event()
+        if is_in_head:
+            self._limits.check(event, lambda: self.trailing_data[0])
         if isinstance(event, h11.Response):
             self._in_chunks = self._may_split(event)
         if self._ahead:
