--- a/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -103,3 +104,14 @@
     ``MAX_DISCARDED_BYTES``, and aborted otherwise.
     """
     response.deliverBody(_Discarder(clock))
+
+
+def parse_json(content: bytes) -> Any:
+    """Parse a body as JSON.
+
+    :raises ValueError: if it is not valid JSON, or nested too deeply
+    """
+    try:
+        return json.loads(content)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -14,11 +14,12 @@
 from twisted.web.client import Agent, ResponseDone
 
 from pondquay.streams import Frame
-from pondquay_daemon.bodies import discard_body
+from pondquay_daemon.bodies import discard_body, parse_json, read_body
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK
 from pondquay_daemon.retryafter import read_backoff
+from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,8 +32,11 @@
 CONNECT_SECONDS = 1.0
 ACCEPT_TIMEOUT_SECONDS = 5.0
 STALL_TIMEOUT_SECONDS = 10.0
+# From a request without a stream to the last byte of its response.
 REQUEST_TIMEOUT_SECONDS = 2.0
 MAX_IDLE_CONNECTIONS = 64
+# A load report names models and prefixes; the status of a stream is shorter.
+MAX_REPORT_BYTES = 1 << 20
 MAX_LINE_BYTES = 1 << 20
 DATA_PREFIX = b"data: "
 END_MARK = b"[DONE]"
@@ -291,13 +295,9 @@
         self, method: str, url: str, stream: str, action: str
     ) -> StreamStatus:
         try:
-            response = await self._http.request(
-                method,
-                f"{url}/v1/streams/{stream}/{action}",
-                timeout=REQUEST_TIMEOUT_SECONDS,
-                allow_redirects=False,
+            response, content = await self._exchange(
+                method, f"{url}/v1/streams/{stream}/{action}"
             )
-            content = await treq.json_content(response)
             if not _names_stream(response, stream):
                 return StreamStatus(StreamState.UNREACHABLE)
             return StreamStatus(
@@ -306,18 +306,33 @@
                 bool(content.get("started", True)),
                 str(content.get("boot", "")),
             )
-        except (*NETWORK_ERRORS, ValueError, KeyError):
+        except (*NETWORK_ERRORS, ValueError, KeyError, TypeError):
             return StreamStatus(StreamState.UNREACHABLE)
 
     async def read_load(self, url: str) -> dict[str, Any] | None:
         """Return an upstream's load report, ``None`` if there is no valid response."""
         try:
-            response = await self._http.get(
-                f"{url}/v1/load",
-                timeout=REQUEST_TIMEOUT_SECONDS,
-                allow_redirects=False,
-            )
-            content: dict[str, Any] = await treq.json_content(response)
-            return content if response.code == OK else None
+            response, content = await self._exchange("GET", f"{url}/v1/load")
         except (*NETWORK_ERRORS, ValueError):
             return None
+        return content if response.code == OK else None
+
+    async def _exchange(self, method: str, url: str) -> tuple[Any, dict[str, Any]]:
+        """Return the response to a request and the JSON object in its body.
+
+        :raises ValueError: if the body is no JSON object
+        """
+
+        async def exchange() -> tuple[Any, bytes]:
+            response = await self._http.request(
+                method, url, allow_redirects=False, unbuffered=True
+            )
+            return response, await read_body(response, MAX_REPORT_BYTES)
+
+        response, body = await finish_within(
+            REQUEST_TIMEOUT_SECONDS, self._reactor, exchange()
+        )
+        content = parse_json(body)
+        if not isinstance(content, dict):
+            raise ValueError("no JSON object")
+        return response, content
--- a/packages/pondquay-daemon/tests/test_endless_responses.py
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pondquay.tables import OutcomeUnknown, Read, Transaction, Unreachable
-from pondquay_daemon import services
+from pondquay_daemon import engines, services
 from pondquay_daemon.engines import Completion, Engines, StreamState
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
 from pondquay_daemon.platform import Platform
@@ -217,3 +217,23 @@
     made = run_endless_call(REFUSAL % (status, name) + head, part, start_stream, pause)
     assert made.result.check(MayHaveRunError)
     assert made.is_bounded
+
+
+STATUS = b"HTTP/1.1 200 OK\r\nPondquay-Stream: s1\r\n"
+STATUS_CALLS = pytest.mark.parametrize("call", [cancel_stream, query_stream, read_load])
+
+
+# Guards against a request, or the recovery of all, that waits for one engine's status,
+# and against an engine whose load is never asked again.
+@STATUS_CALLS
+@every_refusal_body
+@every_pause
+def test_a_status_without_end_is_no_status(
+    monkeypatch: pytest.MonkeyPatch,
+    head: bytes,
+    part: bytes,
+    pause: float,
+    call: Callable[..., Any],
+) -> None:
+    monkeypatch.setattr(engines, "REQUEST_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    check_failed(run_endless_call(STATUS + head, part, call, pause), call)
