--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
@@ -77,11 +77,13 @@
         """Return the status of a stream that was sent to an incarnation of the engine.
 
         Another incarnation does not know the stream, so its report counts as
-        unreachable.
+        unreachable. If the incarnation is unknown, another one may have run the stream.
 
         :param boot: incarnation to which the stream was sent, empty if unknown
         """
-        if boot in ("", self.boot):
+        if not boot:
+            return replace(self, started=True)
+        if boot == self.boot:
             return self
         return StreamStatus(StreamState.UNREACHABLE)
 
@@ -298,12 +300,12 @@
             response, content = await self._exchange(
                 method, f"{url}/v1/streams/{stream}/{action}"
             )
-            if not _names_stream(response, stream):
+            if response.code != OK or not _names_stream(response, stream):
                 return StreamStatus(StreamState.UNREACHABLE)
             return StreamStatus(
                 StreamState(content["state"]),
                 int(content.get("tokens", 0)),
-                bool(content.get("started", True)),
+                content.get("started") is not False,
                 str(content.get("boot", "")),
             )
         except (*NETWORK_ERRORS, ValueError, KeyError, TypeError):
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -141,3 +141,28 @@
 )
 def test_a_status_that_is_none_is_no_status(content: bytes) -> None:
     assert cancel_stream(ANSWER % (200, content), close) == NO_STATUS
+
+
+# Guards against a failure whose content is taken for the status of a stream.
+@pytest.mark.parametrize("status", [404, 409, 500, 503])
+def test_a_failed_cancellation_proves_nothing(status: int) -> None:
+    assert cancel_stream(ANSWER % (status, CANCELLED), close) == NO_STATUS
+
+
+# Guards against a stream that counts as not started without its engine's word.
+@pytest.mark.parametrize("started", [b"null", b"0", b'""', b"[]", b'"false"', b"true"])
+def test_only_false_says_that_a_stream_did_not_start(started: bytes) -> None:
+    content = b'{"state": "cancelled", "started": %b}' % started
+    assert cancel_stream(ANSWER % (200, content), close).started
+
+
+def test_a_stream_whose_start_is_not_told_has_started() -> None:
+    assert cancel_stream(ANSWER % (200, b'{"state": "cancelled"}'), close).started
+
+
+# Guards against a restarted engine that denies what its predecessor ran.
+def test_without_a_known_incarnation_a_cancelled_stream_may_have_started() -> None:
+    status = StreamStatus(StreamState.CANCELLED, started=False, boot="b2")
+    assert status.for_boot("").started
+    assert not status.for_boot("b2").started
+    assert status.for_boot("b1").state is StreamState.UNREACHABLE
