--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -14,7 +14,14 @@
 from twisted.web.client import Agent, ResponseDone
 
 from pondquay.streams import Frame
-from pondquay_daemon.bodies import discard_body, parse_json, read_body
+from pondquay_daemon.bodies import (
+    MAX_DISCARD_SECONDS,
+    MAX_DISCARDED_BYTES,
+    abort_body,
+    discard_body,
+    parse_json,
+    read_body,
+)
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK
@@ -106,30 +113,45 @@
 class FrameReceiver(Protocol):
     """Parses the events of one stream and reports its frames.
 
-    It aborts a connection that receives nothing for ``STALL_TIMEOUT_SECONDS`` or a line
-    over ``MAX_LINE_BYTES``.
+    It aborts a connection that brings no new frame of the stream for
+    ``STALL_TIMEOUT_SECONDS``, whatever else it brings, or a line over
+    ``MAX_LINE_BYTES``. What follows the last frame is ignored, and its connection
+    aborted unless it ends soon.
 
-    :ivar ended: fires with whether the connection ended cleanly
+    :param offset: number of frames before the first one that is expected
+    :ivar ended: fires with whether the response ended cleanly
     """
 
-    def __init__(self, on_frame: Callable[[Frame], None], clock: Any) -> None:
+    def __init__(
+        self, stream: str, offset: int, on_frame: Callable[[Frame], None], clock: Any
+    ) -> None:
+        self._stream = stream
+        self._offset = offset
         self._on_frame = on_frame
-        self._clock = clock
         self._buffer = b""
+        self._surplus_left = MAX_DISCARDED_BYTES
         self._timer = clock.callLater(STALL_TIMEOUT_SECONDS, self._abort)
         self.ended: Deferred[bool] = Deferred()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes."""
-        if self._timer.active():
-            self._timer.reset(STALL_TIMEOUT_SECONDS)
+        if self.ended.called:
+            self._ignore(data)
+            return
         self._buffer += data
         *lines, self._buffer = self._buffer.split(b"\n")
         for line in lines:
             self._read_line(line.strip())
+            if self.ended.called:
+                return
         if len(self._buffer) > MAX_LINE_BYTES:
             self._abort()
 
+    def _ignore(self, data: bytes) -> None:
+        self._surplus_left -= len(data)
+        if self._surplus_left < 0:
+            abort_body(self)
+
     def _read_line(self, line: bytes) -> None:
         if not line.startswith(DATA_PREFIX):
             return
@@ -139,12 +161,22 @@
         frame = read_frame(content)
         if frame is not None:
             self._on_frame(frame)
+            self._note(frame)
+
+    def _note(self, frame: Frame) -> None:
+        """Wait anew after a new frame, or no longer after the last one."""
+        if (frame.stream, frame.offset) != (self._stream, self._offset):
+            return
+        self._offset += 1
+        if not frame.finish:
+            self._timer.reset(STALL_TIMEOUT_SECONDS)
+            return
+        self._buffer = b""
+        self._timer.reset(MAX_DISCARD_SECONDS)
+        self.ended.callback(True)
 
     def _abort(self) -> None:
-        transport = self.transport
-        if transport is not None:
-            abort = getattr(transport, "abortConnection", transport.loseConnection)
-            abort()
+        abort_body(self)
         self._end(False)
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
@@ -152,6 +184,7 @@
         self._end(reason is not None and bool(reason.check(ResponseDone)))
 
     def _end(self, clean: bool) -> None:
+        self._buffer = b""
         if self._timer.active():
             self._timer.cancel()
         if not self.ended.called:
@@ -239,6 +272,7 @@
                 data=json.dumps(body).encode(),
                 headers=headers,
                 timeout=ACCEPT_TIMEOUT_SECONDS,
+                reactor=self._reactor,
                 allow_redirects=False,
                 unbuffered=True,
             )
@@ -249,7 +283,7 @@
         if _is_refusal(response) and not _names_stream(response, stream):
             discard_body(response, self._reactor)
             raise MayHaveRunError(f"status {response.code} for another stream")
-        return await self._receive(response, on_frame)
+        return await self._receive(response, stream, 0, on_frame)
 
     async def resume(
         self, url: str, stream: str, offset: int, on_frame: Callable[[Frame], None]
@@ -264,21 +298,28 @@
             response = await self._http.get(
                 f"{url}/v1/streams/{stream}?offset={offset}",
                 timeout=ACCEPT_TIMEOUT_SECONDS,
+                reactor=self._reactor,
                 allow_redirects=False,
                 unbuffered=True,
             )
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
-        return await self._receive(response, on_frame)
+        return await self._receive(response, stream, offset, on_frame)
 
-    async def _receive(self, response: Any, on_frame: Callable[[Frame], None]) -> bool:
+    async def _receive(
+        self,
+        response: Any,
+        stream: str,
+        offset: int,
+        on_frame: Callable[[Frame], None],
+    ) -> bool:
         if _is_refusal(response):
             discard_body(response, self._reactor)
             raise RefusedError(response.code, _read_backoff(response))
         if response.code != OK:
             discard_body(response, self._reactor)
             raise MayHaveRunError(f"status {response.code}")
-        receiver = FrameReceiver(on_frame, self._reactor)
+        receiver = FrameReceiver(stream, offset, on_frame, self._reactor)
         response.deliverBody(receiver)
         return await receiver.ended
 
--- a/packages/pondquay-daemon/tests/test_endless_responses.py
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -237,3 +237,56 @@
 ) -> None:
     monkeypatch.setattr(engines, "REQUEST_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
     check_failed(run_endless_call(STATUS + head, part, call, pause), call)
+
+
+EVENT = (
+    b'data: {"id": "%b", "offset": %d, "choices": [{"delta": {"content": "a"}%b}]}\n\n'
+)
+FIRST = EVENT % (b"s1", 0, b"")
+LAST = EVENT % (b"s1", 1, b', "finish_reason": "stop"')
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+JUNK = {
+    "comments": b": wait\n\n",
+    "events of another stream": EVENT % (b"s0", 1, b""),
+    "repeated events": FIRST,
+    "events that are no frames": b"data: {}\n\n",
+    "a line": b"x",
+}
+every_junk = pytest.mark.parametrize("part", JUNK.values(), ids=JUNK)
+STREAM_CALLS = pytest.mark.parametrize("call", [start_stream, resume_stream])
+
+
+# Guards against a stream that stands still but is kept alive by other bytes.
+@STREAM_CALLS
+@every_junk
+@every_pause
+def test_only_new_frames_keep_a_stream_alive(
+    monkeypatch: pytest.MonkeyPatch, part: bytes, pause: float, call: Callable[..., Any]
+) -> None:
+    monkeypatch.setattr(engines, "STALL_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    made = run_endless_call(STREAM_HEAD + FIRST, part, call, pause)
+    assert made.result is False
+    assert made.is_bounded
+
+
+# Guards against a complete response that is withheld until its connection ends.
+@STREAM_CALLS
+@every_junk
+@every_pause
+def test_a_stream_ends_with_its_last_frame(
+    part: bytes, pause: float, call: Callable[..., Any]
+) -> None:
+    made = run_endless_call(STREAM_HEAD + FIRST + LAST, part, call, pause)
+    assert made.result is True
+    assert made.seconds < engines.STALL_TIMEOUT_SECONDS
+    assert made.is_bounded
+
+
+# Guards against a head whose drips renew the time-out.
+@STREAM_CALLS
+def test_a_dripping_head_of_a_stream_ends_with_its_timeout(
+    monkeypatch: pytest.MonkeyPatch, call: Callable[..., Any]
+) -> None:
+    monkeypatch.setattr(engines, "ACCEPT_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
+    made = run_endless_call(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", call, DRIP_SECONDS)
+    check_failed(made, call)
