--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -33,8 +33,10 @@
     Unreachable,
     Write,
 )
+from pondquay_daemon.bodies import parse_json, read_body
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IReactorTime
@@ -44,6 +46,8 @@
 T = TypeVar("T")
 DOMAIN_HEADER = "Pondquay-Domain"
 CONNECT_SECONDS = 1.0
+# A read of the table may return the rows of all budgets.
+MAX_RESPONSE_BYTES = 64 << 20
 OK = 200
 CONFLICT = 409
 TOO_MANY_REQUESTS = 429
@@ -92,7 +96,7 @@
 
     :param url: base URL of the platform
     :param domain: failure domain of this instance
-    :param timeout: seconds after which a call without a response fails
+    :param timeout: seconds after which a call without a complete response fails
     :ivar reads: table reads since start
     :ivar writes: table writes since start
     """
@@ -137,7 +141,7 @@
             if status != OK:
                 raise ValueError(f"status {status}")
             rows = _ROWS_ADAPTER.validate_python(content["rows"])
-        except (*NETWORK_ERRORS, ValueError) as error:
+        except (*NETWORK_ERRORS, ValueError, KeyError, TypeError) as error:
             self._note_reachable(False, error)
             return Unreachable()
         self._note_reachable(True)
@@ -179,16 +183,10 @@
     async def load_object(self, key: str) -> bytes | None:
         """Return an object, ``None`` if it is missing or unavailable."""
         try:
-            response = await self._http.get(
-                f"{self._url}/objects/{key}",
-                headers=self._headers,
-                timeout=self._timeout,
-                allow_redirects=False,
-            )
-            content: bytes = await treq.content(response)
+            status, content = await self._exchange("GET", f"/objects/{key}")
         except NETWORK_ERRORS:
             return None
-        return content if response.code == OK else None
+        return content if status == OK else None
 
     async def store_object(self, key: str, content: bytes) -> bool:
         """Store an object; return whether the platform confirmed it.
@@ -196,38 +194,36 @@
         The call is idempotent and may be repeated.
         """
         try:
-            response = await self._http.put(
-                f"{self._url}/objects/{key}",
-                data=content,
-                headers=self._headers,
-                timeout=self._timeout,
-                allow_redirects=False,
-            )
-            await treq.content(response)
+            status, _ = await self._exchange("PUT", f"/objects/{key}", content)
         except NETWORK_ERRORS:
             return False
-        return bool(response.code == OK)
+        return status == OK
 
     async def _post(self, path: str, body: object) -> tuple[int, Any]:
-        response = await self._http.post(
-            self._url + path,
-            data=json.dumps(body).encode(),
-            headers=self._headers,
-            timeout=self._timeout,
-            allow_redirects=False,
-        )
-        content = await treq.content(response).addTimeout(self._timeout, self._reactor)
-        return response.code, json.loads(content or b"null")
+        status, content = await self._exchange("POST", path, json.dumps(body).encode())
+        return status, parse_json(content or b"null")
 
     async def _get(self, path: str) -> tuple[int, Any]:
-        response = await self._http.get(
-            self._url + path,
-            headers=self._headers,
-            timeout=self._timeout,
-            allow_redirects=False,
-        )
-        content = await treq.content(response).addTimeout(self._timeout, self._reactor)
-        return response.code, json.loads(content)
+        status, content = await self._exchange("GET", path)
+        return status, parse_json(content)
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of the response to a request."""
+
+        async def exchange() -> tuple[int, bytes]:
+            response = await self._http.request(
+                method,
+                self._url + path,
+                data=body,
+                headers=self._headers,
+                allow_redirects=False,
+                unbuffered=True,
+            )
+            return response.code, await read_body(response, MAX_RESPONSE_BYTES)
+
+        return await finish_within(self._timeout, self._reactor, exchange())
 
     def _note_reachable(self, reachable: bool, error: object = None) -> None:
         if reachable != self.reachable:
--- a/packages/pondquay-daemon/tests/test_endless_responses.py
+++ b/packages/pondquay-daemon/tests/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -290,3 +291,25 @@
     monkeypatch.setattr(engines, "ACCEPT_TIMEOUT_SECONDS", TIMEOUT_SECONDS)
     made = run_endless_call(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", call, DRIP_SECONDS)
     check_failed(made, call)
+
+
+PLATFORM_CALLS = pytest.mark.parametrize(
+    "call", [read_table, write_table, list_instances, load_object, store_object]
+)
+
+
+# Guards against a response of the platform that is kept in memory without a limit, or
+# outlasts the time-out of its call.
+@PLATFORM_CALLS
+@every_body
+@every_pause
+def test_a_response_of_the_platform_without_end_is_none(
+    monkeypatch: pytest.MonkeyPatch,
+    head: bytes,
+    part: bytes,
+    pause: float,
+    call: Callable[..., Any],
+) -> None:
+    if pause:
+        monkeypatch.setattr(sys.modules[__name__], "PLATFORM_SECONDS", TIMEOUT_SECONDS)
+    check_failed(run_endless_call(head, part, call, pause), call)
