--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -6,9 +6,14 @@
 
 from twisted.internet.defer import Deferred
 
-from pondquay.routing.buffers import BufferPool, Content
+from pondquay.routing.buffers import MAX_COLLECTED_BYTES, BufferPool, Content
 from pondquay.streamevents import StreamOrderError
-from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.bodylimits import (
+    MAX_FAILURE_SECONDS,
+    MAX_UNUSED_BYTES,
+    MAX_UNUSED_SECONDS,
+    BodyLimits,
+)
 from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 from pondquay_daemon.relay.flowcontrol import FlowListener, ReadingPauses
 from pondquay_daemon.relay.heads import (
@@ -27,8 +32,8 @@
     Unsent,
 )
 from pondquay_daemon.relay.plainresponses import PlainResponse
+from pondquay_daemon.relay.responsechecks import is_cut_off, log_mismatch
 from pondquay_daemon.relay.silencewatch import SilenceWatch
-from pondquay_daemon.relay.unusedbodies import UnusedBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,8 +95,10 @@
         self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
         self._silence: SilenceWatch | None = None
-        self._unused_body: UnusedBody | None = None
         self._may_retry: Callable[[], bool] | None = None
+        self._limits: BodyLimits | None = None
+        self._is_used = True
+        self._may_repeat: Callable[[], bool] | None = None
 
     def run(
         self,
@@ -120,6 +127,14 @@
         self._may_retry = may_retry
         self._silence = SilenceWatch(self._clock, seconds, self._handle_silence)
 
+    def watch_failure(self, may_repeat: Callable[[], bool]) -> None:
+        """End the attempt if the upstream responds with a failure that does not end.
+
+        :param may_repeat: called once; returns whether the request may be sent
+            elsewhere, otherwise the attempt continues
+        """
+        self._may_repeat = may_repeat
+
     def stop(self) -> None:
         """End the attempt immediately."""
         if self._not_run is not None:
@@ -166,7 +181,7 @@
         # An upstream may repeat an earlier response late. Even one that promises that
         # nothing ran says nothing about this request unless it names it.
         if metadata.attempt != self._attempt:
-            self._log_mismatch(head, metadata)
+            log_mismatch(self._attempt, self._exchange, head, metadata)
             if self._exchange is None or not self._exchange.skip_copy(metadata.attempt):
                 self._fail("a response to another request")
             return
@@ -182,20 +197,37 @@
             return
         self._upstream.on_response()
         self._head = head
-        # Responses with these statuses are never forwarded.
-        if head.status in NOT_RUN_STATUSES:
-            self._ignore_body(Lost("a refusal without an end", began=True))
-            return
-        self._streaming = self._progress is not None and head.status in SUCCESS_STATUSES
-        if self._streaming:
+        if head.status not in SUCCESS_STATUSES:
+            self._begin_failure(head)
+        elif self._progress is not None:
+            self._streaming = True
             self._response.content = Content.STREAM
             self._follow_caller()
 
+    def _begin_failure(self, head: ResponseHead) -> None:
+        """Limit the body of a failure, unless it must be forwarded."""
+        is_resumed = self._progress is not None and self._progress.started
+        if is_resumed or head.status in NOT_RUN_STATUSES:
+            self._ignore_body(Lost("a failure without an end", began=True))
+        elif self._may_repeat is not None:
+            self._limits = BodyLimits(
+                self._clock,
+                MAX_COLLECTED_BYTES,
+                MAX_FAILURE_SECONDS,
+                self._leave_failure,
+            )
+
+    def _leave_failure(self) -> None:
+        """End the attempt after a failure that is too long, if it may be repeated."""
+        if self._may_repeat is not None and self._may_repeat():
+            self._fail("a failure without an end")
+
     def on_body(self, data: bytes) -> None:
         """Forward complete events of a stream, or keep a part of a plain response."""
         self._note_activity()
-        if self._unused_body is not None:
-            self._unused_body.add(data)
+        if self._limits is not None:
+            self._limits.add(data)
+        if not self._is_used or self._result.called:
             return
         if not self._streaming:
             self._collect(data)
@@ -232,8 +264,8 @@
         if not self._streaming:
             self._end(Answered(self._head, self._plain.take()))
             return
-        progress = self._progress
-        if progress is None or self._is_cut_off(self._head, progress):
+        progress, is_empty = self._progress, self._first_event_at is None
+        if progress is None or is_cut_off(self._head, progress, is_empty=is_empty):
             lost = Lost(
                 "a stream that ends without or within an event",
                 broken=ends_with_connection(self._head.headers),
@@ -247,17 +279,6 @@
             self._forward(b"", progress)
         self._end(Streamed(progress.reader.count))
 
-    def _is_cut_off(self, head: ResponseHead, progress: StreamProgress) -> bool:
-        """Return whether a stream has ended that cannot be complete.
-
-        Nothing but its events shows whether a stream is complete that ends with its
-        connection. A caller that resumes one may have received all of them.
-        """
-        if progress.reader.partial:
-            return True
-        is_empty = self._first_event_at is None and not progress.reader.last
-        return is_empty and ends_with_connection(head.headers)
-
     def on_error(self, error: BrokenExchangeError) -> None:
         """Finish the attempt after a failure of the exchange."""
         if not error.sent:
@@ -275,19 +296,6 @@
             )
             self._end(lost)
 
-    def _log_mismatch(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
-        exchange = self._exchange
-        log_event(
-            "response-mismatched",
-            Level.WARNING,
-            request=self._attempt,
-            responds_to=metadata.attempt,
-            status=head.status,
-            not_run=metadata.not_run,
-            misdirected=metadata.misdirected,
-            connection_reused=exchange is not None and exchange.reused,
-        )
-
     def _report_signals(self, metadata: ResponseMetadata) -> None:
         # If another upstream has the address, the signals are that upstream's.
         if not metadata.misdirected:
@@ -312,12 +320,16 @@
             self._plain.forward(head)
 
     def _ignore_body(self, outcome: Outcome) -> None:
-        """Read the body only within bounds, beyond which the attempt ends.
+        """Read a body that is not used only within limits.
 
-        :param outcome: the outcome if the body exceeds the bounds
+        :param outcome: the outcome if the body exceeds the limits
         """
-        self._unused_body = UnusedBody(
-            self._clock, lambda: self._end(outcome, cancel=True)
+        self._is_used = False
+        self._limits = BodyLimits(
+            self._clock,
+            MAX_UNUSED_BYTES,
+            MAX_UNUSED_SECONDS,
+            lambda: self._end(outcome, cancel=True),
         )
 
     def _follow_caller(self) -> None:
@@ -370,8 +382,8 @@
     def _end(self, outcome: Outcome, *, cancel: bool = False) -> None:
         if self._silence is not None:
             self._silence.stop()
-        if self._unused_body is not None:
-            self._unused_body.stop()
+        if self._limits is not None:
+            self._limits.stop()
         if cancel and self._exchange is not None:
             self._exchange.cancel()
         if self._progress is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/unusedbodies.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/bodylimits.py
@@ -1,4 +1,4 @@
-"""Bodies of responses that are read only to keep their connections."""
+"""Limits of bodies that are not, or may not be, used."""
 
 from __future__ import annotations
 
@@ -13,29 +13,37 @@
 # again after its end. A longer one costs more than a new connection.
 MAX_UNUSED_BYTES = 16 << 10
 MAX_UNUSED_SECONDS = 0.1
+# Time in which the body of a failure must end if the request may be sent elsewhere.
+MAX_FAILURE_SECONDS = 0.3
 
 
-class UnusedBody:
-    """Bounds the body of a response whose head decides the outcome.
+class BodyLimits:
+    """Limits the length and the duration of a body.
 
     :param on_exceeded: called once, when the body is longer or lasts longer
     """
 
-    def __init__(self, clock: IReactorTime, on_exceeded: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: IReactorTime,
+        max_bytes: int,
+        max_seconds: float,
+        on_exceeded: Callable[[], None],
+    ) -> None:
         self._clock = clock
+        self._left = max_bytes
         self._on_exceeded = on_exceeded
-        self._left = MAX_UNUSED_BYTES
-        self._timer: IDelayedCall = clock.callLater(MAX_UNUSED_SECONDS, self._check)
+        self._timer: IDelayedCall = clock.callLater(max_seconds, self._check)
 
     def add(self, data: bytes) -> None:
         """Note a part of the body."""
         self._left -= len(data)
-        if self._left < 0:
-            self.stop()
+        if self._left < 0 and self._timer.active():
+            self._timer.cancel()
             self._on_exceeded()
 
     def stop(self) -> None:
-        """Note that the body has ended."""
+        """Limit the body no longer."""
         if self._timer.active():
             self._timer.cancel()
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -206,9 +206,10 @@
             self._progress.begin_attempt(upstream.record.software)
         prefill = Prefill(components, upstream, self._metadata.prefix, source)
         attempt = self._make_attempt(upstream, prefill)
-        abandons_silent = components.policy.leave_silent
-        if abandons_silent and self._route.repeatable and not last:
-            self._watch_silence(attempt, upstream)
+        if self._route.repeatable and not last:
+            attempt.watch_failure(self._may_retry)
+            if components.policy.leave_silent:
+                self._watch_silence(attempt, upstream)
         self._attempt = attempt
         try:
             with prefill:
