--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -157,7 +157,7 @@
     def waits_for_caller(self) -> bool:
         """Whether only the caller delays the end of a plain response."""
         now = self._clock.seconds()
-        return self.passing_on and self._pauses.waits_for_caller(now)
+        return self._plain.may_end_late and self._pauses.waits_for_caller(now)
 
     def on_paused(self) -> None:
         """Stop reading the upstream, as its caller has stopped."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/plainresponses.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/plainresponses.py
@@ -12,6 +12,10 @@
     from pondquay_daemon.relay.handlers import CallerResponse
     from pondquay_daemon.relay.messages import ResponseHead
 
+# Bytes that a caller may still read of a response after its time limit. Whoever sends
+# more, or does not say how many, need not come to an end.
+MAX_LATE_BYTES = 16 << 20
+
 
 class PlainResponse:
     """One upstream's plain response to a request.
@@ -27,9 +31,17 @@
     def __init__(self, response: CallerResponse, buffer: Buffer) -> None:
         self._response = response
         self._buffer = buffer
-        self._parts: list[bytes] = []
+        # Separate parts would take more memory than is accounted for.
+        self._collected = bytearray()
+        # Bytes of the body that have not arrived, if its length is known.
+        self._left: int | None = None
         self.forwarding = False
 
+    @property
+    def may_end_late(self) -> bool:
+        """Whether little of it is left, so that its caller may read it late."""
+        return self._left is not None and self._left <= MAX_LATE_BYTES
+
     def add(self, data: bytes) -> bool:
         """Add a part of the body.
 
@@ -37,11 +49,13 @@
             ``forward`` must be called
         """
         if self.forwarding:
+            if self._left is not None:
+                self._left -= len(data)
             self._response.send(data)
             return False
-        self._parts.append(data)
-        self._buffer.resize(self._buffer.size + len(data))
-        return self._buffer.size > MAX_COLLECTED_BYTES
+        self._collected += data
+        self._buffer.resize(len(self._collected))
+        return len(self._collected) > MAX_COLLECTED_BYTES
 
     def forward(self, head: ResponseHead) -> None:
         """Forward what was collected, and from now on everything as it arrives."""
@@ -50,15 +64,16 @@
         length = find_body_length(head.headers)
         if length is not None:
             headers.append((b"Content-Length", b"%d" % length))
+            self._left = length - len(self._collected)
         self._response.begin(head.status, headers, self.take())
 
     def take(self) -> bytes:
         """Remove and return what was collected."""
-        body = b"".join(self._parts)
+        body = bytes(self._collected)
         self.discard()
         return body
 
     def discard(self) -> None:
         """Discard what was collected."""
-        self._parts.clear()
+        self._collected.clear()
         self._buffer.resize(0)
--- a/packages/pondquay-daemon/tests/relay/test_endless_bodies.py
+++ b/packages/pondquay-daemon/tests/relay/test_endless_bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from pondquay.routing.buffers import MAX_COLLECTED_BYTES
@@ -19,7 +21,10 @@
     is_closed,
     make_chunk,
 )
-from .slowreading import LIMIT_BYTES
+from .slowreading import LIMIT_BYTES, SlowTransport
+
+if TYPE_CHECKING:
+    from .conftest import UpstreamEnd
 
 SUCCESS = b"HTTP/1.1 200 OK\r\n"
 FAILURE = b"HTTP/1.1 500 No\r\n"
@@ -41,6 +46,23 @@
     return EndlessSide(upstreams=1)
 
 
+def read_slowly(
+    side: EndlessSide, end: UpstreamEnd, transport: SlowTransport, size: int
+) -> float:
+    """Let a caller read some bytes at each step while the upstream sends what it can.
+
+    :returns: seconds until the relay closed the upstream's connection
+    """
+    began = side.relay.clock.seconds()
+    while not is_closed(end) and side.relay.clock.seconds() - began < READY_SECONDS:
+        while end.transport.producerState == "producing" and not is_closed(end):
+            end.send(make_chunk(0) * (LIMIT_BYTES // len(make_chunk(0))))
+        assert max(len(transport.unsent), side.buffers.total) <= MAX_KEPT_BYTES
+        transport.read(size)
+        side.relay.clock.advance(STEP_SECONDS)
+    return float(side.relay.clock.seconds() - began)
+
+
 # Guards against a retry that is lost since a failure is forwarded.
 @pytest.mark.parametrize("route", REPEATABLE_ROUTES)
 @pytest.mark.parametrize("framing", FRAMINGS)
@@ -119,6 +141,25 @@
     assert side.relay.count_connections() == 0
 
 
+# Guards against responses without an end that outlast their time limit, as their caller
+# reads more slowly than the upstream sends.
+@pytest.mark.parametrize("route", PLAIN_ROUTES)
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("size", [1000, LIMIT_BYTES, 4 * LIMIT_BYTES])
+def test_a_success_without_an_end_ends_in_time_for_a_slow_caller(
+    side: EndlessSide, route: str, framing: str, size: int
+) -> None:
+    transport = SlowTransport()
+    end = side.send_request(route, transport)
+    end.send(SUCCESS + FRAMINGS[framing])
+    seconds = read_slowly(side, end, transport, size)
+    assert seconds <= ROUTE_SECONDS + 2 * STEP_SECONDS
+    assert is_closed(end)
+    assert transport.aborted
+    assert not transport.value().endswith(LAST_CHUNK)
+    assert side.buffers.total == 0
+
+
 # Guards against framing without an end that is kept while it is read.
 @pytest.mark.parametrize("route", PLAIN_ROUTES)
 @pytest.mark.parametrize(
