--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -67,7 +67,8 @@
     :param response: the caller's response, to which a stream is forwarded
     :param progress: set for routes whose responses are streams
     :param upstream: observer of the upstream
-    :param buffer: accounts for a plain response that is being collected
+    :param buffer: accounts for a plain response that is being collected, or for an
+        incomplete event
     """
 
     def __init__(
@@ -81,7 +82,8 @@
         buffer: Buffer | None = None,
     ) -> None:
         self._upstream = upstream
-        self._plain = PlainResponse(response, buffer or BufferPool().open_work())
+        self._buffer = buffer or BufferPool().open_work()
+        self._plain = PlainResponse(response, self._buffer)
         self._clock = clock
         self._border = border
         self._attempt = attempt
@@ -249,6 +251,9 @@
             if self._first_event_at is None:
                 self._first_event_at = now
             self._forward(events, progress)
+        pending = progress.reader.pending_bytes
+        if pending != self._buffer.size and not self._result.called:
+            self._buffer.resize(pending)
 
     def on_end(self) -> None:
         """Finish the attempt when the response has ended."""
--- a/packages/pondquay/src/pondquay/streamevents.py
+++ b/packages/pondquay/src/pondquay/streamevents.py
@@ -6,7 +6,10 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
-MAX_PENDING_BYTES = 1 << 20
+# Bytes of an incomplete event, which holds the text of a few tokens.
+MAX_PENDING_BYTES = 64 << 10
+# Bytes of comments and other events without a number between numbered events.
+MAX_UNNUMBERED_BYTES = 64 << 10
 
 
 class StreamOrderError(Exception):
@@ -34,38 +37,61 @@
 
     last: int = 0
     count: int = 0
-    _pending: bytes = field(default=b"")
+    _pending: bytearray = field(default_factory=bytearray)
+    # Bytes of complete events since the last numbered one.
+    _unnumbered: int = 0
 
     @property
     def partial(self) -> bool:
         """Whether the buffer holds an incomplete event."""
         return bool(self._pending)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of the incomplete event in the buffer."""
+        return len(self._pending)
+
     def feed(self, data: bytes) -> bytes:
         """Return all events that are complete now; buffer an incomplete event.
 
         If one is invalid, none of them is returned or counted.
 
         :raises StreamOrderError: if an event does not follow the previous event, or if
-            more than ``MAX_PENDING_BYTES`` contain no complete event
+            more than ``MAX_PENDING_BYTES`` contain no complete event, or more than
+            ``MAX_UNNUMBERED_BYTES`` none with a number
         """
-        pending = self._pending + data
-        end = pending.rfind(EVENT_END)
-        if end < 0:
-            if len(pending) > MAX_PENDING_BYTES:
-                raise StreamOrderError("an incomplete event exceeds the buffer limit")
-            self._pending = pending
+        complete = self._take_complete(data)
+        if len(self._pending) > MAX_PENDING_BYTES:
+            raise StreamOrderError("an incomplete event exceeds the buffer limit")
+        if not complete:
             return b""
-        complete = pending[: end + len(EVENT_END)]
-        self._pending = pending[end + len(EVENT_END) :]
         numbers = self._read_numbers(complete)
+        self._unnumbered = 0 if numbers else self._unnumbered + len(complete)
+        if self._unnumbered > MAX_UNNUMBERED_BYTES:
+            raise StreamOrderError("events without a number exceed the limit")
         self.last += len(numbers)
         self.count += len(numbers)
         return complete
 
     def discard_partial(self) -> None:
         """Discard an incomplete event after its stream was interrupted."""
-        self._pending = b""
+        self._pending.clear()
+        self._unnumbered = 0
+
+    def _take_complete(self, data: bytes) -> bytes:
+        """Add bytes to the buffer, and remove the complete events from it."""
+        if not self._pending and data.endswith(EVENT_END):
+            return data
+        # What was searched before holds at most the first byte of an event's end.
+        searched = max(0, len(self._pending) - len(EVENT_END) + 1)
+        self._pending += data
+        found = self._pending.rfind(EVENT_END, searched)
+        if found < 0:
+            return b""
+        end = found + len(EVENT_END)
+        complete = bytes(self._pending[:end])
+        del self._pending[:end]
+        return complete
 
     def _read_numbers(self, events: bytes) -> list[int]:
         """Return the numbers of complete events, which follow the last event.
--- a/packages/pondquay/tests/test_streamevents.py
+++ b/packages/pondquay/tests/test_streamevents.py
@@ -4,7 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondquay.streamevents import EventReader, StreamOrderError
+from pondquay.streamevents import (
+    MAX_PENDING_BYTES,
+    MAX_UNNUMBERED_BYTES,
+    EventReader,
+    StreamOrderError,
+)
 
 
 def event(number: int) -> bytes:
@@ -53,3 +58,40 @@
     assert (reader.last, reader.count) == (1, 1)
     reader.discard_partial()
     assert reader.feed(event(2)) == event(2)
+
+
+# Guards against a byte at the border of two reads that hides the end of an event.
+def test_an_event_up_to_the_limit_is_read_byte_by_byte() -> None:
+    data = b"id: 1\ndata: ".ljust(MAX_PENDING_BYTES - 1, b"x") + b"\n"
+    reader = EventReader()
+    for position in range(len(data)):
+        assert reader.feed(data[position : position + 1]) == b""
+    assert reader.pending_bytes == MAX_PENDING_BYTES
+    assert reader.feed(b"\n") == data + b"\n"
+    assert reader.pending_bytes == 0
+
+
+# Guards against memory that grows with an event that does not end.
+@pytest.mark.parametrize("before", [b"", event(1)])
+def test_an_event_beyond_the_limit_raises(before: bytes) -> None:
+    reader = EventReader()
+    with pytest.raises(StreamOrderError):
+        reader.feed(before + b"x" * (MAX_PENDING_BYTES + 1))
+    reader.discard_partial()
+    assert reader.feed(event(1)) == event(1)
+
+
+# Guards against comments without end that are forwarded in place of events.
+def test_events_without_a_number_are_limited_between_numbered_events() -> None:
+    comment = b":".ljust(MAX_UNNUMBERED_BYTES // 2 - 2, b"x") + b"\n\n"
+    reader = EventReader()
+    for number in range(1, 4):
+        assert reader.feed(comment) == comment
+        assert reader.feed(comment) == comment
+        assert reader.feed(event(number)) == event(number)
+    reader.feed(comment)
+    reader.feed(comment)
+    with pytest.raises(StreamOrderError):
+        reader.feed(b":\n\n")
+    reader.discard_partial()
+    assert reader.feed(comment) == comment
