--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -92,7 +92,10 @@
         )
         self._progress: StreamProgress | None = None
         if self._route.streaming:
-            reader = EventReader(last=self._metadata.last_event)
+            reader = EventReader(
+                last=self._metadata.last_event,
+                max_count=self._reservation.find_max_events(),
+            )
             self._progress = StreamProgress(
                 reader, admission.software, self._note_stream_begun
             )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 from pondquay.budgets.accounts import RefusalReason
@@ -41,15 +42,31 @@
         self._reserved = 0
         self.used = 0
 
+    @property
+    def _has_budget(self) -> bool:
+        if self._workspace is None or self._workspace.prepaid is None:
+            return False
+        return self._service is not None and self._service.counts_tokens
+
+    def find_max_events(self) -> int | None:
+        """Return the number of events that the reserved output covers.
+
+        The last event may have fewer tokens than the others.
+
+        :returns: ``None`` if the request has no budget or does not tell its output
+        """
+        output = self._metadata.output_tokens
+        if not self._has_budget or self._service is None or not output:
+            return None
+        return ceil(output / self._service.event_tokens)
+
     async def reserve(self, tokens: int) -> Refusal | None:
         """Reserve tokens for a run, if the request has a budget.
 
         :returns: a refusal if no tokens could be reserved
         """
         workspace = self._workspace
-        if workspace is None or workspace.prepaid is None:
-            return None
-        if self._service is None or not self._service.counts_tokens:
+        if workspace is None or not self._has_budget:
             return None
         max_wait_seconds = TOKEN_WAIT_FRACTION * self._route.objective
         refused = await self._accounts.obtain(
--- a/packages/pondquay/src/pondquay/streamevents.py
+++ b/packages/pondquay/src/pondquay/streamevents.py
@@ -13,7 +13,10 @@
 
 
 class StreamOrderError(Exception):
-    """An event of a stream is missing, repeated, out of order or too long."""
+    """An event of a stream is missing, repeated, out of order or too long.
+
+    Or there are more events than the stream may have.
+    """
 
 
 def read_event_id(event: bytes) -> int | None:
@@ -33,10 +36,12 @@
 
     :param last: number of the last numbered event
     :param count: number of numbered events that were read
+    :param max_count: maximum of ``count``, ``None`` if there is none
     """
 
     last: int = 0
     count: int = 0
+    max_count: int | None = None
     _pending: bytearray = field(default_factory=bytearray)
     # Bytes of complete events since the last numbered one.
     _unnumbered: int = 0
@@ -56,9 +61,9 @@
 
         If one is invalid, none of them is returned or counted.
 
-        :raises StreamOrderError: if an event does not follow the previous event, or if
-            more than ``MAX_PENDING_BYTES`` contain no complete event, or more than
-            ``MAX_UNNUMBERED_BYTES`` none with a number
+        :raises StreamOrderError: if an event does not follow the previous event, if
+            there are too many, or if more than ``MAX_PENDING_BYTES`` contain no
+            complete event, or ``MAX_UNNUMBERED_BYTES`` none with a number
         """
         complete = self._take_complete(data)
         if len(self._pending) > MAX_PENDING_BYTES:
@@ -96,11 +101,14 @@
     def _read_numbers(self, events: bytes) -> list[int]:
         """Return the numbers of complete events, which follow the last event.
 
-        :raises StreamOrderError: if an event does not follow the previous event
+        :raises StreamOrderError: if an event does not follow the previous event, or if
+            there are too many
         """
         read = map(read_event_id, events.split(EVENT_END)[:-1])
         numbers = [number for number in read if number is not None]
         for expected, number in enumerate(numbers, self.last + 1):
             if number != expected:
                 raise StreamOrderError(f"event {number} follows event {expected - 1}")
+        if self.max_count is not None and self.count + len(numbers) > self.max_count:
+            raise StreamOrderError(f"more than {self.max_count} events")
         return numbers
--- a/packages/pondquay/tests/test_streamevents.py
+++ b/packages/pondquay/tests/test_streamevents.py
@@ -95,3 +95,16 @@
         reader.feed(b":\n\n")
     reader.discard_partial()
     assert reader.feed(comment) == comment
+
+
+# Guards against events that nobody has paid for.
+def test_more_events_than_allowed_raise_also_after_an_interruption() -> None:
+    reader = EventReader(last=7, max_count=3)
+    assert reader.feed(event(8) + event(9))
+    reader.discard_partial()
+    with pytest.raises(StreamOrderError):
+        reader.feed(event(10) + event(11))
+    assert (reader.last, reader.count) == (9, 2)
+    assert reader.feed(event(10)) == event(10)
+    with pytest.raises(StreamOrderError):
+        reader.feed(event(11))
