--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/headlimits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/headlimits.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING, Any
 
 import h11
 
+from pondquay_daemon.statuslines import STATUS_LINE, contain_status_line
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -14,8 +15,7 @@
 MAX_INTERIM_RESPONSES = 16
 # Each header that is kept takes several times the memory of its bytes.
 MAX_RESPONSE_HEADERS = 256
-# A status line up to its status, and an example of one.
-_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# Example of a status line up to its status.
 _EXAMPLE = b"HTTP/1.1 200"
 
 
@@ -44,6 +44,8 @@
         :param rest: returns the bytes that were received after the event
         :raises h11.RemoteProtocolError: if a limit is exceeded
         """
+        if isinstance(event, h11.Response | h11.InformationalResponse):
+            _check_joined(event)
         if isinstance(event, h11.Response):
             self._note_head(event)
         elif isinstance(event, h11.InformationalResponse):
@@ -67,5 +69,11 @@
     def _check_incomplete(self) -> None:
         if self._size > self._max_bytes:
             raise h11.RemoteProtocolError("the head is too long")
-        if not _STATUS_LINE.match(self._start + _EXAMPLE[len(self._start) :]):
+        if not STATUS_LINE.match(self._start + _EXAMPLE[len(self._start) :]):
             raise h11.RemoteProtocolError("no status line")
+
+
+def _check_joined(head: h11.Response | h11.InformationalResponse) -> None:
+    values = (value for _, value in head.headers)
+    if contain_status_line((head.reason, *values)):
+        raise h11.RemoteProtocolError("a status line within a head")
