--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -54,6 +54,8 @@
 
     def __init__(self, fleet: SoakFleet) -> None:
         self._fleet = fleet
+        # Why each relay was not healthy at its latest check, empty if it was.
+        self._failures: dict[str, str] = {}
 
     def run(self) -> list[Violation]:
         """Clear all faults and return the violations found.
@@ -78,7 +80,9 @@
             try:
                 wait_until(partial(self._is_healthy, name), name, RECOVERY_SECONDS)
             except TimeoutError as error:
-                violations.append(Violation("all relays recover", name, str(error)))
+                details = f"{error}; last {self._failures[name]}"
+                violations.append(Violation("all relays recover", name, details))
+                self._save_state(name)
         return (
             violations
             or self._check_crashing()
@@ -168,10 +172,37 @@
 
     def _is_healthy(self, name: str) -> bool:
         """Return whether a relay has the newest configuration and serves a stream."""
+        try:
+            self._failures[name] = self._find_failure(name)
+        except OSError as error:
+            self._failures[name] = f"call failed: {error}"
+        return not self._failures[name]
+
+    def _find_failure(self, name: str) -> str:
+        """Return why a relay is not healthy, empty if it is.
+
+        :raises OSError: if a call to the relay fails
+        """
         relay = self._fleet.relays[name]
-        version_metric = f"pondquay_configuration_version {self._fleet.version}.0"
-        if version_metric not in relay.fetch_report("/metrics"):
-            return False
+        version = self._fleet.version
+        metrics = relay.fetch_report("/metrics")
+        if f"pondquay_configuration_version {version}.0" not in metrics:
+            return f"configuration is not version {version}"
         tokens = (PROMPT_TOKENS, 2 * TOKENS_PER_EVENT)
         response = self._fleet.send_request(relay, "/audit/", tokens=tokens, events=2)
-        return response.status == 200 and response.complete
+        if response.status != 200:
+            reason = response.body.decode(errors="replace").strip()
+            return f"response {response.status}: {reason}"
+        return "" if response.complete else "response is incomplete"
+
+    def _save_state(self, name: str) -> None:
+        """Save the state of a relay that does not recover with the logs."""
+        relay = self._fleet.relays[name]
+        state: dict[str, Any] = {"failure": self._failures[name]}
+        try:
+            state["ready"] = relay.ready
+            state["dump"] = json.loads(relay.fetch_report("/dump"))
+        except OSError as error:
+            state["error"] = str(error)
+        path = self._fleet.folder / f"{name}-unhealthy.json"
+        path.write_text(json.dumps(state, indent=1))
