--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -26,9 +26,10 @@
 # Number of crashed upstreams from which a content is refused. A harmless request may be
 # running at two upstreams when they crash, but rarely at three.
 CRASHES_TO_BLOCK = 3
-# Delays before each trial of a refused content: the first while its callers may still
-# be waiting, the second when an unrelated fault should be over. There are no further
-# trials, since each may crash another upstream.
+# Delays before each trial of a refused content: the first after the last crash, while
+# its callers may still be waiting, the second after the first trial, when an unrelated
+# fault should be over. There are no further trials, since each may crash another
+# upstream.
 TRIAL_DELAYS_SECONDS = (10.0, 120.0)
 # Minimum retry delay for callers; a trial takes about as long. Also the delay before a
 # trial is repeated whose request did not run.
@@ -151,10 +152,19 @@
         return self.completed_trials < len(TRIAL_DELAYS_SECONDS)
 
     def delay_trial(self, now: float) -> None:
-        """Delay the next trial by the time that its number requires."""
+        """Delay the next trial by the time that its number requires.
+
+        The first is delayed from the last crash on, however late that became known.
+        """
         last = len(TRIAL_DELAYS_SECONDS) - 1
         number = min(self.completed_trials, last)
-        self.next_trial = now + TRIAL_DELAYS_SECONDS[number]
+        since = now if number else self._find_last_crash(now)
+        self.next_trial = since + TRIAL_DELAYS_SECONDS[number]
+
+    def _find_last_crash(self, now: float) -> float:
+        """Return when the last uncleared crash was, the present if there is none."""
+        uncleared = self.crashed.keys() - self.cleared
+        return max((self.crashed[upstream] for upstream in uncleared), default=now)
 
     def describe(self, now: float) -> CrashReport:
         """Return the state as a report; unless refused, without expired crashes."""
--- a/packages/pondquay/tests/routing/test_crashes.py
+++ b/packages/pondquay/tests/routing/test_crashes.py
@@ -359,6 +359,42 @@
     assert blocked.retry_after == TRIAL_DELAYS_SECONDS[0] - 4.0
 
 
+# Guards against a trial that each start of the instance that runs it delays anew.
+def test_an_instance_that_learns_late_counts_the_delay_from_the_last_crash() -> None:
+    clock = Clock()
+    witness, runner = make_history(clock), make_history(clock)
+    for name in ("u1", "u2", "u3"):
+        clock.now += 1.0
+        crash(witness, b"a", name)
+    clock.now += 7.0
+    (report,) = witness.blocked()
+    runner.receive(report)
+    assert runner.check(b"a") == Blocked(TRIAL_DELAYS_SECONDS[0] - 7.0)
+    clock.now += TRIAL_DELAYS_SECONDS[0] - 7.0
+    assert runner.start_trial(b"a") is not None
+
+
+def test_cleared_crashes_do_not_delay_a_trial() -> None:
+    clock = Clock()
+    history = make_history(clock)
+    crash(history, b"a", "u1", "u2", "u3")
+    clock.now += 4.0
+    cleared = frozenset({"u4"})
+    history.receive(CrashReport(b"a", cleared, cleared))
+    assert history.check(b"a") == Blocked(TRIAL_DELAYS_SECONDS[0] - 4.0)
+
+
+def test_the_delay_of_the_second_trial_counts_from_when_the_first_is_known() -> None:
+    clock = Clock()
+    witness, runner = make_history(clock), make_history(clock)
+    crash(witness, b"a", "u1", "u2", "u3")
+    clock.now += TRIAL_DELAYS_SECONDS[0]
+    started = witness.start_trial(b"a")
+    assert started is not None
+    runner.receive(started)
+    assert runner.check(b"a") == Blocked(TRIAL_DELAYS_SECONDS[1])
+
+
 def test_suspected_contents_expire_but_refused_contents_do_not() -> None:
     clock = Clock()
     history = make_history(clock)
