--- a/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
@@ -292,6 +292,25 @@
     assert relay.responses()[-1].startswith(b"HTTP/1.1 503")
 
 
+# Guards against a harmless request that is refused for minutes after its trial was lost
+# at an upstream that lives on.
+def test_a_trial_that_was_lost_without_a_crash_is_repeated(relay: RelaySide) -> None:
+    upstreams = start(relay)
+    crash_together(upstreams, relay)
+    upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
+    upstreams.resetting = True
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(0.5)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 502")
+    upstreams.resetting = False
+    upstreams.run_for(2 * TRIAL_DELAYS_SECONDS[0])
+    relay.connect_caller(HELD_PATH)
+    upstreams.run_for(0.1)
+    upstreams.answer_held()
+    upstreams.run_for(0.1)
+    assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
+
+
 def test_other_instances_receive_reports_of_crashes(relay: RelaySide) -> None:
     fleet = make_fleet(relay)
     upstreams = start(*fleet)
