--- a/packages/pondquay-standins/src/pondquay_standins/hostile/__main__.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/__main__.py
@@ -26,7 +26,7 @@
     "no-length",
     "freeze",
 )
-SIGNALS = ("SIGTERM", "SIGKILL", "SIGHUP", "SIGKILL", "SIGTERM", "SIGHUP", "SIGKILL")
+SIGNALS = ("SIGTERM", "SIGKILL", "SIGSTOP", "SIGHUP", "SIGKILL", "SIGTERM", "SIGSTOP")
 
 
 def list_plans(seed: int, requests: int) -> list[HostilePlan]:
@@ -39,6 +39,10 @@
         HostilePlan((name,), seed, 2 * requests, signals=SIGNALS)
         for name in ("sound", "mixture", "refusal-copy-while", "closed-running")
     ]
+    plans += [
+        HostilePlan((name,), seed, 2 * requests, cut_off=True, signals=SIGNALS)
+        for name in ("sound", "mixture", "refusal-copy-while")
+    ]
     return plans
 
 
