--- a/packages/pondquay-standins/src/pondquay_standins/hostile/checks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/checks.py
@@ -42,13 +42,13 @@
     for visit in visits:
         by_attempt[visit.attempt].append(visit)
     findings = [
-        Finding("UNASKED", visit.attempt, visit.wrong)
+        Finding("not what was sent", visit.attempt, visit.wrong)
         for visit in visits
         if visit.wrong
     ]
     known = {call.attempt for call in calls}
     findings += [
-        Finding("UNASKED", visit.attempt, "no caller sent it")
+        Finding("not what was sent", visit.attempt, "no caller sent it")
         for visit in visits
         if visit.ran and visit.attempt not in known
     ]
@@ -68,14 +68,16 @@
     findings = []
     if not route.repeatable:
         if call.status in PROMISING_STATUSES and runs:
-            findings.append(Finding("REFUSED", call.attempt, details))
+            findings.append(Finding("refused but ran", call.attempt, details))
         if len(runs) > 1:
-            findings.append(Finding("TWICE", call.attempt, details))
+            findings.append(Finding("ran twice", call.attempt, details))
     if len(replicas) > route.attempts:
-        findings.append(Finding("BUDGET attempts", call.attempt, details))
+        findings.append(Finding("on too many upstreams", call.attempt, details))
     if call.status and not _is_own(call, runs):
         findings.append(
-            Finding("MIXED", call.attempt, f"{details}; {call.body[:60]!r}")
+            Finding(
+                "not its own response", call.attempt, f"{details}; {call.body[:60]!r}"
+            )
         )
     return findings
 
@@ -130,7 +132,9 @@
             )
             worst = max(worst, count - RETRY_RATIO * base - retry_extra)
         if worst > 0:
-            findings.append(Finding("BUDGET share", service, f"{worst:.1f} too many"))
+            findings.append(
+                Finding("too many repeats", service, f"{worst:.1f} too many")
+            )
     return findings
 
 
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
@@ -11,6 +11,7 @@
 from signal import SIGUSR2
 from typing import TYPE_CHECKING
 
+from pondquay_standins.hostile.behaviours import FREEZE_SECONDS
 from pondquay_standins.hostile.callers import HostileCaller, make_configuration
 from pondquay_standins.hostile.checks import count_statuses, find_all
 from pondquay_standins.hostile.exchanges import Visit
@@ -150,6 +151,8 @@
         calls = _call(fleet, plan)
         memory = max(_read_memory(relay.process.pid) for relay in fleet.relays.values())
         tunnels = sum(_count_tunnels(relay) for relay in fleet.relays.values())
+        # What a replica has not read yet may still run.
+        time.sleep(FREEZE_SECONDS)
         visits = fleet.visits()
         errors = fleet.list_internal_errors()
         logs = [relay.process.log.read_text() for relay in fleet.relays.values()]
