--- a/packages/pondquay-standins/src/pondquay_standins/hostile/behaviours.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/behaviours.py
@@ -11,6 +11,7 @@
 
 from pondquay_standins.hostile.exchanges import (
     RUN_SECONDS,
+    Behaviour,
     HostileConnection,
     HostileExchange,
     format_response,
@@ -35,34 +36,6 @@
 COPY_TIMES = ("at once", "idle", "first", "while", "after")
 
 
-class Behaviour:
-    """Serves all requests; other behaviours misbehave for a part of them.
-
-    :cvar fraction: part of the requests for which the replica misbehaves
-    """
-
-    fraction = 0.25
-
-    def connect(self, connection: HostileConnection) -> None:
-        """Handle a new connection."""
-        return
-
-    def begin(self, exchange: HostileExchange) -> None:
-        """Handle the head of a request whose body is incomplete."""
-        return
-
-    def serve(self, exchange: HostileExchange) -> None:
-        """Handle a request."""
-        if exchange.replica.random.random() < self.fraction:
-            self.misbehave(exchange)
-        else:
-            exchange.succeed()
-
-    def misbehave(self, exchange: HostileExchange) -> None:
-        """Handle a request for which the replica misbehaves."""
-        exchange.succeed()
-
-
 class Refusal(Behaviour):
     """Refuses requests without running them.
 
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
@@ -16,8 +16,6 @@
 
     from twisted.python.failure import Failure
 
-    from pondquay_standins.hostile.behaviours import Behaviour
-
 HEAD_END = b"\r\n\r\n"
 RUN_SECONDS = 0.04
 EVENT_SECONDS = 0.01
@@ -70,6 +68,34 @@
     wrong: str = ""
 
 
+class Behaviour:
+    """Serves all requests; other behaviours misbehave for a part of them.
+
+    :cvar fraction: part of the requests for which the replica misbehaves
+    """
+
+    fraction = 0.25
+
+    def connect(self, connection: HostileConnection) -> None:
+        """Handle a new connection."""
+        return
+
+    def begin(self, exchange: HostileExchange) -> None:
+        """Handle the head of a request whose body is incomplete."""
+        return
+
+    def serve(self, exchange: HostileExchange) -> None:
+        """Handle a request."""
+        if exchange.replica.random.random() < self.fraction:
+            self.misbehave(exchange)
+        else:
+            exchange.succeed()
+
+    def misbehave(self, exchange: HostileExchange) -> None:
+        """Handle a request for which the replica misbehaves."""
+        exchange.succeed()
+
+
 @dataclass(slots=True)
 class HostileReplica:
     """What the connections to one misbehaving replica share."""
