--- a/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
@@ -5,22 +5,26 @@
 complete. Here such a response is complete only after an orderly close.
 
 That client limits a line of a head, but neither the number of lines nor of interim
-heads. Here their bytes are limited together.
+heads. Here their bytes are limited together. A head that contains a further status line
+is invalid.
 """
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.components import proxyForInterface
 from twisted.python.failure import Failure
-from twisted.web._newclient import BODY, DONE, HTTP11ClientProtocol
+from twisted.web._newclient import BODY, DONE, HTTP11ClientProtocol, ParseError
 from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
 from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IResponse
 
+from pondquay_daemon.statuslines import contain_status_line
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -45,6 +49,13 @@
         return super().request(request).addCallback(self._wrap)
 
     def _wrap(self, response: Any) -> _Response:
+        values = chain.from_iterable(
+            values for _, values in response.headers.getAllRawHeaders()
+        )
+        if contain_status_line((response.phrase, *values)):
+            self.abort_response(self._parser)
+            error = ParseError("a status line within a head", response.phrase)
+            raise ResponseFailed([Failure(error)])
         return _Response(response, self, self._parser)
 
     def dataReceived(self, data: bytes) -> None:
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -166,3 +166,11 @@
     assert status.for_boot("").started
     assert not status.for_boot("b2").started
     assert status.for_boot("b1").state is StreamState.UNREACHABLE
+
+
+# Guards against a second start of a stream that runs, since a part of a refusal is read
+# as the beginning of its response.
+@pytest.mark.parametrize("part", [b"HTTP/1.1 503 ", b"HTTP/1.1 409 No\r\nServer: x"])
+def test_a_part_of_a_refusal_before_a_response_proves_nothing(part: bytes) -> None:
+    response = b"HTTP/1.1 200 OK\r\n" + OWN_NAME + b"Content-Length: 0\r\n\r\n"
+    assert start_stream(part + response).check(MayHaveRunError)
