--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
@@ -11,6 +11,8 @@
 from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.interfaces import IReactorTime
 
     from pondquay.addresses import Address
@@ -19,6 +21,10 @@
     from pondquay_daemon.relay.messages import HeaderList, ResponseHead
 
 
+# Bytes of a response's body. Those of the store have 1 MB of rows, or one object.
+MAX_FETCHED_BYTES = 8 << 20
+
+
 @dataclass(frozen=True, slots=True)
 class FetchedResponse:
     """A complete response."""
@@ -28,14 +34,18 @@
 
 
 class _Collector(ExchangeListener):
-    """Collects one response."""
+    """Collects one response.
 
-    def __init__(self) -> None:
+    :param on_too_long: called when the response is longer than it may be
+    """
+
+    def __init__(self, on_too_long: Callable[[], None]) -> None:
+        self._on_too_long = on_too_long
         self.result: Deferred[FetchedResponse | Unreachable | OutcomeUnknown] = (
             Deferred()
         )
         self._status = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     def on_head(self, head: ResponseHead) -> None:
         """Store the status of the response."""
@@ -43,11 +53,13 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(data)
+        self._body += data
+        if len(self._body) > MAX_FETCHED_BYTES:
+            self._on_too_long()
 
     def on_end(self) -> None:
         """Complete the call with the response."""
-        self.finish(FetchedResponse(self._status, b"".join(self._body)))
+        self.finish(FetchedResponse(self._status, bytes(self._body)))
 
     def on_error(self, error: BrokenExchangeError) -> None:
         """Complete the call as failed; it may have run if the request was sent."""
@@ -82,19 +94,20 @@
     ) -> FetchedResponse | Unreachable | OutcomeUnknown:
         """Make a call.
 
-        :param seconds: timeout; the outcome is unknown if the call was sent by then
+        :param seconds: timeout; the outcome is unknown if the call was sent by then, as
+            it is if the response is too long
         """
-        collector = _Collector()
-        exchange = Exchange(
-            collector, call.method, call.target, call.headers, call.body
-        )
 
-        def on_timeout() -> None:
+        def give_up() -> None:
             sent = exchange.sent
             exchange.cancel()
             collector.finish(OutcomeUnknown() if sent else Unreachable())
 
-        timer = self._clock.callLater(seconds, on_timeout)
+        collector = _Collector(give_up)
+        exchange = Exchange(
+            collector, call.method, call.target, call.headers, call.body
+        )
+        timer = self._clock.callLater(seconds, give_up)
         self._pool.start(self._address, exchange)
         try:
             return await collector.result
--- a/packages/pondquay-daemon/tests/relay/test_fetch.py
+++ b/packages/pondquay-daemon/tests/relay/test_fetch.py
@@ -11,9 +11,17 @@
 from pondquay.addresses import Address
 from pondquay.tables import OutcomeUnknown, Unreachable
 from pondquay_daemon.relay.egress import EgressPool
-from pondquay_daemon.relay.fetch import Call, FetchedResponse, Fetcher
+from pondquay_daemon.relay.fetch import (
+    MAX_FETCHED_BYTES,
+    Call,
+    FetchedResponse,
+    Fetcher,
+)
 
 SECONDS = 0.7
+# Parts in which a response is sent within that time.
+STEPS = 8
+PIECE = b"x" * 65536
 CALL = Call(b"GET", b"/rows", [(b"Host", b"table")])
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -84,3 +92,38 @@
     results = table.call()
     table.clock.advance(SECONDS)
     assert results == [Unreachable()]
+
+
+# Guards against a response without an end that fills the memory of the instance.
+@pytest.mark.parametrize(
+    "framing", [b"", b"Content-Length: 1000000000000\r\n"], ids=["none", "length"]
+)
+def test_a_response_without_an_end_counts_as_unanswered(
+    table: Table, framing: bytes
+) -> None:
+    results = table.call()
+    protocol = table.connect()
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n")
+    sent = 0
+    while sent <= MAX_FETCHED_BYTES:
+        assert not protocol.transport.disconnecting
+        protocol.dataReceived(PIECE)
+        sent += len(PIECE)
+    assert protocol.transport.disconnecting
+    assert results == [OutcomeUnknown()]
+
+
+# Guards against a response that is sent slowly and delays the next call.
+@pytest.mark.parametrize("head", [b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\n\r\n"])
+def test_a_response_that_is_sent_slowly_ends_at_the_timeout(
+    table: Table, head: bytes
+) -> None:
+    results = table.call()
+    protocol = table.connect()
+    protocol.dataReceived(head)
+    for _ in range(STEPS):
+        assert results == []
+        table.clock.advance(SECONDS / STEPS)
+        protocol.dataReceived(b"x")
+    assert results == [OutcomeUnknown()]
+    assert protocol.transport.disconnecting
