--- a/packages/pondquay-daemon/src/pondquay_daemon/reactor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/reactor.py
@@ -37,8 +37,14 @@
         # The connections that have data to write and are not registered for
         # writability, in the order in which they got it.
         self._unsent: dict[Connection, None] = {}
+        self._is_stopping = False
         super().__init__()  # type: ignore[no-untyped-call]
 
+    def stop(self) -> None:
+        """Stop with the next turn of the loop."""
+        self._is_stopping = True
+        super().stop()
+
     def addWriter(self, writer: IWriteDescriptor) -> None:  # noqa: N802
         """Write to a connection at the end of the turn, or register any other writer.
 
@@ -79,8 +85,10 @@
         """
         if self._unsent:
             self._write_unsent()
-            # Writing may have scheduled calls, or produced further data.
-            timeout = self.timeout() if self.running and not self._unsent else 0.0
+            # Writing may have scheduled calls, produced further data, or stopped the
+            # loop, which ends only with a further turn.
+            may_wait = self.running and not self._unsent and not self._is_stopping
+            timeout = self.timeout() if may_wait else 0.0
         wait = NO_LIMIT if timeout is None else timeout
         try:
             events = self._poller.poll(wait, len(self._selectables))
--- a/packages/pondquay-daemon/tests/test_reactor.py
+++ b/packages/pondquay-daemon/tests/test_reactor.py
@@ -4,6 +4,7 @@
 
 import socket
 from select import EPOLLERR, EPOLLHUP, EPOLLOUT
+from struct import pack
 from typing import TYPE_CHECKING, Any, ClassVar
 
 import pytest
@@ -306,3 +307,32 @@
     reactor.connectTCP(HOST, port, Connecting(), timeout=MAX_TEST_SECONDS)
     reactor.run(installSignalHandlers=False)
     assert len(failures) == 1
+
+
+# Guards against a process that stops only with its next event or timer, as a failed
+# write made it stop.
+def test_a_stop_by_a_failed_write_takes_effect_at_once() -> None:
+    reactor: Any = EagerWriteReactor()
+    client, late = Recorder(), []
+
+    class Connecting(ClientFactory):
+        noisy = False
+
+        def buildProtocol(self, addr: IAddress | None) -> Recorder:
+            return client
+
+    with socket.create_server((HOST, 0)) as listener:
+
+        def write_after_reset() -> None:
+            accepted, _ = listener.accept()
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, pack("ii", 1, 0))
+            accepted.close()
+            client.transport.write(b"late")
+
+        client.on_connect = write_after_reset
+        client.on_lost = reactor.stop
+        reactor.connectTCP(HOST, listener.getsockname()[1], Connecting())
+        reactor.callLater(MAX_TEST_SECONDS, late.append, True)
+        reactor.run(installSignalHandlers=False)
+    assert client.reason is not None
+    assert not late
