--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from pondquay_standins.replicas import ReplicaFault
+from pondquay_standins.replicafaults import ReplicaFault
 from pondquay_standins.rowstore import StoreFault
 from pondquay_standins.soak.proxies import ProxyFault
 
@@ -108,7 +108,12 @@
 RESPONSE_SEED_OFFSET = 6_000_000
 RESPONSE_INTERVAL_SECONDS = 2.0
 # Faults of replicas with a group, and so a random generator, of their own.
-RESPONSE_FAULTS = (ReplicaFault.LATE_REFUSAL, ReplicaFault.UNFRAMED)
+RESPONSE_FAULTS = (
+    ReplicaFault.LATE_REFUSAL,
+    ReplicaFault.UNFRAMED,
+    ReplicaFault.ENDLESS,
+    ReplicaFault.ENDLESS_REFUSAL,
+)
 BASE_REPLICA_FAULTS = tuple(
     fault
     for fault in ReplicaFault
