--- a/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
@@ -23,6 +23,9 @@
 # A head that is longer cannot be that of a request of these callers.
 MAX_HEAD_BYTES = 20_000
 PADDING = b"."
+OK = 200
+# Name of a request that no caller of a run sends.
+OLDER_ATTEMPT = "older-1"
 
 
 def format_event(attempt: str, number: int) -> bytes:
@@ -371,3 +374,11 @@
     def buildProtocol(self, addr: object) -> HostileConnection:
         """Return the protocol of a new connection."""
         return HostileConnection(self._replica)
+
+
+def end_connection(connection: HostileConnection, *, is_reset: bool) -> None:
+    """End a connection in order or by a reset."""
+    if is_reset:
+        connection.reset()
+    else:
+        connection.close()
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
@@ -11,9 +11,9 @@
 from signal import SIGUSR2
 from typing import TYPE_CHECKING
 
-from pondquay_standins.hostile.behaviours import FREEZE_SECONDS
 from pondquay_standins.hostile.callers import HostileCaller, make_configuration
 from pondquay_standins.hostile.checks import count_statuses, find_all
+from pondquay_standins.hostile.disturbances import FREEZE_SECONDS
 from pondquay_standins.hostile.exchanges import Visit
 from pondquay_standins.partitionable import PORTS_VARIABLE
 from pondquay_standins.processes import HOST, call_http, pick_port, wait_until
