--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -174,3 +174,14 @@
 def test_a_part_of_a_refusal_before_a_response_proves_nothing(part: bytes) -> None:
     response = b"HTTP/1.1 200 OK\r\n" + OWN_NAME + b"Content-Length: 0\r\n\r\n"
     assert start_stream(part + response).check(MayHaveRunError)
+
+
+# Guards against the same where the refusal is cut off in a header on its connection,
+# which the client keeps apart from the others.
+@pytest.mark.parametrize("name", [b"Connection", b"Keep-Alive", b"Upgrade", b"TE"])
+def test_a_refusal_cut_off_in_a_header_on_its_connection_proves_nothing(
+    name: bytes,
+) -> None:
+    part = b"HTTP/1.1 503 No\r\n" + name + b": "
+    response = b"HTTP/1.1 200 OK\r\n" + OWN_NAME + b"Content-Length: 0\r\n\r\n"
+    assert start_stream(part + response).check(MayHaveRunError)
