--- a/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/connectionpools.py
@@ -46,12 +46,15 @@
     def request(self, request: Any) -> Deferred[Any]:
         """Send a request, and return its response once the head has arrived."""
         self._head_bytes = 0
-        return super().request(request).addCallback(self._wrap)
+        response: Deferred[Any] = super().request(request)
+        return response.addCallback(self._wrap, self._parser)
 
-    def _wrap(self, response: Any) -> _Response:
-        values = chain.from_iterable(
-            values for _, values in response.headers.getAllRawHeaders()
+    def _wrap(self, response: Any, parser: Any) -> _Response:
+        # The parser keeps the headers on the connection apart from the others.
+        headers = chain(
+            response.headers.getAllRawHeaders(), parser.connHeaders.getAllRawHeaders()
         )
+        values = chain.from_iterable(values for _, values in headers)
         if contain_status_line((response.phrase, *values)):
             self.abort_response(self._parser)
             error = ParseError("a status line within a head", response.phrase)
