--- a/packages/pondquay/src/pondquay/streamevents.py
+++ b/packages/pondquay/src/pondquay/streamevents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 EVENT_END = b"\n\n"
@@ -10,6 +11,8 @@
 MAX_PENDING_BYTES = 64 << 10
 # Bytes of comments and other events without a number between numbered events.
 MAX_UNNUMBERED_BYTES = 64 << 10
+# A status line outside of the value of a field, which only another response brings.
+_STATUS_LINE = re.compile(rb"^[^:\n]*HTTP/[0-9]\.[0-9] [0-9]{3}", re.MULTILINE)
 
 
 class StreamOrderError(Exception):
@@ -20,12 +23,15 @@
 
 
 def read_event_id(event: bytes) -> int | None:
-    """Return the number in an event's ``id`` field, or ``None`` if it has none."""
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    """Return the number in an event's ``id`` field, or ``None`` if it has none.
+
+    :raises StreamOrderError: if it has several, as events of two streams are joined
+    """
+    ids = [line for line in event.split(b"\n") if line.startswith(ID_FIELD)]
+    if len(ids) > 1:
+        raise StreamOrderError("an event with several numbers")
+    text = ids[0][len(ID_FIELD) :].strip() if ids else b""
+    return int(text) if text.isdigit() else None
 
 
 @dataclass(slots=True)
@@ -62,14 +68,17 @@
         If one is invalid, none of them is returned or counted.
 
         :raises StreamOrderError: if an event does not follow the previous event, if
-            there are too many, or if more than ``MAX_PENDING_BYTES`` contain no
-            complete event, or ``MAX_UNNUMBERED_BYTES`` none with a number
+            there are too many, if another response begins, or if more than
+            ``MAX_PENDING_BYTES`` contain no complete event, or
+            ``MAX_UNNUMBERED_BYTES`` none with a number
         """
         complete = self._take_complete(data)
         if len(self._pending) > MAX_PENDING_BYTES:
             raise StreamOrderError("an incomplete event exceeds the buffer limit")
         if not complete:
             return b""
+        if _STATUS_LINE.search(complete):
+            raise StreamOrderError("another response within the stream")
         numbers = self._read_numbers(complete)
         self._unnumbered = 0 if numbers else self._unnumbered + len(complete)
         if self._unnumbered > MAX_UNNUMBERED_BYTES:
