--- a/packages/pondquay/tests/routing/test_retryshares.py
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -83,3 +84,22 @@
     for end, _ in taken:
         in_window = sum(number for at, number in taken if end - WINDOW <= at <= end)
         assert in_window <= extra
+
+
+# Guards against repeats beyond the fleet's share while instances leave, since each that
+# stays knows of fewer and takes a larger share.
+@pytest.mark.parametrize(("before", "after"), [(30, 20), (30, 12), (300, 30)])
+def test_instances_that_leave_hand_on_nothing_that_they_used(
+    before: int, after: int
+) -> None:
+    known = [before]
+    shares = [RetryShare(0.0, 1000.0, WINDOW, lambda: known[0]) for _ in range(before)]
+    taken = 0
+    for share in shares:
+        while share.spend("judge", 0.0):
+            taken += 1
+    known[0] = after
+    for share in shares[:after]:
+        while share.spend("judge", WINDOW / 2):
+            taken += 1
+    assert taken <= 1000
