--- a/packages/pondquay/tests/routing/test_retryshares.py
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -103,3 +105,15 @@
         while share.spend("judge", WINDOW / 2):
             taken += 1
     assert taken <= 1000
+
+
+# Guards against repeats beyond the fleet's share while a fleet starts for the first
+# time, and each instance reads a list of those that have joined before.
+@pytest.mark.parametrize("instances", [30, 300])
+def test_a_starting_fleet_does_not_exceed_the_fixed_number(instances: int) -> None:
+    taken = 0
+    for known in range(1, instances + 1):
+        share = RetryShare(0.0, 1000.0, WINDOW, partial(int, known))
+        while share.spend("judge", 0.0):
+            taken += 1
+    assert taken <= 1000
