--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -266,13 +266,12 @@
 
     def _make_retry_share(self) -> RetryShare:
         bounds = self._settings.bounds
-        wait = 0.0 if self._settings.first_start else bounds.retry_window
         return RetryShare(
             bounds.retry_ratio,
             bounds.retry_extra,
             bounds.retry_window,
             lambda: self._members.count,
-            self._reactor.seconds() + wait,
+            self._reactor.seconds() + bounds.retry_window,
         )
 
     def _make_placement(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/settings.py
@@ -50,7 +50,6 @@
         ``None`` to accept none
     :param memory: bytes that the process may use, ``None`` if unknown
     :param policy: switches and parameters of the relay's mechanisms
-    :param first_start: whether no instance of the fleet has run before
     """
 
     instance: str
@@ -65,4 +64,3 @@
     memory: float | None = None
     tunnels: Address | None = None
     policy: RelayPolicy = DEFAULT_POLICY
-    first_start: bool = False
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/runs.py
@@ -12,7 +12,11 @@
 from typing import TYPE_CHECKING
 
 from pondquay_standins.hostile.callers import HostileCaller, make_configuration
-from pondquay_standins.hostile.checks import count_statuses, find_all
+from pondquay_standins.hostile.checks import (
+    RETRY_WINDOW_SECONDS,
+    count_statuses,
+    find_all,
+)
 from pondquay_standins.hostile.disturbances import FREEZE_SECONDS
 from pondquay_standins.hostile.exchanges import Visit
 from pondquay_standins.partitionable import PORTS_VARIABLE
@@ -100,6 +104,7 @@
         super().__init__()
         self.platform = "pondquay_standins.hostile.platform"
         self.retry_extra = RETRY_EXTRA
+        self.retry_window = RETRY_WINDOW_SECONDS
         self.stop_seconds = STOP_SECONDS
         self.daemon = "pondquay_standins.partitionable"
 
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -4,7 +4,8 @@
 at most a fraction of its requests plus a fixed number. Each instance applies the
 fraction to its own requests and uses only its share of the fixed number, so the total
 is also bounded in a partition. An instance may follow one that has ended, which may
-have used the same share, so it uses none of it until a window has passed.
+have used the same share, so it uses none of it until a window has passed. Those that
+have left within a window may have used theirs, so they are counted as before.
 """
 
 from __future__ import annotations
@@ -65,10 +66,14 @@
         self._instances = instances
         self._window = window
         self._usable_from = usable_from
+        # Numbers of instances within the window that no later one exceeds, with the
+        # times at which they were last seen.
+        self._largest: deque[tuple[float, int]] = deque()
         self._attempts: dict[str, _Attempts] = defaultdict(_Attempts)
 
     def note_first(self, service: str, now: float) -> None:
         """Count a request's first attempt."""
+        self._count_instances(now)
         self._attempts[service].first.append(now)
 
     def spend(self, service: str, now: float) -> bool:
@@ -83,7 +88,17 @@
 
     def _share(self, now: float) -> float:
         """Return this instance's share of the fixed number."""
-        instances = self._instances()
+        instances = self._count_instances(now)
         if instances == 0 or now < self._usable_from:
             return 0.0
         return self._extra / max(MIN_SHARES, ceil(SPARE_RATIO * instances))
+
+    def _count_instances(self, now: float) -> int:
+        """Return the most instances known within the window, 0 if none is known now."""
+        known, largest = self._instances(), self._largest
+        while largest and largest[-1][1] <= known:
+            largest.pop()
+        largest.append((now, known))
+        while largest[0][0] < now - self._window:
+            largest.popleft()
+        return largest[0][1] if known else 0
