--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -144,6 +144,7 @@
             log_event("crash-row-malformed", Level.ERROR, key=key, error=error)
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 _Ages = dict[str, Annotated[float, msgspec.Meta(ge=0)]]
 
 
@@ -156,12 +157,15 @@
     :param crashed: crashed incarnations of upstreams; some builds store them with the
         ages
     :param ages: seconds since the crashes, by incarnation; some builds store none
+    :param cleared_trials: number of trials before the last clearing; some builds store
+        none
     """
 
     crashed: list[str] | _Ages
     cleared: list[str]
-    trials: Annotated[int, msgspec.Meta(ge=0)]
+    trials: _Count
     ages: _Ages = {}
+    cleared_trials: _Count = 0
 
 
 def pack_report(report: CrashReport) -> JsonObject:
@@ -170,7 +174,9 @@
         incarnation: round(report.age(incarnation), 3)
         for incarnation in sorted(report.crashed)
     }
-    document = _CrashDocument(list(ages), sorted(report.cleared), report.trials, ages)
+    document = _CrashDocument(
+        list(ages), sorted(report.cleared), report.trials, ages, report.cleared_trials
+    )
     packed: JsonObject = msgspec.to_builtins(document)
     return packed
 
@@ -188,4 +194,11 @@
     crashed = document.crashed
     ages = document.ages if isinstance(crashed, list) else crashed
     cleared = frozenset(document.cleared)
-    return CrashReport(content, frozenset(crashed), cleared, document.trials, ages)
+    return CrashReport(
+        content,
+        frozenset(crashed),
+        cleared,
+        document.trials,
+        ages,
+        document.cleared_trials,
+    )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/partcrashlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/partcrashlinks.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING, ClassVar
 
 from pondquay_daemon.relay.crashsharing import FROM_PEER
-from pondquay_daemon.relay.peermessages import PartCrashReports, WaitingPartReports
+from pondquay_daemon.relay.peermessages import (
+    PartCrashReports,
+    PartCrashStates,
+    WaitingPartReports,
+    WaitingPartStates,
+)
 from pondquay_daemon.relay.peertopics import PeerTopic
 
 if TYPE_CHECKING:
@@ -24,8 +29,11 @@
     ``connect`` has to be called before the first link opens.
     """
 
-    REPORTS: ClassVar[type[PartCrashReports]] = PartCrashReports
-    MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (PartCrashReports,)
+    REPORTS: ClassVar[type[PartCrashStates]] = PartCrashStates
+    MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (
+        PartCrashStates,
+        PartCrashReports,
+    )
 
     _parts: CrashSharing
 
@@ -41,7 +49,7 @@
         """Announce reports to all peers."""
         self._mesh.broadcast(self.REPORTS.pack(reports))
 
-    def make_greeting(self) -> PartCrashReports | None:
+    def make_greeting(self) -> PartCrashStates | None:
         """Return the known reports, if there are any."""
         reports = self._parts.list_announced()
         return self.REPORTS.pack(reports) if reports else None
@@ -51,7 +59,7 @@
 
     def receive(self, link: PeerLink, message: PeerMessage) -> None:
         """Merge a peer's reports."""
-        if isinstance(message, PartCrashReports):
+        if isinstance(message, PartCrashStates | PartCrashReports):
             for report in message.unpack():
                 self._parts.receive(report, FROM_PEER)
 
@@ -66,5 +74,8 @@
 class WaitingPartLinks(PartCrashLinks):
     """Exchanges reports of parts whose responses had not begun."""
 
-    REPORTS: ClassVar[type[PartCrashReports]] = WaitingPartReports
-    MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (WaitingPartReports,)
+    REPORTS: ClassVar[type[PartCrashStates]] = WaitingPartStates
+    MESSAGES: ClassVar[tuple[type[PeerMessage], ...]] = (
+        WaitingPartStates,
+        WaitingPartReports,
+    )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peerlinks.py
@@ -88,11 +88,11 @@
         return kind.CODE in self.supported_codes
 
     def send(self, message: PeerMessage) -> None:
-        """Send a message, also in its earlier form if the peer may require it."""
+        """Send a message, also in its earlier forms if the peer may require them."""
         self.send_bytes(encode_message(message))
         earlier = make_earlier_form(message)
         if earlier is not None and not self.supports(type(message)):
-            self.send_bytes(encode_message(earlier))
+            self.send(earlier)
 
     def send_bytes(self, data: bytes) -> None:
         """Send messages that are already encoded."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -171,35 +171,57 @@
 
 
 # The digest, the crashed upstreams with the seconds since the crash, those of them that
-# crashed before a run completed, and the number of trials.
-PackedCrash: TypeAlias = tuple[Content, Ages, Lives, Count]
+# crashed before a run completed, the number of trials, and how many of these started
+# before a run completed.
+PackedState: TypeAlias = tuple[Content, Ages, Lives, Count, Count]
 
 
-def _pack_crash(report: CrashReport) -> PackedCrash:
+def _pack_state(report: CrashReport) -> PackedState:
     ages = {name: report.age(name) for name in sorted(report.crashed)}
-    return report.content, ages, sorted(report.cleared), report.trials
-
-
-def _unpack_crash(packed: PackedCrash) -> CrashReport:
-    content, ages, cleared, trials = packed
-    return CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
+    cleared = sorted(report.cleared)
+    return report.content, ages, cleared, report.trials, report.cleared_trials
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamCrashes:
+class CrashStates:
     """Reports contents under which upstreams crashed."""
 
-    CODE: ClassVar[int] = 13
-    crashes: list[tuple[Content, Ages, Lives, Count]]
+    CODE: ClassVar[int] = 34
+    states: list[tuple[Content, Ages, Lives, Count, Count]]
 
     @classmethod
-    def pack(cls, reports: Iterable[CrashReport]) -> UpstreamCrashes:
+    def pack(cls, reports: Iterable[CrashReport]) -> Self:
         """Return the message for some reports."""
-        return cls([_pack_crash(report) for report in reports])
+        return cls([_pack_state(report) for report in reports])
 
     def unpack(self) -> list[CrashReport]:
         """Return the reports."""
-        return [_unpack_crash(packed) for packed in self.crashes]
+        return [
+            CrashReport(
+                content,
+                frozenset(ages),
+                frozenset(cleared),
+                trials,
+                ages,
+                cleared_trials,
+            )
+            for content, ages, cleared, trials, cleared_trials in self.states
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCrashes:
+    """The earlier form of ``CrashStates``, without cleared trials."""
+
+    CODE: ClassVar[int] = 13
+    crashes: list[tuple[Content, Ages, Lives, Count]]
+
+    def unpack(self) -> list[CrashReport]:
+        """Return the reports, assuming that no trials were cleared."""
+        return [
+            CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
+            for content, ages, cleared, trials in self.crashes
+        ]
 
 
 @dataclass(frozen=True, slots=True)
@@ -418,25 +440,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PartCrashReports:
+class PartCrashStates(CrashStates):
     """Reports parts of prompts under which upstreams crashed."""
 
-    CODE: ClassVar[int] = 32
-    crashes: list[tuple[Content, Ages, Lives, Count]]
+    CODE: ClassVar[int] = 35
 
-    @classmethod
-    def pack(cls, reports: Iterable[CrashReport]) -> Self:
-        """Return the message for some reports."""
-        return cls([_pack_crash(report) for report in reports])
 
-    def unpack(self) -> list[CrashReport]:
-        """Return the reports."""
-        return [_unpack_crash(packed) for packed in self.crashes]
+@dataclass(frozen=True, slots=True)
+class WaitingPartStates(PartCrashStates):
+    """Reports parts of prompts whose responses had not begun when upstreams crashed."""
+
+    CODE: ClassVar[int] = 36
+
+
+@dataclass(frozen=True, slots=True)
+class PartCrashReports(UpstreamCrashes):
+    """The earlier form of ``PartCrashStates``, without cleared trials."""
+
+    CODE: ClassVar[int] = 32
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingPartReports(PartCrashReports):
-    """Reports parts of prompts whose responses had not begun when upstreams crashed."""
+    """The earlier form of ``WaitingPartStates``, without cleared trials."""
 
     CODE: ClassVar[int] = 33
 
@@ -467,9 +493,17 @@
     | SoftwareSeen
     | PartCrashReports
     | WaitingPartReports
+    | CrashStates
+    | PartCrashStates
+    | WaitingPartStates
 )
 CODEC: MessageCodec[PeerMessage] = MessageCodec(get_args(PeerMessage))
 MESSAGE_TYPES = CODEC.kinds
+_STATES_BEFORE_CLEARED_TRIALS: dict[type[CrashStates], type[UpstreamCrashes]] = {
+    CrashStates: UpstreamCrashes,
+    PartCrashStates: PartCrashReports,
+    WaitingPartStates: WaitingPartReports,
+}
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -482,7 +516,10 @@
 
     :returns: ``None`` if there is no earlier form
     """
-    if not isinstance(message, UpstreamCrashes):
+    if isinstance(message, CrashStates):
+        earlier = _STATES_BEFORE_CLEARED_TRIALS[type(message)]
+        return earlier([state[:4] for state in message.states])
+    if type(message) is not UpstreamCrashes:
         return None
     return UndatedCrashes(
         [
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -26,6 +26,7 @@
     MESSAGE_TYPES,
     UNSOLICITED,
     ConfigurationValue,
+    CrashStates,
     DomainEvacuations,
     FetchConfiguration,
     Heartbeat,
@@ -159,7 +160,7 @@
 
     def announce_crashes(self, reports: Iterable[CrashReport]) -> None:
         """Announce reports on crashes to all peers."""
-        self._send_all(UpstreamCrashes.pack(reports))
+        self._send_all(CrashStates.pack(reports))
 
     def announce_load(
         self, upstream: str, count: Callable[[], int], parts: Iterable[str]
@@ -205,7 +206,7 @@
         if evacuations := self._listener.evacuations():
             link.send(DomainEvacuations.pack(evacuations))
         if crashes := self._listener.crash_reports():
-            link.send(UpstreamCrashes.pack(crashes))
+            link.send(CrashStates.pack(crashes))
         for topic in self._topics:
             if (greeting := topic.make_greeting()) is not None:
                 link.send(greeting)
@@ -252,18 +253,22 @@
         elif isinstance(message, DomainEvacuations):
             for evacuation in message.unpack():
                 self._listener.receive_evacuation(evacuation)
-        elif isinstance(message, UpstreamCrashes):
+        elif isinstance(message, CrashStates):
             for report in message.unpack():
                 self._listener.receive_crash(report)
-        elif isinstance(message, UndatedCrashes):
-            self._receive_undated(link, message)
+        elif isinstance(message, UpstreamCrashes | UndatedCrashes):
+            self._receive_earlier_crashes(link, message)
         elif isinstance(message, UpstreamLoads):
             for upstream, tokens, parts in message.loads:
                 self._listener.receive_load(link.instance, upstream, tokens, parts)
 
-    def _receive_undated(self, link: PeerLink, message: UndatedCrashes) -> None:
-        """Merge reports without ages, unless the peer also sends them with ages."""
-        if link.supports(UpstreamCrashes):
+    def _receive_earlier_crashes(
+        self, link: PeerLink, message: UpstreamCrashes | UndatedCrashes
+    ) -> None:
+        """Merge reports in an earlier form, unless the peer also sends a later one."""
+        if link.supports(CrashStates) or (
+            isinstance(message, UndatedCrashes) and link.supports(UpstreamCrashes)
+        ):
             return
         for report in message.unpack():
             self._listener.receive_crash(report)
--- a/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
@@ -314,6 +314,24 @@
     assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
 
 
+# Guards against a request that is refused for minutes when upstreams crash soon after
+# its first trial was served.
+def test_a_request_that_is_blocked_again_after_a_trial_is_tried_as_soon(
+    relay: RelaySide,
+) -> None:
+    upstreams = start(relay)
+    crash_together(upstreams, relay)
+    upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
+    for _ in range(2):
+        relay.connect_caller(HELD_PATH)
+        upstreams.run_for(0.1)
+        upstreams.answer_held()
+        upstreams.run_for(2.0)
+        assert relay.responses()[-1].startswith(b"HTTP/1.1 200")
+        crash_together(upstreams, relay)
+        upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
+
+
 def test_other_instances_receive_reports_of_crashes(relay: RelaySide) -> None:
     fleet = make_fleet(relay)
     upstreams = start(*fleet)
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -7,12 +7,13 @@
 the same way, see ``partcrashes``.
 
 Contents that ran at the same upstream are suspected as well. A run that completes
-clears its content of all crashes known by then.
+clears its content of all crashes known by then, and of its trials.
 
 The state of a content consists of the upstreams that crashed, the age of each crash,
-the crashes that the content was cleared of, and the number of its trials. Reports may
-arrive late, twice, in any order and through other instances. They are merged such that
-instances that have received the same reports have the same state.
+the crashes that the content was cleared of, the number of its trials and how many of
+them were before it was last cleared. Reports may arrive late, twice, in any order and
+through other instances. They are merged such that instances that have received the same
+reports have the same state.
 """
 
 from __future__ import annotations
@@ -60,6 +61,7 @@
     :param cleared: those of ``crashed`` whose crash a completed run has cleared
     :param trials: number of trials after it was refused
     :param ages: seconds since each upstream crashed; 0 for upstreams without an entry
+    :param cleared_trials: how many trials had started when it was last cleared
     """
 
     content: bytes
@@ -67,6 +69,7 @@
     cleared: frozenset[str] = frozenset()
     trials: int = 0
     ages: Mapping[str, float] = field(default_factory=dict, compare=False)
+    cleared_trials: int = 0
 
     @property
     def uncleared(self) -> frozenset[str]:
@@ -98,8 +101,7 @@
     def restrict_to(self, crashed: frozenset[str]) -> CrashReport:
         """Return the report with only the crashes of the given upstreams."""
         ages = {upstream: self.age(upstream) for upstream in crashed}
-        cleared = self.cleared & crashed
-        return CrashReport(self.content, crashed, cleared, self.trials, ages)
+        return replace(self, crashed=crashed, cleared=self.cleared & crashed, ages=ages)
 
     def drop_expired(self, max_age: float) -> CrashReport:
         """Return the report without old crashes; a refused content keeps all of them.
@@ -129,6 +131,7 @@
     """The state of one content. Times are in seconds of this instance's clock.
 
     :param crashed: when each upstream crashed
+    :param trials: number of trials, of which ``cleared_trials`` do not count
     :param next_trial: when it may be tried again
     :param returned: whether the request of the latest trial did not run, so that the
         trial may start again
@@ -137,14 +140,16 @@
     content: bytes
     crashed: dict[str, float]
     cleared: frozenset[str]
-    trials: int
     next_trial: float
+    trials: int = 0
+    cleared_trials: int = 0
     returned: bool = False
 
     @property
     def completed_trials(self) -> int:
-        """The number of trials that may not start again."""
-        return self.trials - 1 if self.returned else self.trials
+        """The number of trials since the last clearing that may not start again."""
+        counted = self.trials - self.cleared_trials
+        return counted - 1 if self.returned else counted
 
     @property
     def has_trial(self) -> bool:
@@ -172,7 +177,9 @@
             upstream: now - crashed_at for upstream, crashed_at in self.crashed.items()
         }
         crashed = frozenset(self.crashed)
-        report = CrashReport(self.content, crashed, self.cleared, self.trials, ages)
+        report = CrashReport(
+            self.content, crashed, self.cleared, self.trials, ages, self.cleared_trials
+        )
         return report.drop_expired(RETENTION_SECONDS)
 
     def merge(self, report: CrashReport, now: float) -> None:
@@ -190,7 +197,8 @@
         if len(self.crashed) > MAX_UPSTREAMS:
             self._drop_crashes()
         self.cleared = self.cleared & frozenset(self.crashed)
-        self.trials = max(self.trials, report.trials)
+        self.cleared_trials = max(self.cleared_trials, report.cleared_trials)
+        self.trials = max(self.trials, report.trials, self.cleared_trials)
 
     def _drop_crashes(self) -> None:
         """Keep only the newest uncleared crashes, at most ``MAX_UPSTREAMS``."""
@@ -262,7 +270,7 @@
         known = self.find(content)
         if known is None or not known.suspected:
             return None
-        self.receive(replace(known, cleared=known.crashed))
+        self.receive(replace(known, cleared=known.crashed, cleared_trials=known.trials))
         return self.find(content)
 
     def receive(self, report: CrashReport) -> bool:
@@ -270,16 +278,20 @@
         content, now = report.content, self._clock()
         entry = self._find(content)
         if entry is None:
-            entry = _Entry(content, {}, frozenset(), 0, now)
+            entry = _Entry(content, {}, frozenset(), now)
         before = entry.describe(now)
         entry.merge(self._drop_expired(report, before), now)
         merged = entry.describe(now)
         if merged == before:
             return False
         self.changes += 1
-        if merged.trials != before.trials:
+        trials_changed = (
+            merged.trials != before.trials
+            or merged.cleared_trials != before.cleared_trials
+        )
+        if trials_changed:
             entry.returned = False
-        if merged.crashed != before.crashed or merged.trials != before.trials:
+        if trials_changed or merged.crashed != before.crashed:
             entry.delay_trial(now)
         self._suspected.pop(content, None)
         self._blocked.pop(content, None)
@@ -325,7 +337,10 @@
         :param started: the report that ``start_trial`` returned
         """
         entry = self._blocked.get(started.content)
-        if entry is not None and entry.trials == started.trials:
+        if entry is None:
+            return
+        known = entry.trials, entry.cleared_trials
+        if known == (started.trials, started.cleared_trials):
             entry.returned = True
             entry.next_trial = self._clock() + MIN_RETRY_SECONDS
 
