--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashmonitor.py
@@ -69,6 +69,7 @@
     :param contents: contents of the requests that were lost
     :param parts: parts of prompts of those that were about to be written
     :param waiting: suspected parts of prompts of those without a response
+    :param trials: trials whose requests were lost
     :param checked: fires once the address has been checked
     """
 
@@ -76,6 +77,7 @@
     contents: set[bytes] = field(default_factory=set)
     parts: set[bytes] = field(default_factory=set)
     waiting: set[bytes] = field(default_factory=set)
+    trials: list[Trial] = field(default_factory=list)
     checked: Deferred[None] = field(default_factory=Deferred)
 
 
@@ -170,6 +172,7 @@
         content: bytes,
         parts: Collection[bytes] = (),
         began: bool = True,
+        trial: Trial | None = None,
     ) -> None:
         """Record that a request was lost, so that its upstream is checked for a crash.
 
@@ -178,6 +181,7 @@
 
         :param parts: shared parts of its prompt
         :param began: whether its response had begun
+        :param trial: the trial that it was
         """
         if upstream.leaving or upstream.missing_since is not None:
             return
@@ -191,10 +195,13 @@
                 earlier.contents,
                 earlier.parts,
                 earlier.waiting,
+                earlier.trials,
             )
             self._broken[name] = broken
             address = upstream.record.address
             self._reactor.callLater(CHECK_DELAY_SECONDS, self._check, name, address)
+        if trial is not None:
+            broken.trials.append(trial)
         if len(broken.contents) < MAX_PENDING_CONTENTS:
             broken.contents.add(content)
             if began:
@@ -304,6 +311,8 @@
             self._note_crashed(upstream, "connection refused")
         elif result is Listening.YES:
             del self._broken[upstream]
+            for trial in broken.trials:
+                trial.note_lost()
         broken.checked.callback(None)
 
     def _note_crashed(self, upstream: str, reason: str) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -119,7 +119,9 @@
         """
         if lost.streamed >= SUSPECT_STREAM_SECONDS:
             return
-        self._monitor.note_broken(upstream, self.content, self._parts, lost.began)
+        self._monitor.note_broken(
+            upstream, self.content, self._parts, lost.began, self._trial
+        )
 
     async def wait_for_check(self) -> None:
         """Wait for pending checks that may cause the request to be refused."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashrows.py
@@ -159,6 +159,8 @@
     :param ages: seconds since the crashes, by incarnation; some builds store none
     :param cleared_trials: number of trials before the last clearing; some builds store
         none
+    :param lost_trial: number of the trial that was lost without a crash; some builds
+        store none
     """
 
     crashed: list[str] | _Ages
@@ -166,6 +168,7 @@
     trials: _Count
     ages: _Ages = {}
     cleared_trials: _Count = 0
+    lost_trial: _Count = 0
 
 
 def pack_report(report: CrashReport) -> JsonObject:
@@ -175,7 +178,12 @@
         for incarnation in sorted(report.crashed)
     }
     document = _CrashDocument(
-        list(ages), sorted(report.cleared), report.trials, ages, report.cleared_trials
+        list(ages),
+        sorted(report.cleared),
+        report.trials,
+        ages,
+        report.cleared_trials,
+        report.lost_trial,
     )
     packed: JsonObject = msgspec.to_builtins(document)
     return packed
@@ -201,4 +209,5 @@
         document.trials,
         ages,
         document.cleared_trials,
+        document.lost_trial,
     )
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashsharing.py
@@ -27,23 +27,21 @@
 class Trial:
     """The trial of a blocked key, which has started.
 
-    :param kind: what the key is of, for the log
+    :param sharing: shares the reports of the key
     :param report: the key's report as of the start
     """
 
-    kind: str
-    history: CrashHistory
+    sharing: CrashSharing
     report: CrashReport
 
     def give_back(self) -> None:
         """Let the trial start again soon, as its request did not run."""
-        log_event(
-            f"{self.kind}-not-tried",
-            Level.INFO,
-            trials=self.report.trials,
-            **{self.kind: self.report.content.hex()},
-        )
-        self.history.return_trial(self.report)
+        self.sharing.log_trial("not-tried", self.report)
+        self.sharing.history.return_trial(self.report)
+
+    def note_lost(self) -> None:
+        """Record that the trial was lost although its upstream did not crash."""
+        self.sharing.note_trial_lost(self.report)
 
 
 @dataclass(slots=True)
@@ -87,15 +85,30 @@
 
     def share_trial(self, report: CrashReport) -> Trial:
         """Share that a trial of a blocked key starts, and return the trial."""
+        self.log_trial("tried", report)
+        self.announce([report])
+        self.persist(report)
+        return Trial(self, report)
+
+    def note_trial_lost(self, started: CrashReport) -> None:
+        """Share that a trial was lost without a crash, unless it counts all the same.
+
+        :param started: the report as of the start of the trial
+        """
+        report = self.history.note_trial_lost(started)
+        if report is not None:
+            self.log_trial("trial-lost", report)
+            self.announce([report])
+            self.persist(report)
+
+    def log_trial(self, event: str, report: CrashReport) -> None:
+        """Log an event of a trial."""
         log_event(
-            f"{self.kind}-tried",
+            f"{self.kind}-{event}",
             Level.INFO,
             trials=report.trials,
             **{self.kind: report.content.hex()},
         )
-        self.announce([report])
-        self.persist(report)
-        return Trial(self.kind, self.history, report)
 
     def receive(self, report: CrashReport, source: str) -> None:
         """Merge a report from a peer or the table.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peermessages.py
@@ -171,15 +171,14 @@
 
 
 # The digest, the crashed upstreams with the seconds since the crash, those of them that
-# crashed before a run completed, the number of trials, and how many of these started
-# before a run completed.
-PackedState: TypeAlias = tuple[Content, Ages, Lives, Count, Count]
+# crashed before a run completed, the number of trials, how many of these started before
+# a run completed, and the number of the one that was lost without a crash.
+PackedState: TypeAlias = tuple[Content, Ages, Lives, Count, Count, Count]
 
 
 def _pack_state(report: CrashReport) -> PackedState:
     ages = {name: report.age(name) for name in sorted(report.crashed)}
-    cleared = sorted(report.cleared)
-    return report.content, ages, cleared, report.trials, report.cleared_trials
+    return report.content, ages, sorted(report.cleared), *report.trial_numbers
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,7 +186,7 @@
     """Reports contents under which upstreams crashed."""
 
     CODE: ClassVar[int] = 34
-    states: list[tuple[Content, Ages, Lives, Count, Count]]
+    states: list[tuple[Content, Ages, Lives, Count, Count, Count]]
 
     @classmethod
     def pack(cls, reports: Iterable[CrashReport]) -> Self:
@@ -204,20 +203,28 @@
                 trials,
                 ages,
                 cleared_trials,
+                lost_trial,
             )
-            for content, ages, cleared, trials, cleared_trials in self.states
+            for (
+                content,
+                ages,
+                cleared,
+                trials,
+                cleared_trials,
+                lost_trial,
+            ) in self.states
         ]
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamCrashes:
-    """The earlier form of ``CrashStates``, without cleared trials."""
+    """The earlier form of ``CrashStates``, without cleared and lost trials."""
 
     CODE: ClassVar[int] = 13
     crashes: list[tuple[Content, Ages, Lives, Count]]
 
     def unpack(self) -> list[CrashReport]:
-        """Return the reports, assuming that no trials were cleared."""
+        """Return the reports, assuming that no trials were cleared or lost."""
         return [
             CrashReport(content, frozenset(ages), frozenset(cleared), trials, ages)
             for content, ages, cleared, trials in self.crashes
@@ -455,14 +462,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PartCrashReports(UpstreamCrashes):
-    """The earlier form of ``PartCrashStates``, without cleared trials."""
+    """The earlier form of ``PartCrashStates``, without cleared and lost trials."""
 
     CODE: ClassVar[int] = 32
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingPartReports(PartCrashReports):
-    """The earlier form of ``WaitingPartStates``, without cleared trials."""
+    """The earlier form of ``WaitingPartStates``, without cleared and lost trials."""
 
     CODE: ClassVar[int] = 33
 
--- a/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
+++ b/packages/pondquay-daemon/tests/relay/test_crashing_requests.py
@@ -20,6 +20,8 @@
 
 # Number of upstreams that crash under a request before it is blocked.
 MAX_CRASHES = 3
+# Number of upstreams that may crash under it in trials.
+MAX_TRIALS = 3
 CRASHING = "/read/crashing"
 HARMLESS = "/read/sound"
 # Path of requests that upstreams hold until ``answer_held`` is called.
@@ -45,12 +47,14 @@
     :ivar crashed: names of the upstreams that crashed under that request, in order
     :ivar resetting: whether they reset connections on which they receive a request
     :ivar rejecting: whether they reject all requests without running them
+    :ivar surviving: whether those that crash listen again at once
     """
 
     relays: list[RelaySide]
     crashed: list[str] = field(default_factory=list)
     resetting: bool = False
     rejecting: bool = False
+    surviving: bool = False
     links: RelayLinks = field(default_factory=RelayLinks)
     _incarnations: Counter[str] = field(default_factory=Counter)
     _restarts_at: dict[str, float] = field(default_factory=dict)
@@ -127,7 +131,8 @@
             end.send(REJECTION)
         elif CRASHING.encode() in sent:
             self.crashed.append(self.name(host))
-            self.crash(host)
+            if not self.surviving:
+                self.crash(host)
             end.end()
         elif HELD_PATH.encode() in sent:
             self._held[host].append(end)
@@ -332,6 +337,28 @@
         upstreams.run_for(TRIAL_DELAYS_SECONDS[0])
 
 
+# Guards against a request that goes on crashing upstreams in trials that are repeated,
+# since each upstream listens again before it is checked.
+def test_trials_are_bounded_if_upstreams_seem_to_survive_them(relay: RelaySide) -> None:
+    fleet = make_fleet(relay)
+    upstreams = start(*fleet)
+    upstreams.run_for(LINKED_SECONDS)
+    send_repeatedly(upstreams, *fleet)
+    assert len(upstreams.crashed) == MAX_CRASHES
+    upstreams.surviving = True
+    for turn in range(100):
+        for caller in fleet:
+            caller.connect_caller(CRASHING)
+        upstreams.run_for(2)
+        if turn == 10:
+            # An instance that has only the table to learn from.
+            upstreams.links.cut = True
+            fleet.append(RelaySide(fleet_peer=relay, number=5))
+            upstreams.relays.append(fleet[-1])
+            fleet[-1].start()
+    assert len(upstreams.crashed) == MAX_CRASHES + MAX_TRIALS
+
+
 def test_other_instances_receive_reports_of_crashes(relay: RelaySide) -> None:
     fleet = make_fleet(relay)
     upstreams = start(*fleet)
--- a/packages/pondquay-daemon/tests/relay/test_peermessages.py
+++ b/packages/pondquay-daemon/tests/relay/test_peermessages.py
@@ -86,9 +86,10 @@
                     CONTENT,
                     frozenset({"u1@5", "u2"}),
                     frozenset({"u2"}),
-                    2,
+                    3,
                     {"u1@5": 482.5, "u2": 0.0},
                     1,
+                    2,
                 )
             ]
         ),
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -10,8 +10,9 @@
 clears its content of all crashes known by then, and of its trials.
 
 The state of a content consists of the upstreams that crashed, the age of each crash,
-the crashes that the content was cleared of, the number of its trials and how many of
-them were before it was last cleared. Reports may arrive late, twice, in any order and
+the crashes that the content was cleared of, the number of its trials, how many of them
+were before it was last cleared, and which one was lost for no fault of the content.
+Reports may arrive late, twice, in any order and
 through other instances. They are merged such that instances that have received the same
 reports have the same state.
 """
@@ -30,7 +31,7 @@
 # Delays before each trial of a refused content: the first after the last crash, while
 # its callers may still be waiting, the second after the first trial, when an unrelated
 # fault should be over. There are no further trials, since each may crash another
-# upstream.
+# upstream, except that one which was lost without a crash is repeated.
 TRIAL_DELAYS_SECONDS = (10.0, 120.0)
 # Minimum retry delay for callers; a trial takes about as long. Also the delay before a
 # trial is repeated whose request did not run.
@@ -62,6 +63,8 @@
     :param trials: number of trials after it was refused
     :param ages: seconds since each upstream crashed; 0 for upstreams without an entry
     :param cleared_trials: how many trials had started when it was last cleared
+    :param lost_trial: number of a trial that was lost although its upstream did not
+        crash; it does not count. 0 if there is none
     """
 
     content: bytes
@@ -70,6 +73,7 @@
     trials: int = 0
     ages: Mapping[str, float] = field(default_factory=dict, compare=False)
     cleared_trials: int = 0
+    lost_trial: int = 0
 
     @property
     def uncleared(self) -> frozenset[str]:
@@ -94,6 +98,11 @@
             oldest - youngest <= CRASH_WINDOW_SECONDS for youngest, oldest in spans
         )
 
+    @property
+    def trial_numbers(self) -> tuple[int, int, int]:
+        """All that is known of its trials."""
+        return self.trials, self.cleared_trials, self.lost_trial
+
     def age(self, upstream: str) -> float:
         """Return the seconds since an upstream crashed."""
         return self.ages.get(upstream, 0.0)
@@ -131,7 +140,8 @@
     """The state of one content. Times are in seconds of this instance's clock.
 
     :param crashed: when each upstream crashed
-    :param trials: number of trials, of which ``cleared_trials`` do not count
+    :param trials: number of trials, of which ``cleared_trials`` and ``lost_trial`` do
+        not count
     :param next_trial: when it may be tried again
     :param returned: whether the request of the latest trial did not run, so that the
         trial may start again
@@ -143,12 +153,21 @@
     next_trial: float
     trials: int = 0
     cleared_trials: int = 0
+    lost_trial: int = 0
     returned: bool = False
 
+    @property
+    def has_lost_trial(self) -> bool:
+        """Whether a trial was lost without a crash since the last clearing.
+
+        There is at most one, since the upstream may have crashed after all.
+        """
+        return self.lost_trial > self.cleared_trials
+
     @property
     def completed_trials(self) -> int:
         """The number of trials since the last clearing that may not start again."""
-        counted = self.trials - self.cleared_trials
+        counted = self.trials - self.cleared_trials - self.has_lost_trial
         return counted - 1 if self.returned else counted
 
     @property
@@ -159,11 +178,13 @@
     def delay_trial(self, now: float) -> None:
         """Delay the next trial by the time that its number requires.
 
-        The first is delayed from the last crash on, however late that became known.
+        The first is delayed from the last crash on, however late that became known,
+        unless it is repeated.
         """
         last = len(TRIAL_DELAYS_SECONDS) - 1
         number = min(self.completed_trials, last)
-        since = now if number else self._find_last_crash(now)
+        is_first = not number and not self.has_lost_trial
+        since = self._find_last_crash(now) if is_first else now
         self.next_trial = since + TRIAL_DELAYS_SECONDS[number]
 
     def _find_last_crash(self, now: float) -> float:
@@ -178,7 +199,13 @@
         }
         crashed = frozenset(self.crashed)
         report = CrashReport(
-            self.content, crashed, self.cleared, self.trials, ages, self.cleared_trials
+            self.content,
+            crashed,
+            self.cleared,
+            self.trials,
+            ages,
+            self.cleared_trials,
+            self.lost_trial,
         )
         return report.drop_expired(RETENTION_SECONDS)
 
@@ -198,7 +225,10 @@
             self._drop_crashes()
         self.cleared = self.cleared & frozenset(self.crashed)
         self.cleared_trials = max(self.cleared_trials, report.cleared_trials)
-        self.trials = max(self.trials, report.trials, self.cleared_trials)
+        self.lost_trial = max(self.lost_trial, report.lost_trial)
+        self.trials = max(
+            self.trials, report.trials, self.cleared_trials, self.lost_trial
+        )
 
     def _drop_crashes(self) -> None:
         """Keep only the newest uncleared crashes, at most ``MAX_UPSTREAMS``."""
@@ -285,10 +315,7 @@
         if merged == before:
             return False
         self.changes += 1
-        trials_changed = (
-            merged.trials != before.trials
-            or merged.cleared_trials != before.cleared_trials
-        )
+        trials_changed = merged.trial_numbers != before.trial_numbers
         if trials_changed:
             entry.returned = False
         if trials_changed or merged.crashed != before.crashed:
@@ -336,14 +363,32 @@
 
         :param started: the report that ``start_trial`` returned
         """
-        entry = self._blocked.get(started.content)
-        if entry is None:
-            return
-        known = entry.trials, entry.cleared_trials
-        if known == (started.trials, started.cleared_trials):
+        entry = self._find_latest(started)
+        if entry is not None:
             entry.returned = True
             entry.next_trial = self._clock() + MIN_RETRY_SECONDS
 
+    def note_trial_lost(self, started: CrashReport) -> CrashReport | None:
+        """Record that a trial was lost although its upstream did not crash.
+
+        :param started: the report that ``start_trial`` returned
+        :returns: the report to send to peers, ``None`` if the trial counts all the same
+        """
+        content = started.content
+        entry = self._find_latest(started)
+        if entry is None or entry.has_lost_trial:
+            return None
+        self.receive(CrashReport(content, frozenset(), lost_trial=started.trials))
+        return self.find(content)
+
+    def _find_latest(self, started: CrashReport) -> _Entry | None:
+        """Return the entry of a trial that is the latest one of a refused content."""
+        entry = self._blocked.get(started.content)
+        if entry is None:
+            return None
+        known = entry.describe(self._clock()).trial_numbers
+        return entry if known == started.trial_numbers else None
+
     def _find(self, content: bytes) -> _Entry | None:
         return self._blocked.get(content) or self._suspected.get(content)
 
