--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -9,6 +9,12 @@
 
 from pondquay.routing.buffers import BufferPool
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.callercloses import (
+    CallerClose,
+    CloseReason,
+    CloseRecorder,
+    count_unread_bytes,
+)
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
 from pondquay_daemon.relay.handlers import CallerConnection, CallerResponse
 from pondquay_daemon.relay.heads import find_header
@@ -52,6 +58,7 @@
         limits = handler.limits()
         self._http = ServerHttp(limits.header_bytes)
         self._timer: IDelayedCall | None = None
+        self._timer_started_at = self._timer_due_at = 0.0
         self._head: RequestHead | None = None
         self._body = RequestBody(server.buffers, self._pause_body, self._resume_body)
         # Time by which the body must be complete, ``None`` while it is not known.
@@ -131,6 +138,11 @@
         if response is not None:
             response.note_disconnected()
 
+    def close_for_stop(self) -> None:
+        """Close the idle connection, since the process is about to stop."""
+        self._record_close(CloseReason.STOP, self._handler.limits().idle_timeout)
+        self.close()
+
     def close(self) -> None:
         """Close the connection once all written data is sent."""
         if self.paused:
@@ -319,6 +331,8 @@
 
     def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
+        self._timer_started_at = self._clock.seconds()
+        self._timer_due_at = self._timer_started_at + max(0.0, seconds)
         self._timer = self._clock.callLater(max(0.0, seconds), callback)
 
     def _stop_timer(self) -> None:
@@ -327,19 +341,40 @@
             timer.cancel()
 
     def _on_idle_timeout(self) -> None:
+        limit = self._handler.limits().idle_timeout
         if self.paused:
+            self._record_close(CloseReason.UNREAD_RESPONSE, limit)
             self.break_off()
         else:
+            self._record_close(CloseReason.IDLE, limit)
             self.close()
 
     def _on_read_timeout(self) -> None:
+        limits = self._handler.limits()
+        limit = limits.header_timeout if self._head is None else limits.idle_timeout
+        self._record_close(CloseReason.READ_TIMEOUT, limit)
         self._refuse(REQUEST_TIMEOUT)
 
+    def _record_close(self, reason: CloseReason, limit: float) -> None:
+        """Record that this connection is closed by its timer, or for a stop."""
+        now = self._clock.seconds()
+        is_due = reason is not CloseReason.STOP
+        self._server.closes.record(
+            CallerClose(
+                reason,
+                now - self._timer_started_at,
+                limit,
+                now - self._timer_due_at if is_due else 0.0,
+                count_unread_bytes(self.transport),
+            )
+        )
+
 
 class IngressServer(Factory):
     """Accepts callers' connections.
 
     :param buffers: accounts for the bytes that are kept for callers
+    :param closes: is told of each connection that the server closes by itself
     :ivar stopping: whether the process is about to stop
     :ivar closing: whether connections are closed after their next response
     """
@@ -351,10 +386,12 @@
         clock: IReactorTime,
         handler: RequestHandler,
         buffers: BufferPool | None = None,
+        closes: CloseRecorder | None = None,
     ) -> None:
         self._clock = clock
         self._handler = handler
         self.buffers = buffers or BufferPool()
+        self.closes = closes or CloseRecorder()
         self.connections: set[IngressConnection] = set()
         self.stopping = False
         self.closing = False
@@ -372,7 +409,7 @@
         """Close the idle connections."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.close()
+                connection.close_for_stop()
 
 
 def _has_ambiguous_length(headers: HeaderList) -> bool:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -39,6 +39,11 @@
             "Upstreams whose connections broke, by whether they still accept new ones",
             "listens",
         )
+        self.callers_closed = self._counter(
+            "caller_connections_closed",
+            "Callers' connections that this instance closed by itself",
+            "reason",
+        )
         self.connections = self._counter(
             "upstream_connections", "Connections to upstreams by outcome", "end"
         )
@@ -215,6 +220,10 @@
         """Count a request that is refused for lack of tokens."""
         self.refusals.labels(reason.value).inc()
 
+    def note_caller_closed(self, reason: str) -> None:
+        """Count a caller's connection that this instance closes by itself."""
+        self.callers_closed.labels(reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         for event, count in self._suppressed.items():
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -18,6 +18,7 @@
 from pondquay_daemon.relay.accounts import AccountBook
 from pondquay_daemon.relay.activitylinks import ActivityLinks
 from pondquay_daemon.relay.allotmentrows import TABLE as ALLOTMENTS
+from pondquay_daemon.relay.callercloses import CloseRecorder
 from pondquay_daemon.relay.components import RelayComponents
 from pondquay_daemon.relay.crashtracking import CrashTracking
 from pondquay_daemon.relay.evacuationview import EvacuationView
@@ -239,7 +240,10 @@
             resumer,
         )
         self._caller_server = IngressServer(
-            reactor, self._intake, self._components.buffers
+            reactor,
+            self._intake,
+            self._components.buffers,
+            CloseRecorder(metrics.note_caller_closed),
         )
         self._withdrawals.connect(self._caller_server)
         self._readiness_server = IngressServer(
