--- /dev/null
+++ b/packages/pondquay-standins/tests/test_kept_connections.py
@@ -0,0 +1,176 @@
+"""Tests of kept connections of callers while a relay is paused or reconfigured."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from contextlib import ExitStack
+from http.client import HTTPConnection, HTTPException
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from pondquay_standins.processes import HOST, wait_until
+from pondquay_standins.routedfleet import (
+    CALL_SECONDS,
+    HOST_NAME,
+    PLAIN_SERVICE,
+    RoutedFleet,
+    make_configuration,
+    read_body,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from pondquay_standins.routedfleet import Relay
+
+CALLERS = 40
+IDLE_SECONDS = 1.0
+# Part of the idle limit for which callers may let a connection rest.
+REST_FRACTION = 0.8
+# Takes several reads from a socket.
+LONG_BODY_BYTES = 200_000
+
+
+class KeptConnection:
+    """A caller's connection, which is kept for one request after another.
+
+    :param name: begins the names of its requests
+    :ivar used_at: time at which its last response ended, in seconds
+    :ivar error: how the last request failed to be sent, empty if it was sent
+    """
+
+    def __init__(self, relay: Relay, name: str) -> None:
+        self._connection = HTTPConnection(HOST, relay.port, timeout=CALL_SECONDS)
+        self._connection.connect()
+        # It never connects again.
+        self._connection.auto_open = 0
+        self._name = name
+        self._sent = 0
+        self.error = ""
+        self.used_at = time.monotonic()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+    @property
+    def rested(self) -> float:
+        """Seconds since the last response."""
+        return time.monotonic() - self.used_at
+
+    def send(self, body: bytes = b"body") -> None:
+        """Send a complete request."""
+        self._sent += 1
+        headers = {
+            "Host": HOST_NAME,
+            "X-Pondquay-Attempt-Id": f"{self._name}-{self._sent}",
+            "Authorization": "Bearer key-1",
+        }
+        try:
+            self._connection.request("POST", "/fetch/", body=body, headers=headers)
+        except OSError as error:
+            self.error = type(error).__name__
+
+    def read(self) -> str:
+        """Return the status of the response, or how the connection ended."""
+        if self.error:
+            return self.error
+        try:
+            response = self._connection.getresponse()
+            _, complete = read_body(response)
+        except (HTTPException, OSError) as error:
+            return type(error).__name__
+        self.used_at = time.monotonic()
+        return str(response.status) if complete else "incomplete"
+
+
+def configure_idle(fleet: RoutedFleet, version: int, seconds: float) -> None:
+    """Put an idle limit in force at all relays."""
+    limits: dict[str, Any] = {"idle_timeout_ms": int(seconds * 1000)}
+    fleet.configure({**make_configuration(version), "limits": limits})
+    line = f"event=configuration-in-force version={version} "
+    for relay in fleet.relays.values():
+        wait_until(
+            lambda relay=relay: line in relay.process.log.read_text(),
+            f"version {version}",
+        )
+
+
+@pytest.fixture
+def fleet() -> Iterator[RoutedFleet]:
+    """Run a relay in front of a plain service."""
+    with RoutedFleet() as started:
+        started.start_replicas(PLAIN_SERVICE, "p1", "p2")
+        started.configure(make_configuration(1))
+        started.start_relay("r1")
+        yield started
+
+
+@pytest.fixture
+def stack() -> Iterator[ExitStack]:
+    """Close what a test opens."""
+    with ExitStack() as opened:
+        yield opened
+
+
+def connect(stack: ExitStack, relay: Relay) -> list[KeptConnection]:
+    """Return connections that have served a request each."""
+    kept = []
+    for number in range(CALLERS):
+        connection = KeptConnection(relay, f"kept{number}")
+        stack.callback(connection.close)
+        connection.send()
+        assert connection.read() == "200"
+        kept.append(connection)
+    return kept
+
+
+def read_all(kept: list[KeptConnection]) -> Counter[str]:
+    """Read a response on each connection; return their numbers by status."""
+    return Counter(connection.read() for connection in kept)
+
+
+# Guards against a close of a connection whose request waits unread after a stall.
+@pytest.mark.parametrize("size", [4, LONG_BODY_BYTES])
+def test_requests_that_arrive_while_a_relay_is_paused_get_responses(
+    fleet: RoutedFleet, stack: ExitStack, size: int
+) -> None:
+    relay = fleet.relays["r1"]
+    configure_idle(fleet, 2, IDLE_SECONDS)
+    kept = connect(stack, relay)
+    for connection in kept:
+        connection.send()
+    assert read_all(kept) == {"200": CALLERS}
+    relay.process.pause()
+    stack.callback(relay.process.resume)
+    for connection in kept:
+        connection.send(b"x" * size)
+        assert connection.rested < REST_FRACTION * IDLE_SECONDS
+    wait_until(
+        lambda: all(connection.rested > IDLE_SECONDS for connection in kept),
+        "the idle limit",
+    )
+    relay.process.resume()
+    assert read_all(kept) == {"200": CALLERS}
+
+
+# Guards against an idle limit that stays in force for connections that are open.
+def test_connections_at_rest_stay_open_for_a_longer_idle_limit(
+    fleet: RoutedFleet, stack: ExitStack
+) -> None:
+    relay = fleet.relays["r1"]
+    configure_idle(fleet, 2, IDLE_SECONDS)
+    kept = connect(stack, relay)
+    for connection in kept:
+        connection.send()
+    assert read_all(kept) == {"200": CALLERS}
+    configure_idle(fleet, 3, 15.0)
+    wait_until(
+        lambda: all(connection.rested > 2 * IDLE_SECONDS for connection in kept),
+        "the limit that was in force before",
+    )
+    for connection in kept:
+        connection.send()
+    assert read_all(kept) == {"200": CALLERS}
