--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -16,6 +16,7 @@
     count_unread_bytes,
 )
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
+from pondquay_daemon.relay.deferredtimers import DeferredTimer
 from pondquay_daemon.relay.handlers import CallerConnection, CallerResponse
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
@@ -23,9 +24,7 @@
 from pondquay_daemon.relay.writing import PausingWriter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from twisted.internet.interfaces import IAddress, IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IAddress, IReactorTime
     from twisted.internet.tcp import Server
     from twisted.python.failure import Failure
 
@@ -57,8 +56,7 @@
         self._server = server
         limits = handler.limits()
         self._http = ServerHttp(limits.header_bytes)
-        self._timer: IDelayedCall | None = None
-        self._timer_started_at = self._timer_due_at = 0.0
+        self._timer = DeferredTimer(clock)
         self._head: RequestHead | None = None
         self._body = RequestBody(server.buffers, self._pause_body, self._resume_body)
         # Time by which the body must be complete, ``None`` while it is not known.
@@ -87,17 +85,18 @@
         )
         self._server.connections.add(self)
         cast("Server", self.transport).setTcpNoDelay(True)
-        self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
 
     def dataReceived(self, data: bytes) -> None:
         """Process bytes of requests; ignore those after a refused request."""
+        self._timer.note_read()
         if self._refused:
             return
         # The next request is served once the response before it was read.
         may_read = self._response is None and not self.paused
         if self._arrived_at is None and may_read:
             self._arrived_at = self._clock.seconds()
-            self._start_timer(
+            self._timer.start(
                 self._handler.limits().header_timeout, self._on_read_timeout
             )
         self._http.receive_data(data)
@@ -109,7 +108,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Note that the caller has disconnected."""
         self._server.connections.discard(self)
-        self._stop_timer()
+        self._timer.stop()
         self._discard_kept()
         response, self._response = self._response, None
         if response is not None:
@@ -146,7 +145,7 @@
     def close(self) -> None:
         """Close the connection once all written data is sent."""
         if self.paused:
-            self._start_timer(
+            self._timer.start(
                 self._handler.limits().idle_timeout, self._on_idle_timeout
             )
         if self._writer is not None:
@@ -181,7 +180,7 @@
         self._body.discard()
         self._write(out)
         if self._refused:
-            self._start_timer(LINGER_SECONDS, self.close)
+            self._timer.start(LINGER_SECONDS, self.close)
             return
         if self._http.our_state is not h11.DONE or (
             self._http.their_state is not h11.DONE
@@ -190,7 +189,7 @@
             return
         self._http.start_next_cycle()
         self._arrived_at = None
-        self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
         if not self.paused:
             self._read_waiting()
 
@@ -204,7 +203,7 @@
         if self._response is not None:
             self._response.note_flow_change()
             return
-        self._start_timer(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
         if self._arrived_at is None and not self.paused:
             self._read_waiting()
 
@@ -252,7 +251,7 @@
             self._begin_response()
 
     def _begin_response(self) -> None:
-        self._stop_timer()
+        self._timer.stop()
         head, self._head = self._head, None
         if head is None or self._arrived_at is None:
             return
@@ -271,7 +270,7 @@
     def _refuse(self, status: int) -> None:
         """Send an error response to an invalid request, and close the connection."""
         self._refused = True
-        self._stop_timer()
+        self._timer.stop()
         log_event(
             "request-rejected", Level.WARNING, status=status, body=self._body.size
         )
@@ -297,7 +296,7 @@
         if self._body.waiting:
             self._limit_wait()
         else:
-            self._start_timer(self._body_until - now, self._on_read_timeout)
+            self._timer.start(self._body_until - now, self._on_read_timeout)
 
     def _pause_body(self) -> None:
         """Read no more, since there is no room for more of the body."""
@@ -308,7 +307,7 @@
     def _limit_wait(self) -> None:
         """Limit the time for which the body waits for room."""
         remaining = (self._body_until or 0.0) - self._clock.seconds()
-        self._start_timer(remaining * MAX_WAIT_FRACTION, self._on_no_room)
+        self._timer.start(remaining * MAX_WAIT_FRACTION, self._on_no_room)
 
     def _resume_body(self) -> None:
         """Read on, since there is room for more of the body."""
@@ -317,7 +316,7 @@
         cast("Server", self.transport).resumeProducing()
         if self._body_until is not None:
             remaining = self._body_until - self._clock.seconds()
-            self._start_timer(remaining, self._on_read_timeout)
+            self._timer.start(remaining, self._on_read_timeout)
 
     def _on_no_room(self) -> None:
         """Refuse the request, and read what its caller still sends."""
@@ -329,17 +328,6 @@
         cast("Server", self.transport).resumeProducing()
         self._handler.refuse_body(head, CallerResponse(self, self._arrived_at))
 
-    def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
-        self._stop_timer()
-        self._timer_started_at = self._clock.seconds()
-        self._timer_due_at = self._timer_started_at + max(0.0, seconds)
-        self._timer = self._clock.callLater(max(0.0, seconds), callback)
-
-    def _stop_timer(self) -> None:
-        timer, self._timer = self._timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
     def _on_idle_timeout(self) -> None:
         limit = self._handler.limits().idle_timeout
         if self.paused:
@@ -362,9 +350,9 @@
         self._server.closes.record(
             CallerClose(
                 reason,
-                now - self._timer_started_at,
+                now - self._timer.started_at,
                 limit,
-                now - self._timer_due_at if is_due else 0.0,
+                self._timer.late if is_due else 0.0,
                 count_unread_bytes(self.transport),
             )
         )
