--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
@@ -120,6 +120,10 @@
         self._is_head = False
         self._sends_chunks = False
 
+    def limit_head(self, max_head_bytes: int) -> None:
+        """Set the maximum size of the head of the next request."""
+        self._max_incomplete_event_size = max_head_bytes
+
     def next_event(self) -> Any:
         """Return the next event, as that of :class:`h11.Connection`."""
         event = super().next_event()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
@@ -58,6 +58,17 @@
         self._callback = callback
         self._call = self._clock.callLater(seconds, self._expire)
 
+    def move(self, due_at: float) -> None:
+        """Expire at another time than before, unless it has called its function.
+
+        :param due_at: time in seconds
+        """
+        if not self.active:
+            return
+        started_at, seconds = self.started_at, due_at - self._clock.seconds()
+        self.start(seconds, self._callback)
+        self.started_at = started_at
+
     def stop(self) -> None:
         """Stop, so that the function is not called."""
         call, self._call = self._call, None
@@ -86,5 +97,16 @@
         self._callback()
 
 
+def change_due_time(began_at: float, now: float, before: float, after: float) -> float:
+    """Return when something is due whose limit changes while it lasts.
+
+    Whoever does not know of the change yet has the shorter of both limits from now on.
+
+    :param before: seconds that were allowed
+    :param after: seconds that are allowed
+    """
+    return max(began_at + after, now + min(before, after))
+
+
 def _do_nothing() -> None:
     """Do nothing."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -16,7 +16,7 @@
     count_unread_bytes,
 )
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
-from pondquay_daemon.relay.deferredtimers import DeferredTimer
+from pondquay_daemon.relay.deferredtimers import DeferredTimer, change_due_time
 from pondquay_daemon.relay.handlers import CallerConnection, CallerResponse
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
@@ -24,13 +24,18 @@
 from pondquay_daemon.relay.writing import PausingWriter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.interfaces import IAddress, IReactorTime
     from twisted.internet.tcp import Server
     from twisted.python.failure import Failure
 
+    from pondquay.routes.entities import CallerLimits
     from pondquay_daemon.relay.handlers import RequestHandler
     from pondquay_daemon.relay.messages import HeaderList
 
+    TimeLimit = Callable[[CallerLimits], float]
+
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
@@ -59,6 +64,9 @@
         self._timer = DeferredTimer(clock)
         self._head: RequestHead | None = None
         self._body = RequestBody(server.buffers, self._pause_body, self._resume_body)
+        # Limit that the timer applies, ``None`` if it is not one of the configuration.
+        self._time_limit: TimeLimit | None = None
+        self._body_began_at = 0.0
         # Time by which the body must be complete, ``None`` while it is not known.
         self._body_until: float | None = None
         self._arrived_at: float | None = None
@@ -85,7 +93,20 @@
         )
         self._server.connections.add(self)
         cast("Server", self.transport).setTcpNoDelay(True)
-        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._limit_rest()
+
+    def change_limits(self, before: CallerLimits, after: CallerLimits) -> None:
+        """Apply changed limits to what the connection waits for.
+
+        Data may be waiting to be read, so this never closes the connection.
+        """
+        if self._body_until is not None:
+            self._change_body_limit(before.idle_timeout, after.idle_timeout)
+        elif self._time_limit is not None:
+            old, new = self._time_limit(before), self._time_limit(after)
+            now, timer = self._clock.seconds(), self._timer
+            if old != new:
+                timer.move(change_due_time(timer.started_at, now, old, new))
 
     def dataReceived(self, data: bytes) -> None:
         """Process bytes of requests; ignore those after a refused request."""
@@ -96,9 +117,10 @@
         may_read = self._response is None and not self.paused
         if self._arrived_at is None and may_read:
             self._arrived_at = self._clock.seconds()
-            self._timer.start(
-                self._handler.limits().header_timeout, self._on_read_timeout
-            )
+            limits = self._handler.limits()
+            self._http.limit_head(limits.header_bytes)
+            self._time_limit = _find_header_timeout
+            self._timer.start(limits.header_timeout, self._on_read_timeout)
         self._http.receive_data(data)
         if may_read:
             self._read_events()
@@ -145,9 +167,7 @@
     def close(self) -> None:
         """Close the connection once all written data is sent."""
         if self.paused:
-            self._timer.start(
-                self._handler.limits().idle_timeout, self._on_idle_timeout
-            )
+            self._limit_rest()
         if self._writer is not None:
             self._writer.close()
 
@@ -180,6 +200,7 @@
         self._body.discard()
         self._write(out)
         if self._refused:
+            self._time_limit = None
             self._timer.start(LINGER_SECONDS, self.close)
             return
         if self._http.our_state is not h11.DONE or (
@@ -189,7 +210,7 @@
             return
         self._http.start_next_cycle()
         self._arrived_at = None
-        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._limit_rest()
         if not self.paused:
             self._read_waiting()
 
@@ -197,13 +218,14 @@
         """Read a request that arrived before the last response was complete."""
         if self._http.trailing_data[0] and not self._refused:
             self._arrived_at = self._clock.seconds()
+            self._http.limit_head(self._handler.limits().header_bytes)
             self._clock.callLater(0, self._read_events)
 
     def _on_flow_change(self) -> None:
         if self._response is not None:
             self._response.note_flow_change()
             return
-        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
+        self._limit_rest()
         if self._arrived_at is None and not self.paused:
             self._read_waiting()
 
@@ -270,6 +292,7 @@
     def _refuse(self, status: int) -> None:
         """Send an error response to an invalid request, and close the connection."""
         self._refused = True
+        self._body_until = None
         self._timer.stop()
         log_event(
             "request-rejected", Level.WARNING, status=status, body=self._body.size
@@ -289,14 +312,30 @@
             return
         # A body may take longer than a head, but not until its request is overdue.
         now = self._clock.seconds()
+        self._time_limit = None
+        self._body_began_at = now
         self._body_until = now + self._handler.limits().idle_timeout
-        seconds = self._handler.find_time_limit(head)
+        self._start_body_timer()
+
+    def _change_body_limit(self, before: float, after: float) -> None:
+        """Apply a changed idle limit to the body that is being read."""
+        now = self._clock.seconds()
+        if before != after:
+            self._body_until = change_due_time(self._body_began_at, now, before, after)
+        self._start_body_timer()
+
+    def _start_body_timer(self) -> None:
+        """Limit the time for the body, also by that of its request."""
+        if self._head is None or self._arrived_at is None or self._body_until is None:
+            return
+        seconds = self._handler.find_time_limit(self._head)
         if seconds is not None:
             self._body_until = min(self._body_until, self._arrived_at + seconds)
         if self._body.waiting:
             self._limit_wait()
         else:
-            self._timer.start(self._body_until - now, self._on_read_timeout)
+            remaining = self._body_until - self._clock.seconds()
+            self._timer.start(remaining, self._on_read_timeout)
 
     def _pause_body(self) -> None:
         """Read no more, since there is no room for more of the body."""
@@ -324,10 +363,16 @@
         if head is None or self._arrived_at is None:
             return
         self._refused = True
+        self._body_until = None
         self._body.discard()
         cast("Server", self.transport).resumeProducing()
         self._handler.refuse_body(head, CallerResponse(self, self._arrived_at))
 
+    def _limit_rest(self) -> None:
+        """Limit the time for which the connection is not used."""
+        self._time_limit = _find_idle_timeout
+        self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
+
     def _on_idle_timeout(self) -> None:
         limit = self._handler.limits().idle_timeout
         if self.paused:
@@ -381,6 +426,7 @@
         self.buffers = buffers or BufferPool()
         self.closes = closes or CloseRecorder()
         self.connections: set[IngressConnection] = set()
+        self._limits = handler.limits()
         self.stopping = False
         self.closing = False
 
@@ -388,6 +434,14 @@
         """Return the protocol of a new connection."""
         return IngressConnection(self._clock, self._handler, self)
 
+    def change_limits(self, limits: CallerLimits) -> None:
+        """Apply changed limits to the open connections."""
+        before, self._limits = self._limits, limits
+        if limits == before:
+            return
+        for connection in self.connections:
+            connection.change_limits(before, limits)
+
     @property
     def has_open_requests(self) -> bool:
         """Whether any request is being read or served."""
@@ -400,6 +454,14 @@
                 connection.close_for_stop()
 
 
+def _find_idle_timeout(limits: CallerLimits) -> float:
+    return limits.idle_timeout
+
+
+def _find_header_timeout(limits: CallerLimits) -> float:
+    return limits.header_timeout
+
+
 def _has_ambiguous_length(headers: HeaderList) -> bool:
     """Return whether two parsers could find different ends of the request."""
     if find_header(headers, b"transfer-encoding") is None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -428,6 +428,7 @@
     def _apply_table(self, table: RouteTable) -> None:
         self._accounts.apply_table(table)
         self.overload.apply_table(table)
+        self._caller_server.change_limits(table.configuration.limits)
         self._peers.announce_version()
 
 
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -214,6 +214,20 @@
     assert caller.server.buffers.total == 0
 
 
+# Guards against a second response to a body that was refused for want of room.
+def test_a_change_of_limits_does_not_reach_a_body_that_was_refused(
+    caller: CallerSide,
+) -> None:
+    caller.handler.time_limit = 6.0
+    other = fill_room(caller)
+    caller.clock.advance(6.0 * MAX_WAIT_FRACTION)
+    caller.handler.bounds = CallerLimits(idle_timeout=9.0)
+    caller.server.change_limits(caller.handler.bounds)
+    caller.clock.advance(LINGER_SECONDS)
+    assert other.transport.disconnecting
+    assert other.sent_back().count(b"HTTP/1.1") == 1
+
+
 def test_a_complete_body_no_longer_waits_for_room(caller: CallerSide) -> None:
     caller.server.buffers.limit = 4
     caller.send(BODY_HEAD + b"hello")
