--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import h11
@@ -73,6 +74,8 @@
         self._response: CallerResponse | None = None
         self._no_body = False
         self._refused = False
+        # Whether it is about to be closed.
+        self._closing = False
         self._unsent = server.buffers.open(self.break_off)
         self._writer: PausingWriter | None = None
 
@@ -117,6 +120,7 @@
         may_read = self._response is None and not self.paused
         if self._arrived_at is None and may_read:
             self._arrived_at = self._clock.seconds()
+            self._closing = False
             limits = self._handler.limits()
             self._http.limit_head(limits.header_bytes)
             self._time_limit = _find_header_timeout
@@ -159,13 +163,23 @@
         if response is not None:
             response.note_disconnected()
 
-    def close_for_stop(self) -> None:
-        """Close the idle connection, since the process is about to stop."""
-        self._record_close(CloseReason.STOP, self._handler.limits().idle_timeout)
+    def close_unless_used(self) -> None:
+        """Close the idle connection, unless a request has arrived."""
+        if self._closing:
+            return
+        self._closing = True
+        self._time_limit = None
+        rested_since = self._timer.started_at
+        self._timer.start(0.0, partial(self._close_for_stop, rested_since))
+
+    def _close_for_stop(self, rested_since: float) -> None:
+        limit = self._handler.limits().idle_timeout
+        self._record_close(CloseReason.STOP, limit, rested_since)
         self.close()
 
     def close(self) -> None:
         """Close the connection once all written data is sent."""
+        self._closing = True
         if self.paused:
             self._limit_rest()
         if self._writer is not None:
@@ -388,19 +402,22 @@
         self._record_close(CloseReason.READ_TIMEOUT, limit)
         self._refuse(REQUEST_TIMEOUT)
 
-    def _record_close(self, reason: CloseReason, limit: float) -> None:
-        """Record that this connection is closed by its timer, or for a stop."""
-        now = self._clock.seconds()
-        is_due = reason is not CloseReason.STOP
-        self._server.closes.record(
-            CallerClose(
-                reason,
-                now - self._timer.started_at,
-                limit,
-                self._timer.late if is_due else 0.0,
-                count_unread_bytes(self.transport),
-            )
+    def _record_close(
+        self, reason: CloseReason, limit: float, since: float | None = None
+    ) -> None:
+        """Record that the timer closes this connection.
+
+        :param since: time at which its rest began, by default the start of the timer
+        """
+        rested_since = self._timer.started_at if since is None else since
+        close = CallerClose(
+            reason,
+            self._clock.seconds() - rested_since,
+            limit,
+            self._timer.late,
+            count_unread_bytes(self.transport),
         )
+        self._server.closes.record(close)
 
 
 class IngressServer(Factory):
@@ -448,10 +465,10 @@
         return any(not connection.idle for connection in self.connections)
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections on which no request has arrived."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.close_for_stop()
+                connection.close_unless_used()
 
 
 def _find_idle_timeout(limits: CallerLimits) -> float:
--- a/packages/pondquay-daemon/tests/relay/test_stalled_loops.py
+++ b/packages/pondquay-daemon/tests/relay/test_stalled_loops.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import pytest
 
+from pondquay_daemon.relay.callercloses import CloseRecorder
 from pondquay_daemon.relay.deferredtimers import MAX_DEFERRED_TURNS
 from pondquay_daemon.relay.ingress import LINGER_SECONDS, MAX_WAIT_FRACTION
 
@@ -126,3 +128,31 @@
     assert not caller.transport.disconnecting
     loop.turn_until_read()
     assert caller.transport.disconnecting
+
+
+# Guards against a planned stop that closes a connection whose request waits unread.
+def test_a_request_that_waits_while_a_relay_closes_idle_connections_is_read(
+    caller: CallerSide, loop: StalledLoop
+) -> None:
+    caller.server.stopping = True
+    caller.clock.callLater(1.0, caller.server.close_idle)
+    loop.receive(GET)
+    loop.stall(1.0)
+    loop.turn_until_read()
+    assert not caller.transport.disconnecting
+    ((_, _, response),) = caller.handler.requests
+    response.send_complete(200, [], b"")
+    assert b"connection: close" in caller.sent_back().lower()
+    assert caller.transport.disconnecting
+
+
+def test_a_stop_closes_and_counts_each_idle_connection_once(
+    caller: CallerSide, loop: StalledLoop
+) -> None:
+    counts: Counter[str] = Counter()
+    caller.server.closes = CloseRecorder(lambda reason: counts.update([reason]))
+    for _ in range(3):
+        caller.server.close_idle()
+        loop.turn_until_read()
+        assert caller.transport.disconnecting
+    assert counts == {"stop": 1}
