--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -119,12 +119,7 @@
         # The next request is served once the response before it was read.
         may_read = self._response is None and not self.paused
         if self._arrived_at is None and may_read:
-            self._arrived_at = self._clock.seconds()
-            self._closing = False
-            limits = self._handler.limits()
-            self._http.limit_head(limits.header_bytes)
-            self._time_limit = _find_header_timeout
-            self._timer.start(limits.header_timeout, self._on_read_timeout)
+            self._begin_request()
         self._http.receive_data(data)
         if may_read:
             self._read_events()
@@ -231,10 +226,18 @@
     def _read_waiting(self) -> None:
         """Read a request that arrived before the last response was complete."""
         if self._http.trailing_data[0] and not self._refused:
-            self._arrived_at = self._clock.seconds()
-            self._http.limit_head(self._handler.limits().header_bytes)
+            self._begin_request()
             self._clock.callLater(0, self._read_events)
 
+    def _begin_request(self) -> None:
+        """Begin to read the head of a request."""
+        self._arrived_at = self._clock.seconds()
+        self._closing = False
+        limits = self._handler.limits()
+        self._http.limit_head(limits.header_bytes)
+        self._time_limit = _find_header_timeout
+        self._timer.start(limits.header_timeout, self._on_read_timeout)
+
     def _on_flow_change(self) -> None:
         if self._response is not None:
             self._response.note_flow_change()
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -277,3 +277,17 @@
     assert transport.aborted
     assert len(transport.value()) < len(body)
     assert caller.server.buffers.total == 0
+
+
+# Guards against a head that arrived beside a response and is closed without one.
+def test_a_head_that_begins_before_the_last_response_ends_gets_the_time_of_a_head(
+    caller: CallerSide,
+) -> None:
+    caller.handler.bounds = CallerLimits(header_timeout=3.0, idle_timeout=1.0)
+    caller.send(GET + GET[:10])
+    caller.handler.requests[0][2].send_complete(200, [], b"")
+    caller.clock.advance(2.9)
+    assert not caller.transport.disconnecting
+    caller.clock.advance(0.2)
+    assert b"HTTP/1.1 408" in caller.sent_back()
+    assert caller.transport.disconnecting
