--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -18,6 +18,7 @@
 )
 from pondquay_daemon.relay.chunkedhttp import ServerHttp
 from pondquay_daemon.relay.deferredtimers import DeferredTimer, change_due_time
+from pondquay_daemon.relay.flowcontrol import MAX_UNREAD_SECONDS
 from pondquay_daemon.relay.handlers import CallerConnection, CallerResponse
 from pondquay_daemon.relay.heads import find_header
 from pondquay_daemon.relay.messages import RequestHead
@@ -176,7 +177,7 @@
         """Close the connection once all written data is sent."""
         self._closing = True
         if self.paused:
-            self._limit_rest()
+            self._limit_unread()
         if self._writer is not None:
             self._writer.close()
 
@@ -219,9 +220,11 @@
             return
         self._http.start_next_cycle()
         self._arrived_at = None
+        if self.paused:
+            self._limit_unread()
+            return
         self._limit_rest()
-        if not self.paused:
-            self._read_waiting()
+        self._read_waiting()
 
     def _read_waiting(self) -> None:
         """Read a request that arrived before the last response was complete."""
@@ -242,8 +245,11 @@
         if self._response is not None:
             self._response.note_flow_change()
             return
+        if self.paused or self._closing:
+            self._limit_unread()
+            return
         self._limit_rest()
-        if self._arrived_at is None and not self.paused:
+        if self._arrived_at is None:
             self._read_waiting()
 
     def _write(self, data: bytes | None) -> None:
@@ -390,14 +396,20 @@
         self._time_limit = _find_idle_timeout
         self._timer.start(self._handler.limits().idle_timeout, self._on_idle_timeout)
 
+    def _limit_unread(self) -> None:
+        """Limit the time for which the caller reads nothing of what is left."""
+        self._time_limit = _find_unread_timeout
+        seconds = _find_unread_timeout(self._handler.limits())
+        self._timer.start(seconds, self._on_unread_timeout)
+
     def _on_idle_timeout(self) -> None:
-        limit = self._handler.limits().idle_timeout
-        if self.paused:
-            self._record_close(CloseReason.UNREAD_RESPONSE, limit)
-            self.break_off()
-        else:
-            self._record_close(CloseReason.IDLE, limit)
-            self.close()
+        self._record_close(CloseReason.IDLE, self._handler.limits().idle_timeout)
+        self.close()
+
+    def _on_unread_timeout(self) -> None:
+        limit = _find_unread_timeout(self._handler.limits())
+        self._record_close(CloseReason.UNREAD_RESPONSE, limit)
+        self.break_off()
 
     def _on_read_timeout(self) -> None:
         limits = self._handler.limits()
@@ -478,6 +490,11 @@
     return limits.idle_timeout
 
 
+def _find_unread_timeout(limits: CallerLimits) -> float:
+    # A caller that reads slowly is not idle.
+    return max(limits.idle_timeout, MAX_UNREAD_SECONDS)
+
+
 def _find_header_timeout(limits: CallerLimits) -> float:
     return limits.header_timeout
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/writing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/writing.py
@@ -97,7 +97,6 @@
             return
         if self._closing:
             self._lose_connection()
-            return
         self._on_change()
 
     def stopProducing(self) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pondquay.routes.entities import CallerLimits
+from pondquay_daemon.relay.flowcontrol import MAX_UNREAD_SECONDS
 from pondquay_daemon.relay.ingress import LINGER_SECONDS, MAX_WAIT_FRACTION
 
 from .conftest import CallerSide, CallerTransport
@@ -291,3 +292,31 @@
     caller.clock.advance(0.2)
     assert b"HTTP/1.1 408" in caller.sent_back()
     assert caller.transport.disconnecting
+
+
+# Guards against a reset of a complete response that its caller reads slowly.
+@pytest.mark.parametrize("stopping", [False, True])
+def test_a_short_idle_limit_does_not_break_off_a_response_that_is_being_read(
+    caller: CallerSide, stopping: bool
+) -> None:
+    caller.handler.bounds = CallerLimits(idle_timeout=1.0)
+    caller.server.stopping = stopping
+    transport, body = connect_slow(caller)
+    while transport.unsent:
+        caller.clock.advance(MAX_UNREAD_SECONDS - 0.1)
+        assert not transport.aborted
+        transport.read(len(transport.unsent))
+    assert transport.value().endswith(body)
+    caller.clock.advance(1.0)
+    assert transport.disconnecting
+    assert not transport.aborted
+
+
+def test_a_short_idle_limit_breaks_off_a_response_that_is_never_read(
+    caller: CallerSide,
+) -> None:
+    caller.handler.bounds = CallerLimits(idle_timeout=1.0)
+    transport, _ = connect_slow(caller)
+    caller.clock.advance(MAX_UNREAD_SECONDS)
+    assert transport.aborted
+    assert caller.server.buffers.total == 0
