--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -176,8 +176,7 @@
     def close(self) -> None:
         """Close the connection once all written data is sent."""
         self._closing = True
-        if self.paused:
-            self._limit_unread()
+        self._limit_unread()
         if self._writer is not None:
             self._writer.close()
 
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -320,3 +320,13 @@
     caller.clock.advance(MAX_UNREAD_SECONDS)
     assert transport.aborted
     assert caller.server.buffers.total == 0
+
+
+# Guards against a connection that stays open since its caller reads no last bytes.
+def test_a_connection_that_cannot_be_closed_is_broken_off(caller: CallerSide) -> None:
+    caller.server.stopping = True
+    caller.send(GET)
+    caller.handler.requests[0][2].send_complete(200, [], b"x")
+    assert caller.transport.disconnecting
+    caller.clock.advance(caller.handler.bounds.idle_timeout)
+    assert caller.transport.aborted
