--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -125,7 +125,7 @@
         if may_read:
             self._read_events()
         elif len(self._http.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
-            self.abort()
+            self._reset()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Note that the caller has disconnected."""
@@ -154,6 +154,10 @@
             total=self._server.buffers.total,
             limit=self._server.buffers.limit,
         )
+        self._reset()
+
+    def _reset(self) -> None:
+        """Reset the connection, and end its response."""
         response = self._response
         self.abort()
         if response is not None:
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -6,7 +6,11 @@
 
 from pondquay.routes.entities import CallerLimits
 from pondquay_daemon.relay.flowcontrol import MAX_UNREAD_SECONDS
-from pondquay_daemon.relay.ingress import LINGER_SECONDS, MAX_WAIT_FRACTION
+from pondquay_daemon.relay.ingress import (
+    LINGER_SECONDS,
+    MAX_READ_AHEAD_BYTES,
+    MAX_WAIT_FRACTION,
+)
 
 from .conftest import CallerSide, CallerTransport
 from .slowreading import SlowTransport
@@ -330,3 +334,17 @@
     assert caller.transport.disconnecting
     caller.clock.advance(caller.handler.bounds.idle_timeout)
     assert caller.transport.aborted
+
+
+# Guards against an upstream that works on for a caller that the relay has reset.
+def test_a_caller_that_sends_too_far_ahead_is_reported_as_disconnected(
+    caller: CallerSide,
+) -> None:
+    caller.send(GET)
+    response = caller.handler.requests[0][2]
+    notices: list[bool] = []
+    response.on_disconnect = lambda: notices.append(True)
+    caller.send(bytes(MAX_READ_AHEAD_BYTES + 1))
+    assert caller.transport.aborted
+    assert notices == [True]
+    assert not response.open
