--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -129,6 +129,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Note that the caller has disconnected."""
+        self._closing = True
         self._server.connections.discard(self)
         self._timer.stop()
         self._discard_kept()
@@ -138,6 +139,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
+        self._closing = True
         self._response = None
         self._discard_kept()
         cast("Server", self.transport).abortConnection()
@@ -233,7 +235,12 @@
         """Read a request that arrived before the last response was complete."""
         if self._http.trailing_data[0] and not self._refused:
             self._begin_request()
-            self._clock.callLater(0, self._read_events)
+            self._clock.callLater(0, self._read_ahead)
+
+    def _read_ahead(self) -> None:
+        """Read what arrived ahead, unless the connection has ended meanwhile."""
+        if not self._closing:
+            self._read_events()
 
     def _begin_request(self) -> None:
         """Begin to read the head of a request."""
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -348,3 +348,14 @@
     assert caller.transport.aborted
     assert notices == [True]
     assert not response.open
+
+
+# Guards against a request that runs although its caller has already left.
+def test_a_request_that_arrived_ahead_is_not_served_once_its_caller_left(
+    caller: CallerSide,
+) -> None:
+    caller.send(GET + GET)
+    caller.handler.requests[0][2].send_complete(200, [], b"")
+    caller.protocol.connectionLost()
+    caller.clock.advance(0)
+    assert len(caller.handler.requests) == 1
