--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -34,6 +34,17 @@
             "Attempts whose response was lost, by how far it was",
             "stage",
         )
+        self.silences = self._counter(
+            "silent_upstreams",
+            "Silences of upstreams on a request, by whether the upstream was left or"
+            " why the request waits on",
+            "decision",
+        )
+        self.left_requests = self._counter(
+            "left_requests",
+            "Requests that left a silent upstream, by whether they were served",
+            "end",
+        )
         self.broken = self._counter(
             "broken_upstreams",
             "Upstreams whose connections broke, by whether they still accept new ones",
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -34,6 +34,7 @@
 from pondquay_daemon.relay.reservations import Reservation
 from pondquay_daemon.relay.retrying import RetryPermit
 from pondquay_daemon.relay.sending import RequestJob, RequestSender
+from pondquay_daemon.relay.silences import SilenceRecord
 from pondquay_daemon.relay.streamprogress import StreamProgress
 
 if TYPE_CHECKING:
@@ -111,8 +112,11 @@
             components, admission.service, admission.metadata.attempt
         )
         self._place = components.queues.make_place(admission, self._deadline)
+        self._silences = SilenceRecord(
+            components, admission, self._reservation, self._progress
+        )
         self._sender = RequestSender(
-            components, job, self._progress, self._reserve_retry
+            components, job, self._progress, self._reserve_retry, self._silences
         )
         self._recorder = OutcomeRecorder(
             components, admission, self._crash_permit, self._place, self._sender
@@ -200,6 +204,7 @@
         )
         self._components.metrics.note_end(self._status, seconds, first)
         self._count_continued()
+        self._silences.note_end(served=self._status in SERVED)
         log_event(
             "request-ended",
             Level.INFO if self._status in SERVED else Level.WARNING,
@@ -207,6 +212,7 @@
             route=self._route.name,
             workspace=workspace,
             upstreams=",".join(self._sender.sent_to),
+            left=self._silences.left,
             outcome=self._outcome,
             tokens=self._reservation.used,
             bound=self._metadata.max_tokens,
@@ -251,8 +257,8 @@
                 break
             if isinstance(upstream, Refusal):
                 return upstream
-            last = runs + 1 >= self._route.attempts
-            outcome = await self._sender.send(upstream, last=last)
+            attempts_left = max(0, self._route.attempts - runs - 1)
+            outcome = await self._sender.send(upstream, attempts_left)
             self._record_outcome(upstream, outcome)
             if isinstance(outcome, Unsent):
                 connect_failures += self._counts_as_failure(outcome)
@@ -260,7 +266,7 @@
                     return self._make_refusal("no connection")
                 continue
             sends += 1
-            if self._deliver(outcome, last=last):
+            if self._deliver(outcome, last=not attempts_left):
                 return None
             if not isinstance(outcome, NotRun):
                 runs += 1
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
@@ -42,6 +42,11 @@
         self._reserved = 0
         self.used = 0
 
+    @property
+    def reserved(self) -> int:
+        """The tokens that are reserved now."""
+        return self._reserved
+
     @property
     def _has_budget(self) -> bool:
         if self._workspace is None or self._workspace.prepaid is None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -14,6 +14,7 @@
 from pondquay_daemon.relay.outcomes import Stopped
 from pondquay_daemon.relay.permits import PERMIT_WAIT_SECONDS, describe_rate
 from pondquay_daemon.relay.prefills import Prefill
+from pondquay_daemon.relay.silences import SilenceDecision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,7 @@
     from pondquay_daemon.relay.messages import RequestHead
     from pondquay_daemon.relay.outcomes import Outcome
     from pondquay_daemon.relay.placement import NoUpstream
+    from pondquay_daemon.relay.silences import SilenceRecord
     from pondquay_daemon.relay.streamprogress import StreamProgress
 
 # Multiple of a route's objective after which a silent upstream is abandoned if the
@@ -65,6 +67,7 @@
     :param progress: progress of its stream, ``None`` if it has none
     :param may_retry: reserves a retry, so that a silent upstream may be abandoned;
         returns whether it did
+    :param silences: records the decisions on silent upstreams
     :ivar tried: names of the upstreams that were tried
     :ivar sent_to: the same names, in the order of the attempts
     :ivar unreachable_domains: domains in which it could not connect
@@ -76,6 +79,7 @@
         job: RequestJob,
         progress: StreamProgress | None,
         may_retry: Callable[[], bool],
+        silences: SilenceRecord,
     ) -> None:
         self._components = components
         self._job = job
@@ -84,6 +88,7 @@
         self._workspace = job.admission.workspace
         self._progress = progress
         self._may_retry = may_retry
+        self._silences = silences
         self._attempt: Attempt | None = None
         self.tried: set[str] = set()
         self.sent_to: list[str] = []
@@ -189,10 +194,11 @@
         """The only software version at which its stream may go on, or ``None``."""
         return None if self._progress is None else self._progress.software
 
-    async def send(self, upstream: KnownUpstream, *, last: bool) -> Outcome:
+    async def send(self, upstream: KnownUpstream, attempts_left: int) -> Outcome:
         """Send the request and return the outcome.
 
-        :param last: whether no other upstream may be tried if the request may have run
+        :param attempts_left: further attempts that the route allows if the request may
+            have run
         """
         job, components = self._job, self._components
         remaining = job.deadline - components.clock.seconds()
@@ -206,10 +212,10 @@
             self._progress.begin_attempt(upstream.record.software)
         prefill = Prefill(components, upstream, self._metadata.prefix, source)
         attempt = self._make_attempt(upstream, prefill)
-        if self._route.repeatable and not last:
+        if self._route.repeatable and attempts_left:
             attempt.watch_failure(self._may_retry)
             if components.policy.leave_silent:
-                self._watch_silence(attempt, upstream)
+                self._watch_silence(attempt, upstream, attempts_left)
         self._attempt = attempt
         try:
             with prefill:
@@ -271,13 +277,29 @@
             return None
         return self._progress.reader.last
 
-    def _watch_silence(self, attempt: Attempt, upstream: KnownUpstream) -> None:
+    def _watch_silence(
+        self, attempt: Attempt, upstream: KnownUpstream, attempts_left: int
+    ) -> None:
         timeout = SILENCE_TIMEOUT_OBJECTIVES * self._route.objective
         timeout = max(MIN_SILENCE_SECONDS, timeout)
         began = self._components.clock.seconds()
-        attempt.watch_silence(timeout, lambda: self._may_abandon(upstream, began))
 
-    def _may_abandon(self, upstream: KnownUpstream, began: float) -> bool:
+        def may_abandon() -> bool:
+            decision = self._decide_on_silence(upstream, began)
+            self._silences.note(
+                upstream,
+                decision,
+                attempts_left=attempts_left,
+                seconds_left=self._job.deadline - self._components.clock.seconds(),
+                has_alternative=self.has_alternative(),
+            )
+            return decision is SilenceDecision.LEFT
+
+        attempt.watch_silence(timeout, may_abandon)
+
+    def _decide_on_silence(
+        self, upstream: KnownUpstream, began: float
+    ) -> SilenceDecision:
         """Decide whether to abandon an upstream that is silent on this request.
 
         An upstream that responds to other requests is busy. It is abandoned later, as a
@@ -289,8 +311,12 @@
             MIN_SILENCE_SECONDS, objective
         )
         if not unresponsive and now - began < BUSY_TIMEOUT_OBJECTIVES * objective:
-            return False
-        return self._may_retry()
+            return SilenceDecision.BUSY
+        if not self.has_alternative():
+            return SilenceDecision.NO_ALTERNATIVE
+        if not self._may_retry():
+            return SilenceDecision.NO_RETRY
+        return SilenceDecision.LEFT
 
 
 def find_urgency(route: Route, workspace: RoutedWorkspace | None) -> int:
