--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -97,7 +97,8 @@
         self._pauses = ReadingPauses()
         self._first_event_at: float | None = None
         self._silence: SilenceWatch | None = None
-        self._may_retry: Callable[[], bool] | None = None
+        self._on_silent: Callable[[], None] | None = None
+        self._is_silent = False
         self._limits: BodyLimits | None = None
         self._is_used = True
         self._may_repeat: Callable[[], bool] | None = None
@@ -120,13 +121,15 @@
         pool.start(address, self._exchange)
         return self._result
 
-    def watch_silence(self, seconds: float, may_retry: Callable[[], bool]) -> None:
-        """End the attempt if the upstream sends nothing for some seconds.
+    def watch_silence(self, seconds: float, on_silent: Callable[[], None]) -> None:
+        """Report that the upstream sends nothing for some seconds.
 
-        :param may_retry: called after each such period once the request is sent;
-            returns whether it may be sent elsewhere, otherwise the attempt continues
+        An attempt without a connection ends after this time.
+
+        :param on_silent: called after each such period once the request is sent; may
+            end the attempt by ``leave``, otherwise it continues
         """
-        self._may_retry = may_retry
+        self._on_silent = on_silent
         self._silence = SilenceWatch(self._clock, seconds, self._handle_silence)
 
     def watch_failure(self, may_repeat: Callable[[], bool]) -> None:
@@ -137,6 +140,16 @@
         """
         self._may_repeat = may_repeat
 
+    def leave(self) -> None:
+        """End the attempt, as its upstream is silent."""
+        lost = Lost(
+            "silent",
+            silent=True,
+            began=self._head is not None,
+            streamed=self._streaming_seconds(),
+        )
+        self._end(lost, cancel=True)
+
     def stop(self) -> None:
         """End the attempt immediately."""
         if self._not_run is not None:
@@ -145,6 +158,11 @@
         sent = self._exchange is not None and self._exchange.sent
         self._end(Stopped(sent), cancel=True)
 
+    @property
+    def silent(self) -> bool:
+        """Whether the upstream has sent nothing since its silence was reported."""
+        return self._is_silent
+
     @property
     def began(self) -> bool:
         """Whether the head of a response has arrived."""
@@ -164,6 +182,7 @@
     def on_paused(self) -> None:
         """Stop reading the upstream, as its caller has stopped."""
         self._pauses.begin(self._clock.seconds())
+        self._is_silent = False
         if self._exchange is not None:
             self._exchange.pause_reading()
 
@@ -361,11 +380,12 @@
         self._restart_silence()
 
     def _restart_silence(self) -> None:
+        self._is_silent = False
         if self._silence is not None:
             self._silence.restart()
 
     def _handle_silence(self) -> bool:
-        """End the attempt, or return that the upstream is to be watched on."""
+        """Report a silence; return whether the upstream is to be watched on."""
         if self._exchange is not None and not self._exchange.sent:
             # Nothing has run without a connection, so this does not count as one of the
             # route's attempts.
@@ -373,18 +393,13 @@
             return False
         # Nothing can be sent elsewhere once a part of a plain response was forwarded.
         may_end = not self.passing_on and self._pauses.paused_at is None
-        if may_end and self._may_retry is not None and self._may_retry():
-            lost = Lost(
-                "silent",
-                silent=True,
-                began=self._head is not None,
-                streamed=self._streaming_seconds(),
-            )
-            self._end(lost, cancel=True)
-            return False
-        return True
+        if may_end and self._on_silent is not None:
+            self._is_silent = True
+            self._on_silent()
+        return not self._result.called
 
     def _end(self, outcome: Outcome, *, cancel: bool = False) -> None:
+        self._is_silent = False
         if self._silence is not None:
             self._silence.stop()
         if self._limits is not None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/crashpermits.py
@@ -91,6 +91,13 @@
             return None
         return self._check()
 
+    def may_run_again(self) -> bool:
+        """Return whether the request may be sent again after the run in progress.
+
+        A trial has only one run.
+        """
+        return self._check() is None
+
     def recheck(self) -> None:
         """Report that the request must not run any more, unless it is a trial.
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomerecorder.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomerecorder.py
@@ -24,7 +24,7 @@
     from pondquay_daemon.relay.crashpermits import CrashPermit
     from pondquay_daemon.relay.fairqueues import Place
     from pondquay_daemon.relay.outcomes import Outcome
-    from pondquay_daemon.relay.sending import RequestSender
+    from pondquay_daemon.relay.upstreamsearch import UpstreamSearch
 
 SERVER_ERROR = 500
 
@@ -33,7 +33,7 @@
     """Records the outcomes of one request's attempts.
 
     :param place: its place in the queue of the service
-    :param sender: learns the domains in which the request could not connect
+    :param search: learns the domains in which the request could not connect
     """
 
     def __init__(
@@ -42,14 +42,14 @@
         admission: Admission,
         crash_permit: CrashPermit,
         place: Place,
-        sender: RequestSender,
+        search: UpstreamSearch,
     ) -> None:
         self._components = components
         self._metadata = admission.metadata
         self._route = admission.route
         self._crash_permit = crash_permit
         self._place = place
-        self._sender = sender
+        self._search = search
 
     def record(self, upstream: KnownUpstream, outcome: Outcome) -> None:
         """Record the outcome of an attempt."""
@@ -115,7 +115,7 @@
             return
         self._components.placement.note_connect_failure(upstream, refused=refused)
         if not refused:
-            self._sender.unreachable_domains.add(upstream.record.domain)
+            self._search.unreachable_domains.add(upstream.record.domain)
 
     def _note_possible_crash(
         self, upstream: KnownUpstream, lost: Lost, now: float
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/permits.py
@@ -81,21 +81,21 @@
             return True
         return upstream.permits.can_supply(self._clock.seconds())
 
-    async def take(self, upstream: KnownUpstream, until: float) -> bool:
-        """Take a permit for one request.
+    async def prepare(self, upstream: KnownUpstream, until: float) -> bool:
+        """Request permits if there is none for one request.
 
         It waits only briefly for permits that have been requested, since other
         upstreams may serve the request.
 
         :param until: time until which the request may wait for permits, in seconds
-        :returns: whether there was a permit, or none is needed
+        :returns: whether there is a permit, or none is needed
         """
         if not upstream.is_limited():
             return True
         now = self._clock.seconds()
         cache = upstream.permits
         cache.note_demand(now)
-        if cache.take(now):
+        if cache.count(now):
             return True
         if now < cache.next_request_at:
             return False
@@ -108,7 +108,16 @@
         seconds = min(refill.overdue_at, until) - now
         if seconds > 0:
             await wait_at_most(refill.done, seconds, self._clock, None)
-        return not upstream.is_limited() or cache.take(self._clock.seconds())
+        return not upstream.is_limited() or cache.count(self._clock.seconds()) > 0
+
+    def take_prepared(self, upstream: KnownUpstream) -> bool:
+        """Take a permit for one request.
+
+        :returns: whether there was a permit, or none is needed
+        """
+        if not upstream.is_limited():
+            return True
+        return upstream.permits.take(self._clock.seconds())
 
     def plan_retry(self, upstreams: Iterable[KnownUpstream]) -> float | None:
         """Return the seconds after which a refused caller should retry.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/placement.py
@@ -76,10 +76,12 @@
         *,
         software: str | None = None,
         copies: bool = False,
+        only_healthy: bool = False,
     ) -> Choice | None:
         """Return an upstream that was not tried yet, ``None`` if there is none.
 
         :param copies: whether upstreams may copy cached parts of the prompt
+        :param only_healthy: whether to return no upstream that is likely to fail
         :param tried: names of the upstreams that were tried
         :param unreachable_domains: domains in which the request could not connect;
             upstreams of other domains are preferred
@@ -87,21 +89,40 @@
         """
         now = self._clock.seconds()
         candidates = self._list_usable(service, software, tried, now)
-        if not candidates:
-            return None
         healthy = [
             upstream for upstream in candidates if self._is_healthy(upstream, now)
         ]
+        if not (healthy if only_healthy else candidates):
+            return None
         reachable = [
             upstream
             for upstream in healthy
             if upstream.record.domain not in unreachable_domains
         ]
-        choice = self._choose_from(
+        return self._choose_from(
             reachable or healthy or candidates, prefix, target, now, copies=copies
         )
-        choice.upstream.last_sent_at = now
-        return choice
+
+    def note_chosen(self, upstream: KnownUpstream) -> None:
+        """Record that a request is to be sent to an upstream."""
+        upstream.last_sent_at = self._clock.seconds()
+
+    def is_usable(
+        self, upstream: KnownUpstream, software: str | None, tried: Collection[str]
+    ) -> bool:
+        """Return whether a healthy upstream that was found can still be tried.
+
+        :param software: the only version of its software, ``None`` for any
+        """
+        now = self._clock.seconds()
+        service = upstream.record.service
+        return (
+            upstream in self._directory.candidates(service, software)
+            and upstream.name not in tried
+            and not upstream.in_backoff(now)
+            and not self._must_not_fill(upstream)
+            and self._is_healthy(upstream, now)
+        )
 
     def note_connect_failure(self, upstream: KnownUpstream, *, refused: bool) -> None:
         """Record that no connection to an upstream could be established.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -17,6 +17,7 @@
     send_refusal,
 )
 from pondquay_daemon.relay.crashpermits import CrashPermit
+from pondquay_daemon.relay.failovers import Failover
 from pondquay_daemon.relay.flowcontrol import RECENT_SECONDS
 from pondquay_daemon.relay.heads import drop_connection_headers
 from pondquay_daemon.relay.outcomerecorder import OutcomeRecorder
@@ -36,6 +37,7 @@
 from pondquay_daemon.relay.sending import RequestJob, RequestSender
 from pondquay_daemon.relay.silences import SilenceRecord
 from pondquay_daemon.relay.streamprogress import StreamProgress
+from pondquay_daemon.relay.upstreamsearch import UpstreamSearch
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IDelayedCall
@@ -115,11 +117,24 @@
         self._silences = SilenceRecord(
             components, admission, self._reservation, self._progress
         )
+        self._search = UpstreamSearch(
+            components, admission, self._progress, shares_prompts=shares_prompts
+        )
+        failover = Failover(
+            components,
+            admission,
+            self._deadline,
+            self._reservation,
+            self._retry_permit,
+            self._crash_permit,
+            self._search,
+            self._silences,
+        )
         self._sender = RequestSender(
-            components, job, self._progress, self._reserve_retry, self._silences
+            components, job, self._progress, self._search, failover, self._reserve_retry
         )
         self._recorder = OutcomeRecorder(
-            components, admission, self._crash_permit, self._place, self._sender
+            components, admission, self._crash_permit, self._place, self._search
         )
 
     async def run(self) -> None:
@@ -146,6 +161,7 @@
                 self._timer.cancel()
             self._place.leave()
             self._reservation.settle_all()
+            self._retry_permit.release()
             self._components.streams.note_ended(self._stream)
             self._log_end()
 
@@ -282,9 +298,9 @@
         refusal = self._crash_permit.check_send()
         if refusal is not None:
             return self._make_refusal(refusal.reason, refusal.retry_after)
-        upstream = await self._sender.choose_upstream()
+        upstream = await self._search.choose()
         if upstream is None:
-            no_upstream = self._sender.explain_no_upstream()
+            no_upstream = self._search.explain_no_upstream()
             return self._make_refusal(
                 no_upstream.reason, no_upstream.retry_after or RETRY_SOON_SECONDS
             )
@@ -305,11 +321,11 @@
         if connect_failures < MAX_CONNECT_FAILURES:
             return False
         avoids_unreachable = self._components.policy.leave_dark
-        return not avoids_unreachable or not self._sender.has_alternative()
+        return not avoids_unreachable or not self._search.has_alternative()
 
     def _reserve_retry(self) -> bool:
         """Reserve a retry if another upstream may serve the request."""
-        return self._sender.has_alternative() and self._retry_permit.reserve()
+        return self._search.has_alternative() and self._retry_permit.reserve()
 
     def _record_outcome(self, upstream: KnownUpstream, outcome: Outcome) -> None:
         if isinstance(outcome, Stopped):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/reservations.py
@@ -40,6 +40,7 @@
         self._workspace = workspace
         self._service = service
         self._reserved = 0
+        self._prepared = 0
         self.used = 0
 
     @property
@@ -70,13 +71,11 @@
 
         :returns: a refusal if no tokens could be reserved
         """
-        workspace = self._workspace
-        if workspace is None or not self._has_budget:
+        if self._prepared and self._prepared == tokens:
+            self._prepared = 0
+            self._reserved += tokens
             return None
-        max_wait_seconds = TOKEN_WAIT_FRACTION * self._route.objective
-        refused = await self._accounts.obtain(
-            self._metadata.attempt, workspace.name, tokens, max_wait_seconds
-        )
+        refused = await self._obtain(tokens)
         if refused is None:
             self._reserved += tokens
             return None
@@ -85,6 +84,35 @@
         wait = self._accounts.retry_after_seconds(refused)
         return Refusal(TOO_MANY_REQUESTS, f"budget {refused}", wait)
 
+    async def prepare(self, tokens: int) -> bool:
+        """Reserve tokens for a run that may not take place.
+
+        The next reservation uses them, unless they are released before.
+
+        :returns: whether they are reserved, or none are needed
+        """
+        self.release_prepared()
+        if await self._obtain(tokens) is not None:
+            return False
+        self._prepared = tokens if self._has_budget else 0
+        return True
+
+    def release_prepared(self) -> None:
+        """Release the tokens of a run that does not take place."""
+        prepared, self._prepared = self._prepared, 0
+        if prepared and self._workspace is not None:
+            self._accounts.settle(self._workspace.name, prepared, 0)
+
+    async def _obtain(self, tokens: int) -> RefusalReason | None:
+        """Reserve tokens; return the reason if that is not possible."""
+        workspace = self._workspace
+        if workspace is None or not self._has_budget:
+            return None
+        max_wait_seconds = TOKEN_WAIT_FRACTION * self._route.objective
+        return await self._accounts.obtain(
+            self._metadata.attempt, workspace.name, tokens, max_wait_seconds
+        )
+
     def settle(self, used: int) -> None:
         """Release the reserved tokens and charge those that were used."""
         reserved, self._reserved = self._reserved, 0
@@ -93,7 +121,11 @@
             self._accounts.settle(self._workspace.name, reserved, used)
 
     def settle_all(self) -> None:
-        """Charge all tokens that are still reserved, since their use is unknown."""
+        """Charge all tokens that are still reserved, since their use is unknown.
+
+        Those for a run that has not taken place are released.
+        """
+        self.release_prepared()
         self.settle(self._reserved)
 
     def settle_stream(self, events: int) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -20,7 +20,8 @@
         self._components = components
         self._service = service
         self._request = request
-        self._reserved = False
+        # When the reserved retry was spent, in seconds.
+        self._reserved_at: float | None = None
 
     def note_first(self) -> None:
         """Count the request, which increases the number of allowed retries."""
@@ -28,17 +29,32 @@
             self._service, self._components.clock.seconds()
         )
 
+    def can_reserve(self) -> bool:
+        """Return whether a retry can be reserved now."""
+        if self._reserved_at is not None:
+            return True
+        return self._components.retries.can_spend(
+            self._service, self._components.clock.seconds()
+        )
+
     def take(self) -> bool:
         """Use the reserved retry or a new one; return whether a retry is allowed."""
-        if self._reserved:
-            self._reserved = False
-            return True
-        return self._spend()
+        if not self.reserve():
+            return False
+        self._reserved_at = None
+        return True
 
     def reserve(self) -> bool:
         """Reserve a retry; return whether one is reserved."""
-        self._reserved = self._reserved or self.take()
-        return self._reserved
+        if self._reserved_at is None and self._spend():
+            self._reserved_at = self._components.clock.seconds()
+        return self._reserved_at is not None
+
+    def release(self) -> None:
+        """Return the reserved retry, as the request has ended."""
+        if self._reserved_at is not None:
+            self._components.retries.give_back(self._service, self._reserved_at)
+            self._reserved_at = None
 
     def _spend(self) -> bool:
         now = self._components.clock.seconds()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/silences.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/silences.py
@@ -18,11 +18,18 @@
 class SilenceDecision(StrEnum):
     """Whether a silent upstream is left, or why the request waits on.
 
-    ``BUSY``: the upstream responds to other requests.
+    ``BUSY``: the upstream responds to other requests;
+    ``WENT_ON``: it has sent something during the preparations;
+    ``BLOCKED``: the request must not be sent again, as upstreams crashed under it;
+    ``NO_TIME``: too little time is left for another upstream.
     """
 
     LEFT = "left"
     BUSY = "busy"
+    WENT_ON = "went-on"
+    BLOCKED = "blocked"
+    NO_TIME = "no-time"
+    NO_TOKENS = "no-tokens"
     NO_ALTERNATIVE = "no-alternative"
     NO_RETRY = "no-retry"
 
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/upstreamsearch.py
@@ -0,0 +1,164 @@
+"""Search for the upstreams to which one request is sent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pondquay.routing.expected import Target
+from pondquay_daemon.logs import log_event
+from pondquay_daemon.relay.permits import PERMIT_WAIT_SECONDS, describe_rate
+
+if TYPE_CHECKING:
+    from pondquay.routing.expected import Choice
+    from pondquay.routing.knownupstreams import KnownUpstream
+    from pondquay_daemon.relay.admission import Admission
+    from pondquay_daemon.relay.components import RelayComponents
+    from pondquay_daemon.relay.placement import NoUpstream
+    from pondquay_daemon.relay.streamprogress import StreamProgress
+
+
+class UpstreamSearch:
+    """Finds the upstreams to which one request is sent, one after another.
+
+    :param progress: progress of its stream, ``None`` if it has none
+    :param shares_prompts: whether upstreams may copy cached prompt parts
+    :ivar tried: names of the upstreams that were tried
+    :ivar unreachable_domains: domains in which it could not connect
+    """
+
+    def __init__(
+        self,
+        components: RelayComponents,
+        admission: Admission,
+        progress: StreamProgress | None,
+        *,
+        shares_prompts: bool,
+    ) -> None:
+        self._components = components
+        self._service = admission.service
+        self._metadata = admission.metadata
+        self._route = admission.route
+        self._progress = progress
+        self._shares_prompts = shares_prompts
+        self._held: Choice | None = None
+        self.tried: set[str] = set()
+        self.unreachable_domains: set[str] = set()
+
+    async def choose(self) -> KnownUpstream | None:
+        """Return the upstream to try next, ``None`` if there is none.
+
+        It is the one that is held, unless it has become unusable.
+        """
+        choice, self._held = self._held, None
+        if choice is None or not self._is_usable(choice.upstream):
+            choice = await self._find(only_healthy=False, takes_permit=True)
+        if choice is None:
+            return None
+        self._components.metrics.placements.labels(choice.reason.value).inc()
+        self._log_chosen(choice)
+        return choice.upstream
+
+    async def find_alternative(self) -> Choice | None:
+        """Return a healthy upstream of which a permit is available, if it needs one."""
+        return await self._find(only_healthy=True, takes_permit=False)
+
+    def hold(self, choice: Choice) -> bool:
+        """Keep an upstream for the next attempt, with its permit.
+
+        :returns: whether it can still be used
+        """
+        upstream = choice.upstream
+        if not self._is_usable(upstream) or not self._take_permit(upstream):
+            return False
+        self._components.placement.note_chosen(upstream)
+        self._held = choice
+        return True
+
+    def has_alternative(self) -> bool:
+        """Return whether another healthy upstream can be tried."""
+        return self._components.placement.has_alternative(
+            self._service, self._software, self.tried
+        )
+
+    def explain_no_upstream(self) -> NoUpstream:
+        """Return why there is no upstream to try."""
+        return self._components.placement.explain_no_upstream(
+            self._service, self._software, self.tried
+        )
+
+    @property
+    def _software(self) -> str | None:
+        """The only software version at which its stream may go on, or ``None``."""
+        return None if self._progress is None else self._progress.software
+
+    async def _find(self, *, only_healthy: bool, takes_permit: bool) -> Choice | None:
+        """Return the best upstream of which a permit is available, if it needs one.
+
+        :param only_healthy: whether to return no upstream that is likely to fail
+        :param takes_permit: whether the permit is used and the upstream counts as
+            chosen
+        """
+        components = self._components
+        without_permit: set[str] = set()
+        wait_until = components.clock.seconds() + PERMIT_WAIT_SECONDS
+        while True:
+            choice = components.placement.choose(
+                self._service,
+                self._metadata.prefix,
+                Target(self._route.objective, self._route.pause),
+                self.tried | without_permit,
+                self.unreachable_domains,
+                software=self._software,
+                copies=self._shares_prompts,
+                only_healthy=only_healthy,
+            )
+            if choice is None:
+                return None
+            upstream = choice.upstream
+            if takes_permit:
+                components.placement.note_chosen(upstream)
+            has_permit = await components.permits.prepare(upstream, wait_until)
+            if has_permit and (not takes_permit or self._take_permit(upstream)):
+                return choice
+            without_permit.add(upstream.name)
+
+    def _take_permit(self, upstream: KnownUpstream) -> bool:
+        return self._components.permits.take_prepared(upstream)
+
+    def _is_usable(self, upstream: KnownUpstream) -> bool:
+        """Return whether a healthy upstream can still be tried."""
+        return self._components.placement.is_usable(
+            upstream, self._software, self.tried
+        )
+
+    def _log_chosen(self, choice: Choice) -> None:
+        chosen = choice.upstream
+        components = self._components
+        age = components.list_age()
+        missing_since = chosen.missing_since
+        # reading: prompt tokens of this instance that wait for prefill; waiting: those
+        # of all instances; gone: seconds since the row went missing, -1 if listed;
+        # fleet_running: estimated requests of all instances; pace: 1 is usual, more is
+        # slower.
+        log_event(
+            "upstream-chosen",
+            request=self._metadata.attempt,
+            upstream=chosen.name,
+            service=self._service,
+            software=chosen.record.software,
+            running=chosen.running,
+            fleet_running=round(components.activity.count_running(chosen), 1),
+            pace=round(choice.slowness, 2),
+            why=choice.reason.value,
+            reading=chosen.prompts.own,
+            waiting=chosen.prompts.waiting,
+            failures=chosen.circuit.failures,
+            tried=len(self.tried),
+            list_age=-1 if age is None else round(age, 2),
+            gone=-1
+            if missing_since is None
+            else round(components.clock.seconds() - missing_since, 2),
+            cold=round(max(0.0, chosen.cold_until - components.clock.seconds()), 2),
+            limit=describe_rate(chosen.limit.rate),
+            emptied=components.directory.evacuations.describe(),
+        )
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -78,13 +78,26 @@
 
     def spend(self, service: str, now: float) -> bool:
         """Use one further attempt; return ``False`` if none is left."""
+        if not self.can_spend(service, now):
+            return False
+        self._attempts[service].further.append(now)
+        return True
+
+    def can_spend(self, service: str, now: float) -> bool:
+        """Return whether a further attempt is left."""
         attempts = self._attempts[service]
         attempts.drop_before(now - self._window)
         allowed = self._ratio * len(attempts.first) + self._share(now)
-        if len(attempts.further) + 1 > allowed:
-            return False
-        attempts.further.append(now)
-        return True
+        return len(attempts.further) + 1 <= allowed
+
+    def give_back(self, service: str, spent_at: float) -> None:
+        """Count a further attempt no more, as it was not made.
+
+        :param spent_at: when it was used, in seconds
+        """
+        further = self._attempts[service].further
+        if spent_at in further:
+            further.remove(spent_at)
 
     def _share(self, now: float) -> float:
         """Return this instance's share of the fixed number."""
