--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -277,6 +277,7 @@
             outcome = await self._sender.send(upstream, attempts_left)
             self._record_outcome(upstream, outcome)
             if isinstance(outcome, Unsent):
+                self._retry_permit.keep()
                 connect_failures += self._counts_as_failure(outcome)
                 if self._should_stop_connecting(connect_failures):
                     return self._make_refusal("no connection")
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -20,8 +20,9 @@
         self._components = components
         self._service = service
         self._request = request
-        # When the reserved retry was spent, in seconds.
+        # When the reserved retry and the one taken last were spent, in seconds.
         self._reserved_at: float | None = None
+        self._taken_at: float | None = None
 
     def note_first(self) -> None:
         """Count the request, which increases the number of allowed retries."""
@@ -39,9 +40,12 @@
 
     def take(self) -> bool:
         """Use the reserved retry or a new one; return whether a retry is allowed."""
-        if not self.reserve():
+        now = self._components.clock.seconds()
+        if self._reserved_at is not None:
+            self._components.retries.postpone(self._service, self._reserved_at, now)
+        elif not self._spend():
             return False
-        self._reserved_at = None
+        self._taken_at, self._reserved_at = now, None
         return True
 
     def reserve(self) -> bool:
@@ -50,6 +54,11 @@
             self._reserved_at = self._components.clock.seconds()
         return self._reserved_at is not None
 
+    def keep(self) -> None:
+        """Reserve the retry that was taken last again, as nothing was sent."""
+        if self._taken_at is not None:
+            self._reserved_at, self._taken_at = self._taken_at, None
+
     def release(self) -> None:
         """Return the reserved retry, as the request has ended."""
         if self._reserved_at is not None:
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -90,6 +90,14 @@
         allowed = self._ratio * len(attempts.first) + self._share(now)
         return len(attempts.further) + 1 <= allowed
 
+    def postpone(self, service: str, spent_at: float, now: float) -> None:
+        """Count a further attempt at the time at which it is made.
+
+        :param spent_at: when it was used, in seconds
+        """
+        self.give_back(service, spent_at)
+        self._attempts[service].further.append(now)
+
     def give_back(self, service: str, spent_at: float) -> None:
         """Count a further attempt no more, as it was not made.
 
