--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -42,7 +42,8 @@
         )
         self.left_requests = self._counter(
             "left_requests",
-            "Requests that left a silent upstream, by whether they were served",
+            "Requests that left a silent upstream, by whether they were served, failed"
+            " or were stopped",
             "end",
         )
         self.broken = self._counter(
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -220,7 +220,9 @@
         )
         self._components.metrics.note_end(self._status, seconds, first)
         self._count_continued()
-        self._silences.note_end(served=self._status in SERVED)
+        self._silences.note_end(
+            served=self._status in SERVED, stopped=bool(self._stop_reason)
+        )
         log_event(
             "request-ended",
             Level.INFO if self._status in SERVED else Level.WARNING,
@@ -287,9 +289,7 @@
                 return None
             if not isinstance(outcome, NotRun):
                 runs += 1
-            if runs >= self._route.attempts:
-                return self._make_refusal("attempts used up")
-            refusal = await self._prepare_retry(outcome)
+            refusal = await self._prepare_retry(outcome, runs)
             if refusal is not None:
                 return refusal
         return self._make_stop_refusal()
@@ -375,8 +375,15 @@
         self._response.send_complete(status, headers, outcome.body)
         return True
 
-    async def _prepare_retry(self, outcome: Outcome) -> Refusal | None:
-        """Prepare a further attempt, or return a refusal."""
+    async def _prepare_retry(self, outcome: Outcome, runs: int) -> Refusal | None:
+        """Prepare a further attempt, or return a refusal.
+
+        :param runs: attempts that may have run
+        """
+        if self._stop_reason:
+            return self._make_stop_refusal()
+        if runs >= self._route.attempts:
+            return self._make_refusal("attempts used up")
         if not self._may_have_run:
             return None
         if not self._route.repeatable:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/silences.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/silences.py
@@ -76,7 +76,8 @@
         self._latest = (upstream.name, decision)
         progress = self._progress
         # events: events of its stream so far; software: the version at which it may go
-        # on; silent: seconds since anything was received from the upstream.
+        # on; silent: seconds since anything was received from the upstream, -1 if
+        # nothing was.
         log_event(
             "upstream-silent",
             request=self._metadata.attempt,
@@ -88,11 +89,20 @@
             seconds_left=round(seconds_left, 3),
             alternative=has_alternative,
             tokens=self._reservation.reserved,
-            silent=round(self._components.clock.seconds() - upstream.last_seen_at, 3),
+            silent=self._measure_silence(upstream),
         )
 
-    def note_end(self, *, served: bool) -> None:
-        """Count a request that has left a silent upstream by its end."""
-        if self.left:
-            end = "served" if served else "failed"
-            self._components.metrics.left_requests.labels(end).inc()
+    def _measure_silence(self, upstream: KnownUpstream) -> float:
+        if not upstream.last_seen_at:
+            return -1
+        return round(self._components.clock.seconds() - upstream.last_seen_at, 3)
+
+    def note_end(self, *, served: bool, stopped: bool) -> None:
+        """Count a request that has left a silent upstream by its end.
+
+        :param stopped: whether its caller left or its time was over
+        """
+        if not self.left:
+            return
+        end = "served" if served else "stopped" if stopped else "failed"
+        self._components.metrics.left_requests.labels(end).inc()
