--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -38,10 +38,9 @@
 from pondquay_daemon.relay.silences import SilenceRecord
 from pondquay_daemon.relay.streamprogress import StreamProgress
 from pondquay_daemon.relay.upstreamsearch import UpstreamSearch
+from pondquay_daemon.timeouts import Timeout
 
 if TYPE_CHECKING:
-    from twisted.internet.interfaces import IDelayedCall
-
     from pondquay.routes.entities import Service
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.admission import Admission
@@ -140,7 +139,8 @@
     async def run(self) -> None:
         """Serve the request or refuse it."""
         self._response.on_disconnect = self._on_disconnect
-        self._timer = self._start_timer()
+        remaining = self._deadline - self._components.clock.seconds()
+        self._timeout = self._start_timeout(max(0.0, remaining))
         try:
             with self._crash_permit:
                 refusal = await self._serve()
@@ -157,8 +157,7 @@
             self._may_have_run = self._may_have_run or bool(self._sender.sent_to)
             self._refuse(self._make_refusal("internal error"))
         finally:
-            if self._timer.active():
-                self._timer.cancel()
+            self._timeout.cancel()
             self._place.leave()
             self._reservation.settle_all()
             self._retry_permit.release()
@@ -178,15 +177,12 @@
             refusal = await self._try_upstreams()
         return refusal
 
-    def _start_timer(self) -> IDelayedCall:
-        seconds = max(0.0, self._deadline - self._components.clock.seconds())
-        return self._components.clock.callLater(seconds, self._on_timeout)
+    def _start_timeout(self, seconds: float) -> Timeout:
+        return Timeout(self._components.clock, seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
         if self._sender.waits_for_caller:
-            self._timer = self._components.clock.callLater(
-                RECENT_SECONDS, self._on_timeout
-            )
+            self._timeout = self._start_timeout(RECENT_SECONDS)
             return
         self._stop("timeout")
 
