--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
@@ -9,6 +9,7 @@
 
 from pondquay.tables import OutcomeUnknown, Unreachable
 from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
+from pondquay_daemon.timeouts import Timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -107,10 +108,9 @@
         exchange = Exchange(
             collector, call.method, call.target, call.headers, call.body
         )
-        timer = self._clock.callLater(seconds, give_up)
+        timeout = Timeout(self._clock, seconds, give_up)
         self._pool.start(self._address, exchange)
         try:
             return await collector.result
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.cancel()
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import LoopingCall
 
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.timeouts import Timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -93,12 +94,15 @@
         return result
 
     deferred.addCallback(forward)
-    timer = clock.callLater(seconds, forward, default)
+
+    def expire() -> None:
+        forward(default)
+
+    timeout = Timeout(clock, seconds, expire)
     try:
         return await waiter
     finally:
-        if timer.active():
-            timer.cancel()
+        timeout.cancel()
 
 
 async def finish_within(
