--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
@@ -6,13 +6,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.base import BaseConnector
+from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from pondquay_daemon.timeouts import Timeout
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IAddress
+    from twisted.internet.interfaces import IAddress, IConnector, IReactorTime
     from twisted.internet.tcp import Connection
     from twisted.python.failure import Failure
 
@@ -105,7 +108,7 @@
         self._reactor.connectTCP(
             address.host,
             address.port,
-            _DialFactory(build_opened, fail),
+            _DialFactory(self._reactor, build_opened, fail),
             timeout=self._timeout,
         )
 
@@ -127,11 +130,27 @@
     noisy = False
 
     def __init__(
-        self, build: Callable[[], Protocol], on_failed: Callable[[DialFailure], None]
+        self,
+        clock: IReactorTime,
+        build: Callable[[], Protocol],
+        on_failed: Callable[[DialFailure], None],
     ) -> None:
+        self._clock = clock
         self._build = build
         self._on_failed = on_failed
 
+    def startedConnecting(self, connector: IConnector) -> None:  # noqa: N802
+        """Let the connection fail only if it has not opened when sockets are read."""
+        if not isinstance(connector, BaseConnector):
+            return
+        dialed = cast("Any", connector)
+
+        def fail() -> None:
+            dialed.transport.failIfNotConnected(TimeoutError())
+
+        dialed.cancelTimeout()
+        dialed.timeoutID = Timeout(self._clock, dialed.timeout, fail)
+
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
         """Return the protocol of the connection."""
         return self._build()
