--- a/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/bodies.py
@@ -10,6 +10,8 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone, ResponseFailed
 
+from pondquay_daemon.readtimers import ReadCounter
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
@@ -37,14 +39,16 @@
     :ivar collected: fires with the body; its cancellation aborts the connection
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, reads: ReadCounter) -> None:
         self._max_bytes = max_bytes
+        self._reads = reads
         self._parts: list[bytes] = []
         self._size = 0
         self.collected: Deferred[bytes] = Deferred(lambda _: abort_body(self))
 
     def dataReceived(self, data: bytes) -> None:
         """Collect a part."""
+        self._reads.note()
         if self.collected.called:
             return
         self._size += len(data)
@@ -68,12 +72,15 @@
         self.collected.errback(Failure(ResponseFailed([Failure(error)])))
 
 
-def read_body(response: Any, max_bytes: int) -> Awaitable[bytes]:
+def read_body(
+    response: Any, max_bytes: int, reads: ReadCounter | None = None
+) -> Awaitable[bytes]:
     """Return the complete body of an unbuffered response.
 
+    :param reads: counts the parts that are read
     :raises ResponseFailed: if it is incomplete or has more than ``max_bytes``
     """
-    collector = _Collector(max_bytes)
+    collector = _Collector(max_bytes, reads or ReadCounter())
     response.deliverBody(collector)
     return collector.collected
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -25,6 +25,7 @@
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK
+from pondquay_daemon.readtimers import ReadCounter
 from pondquay_daemon.retryafter import read_backoff
 from pondquay_daemon.tasks import finish_within
 
@@ -370,10 +371,11 @@
             response = await self._http.request(
                 method, url, allow_redirects=False, unbuffered=True
             )
-            return response, await read_body(response, MAX_REPORT_BYTES)
+            return response, await read_body(response, MAX_REPORT_BYTES, reads)
 
+        reads = ReadCounter()
         response, body = await finish_within(
-            REQUEST_TIMEOUT_SECONDS, self._reactor, exchange()
+            REQUEST_TIMEOUT_SECONDS, self._reactor, exchange(), reads
         )
         content = parse_json(body)
         if not isinstance(content, dict):
--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -36,6 +36,7 @@
 from pondquay_daemon.bodies import parse_json, read_body
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.readtimers import ReadCounter
 from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
@@ -221,9 +222,10 @@
                 allow_redirects=False,
                 unbuffered=True,
             )
-            return response.code, await read_body(response, MAX_RESPONSE_BYTES)
+            return response.code, await read_body(response, MAX_RESPONSE_BYTES, reads)
 
-        return await finish_within(self._timeout, self._reactor, exchange())
+        reads = ReadCounter()
+        return await finish_within(self._timeout, self._reactor, exchange(), reads)
 
     def _note_reachable(self, reachable: bool, error: object = None) -> None:
         if reachable != self.reachable:
--- /dev/null
+++ b/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
@@ -0,0 +1,82 @@
+"""Timers that act only once the event loop has read what had arrived.
+
+After a stall of the process, the event loop runs the timers that have expired before it
+reads its sockets. What a timer waits for may have arrived there.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IReactorTime
+
+# Turns of the event loop for which an expired timer waits while each of them reads. One
+# turn reads up to 64 KB from a socket. A sender of small pieces cannot hold up a timer
+# for longer.
+MAX_TURNS = 256
+
+
+class ReadCounter:
+    """Counts the reads of what a timer waits for.
+
+    :ivar count: number of reads
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def note(self) -> None:
+        """Count a read."""
+        self.count += 1
+
+
+class ReadTimer:
+    """Calls a function after some time, and once what had arrived was read.
+
+    An expired timer waits for one turn of the event loop, and for further ones while
+    each of them reads. It has the interface of a delayed call.
+
+    :param seconds: time until it expires
+    :param act: called once, without arguments
+    :param reads: counts reads of what it waits for
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        seconds: float,
+        act: Callable[[], object],
+        reads: ReadCounter | None = None,
+    ) -> None:
+        self._clock = clock
+        self._act = act
+        self._reads = reads or ReadCounter()
+        self._turns = 0
+        self._call = clock.callLater(seconds, self._expire)
+
+    def active(self) -> bool:
+        """Return whether it was neither cancelled nor has called its function."""
+        return self._call.active()
+
+    def cancel(self) -> None:
+        """Stop, so that the function is not called."""
+        self._call.cancel()
+
+    def reset(self, seconds: float) -> None:
+        """Expire some time from now on, also if it has expired before."""
+        self._call.cancel()
+        self._turns = 0
+        self._call = self._clock.callLater(seconds, self._expire)
+
+    def _expire(self) -> None:
+        self._turns += 1
+        self._call = self._clock.callLater(0, self._check, self._reads.count)
+
+    def _check(self, reads_before: int) -> None:
+        if self._reads.count > reads_before and self._turns < MAX_TURNS:
+            self._expire()
+            return
+        self._act()
--- a/packages/pondquay-daemon/src/pondquay_daemon/services.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/services.py
@@ -13,6 +13,7 @@
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError
 from pondquay_daemon.platform import NETWORK_ERRORS
+from pondquay_daemon.readtimers import ReadCounter
 from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
@@ -73,11 +74,17 @@
         :raises MayHaveRunError: if there was no response or an incomplete one in time,
             or one of more than ``MAX_RESPONSE_BYTES``
         """
+        reads = ReadCounter()
         return await finish_within(
-            RESPONSE_TIMEOUT_SECONDS, self._reactor, self._call(url, name, call)
+            RESPONSE_TIMEOUT_SECONDS,
+            self._reactor,
+            self._call(url, name, call, reads),
+            reads,
         )
 
-    async def _call(self, url: str, name: str, call: ServiceCall) -> ServiceResponse:
+    async def _call(
+        self, url: str, name: str, call: ServiceCall, reads: ReadCounter
+    ) -> ServiceResponse:
         headers: dict[bytes | str, bytes | str] = {REQUEST_HEADER: name}
         headers.update(call.headers)
         try:
@@ -89,7 +96,7 @@
                 allow_redirects=False,
                 unbuffered=True,
             )
-            body = await read_body(response, MAX_RESPONSE_BYTES)
+            body = await read_body(response, MAX_RESPONSE_BYTES, reads)
         except (ConnectError, ConnectingCancelledError) as error:
             raise NotSentError(str(error)) from error
         except NETWORK_ERRORS as error:
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeout
 from twisted.internet.task import LoopingCall
 
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.timeouts import Timeout
+from pondquay_daemon.readtimers import ReadTimer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -17,6 +18,8 @@
     from twisted.internet.interfaces import IReactorTime
     from twisted.python.failure import Failure
 
+    from pondquay_daemon.readtimers import ReadCounter
+
 T = TypeVar("T")
 
 
@@ -84,7 +87,8 @@
 ) -> T:
     """Wait for a result, or return a default after a timeout.
 
-    The given deferred isn't cancelled and may still fire later.
+    A result that has arrived by then is read first. The given deferred isn't cancelled
+    and may still fire later.
     """
     waiter: Deferred[T] = Deferred()
 
@@ -94,27 +98,39 @@
         return result
 
     deferred.addCallback(forward)
-
-    def expire() -> None:
-        forward(default)
-
-    timeout = Timeout(clock, seconds, expire)
+    timer = ReadTimer(clock, seconds, lambda: forward(default))
     try:
         return await waiter
     finally:
-        timeout.cancel()
+        if timer.active():
+            timer.cancel()
 
 
 async def finish_within(
-    seconds: float, clock: IReactorTime, coroutine: Coroutine[Deferred[Any], Any, T]
+    seconds: float,
+    clock: IReactorTime,
+    coroutine: Coroutine[Deferred[Any], Any, T],
+    reads: ReadCounter | None = None,
 ) -> T:
     """Return the result of a coroutine; cancel what it waits for after a timeout.
 
-    What the coroutine makes of the cancellation is the result.
+    What has arrived by then is read first. What the coroutine makes of the cancellation
+    is the result.
 
-    :raises TimeoutError: if it makes nothing of it
+    :param reads: counts reads of what the coroutine waits for, if it takes several
+    :raises TimeoutError: if it makes nothing of the cancellation
     """
-    return await Deferred.fromCoroutine(coroutine).addTimeout(seconds, clock)
+    running = Deferred.fromCoroutine(coroutine)
+    timer = ReadTimer(clock, seconds, running.cancel, reads)
+    try:
+        return await running
+    except CancelledError as error:
+        if timer.active():
+            raise
+        raise DeferredTimeout(f"not finished within {seconds} s") from error
+    finally:
+        if timer.active():
+            timer.cancel()
 
 
 async def sleep(seconds: float, clock: IReactorTime) -> None:
--- a/packages/pondquay-daemon/tests/stalledclock.py
+++ b/packages/pondquay-daemon/tests/stalledclock.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.task import Clock
 
@@ -32,3 +32,9 @@
                 call.func(*call.args, **call.kw)
         if read is not None:
             read()
+
+
+def stall_reactor(reactor: Any, seconds: float) -> None:
+    """Let a real event loop take the time as later than it is."""
+    before = reactor.seconds
+    reactor.seconds = lambda: before() + seconds
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -10,12 +10,14 @@
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
 
 from .singleresponses import run_call
+from .stalledclock import stall_reactor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 COMPLETION = Completion("m", "v1", (), 10, "normal", "")
 REFUSAL = b"HTTP/1.1 %d No\r\n%bContent-Length: 2\r\n\r\n{}"
+STALL_SECONDS = 15.0
 NO_STATUS = StreamStatus(StreamState.UNREACHABLE)
 CUT_REFUSAL = b"HTTP/1.1 %d No\r\n%bContent-Length: 9\r\n\r\n{}"
 OWN_NAME = b"Pondquay-Stream: s1\r\n"
@@ -36,6 +38,11 @@
     transport.abortConnection()
 
 
+def stall(transport: Any) -> None:
+    """Let all waits for responses expire before the client reads."""
+    stall_reactor(transport.reactor, STALL_SECONDS)
+
+
 def start_stream(response: bytes, end: Callable[[Any], None] = keep_open) -> Any:
     """Return what the start of a stream gives at an engine with this response."""
     return run_call(
@@ -80,6 +87,13 @@
     assert (status.state, status.started) == (StreamState.CANCELLED, False)
 
 
+# Guards against a cancellation whose outcome counts as unknown although it arrived in
+# time, as the process did not run when the wait for it ended.
+def test_a_cancellation_that_is_confirmed_before_a_stall_is_known() -> None:
+    status = cancel_stream(STATUS % OWN_NAME, stall)
+    assert (status.state, status.started) == (StreamState.CANCELLED, False)
+
+
 # Guards against a late copy of the response to another cancellation, after which the
 # stream would run twice.
 @pytest.mark.parametrize("name", [b"", b"Pondquay-Stream: s0\r\n"])
--- a/packages/pondquay-daemon/tests/test_services.py
+++ b/packages/pondquay-daemon/tests/test_services.py
@@ -10,6 +10,7 @@
 from pondquay_daemon.services import ServiceCall, ServiceResponse, Services
 
 from .singleresponses import run_call
+from .stalledclock import stall_reactor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +54,21 @@
     assert (result.status, result.body) == (200, b"the first part")
 
 
+# Guards against a response that is given up although it arrived in time, as the process
+# did not run when the wait for it ended.
+@pytest.mark.parametrize("size", [14, 100_000])
+def test_a_response_that_arrives_before_a_stall_is_read(
+    monkeypatch: pytest.MonkeyPatch, size: int
+) -> None:
+    monkeypatch.setattr("pondquay_daemon.services.RESPONSE_TIMEOUT_SECONDS", 5.0)
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
+    result = call_service(
+        response, lambda transport: stall_reactor(transport.reactor, 6.0)
+    )
+    assert isinstance(result, ServiceResponse)
+    assert len(result.body) == size
+
+
 # Guards against a late copy of the response to an earlier call.
 def test_a_response_to_another_call_may_have_run() -> None:
     response = WITH_LENGTH % b"Pondquay-Request: r1-0\r\n"
