--- a/packages/pondquay-daemon/src/pondquay_daemon/engines.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/engines.py
@@ -25,7 +25,7 @@
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.errors import MayHaveRunError, NotSentError, RefusedError
 from pondquay_daemon.platform import NETWORK_ERRORS, OK
-from pondquay_daemon.readtimers import ReadCounter
+from pondquay_daemon.readtimers import TURN_BYTES, ReadCounter, ReadTimer
 from pondquay_daemon.retryafter import read_backoff
 from pondquay_daemon.tasks import finish_within
 
@@ -46,6 +46,8 @@
 # A load report names models and prefixes; the status of a stream is shorter.
 MAX_REPORT_BYTES = 1 << 20
 MAX_LINE_BYTES = 1 << 20
+# Turns of the event loop in which the longest line is read.
+MAX_STALL_TURNS = 1 + MAX_LINE_BYTES // TURN_BYTES
 DATA_PREFIX = b"data: "
 END_MARK = b"[DONE]"
 CLIENT_ERRORS = range(400, 500)
@@ -131,11 +133,15 @@
         self._on_frame = on_frame
         self._buffer = b""
         self._surplus_left = MAX_DISCARDED_BYTES
-        self._timer = clock.callLater(STALL_TIMEOUT_SECONDS, self._abort)
+        self._reads = ReadCounter()
+        self._timer = ReadTimer(
+            clock, STALL_TIMEOUT_SECONDS, self._abort, self._reads, MAX_STALL_TURNS
+        )
         self.ended: Deferred[bool] = Deferred()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes."""
+        self._reads.note()
         if self.ended.called:
             self._ignore(data)
             return
@@ -268,14 +274,11 @@
             "Content-Type": "application/json",
         }
         try:
-            response = await self._http.post(
+            response = await self._request_stream(
+                "POST",
                 f"{url}/v1/chat/completions",
                 data=json.dumps(body).encode(),
                 headers=headers,
-                timeout=ACCEPT_TIMEOUT_SECONDS,
-                reactor=self._reactor,
-                allow_redirects=False,
-                unbuffered=True,
             )
         except (ConnectError, ConnectingCancelledError) as error:
             raise NotSentError(str(error)) from error
@@ -296,17 +299,23 @@
         :raises MayHaveRunError: if there was no valid response
         """
         try:
-            response = await self._http.get(
-                f"{url}/v1/streams/{stream}?offset={offset}",
-                timeout=ACCEPT_TIMEOUT_SECONDS,
-                reactor=self._reactor,
-                allow_redirects=False,
-                unbuffered=True,
+            response = await self._request_stream(
+                "GET", f"{url}/v1/streams/{stream}?offset={offset}"
             )
         except NETWORK_ERRORS as error:
             raise MayHaveRunError(str(error)) from error
         return await self._receive(response, stream, offset, on_frame)
 
+    async def _request_stream(self, method: str, url: str, **options: Any) -> Any:
+        """Return the response to a request for a stream once its head has arrived."""
+
+        async def request() -> Any:
+            return await self._http.request(
+                method, url, allow_redirects=False, unbuffered=True, **options
+            )
+
+        return await finish_within(ACCEPT_TIMEOUT_SECONDS, self._reactor, request())
+
     async def _receive(
         self,
         response: Any,
--- a/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
@@ -13,9 +13,10 @@
 
     from twisted.internet.interfaces import IReactorTime
 
-# Turns of the event loop for which an expired timer waits while each of them reads. One
-# turn reads up to 64 KB from a socket. A sender of small pieces cannot hold up a timer
-# for longer.
+# Bytes that one turn of the event loop reads from a socket at most.
+TURN_BYTES = 1 << 16
+# Turns for which an expired timer waits while each of them reads. A sender of small
+# pieces cannot hold up a timer for longer.
 MAX_TURNS = 256
 
 
@@ -42,6 +43,7 @@
     :param seconds: time until it expires
     :param act: called once, without arguments
     :param reads: counts reads of what it waits for
+    :param max_turns: turns for which it waits at most
     """
 
     def __init__(
@@ -50,9 +52,11 @@
         seconds: float,
         act: Callable[[], object],
         reads: ReadCounter | None = None,
+        max_turns: int = MAX_TURNS,
     ) -> None:
         self._clock = clock
         self._act = act
+        self._max_turns = max_turns
         self._reads = reads or ReadCounter()
         self._turns = 0
         self._call = clock.callLater(seconds, self._expire)
@@ -76,7 +80,7 @@
         self._call = self._clock.callLater(0, self._check, self._reads.count)
 
     def _check(self, reads_before: int) -> None:
-        if self._reads.count > reads_before and self._turns < MAX_TURNS:
+        if self._reads.count > reads_before and self._turns < self._max_turns:
             self._expire()
             return
         self._act()
--- a/packages/pondquay-daemon/tests/test_engines.py
+++ b/packages/pondquay-daemon/tests/test_engines.py
@@ -2,15 +2,28 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any
 
 import pytest
-
-from pondquay_daemon.engines import Completion, Engines, StreamState, StreamStatus
+from twisted.internet.testing import StringTransport
+
+from pondquay_daemon.engines import (
+    DATA_PREFIX,
+    MAX_LINE_BYTES,
+    MAX_STALL_TURNS,
+    STALL_TIMEOUT_SECONDS,
+    Completion,
+    Engines,
+    FrameReceiver,
+    StreamState,
+    StreamStatus,
+)
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
+from pondquay_daemon.readtimers import TURN_BYTES
 
 from .singleresponses import run_call
-from .stalledclock import stall_reactor
+from .stalledclock import StalledClock, stall_reactor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +56,90 @@
     stall_reactor(transport.reactor, STALL_SECONDS)
 
 
+class Stream:
+    """A stream of an engine in memory, whose connection is read once a turn."""
+
+    def __init__(self) -> None:
+        self.clock = StalledClock()
+        self.transport = StringTransport()
+        self.offsets: list[int] = []
+        self._receiver = FrameReceiver(
+            "s1", 0, lambda frame: self.offsets.append(frame.offset), self.clock
+        )
+        self._receiver.makeConnection(self.transport)
+        self.ended: list[bool] = []
+        self._receiver.ended.addCallback(self.ended.append)
+
+    def receive(self, data: bytes) -> None:
+        """Deliver data unless the connection has been aborted."""
+        if not self.transport.disconnected:
+            self._receiver.dataReceived(data)
+
+
+def make_event(offset: int, finish: str = "", text: str = "") -> bytes:
+    choice = {"delta": {"content": text}, "finish_reason": finish}
+    event = {"id": "s1", "offset": offset, "choices": [choice]}
+    return DATA_PREFIX + json.dumps(event).encode() + b"\n\n"
+
+
+# Guards against a stream that is given up although its frames arrived in time, as the
+# process did not run for a while.
+@pytest.mark.parametrize("seconds", [1.0, 5.0, 15.0])
+def test_frames_that_arrive_during_a_stall_are_read(seconds: float) -> None:
+    stream = Stream()
+    stream.receive(make_event(0))
+    stream.clock.stall(STALL_TIMEOUT_SECONDS - 0.5)
+    stream.clock.turn()
+    stream.clock.stall(seconds)
+    stream.clock.turn(lambda: stream.receive(make_event(1)))
+    stream.clock.turn(lambda: stream.receive(make_event(2, "stop")))
+    assert stream.offsets == [0, 1, 2]
+    assert stream.ended == [True]
+    assert not stream.transport.disconnected
+
+
+# Guards against a long frame that is given up after its first part, as the process did
+# not run while it arrived.
+def test_a_frame_that_takes_several_reads_is_read_after_a_stall() -> None:
+    stream = Stream()
+    event = make_event(0, "stop", "x" * (MAX_LINE_BYTES - 1000))
+    stream.clock.stall(STALL_TIMEOUT_SECONDS + 1.0)
+    for start in range(0, len(event), TURN_BYTES):
+        part = event[start : start + TURN_BYTES]
+        stream.clock.turn(lambda part=part: stream.receive(part))
+    assert stream.ended == [True]
+
+
+@pytest.mark.parametrize("sent", [b"", b": comment\n", make_event(0)])
+def test_a_stream_without_a_new_frame_is_given_up(sent: bytes) -> None:
+    stream = Stream()
+    stream.receive(sent)
+    stream.clock.advance(STALL_TIMEOUT_SECONDS - 0.5)
+    stream.receive(sent)
+    stream.clock.advance(0.5)
+    assert stream.transport.disconnected
+    assert stream.ended == [False]
+
+
+def test_a_stream_of_comments_is_given_up_after_a_stall() -> None:
+    stream = Stream()
+    stream.clock.stall(STALL_TIMEOUT_SECONDS)
+    for _ in range(MAX_STALL_TURNS + 1):
+        stream.clock.turn(lambda: stream.receive(b": comment\n"))
+    assert stream.ended == [False]
+
+
+# Guards against a stream that is started elsewhere although its response arrived in
+# time, as the process did not run when the wait for it ended.
+def test_a_refusal_that_arrives_before_a_stall_is_read() -> None:
+    refusal = REFUSAL % (429, OWN_NAME)
+    assert start_stream(refusal, stall).check(RefusedError)
+
+
+def test_a_stream_that_is_not_answered_may_have_run() -> None:
+    assert start_stream(b"", stall).check(MayHaveRunError)
+
+
 def start_stream(response: bytes, end: Callable[[Any], None] = keep_open) -> Any:
     """Return what the start of a stream gives at an engine with this response."""
     return run_call(
