--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -87,13 +87,17 @@
 
 
 def make_configuration(
-    version: int, prepaid: int = 1_000_000, review_seconds: int = 10
+    version: int,
+    prepaid: int = 1_000_000,
+    review_seconds: int = 10,
+    idle_seconds: float | None = None,
 ) -> dict[str, Any]:
     """Return a configuration with routes of every kind.
 
     :param prepaid: prepaid tokens of the workspace
     :param review_seconds: timeout of ``review``, the route that streams but does
         not resume
+    :param idle_seconds: idle limit of callers' connections, ``None`` for the default
     """
 
     def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -109,8 +113,12 @@
             **fields,
         }
 
+    limits = (
+        {} if idle_seconds is None else {"idle_timeout_ms": int(idle_seconds * 1000)}
+    )
     return {
         "version": version,
+        "limits": limits,
         "routes": [
             route("audit", "streaming", ENGINE_SERVICE, resumable=True),
             route(
@@ -319,6 +327,14 @@
         found: list[dict[str, Any]] = call_http("GET", url).json()
         return [Arrival(**arrival) for arrival in found]
 
+    def crashes(self) -> list[tuple[str, float]]:
+        """Return the name of each replica that crashed, and when.
+
+        :returns: the times in seconds of the monotonic clock
+        """
+        url = f"http://{HOST}:{self.control_port}/crashes"
+        return [(name, at) for name, at in call_http("GET", url).json()]
+
     def rows(self, table: str) -> list[dict[str, Any]]:
         """Return the rows of a table."""
         url = f"http://{HOST}:{self.control_port}/rows/{table}"
--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -74,6 +74,7 @@
             fleet.control("backoff", name=name, seconds=0)
             fleet.control("limit", name=name, limit=None)
             fleet.control("pace", name=name, factor=1.0)
+            fleet.control("silence", name=name, kind="none")
         fleet.configure_next(fleet.prepaid + TOP_UP_TOKENS)
         violations = []
         for name in RELAYS:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/limits.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/limits.py
@@ -83,7 +83,9 @@
     counted = [
         arrival
         for arrival in span
-        if known_since.get(calls_by_attempt[arrival.attempt].relay, arrival.at)
+        # When a request that waited for the end of a silence was sent is not known.
+        if not arrival.waited
+        and known_since.get(calls_by_attempt[arrival.attempt].relay, arrival.at)
         < arrival.at - RELAY_GRACE_SECONDS
         and not disturbances.any_within(
             (calls_by_attempt[arrival.attempt].relay,),
--- a/packages/pondquay-standins/tests/soak/test_limits.py
+++ b/packages/pondquay-standins/tests/soak/test_limits.py
@@ -106,3 +106,17 @@
         for n, at in enumerate(times)
     ]
     assert check_limits(calls, arrivals, NO_DISTURBANCES) == []
+
+
+def test_a_request_that_waited_in_a_silence_does_not_count() -> None:
+    times = [
+        REPORTED_AT,
+        *(ENFORCED_AT + number * 0.1 for number in range(ALLOWED + 1)),
+    ]
+    calls = [make_call(f"a{n}", at) for n, at in enumerate(times)]
+    for waiting, violations in ((5, 0), (0, 1)):
+        arrivals = [
+            Arrival(f"a{n}", "p1", 1, at, False, 0, 1.0, waited=n == waiting)
+            for n, at in enumerate(times)
+        ]
+        assert len(check_limits(calls, arrivals, NO_DISTURBANCES)) == violations
--- a/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
+++ b/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import math
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -114,3 +116,25 @@
         for arrival in BACKOFF_ARRIVALS[1:]
     ]
     assert list_violations(BACKOFF_CALLS, [BACKOFF_ARRIVALS[0], *others]) == []
+
+
+# Guards against reports of requests that were sent before a silent replica's response
+# could tell of its back-off.
+def test_a_backoff_begins_when_a_silent_replica_can_send_it() -> None:
+    held = [replace(arrival, held_seconds=2.0) for arrival in BACKOFF_ARRIVALS]
+    assert list_violations(BACKOFF_CALLS, held) == []
+    later = [
+        held[0],
+        *(make_arrival(f"a{number}", 3.6 + number / 10) for number in range(1, 4)),
+    ]
+    assert list_violations(BACKOFF_CALLS, later) == [BACKOFF_INVARIANT]
+    unsent = [replace(arrival, held_seconds=math.inf) for arrival in BACKOFF_ARRIVALS]
+    assert list_violations(BACKOFF_CALLS, unsent) == []
+
+
+def test_a_request_that_waited_in_a_silence_is_not_late() -> None:
+    waited = [
+        *BACKOFF_ARRIVALS[:2],
+        *(replace(a, waited=True) for a in BACKOFF_ARRIVALS[2:]),
+    ]
+    assert list_violations(BACKOFF_CALLS, waited) == []
