--- a/packages/pondquay-standins/src/pondquay_standins/processes.py
+++ b/packages/pondquay-standins/src/pondquay_standins/processes.py
@@ -24,6 +24,8 @@
 STOP_SECONDS = 15.0
 CALL_SECONDS = 10.0
 HOST = "127.0.0.1"
+# Length of a simulated suspension of a relay's host.
+SUSPENDED_SECONDS = 6.0
 PORTS = range(10_000, 30_000)
 PORT_BLOCKS = 20
 PORTS_PER_BLOCK = len(PORTS) // PORT_BLOCKS
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -37,6 +37,7 @@
     "p2": PLAIN_SERVICE,
 }
 INITIAL_PREPAID_TOKENS = 30_000
+INITIAL_IDLE_SECONDS = 10.0
 TOP_UP_TOKENS = 4_000
 # The replicas that faults affect. Another target would change the faults of all seeds.
 FAULT_TARGETS = ("e1", "e2", "e3", "p1", "p2")
@@ -87,6 +88,7 @@
     :ivar leaving: replicas that were made to leave; they do not return
     :ivar prepaid: current prepaid tokens of the workspace
     :ivar version: version of the newest configuration
+    :ivar idle_seconds: idle limit of callers' connections by version
     """
 
     def __init__(self) -> None:
@@ -99,6 +101,7 @@
         self.preferred = ""
         self.prepaid = INITIAL_PREPAID_TOKENS
         self.version = 0
+        self.idle_seconds = {0: INITIAL_IDLE_SECONDS}
         self.daemon = "pondquay_standins.partitionable"
         for name in RELAYS:
             self.set_environment(name, {})
@@ -236,15 +239,23 @@
         except OSError:
             return False
 
-    def configure_next(self, prepaid: int) -> None:
+    @property
+    def idle_limit(self) -> float:
+        """The idle limit of the newest configuration, in seconds."""
+        return self.idle_seconds[self.version]
+
+    def configure_next(self, prepaid: int, idle_seconds: float | None = None) -> None:
         """Write the next version of the configuration.
 
         :param prepaid: prepaid tokens of the workspace
+        :param idle_seconds: idle limit of callers' connections, ``None`` to keep it
         """
-        self.prepaid = prepaid
-        self.version += 1
+        idle_limit = self.idle_limit if idle_seconds is None else idle_seconds
+        version = self.version + 1
+        self.idle_seconds[version] = idle_limit
+        self.prepaid, self.version = prepaid, version
         self.configure(
-            make_configuration(self.version, prepaid, REVIEW_TIMEOUT_SECONDS)
+            make_configuration(version, prepaid, REVIEW_TIMEOUT_SECONDS, idle_limit)
         )
 
     def set_proxy_fault(self, name: str, fault: str) -> None:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/schedules.py
@@ -9,6 +9,7 @@
 
 from pondquay_standins.replicafaults import ReplicaFault
 from pondquay_standins.rowstore import StoreFault
+from pondquay_standins.silences import SilenceKind
 from pondquay_standins.soak.proxies import ProxyFault
 
 if TYPE_CHECKING:
@@ -51,6 +52,10 @@
     SURGE = "surge"
     PARTITION = "partition"
     WRONG_RESPONSES = "wrong-responses"
+    SILENCE = "silence"
+    IDLE_LIMIT = "idle-limit"
+    STALL = "stall"
+    RELOAD = "reload"
     UPGRADE = "upgrade"
     DOWNGRADE = "take-back"
 
@@ -75,6 +80,15 @@
 )
 PARTITION_KINDS = (FaultKind.PARTITION,)
 RESPONSE_KINDS = (FaultKind.WRONG_RESPONSES,)
+SILENCE_KINDS = (FaultKind.SILENCE,)
+# Planned in series, with others of ``SERIES_COMPANIONS``.
+SERIES_KINDS = (FaultKind.IDLE_LIMIT, FaultKind.STALL, FaultKind.RELOAD)
+SERIES_COMPANIONS = (
+    FaultKind.STALL,
+    FaultKind.SLOW_RELAY,
+    FaultKind.STOP,
+    FaultKind.RELOAD,
+)
 # Planned at fixed times, not at random ones.
 REPLACEMENT_KINDS = (FaultKind.UPGRADE, FaultKind.DOWNGRADE)
 BASE_KINDS = tuple(
@@ -88,6 +102,8 @@
         *LOAD_KINDS,
         *PARTITION_KINDS,
         *RESPONSE_KINDS,
+        *SILENCE_KINDS,
+        *SERIES_KINDS,
         *REPLACEMENT_KINDS,
     )
 )
@@ -107,6 +123,17 @@
 PARTITION_INTERVAL_SECONDS = 3.0
 RESPONSE_SEED_OFFSET = 6_000_000
 RESPONSE_INTERVAL_SECONDS = 2.0
+SILENCE_SEED_OFFSET = 7_000_000
+SILENCE_INTERVAL_SECONDS = 1.0
+# Range of a silence's duration, which ends before a replica counts as hung.
+MIN_SILENCE_SECONDS = 0.8
+MAX_SILENCE_SECONDS = 1.6
+SERIES_SEED_OFFSET = 8_000_000
+SERIES_INTERVAL_SECONDS = 4.0
+SERIES_SECONDS = 2.0
+MIN_CHANGES, MAX_CHANGES = 2, 5
+# Idle limits of callers' connections, in seconds.
+IDLE_LIMITS = ("1", "1.5", "3", "6", "15")
 # Faults of replicas with a group, and so a random generator, of their own.
 RESPONSE_FAULTS = (
     ReplicaFault.LATE_REFUSAL,
@@ -121,6 +148,10 @@
 )
 
 
+FAULT_SECONDS_RANGE = (MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+DURATION_RANGES = {FaultKind.SILENCE: (MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS)}
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedFault:
     """A fault and when it begins.
@@ -162,15 +193,44 @@
         (LOAD_KINDS, seed + LOAD_SEED_OFFSET, LOAD_INTERVAL_SECONDS),
         (PARTITION_KINDS, seed + PARTITION_SEED_OFFSET, PARTITION_INTERVAL_SECONDS),
         (RESPONSE_KINDS, seed + RESPONSE_SEED_OFFSET, RESPONSE_INTERVAL_SECONDS),
+        (SILENCE_KINDS, seed + SILENCE_SEED_OFFSET, SILENCE_INTERVAL_SECONDS),
     ):
         random = Random(group_seed)
         at = random.uniform(0.2, 1.0)
         while at < seconds:
             planned.append(_draw_fault(random, kinds, at, relays, replicas))
             at += random.expovariate(1.0 / mean_interval)
+    planned += _plan_all_series(Random(seed + SERIES_SEED_OFFSET), seconds, relays)
     return sorted(planned, key=lambda fault: fault.at)
 
 
+def draw_idle_limit(random: Random) -> str:
+    """Return an idle limit of callers' connections, in seconds."""
+    return random.choice(IDLE_LIMITS)
+
+
+def _plan_all_series(
+    random: Random, seconds: float, relays: Sequence[str]
+) -> list[PlannedFault]:
+    """Return series of changed idle limits that overlap what happens to one relay."""
+    planned = []
+    at = random.uniform(0.2, 1.0)
+    while at < seconds:
+        for _ in range(random.randint(MIN_CHANGES, MAX_CHANGES)):
+            offset = random.uniform(0.0, SERIES_SECONDS)
+            limit = draw_idle_limit(random)
+            planned.append(
+                PlannedFault(at + offset, FaultKind.IDLE_LIMIT, 0.0, fault=limit)
+            )
+        relay = random.choice(relays)
+        for kind in random.sample(SERIES_COMPANIONS, random.randint(1, 3)):
+            offset = random.uniform(0.0, SERIES_SECONDS)
+            duration = random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+            planned.append(PlannedFault(at + offset, kind, duration, relay))
+        at += random.expovariate(1.0 / SERIES_INTERVAL_SECONDS)
+    return planned
+
+
 def plan_replacements(seconds: float, relays: Sequence[str]) -> list[PlannedFault]:
     """Return a rolling upgrade of all relays followed by a rolling downgrade.
 
@@ -196,7 +256,7 @@
     The number and order of draws determine the faults of a seed.
     """
     kind = random.choice(kinds)
-    duration = random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+    duration = random.uniform(*DURATION_RANGES.get(kind, FAULT_SECONDS_RANGE))
     faults: dict[FaultKind, tuple[Sequence[str], Sequence[str]]] = {
         FaultKind.STORE: ([""], _list_faults(StoreFault)),
         FaultKind.STORE_PROXY: (relays, _list_faults(ProxyFault)),
@@ -214,6 +274,7 @@
         FaultKind.BACKOFF: (replicas, [""]),
         FaultKind.LIMIT: (replicas, RATE_LIMITS),
         FaultKind.SLOW_REPLICA: (replicas, DELAY_FACTORS),
+        FaultKind.SILENCE: (replicas, _list_faults(SilenceKind)),
         FaultKind.SURGE: ([""], [""]),
         FaultKind.KILL_ALL: ([""], [""]),
         FaultKind.CONFIGURE: ([""], [""]),
--- a/packages/pondquay-standins/src/pondquay_standins/soak/slowreaders.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/slowreaders.py
@@ -46,6 +46,7 @@
             for _ in range(READER_COUNT)
         ]
         began = time.monotonic()
+        sent = set()
         for number, connection in enumerate(connections):
             with suppress(OSError, HTTPException):
                 connection.connect()
@@ -53,14 +54,17 @@
                 headers = make_headers(self._attempt(number), 0)
                 headers["X-Test-Bytes"] = str(RESPONSE_BYTES)
                 connection.request("POST", f"/{ROUTE}/", body=b"body", headers=headers)
+                sent.add(number)
         time.sleep(seconds)
         for number, connection in enumerate(connections):
-            self.calls.append(self._read(number, connection, began))
+            self.calls.append(self._read(number, connection, began, number in sent))
 
     def _attempt(self, number: int) -> str:
         return f"{self.name}-{number}"
 
-    def _read(self, number: int, connection: HTTPConnection, began: float) -> Call:
+    def _read(
+        self, number: int, connection: HTTPConnection, began: float, sent: bool
+    ) -> Call:
         """Read a response; a complete one of the full length is stripped of padding."""
         status, body, signature, complete = NO_RESPONSE, b"", "", False
         with suppress(OSError, HTTPException):
@@ -74,6 +78,7 @@
         return Call(
             *(self._attempt(number), self.relay, ROUTE, 0, status, body),
             *(signature, complete, began, time.monotonic()),
+            sent=sent,
         )
 
 
--- a/packages/pondquay-standins/src/pondquay_standins/suspendable.py
+++ b/packages/pondquay-standins/src/pondquay_standins/suspendable.py
@@ -11,8 +11,7 @@
 from signal import SIGUSR1, signal
 
 from pondquay_daemon.__main__ import main
-
-SUSPENDED_SECONDS = 6.0
+from pondquay_standins.processes import SUSPENDED_SECONDS
 
 
 class SuspendableClock:
--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -9,7 +9,13 @@
 from pondquay_standins.soak.callers import PROMPT_TOKENS, Call
 from pondquay_standins.soak.invariants import check_all, check_call
 from pondquay_standins.soak.plannedstops import PlannedStop, check_stops
-from pondquay_standins.soak.schedules import REPLACEMENT_KINDS, FaultKind, plan_faults
+from pondquay_standins.soak.schedules import (
+    REPLACEMENT_KINDS,
+    SERIES_KINDS,
+    SILENCE_KINDS,
+    FaultKind,
+    plan_faults,
+)
 from pondquay_standins.soak.upstreamsignals import Disturbance, Disturbances
 
 RELAYS = ("r1", "r2")
@@ -155,6 +161,26 @@
     assert {fault.kind for fault in planned} == drawn
 
 
+# Guards against groups of kinds that change the faults of other groups for a seed.
+def test_a_seed_keeps_the_faults_of_earlier_groups() -> None:
+    planned = plan_faults(7, 20.0, RELAYS, REPLICAS)
+    new_kinds = (*SILENCE_KINDS, *SERIES_KINDS)
+    earlier = [fault for fault in planned if fault.kind not in new_kinds]
+    found = [(fault.kind, fault.seconds, fault.target) for fault in earlier[:3]]
+    assert found == [
+        (FaultKind.WRONG_RESPONSES, 2.8286199114073654, "p1"),
+        (FaultKind.REPLICA, 1.3660234403425686, "e1"),
+        (FaultKind.LIMIT, 1.6467770761440608, "p1"),
+    ]
+
+
+def test_a_silence_lasts_for_about_a_second() -> None:
+    planned = plan_faults(1, 100.0, RELAYS, REPLICAS)
+    silences = [fault for fault in planned if fault.kind is FaultKind.SILENCE]
+    assert {fault.fault for fault in silences} == {"reading", "stopped", "partial"}
+    assert all(0.8 <= fault.seconds <= 1.6 for fault in silences)
+
+
 def test_a_seed_or_a_range_of_seeds_is_parsed() -> None:
     assert parse_seeds("3") == [3]
     assert parse_seeds("3-5") == [3, 4, 5]
