--- a/packages/pondquay-standins/src/pondquay_standins/soak/streams.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/streams.py
@@ -7,8 +7,8 @@
 
 from pondquay_standins.routedfleet import ENGINE_SERVICE
 from pondquay_standins.soak.callers import OK, RESUMABLE_ROUTE, Call, read_events
-from pondquay_standins.soak.fleet import REPLICAS, SOFTWARE
 from pondquay_standins.soak.invariants import Violation
+from pondquay_standins.soak.sizes import REPLICAS, SOFTWARE
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
