--- a/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
@@ -42,6 +42,8 @@
         replica.backoff = body["seconds"]
     elif action == "silence":
         replica.fall_silent(SilenceKind(body["kind"]))
+        if "seconds" in body:
+            reactor.callLater(body["seconds"], replica.fall_silent, SilenceKind.NONE)
     elif action == "pace":
         replica.delay_factor = body["factor"]
     else:
--- a/packages/pondquay-standins/tests/test_silences.py
+++ b/packages/pondquay-standins/tests/test_silences.py
@@ -150,3 +150,11 @@
     assert silent.getresponse().read() == b"p1:a3"
     silent.close()
     other.close()
+
+
+def test_a_silence_ends_by_itself(fleet: RoutedFleet) -> None:
+    connection = connect(fleet)
+    fleet.control("silence", name="p1", kind="stopped", seconds=0.05)
+    send(connection, "a1")
+    assert connection.getresponse().read() == b"p1:a1"
+    connection.close()
