--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -1,11 +1,12 @@
 from __future__ import annotations
 
+from argparse import ArgumentTypeError
 from typing import Any
 
 import pytest
 
 from pondquay_standins.replicas import format_event
-from pondquay_standins.soak.__main__ import main, parse_seeds
+from pondquay_standins.soak.__main__ import main, parse_kinds, parse_seeds
 from pondquay_standins.soak.callers import PROMPT_TOKENS, Call
 from pondquay_standins.soak.invariants import check_all, check_call
 from pondquay_standins.soak.plannedstops import PlannedStop, check_stops
@@ -186,6 +187,12 @@
     assert parse_seeds("3-5") == [3, 4, 5]
 
 
+def test_kinds_of_faults_are_parsed() -> None:
+    assert parse_kinds("silence,stall") == [FaultKind.SILENCE, FaultKind.STALL]
+    with pytest.raises(ArgumentTypeError, match="'none' is not a valid"):
+        parse_kinds("stall,none")
+
+
 def test_a_short_run_violates_no_invariant(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["--seeds", "3", "--seconds", "3"]) == 0
     assert "1 seeds, 0 violated an invariant" in capsys.readouterr().out
