--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/bodylimits.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/bodylimits.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from pondquay_daemon.relay.deferredtimers import DeferredTimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IReactorTime
 
 # A body that is not used is read within these bounds, since its connection can be used
 # again after its end. A longer one costs more than a new connection.
@@ -30,23 +32,19 @@
         max_seconds: float,
         on_exceeded: Callable[[], None],
     ) -> None:
-        self._clock = clock
         self._left = max_bytes
         self._on_exceeded = on_exceeded
-        self._timer: IDelayedCall = clock.callLater(max_seconds, self._check)
+        self._timer = DeferredTimer(clock)
+        self._timer.start(max_seconds, on_exceeded)
 
     def add(self, data: bytes) -> None:
         """Note a part of the body."""
+        self._timer.note_read()
         self._left -= len(data)
-        if self._left < 0 and self._timer.active():
-            self._timer.cancel()
+        if self._left < 0 and self._timer.active:
+            self._timer.stop()
             self._on_exceeded()
 
     def stop(self) -> None:
         """Limit the body no longer."""
-        if self._timer.active():
-            self._timer.cancel()
-
-    def _check(self) -> None:
-        # After a stall of the process, timers fire before waiting data is read.
-        self._timer = self._clock.callLater(0, self._on_exceeded)
+        self._timer.stop()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
@@ -34,6 +34,7 @@
         self._clock = clock
         self._call: IDelayedCall | None = None
         self._callback: Callable[[], None] = _do_nothing
+        self._expired = False
         self._has_read = False
         self._turns = 0
         self.started_at = self.due_at = clock.seconds()
@@ -50,12 +51,18 @@
         :param seconds: time until it expires; a negative one counts as 0
         :param callback: called once
         """
-        self.stop()
         seconds = max(0.0, seconds)
         self.started_at = self._clock.seconds()
-        self.due_at = self.started_at + seconds
+        due_at = self.started_at + seconds
         self.late = 0.0
         self._callback = callback
+        if self._call is not None and not self._expired and due_at >= self.due_at:
+            # A delay is cheaper than a new call.
+            self.due_at = due_at
+            self._call.reset(seconds)
+            return
+        self.stop()
+        self.due_at = due_at
         self._call = self._clock.callLater(seconds, self._expire)
 
     def move(self, due_at: float) -> None:
@@ -72,6 +79,7 @@
     def stop(self) -> None:
         """Stop, so that the function is not called."""
         call, self._call = self._call, None
+        self._expired = False
         if call is not None and call.active():
             call.cancel()
 
@@ -82,6 +90,7 @@
     def _expire(self) -> None:
         self.late = self._clock.seconds() - self.due_at
         self._turns = 0
+        self._expired = True
         self._defer()
 
     def _defer(self) -> None:
@@ -94,6 +103,7 @@
             self._defer()
             return
         self._call = None
+        self._expired = False
         self._callback()
 
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/silencewatch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/silencewatch.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from pondquay_daemon.relay.deferredtimers import DeferredTimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IReactorTime
 
 
 class SilenceWatch:
@@ -20,35 +22,23 @@
     def __init__(
         self, clock: IReactorTime, seconds: float, on_silent: Callable[[], bool]
     ) -> None:
-        self._clock = clock
         self._seconds = seconds
         self._on_silent = on_silent
-        self._is_checking = False
-        self._timer: IDelayedCall = clock.callLater(seconds, self._check)
+        self._timer = DeferredTimer(clock)
+        self._start()
 
     def restart(self) -> None:
         """Begin a new period, as the upstream has sent something."""
-        if not self._timer.active():
-            return
-        if self._is_checking:
-            self._is_checking = False
-            self._timer.cancel()
-            self._timer = self._clock.callLater(self._seconds, self._check)
-        else:
-            self._timer.reset(self._seconds)
+        if self._timer.active:
+            self._start()
 
     def stop(self) -> None:
         """Stop watching."""
-        if self._timer.active():
-            self._timer.cancel()
+        self._timer.stop()
 
-    def _check(self) -> None:
-        # After a stall of the process, timers fire before waiting data is read, so the
-        # decision is deferred by one iteration of the event loop.
-        self._is_checking = True
-        self._timer = self._clock.callLater(0, self._report)
+    def _start(self) -> None:
+        self._timer.start(self._seconds, self._report)
 
     def _report(self) -> None:
-        self._is_checking = False
         if self._on_silent():
-            self._timer = self._clock.callLater(self._seconds, self._check)
+            self._start()
