--- a/packages/pondquay-standins/tests/test_kept_connections.py
+++ b/packages/pondquay-standins/tests/test_kept_connections.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from pondquay_daemon.relay.relay import BALANCER_DRAIN_SECONDS
 from pondquay_standins.processes import HOST, wait_until
 from pondquay_standins.routedfleet import (
     CALL_SECONDS,
@@ -31,6 +32,8 @@
 REST_FRACTION = 0.8
 # Takes several reads from a socket.
 LONG_BODY_BYTES = 200_000
+# Ends after the time at which a stopping relay closes idle connections.
+STOP_PAUSE_SECONDS = BALANCER_DRAIN_SECONDS + 1.0
 
 
 class KeptConnection:
@@ -175,3 +178,30 @@
     for connection in kept:
         connection.send()
     assert read_all(kept) == {"200": CALLERS}
+
+
+# Guards against a planned stop that closes connections whose requests wait unread.
+def test_requests_that_arrive_while_a_stopping_relay_is_paused_get_responses(
+    fleet: RoutedFleet, stack: ExitStack
+) -> None:
+    # The relay stops only once it has read the requests, even on a busy machine.
+    fleet.stop_seconds = 60
+    relay = fleet.start_relay("r2")
+    kept = connect(stack, relay)
+    relay.process.popen.terminate()
+    wait_until(
+        lambda: "event=stopping" in relay.process.log.read_text(), "the planned stop"
+    )
+    relay.process.pause()
+    paused_at = time.monotonic()
+    stack.callback(relay.process.resume)
+    for connection in kept:
+        connection.send()
+    wait_until(
+        lambda: time.monotonic() - paused_at > STOP_PAUSE_SECONDS,
+        "the time at which idle connections are closed",
+    )
+    relay.process.resume()
+    statuses = read_all(kept)
+    assert sum(statuses.values()) == CALLERS
+    assert set(statuses) <= {"200", "503"}
