--- a/packages/pondquay-daemon/src/pondquay_daemon/application.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/application.py
@@ -15,7 +15,7 @@
 from pondquay_daemon.endpoints.callers import CallerEndpoint
 from pondquay_daemon.endpoints.metrics import MetricsEndpoint
 from pondquay_daemon.endpoints.operators import OperatorEndpoint
-from pondquay_daemon.endpoints.sites import listen_http
+from pondquay_daemon.endpoints.sites import OpenChannels, listen_http
 from pondquay_daemon.engines import Engines
 from pondquay_daemon.grants import GrantTask
 from pondquay_daemon.logs import Level, log_event
@@ -111,6 +111,7 @@
         )
         self._tasks = ExitStack()
         self._ports: list[IListeningPort] = []
+        self._channels = OpenChannels()
 
     async def start(self) -> None:
         """Start all tasks and open the endpoints."""
@@ -146,7 +147,11 @@
             (listen.metrics, MetricsEndpoint(self.components).app),
         ):
             port = await listen_http(
-                self.reactor, Address.parse(address), endpoint, max_body_bytes
+                self.reactor,
+                Address.parse(address),
+                endpoint,
+                max_body_bytes,
+                self._channels,
             )
             self._ports.append(port)
         log_event("started", instance=self.instance, domain=self.domain)
@@ -172,6 +177,9 @@
     async def stop(self) -> bool:
         """Wait for running requests, write their bills and return all grants.
 
+        Responses are sent in full before the instance ends, unless their callers need
+        longer than the settings allow for requests in progress.
+
         :returns: whether all grants were returned before the deadline
         """
         log_event("stopping", running=self.runner.count_running())
@@ -179,6 +187,7 @@
         self.runner.stopping = True
         self.peers.announce()
         deadline = self.reactor.seconds() + self.settings.limits.stop_seconds
+        send_deadline = deadline
         while self.runner.count_running() and self.reactor.seconds() < deadline:
             await sleep(STOP_CHECK_INTERVAL_SECONDS, self.reactor)
         deadline = self.reactor.seconds() + RETURN_TIMEOUT_SECONDS
@@ -192,6 +201,10 @@
             stopped = port.stopListening()
             if stopped is not None:
                 await stopped
+        seconds = max(0.0, send_deadline - self.reactor.seconds())
+        unsent = await self._channels.close(seconds, self.reactor)
+        if unsent:
+            log_event("responses-cut-off", Level.ERROR, connections=unsent)
         await self.peers.stop()
         self._tasks.close()
         return returned
--- a/packages/pondquay-daemon/src/pondquay_daemon/endpoints/sites.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/endpoints/sites.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
+from pondquay_daemon.tasks import read_arrived, wait_at_most
+
 if TYPE_CHECKING:
     from klein import Klein
-    from twisted.internet.interfaces import IDelayedCall, IListeningPort
+    from twisted.internet.interfaces import IDelayedCall, IListeningPort, IReactorTime
     from twisted.python.failure import Failure
 
     from pondquay.addresses import Address
@@ -49,12 +53,42 @@
 
     After a stall of the process, the event loop runs timers before it reads sockets. So
     the connection is closed only after a further turn in which nothing is read.
+
+    :param channels: the open connections of which it becomes one
     """
 
+    _is_ending = False
     _reads = 0
     _reads_before = 0
     _closing: IDelayedCall | None = None
 
+    def __init__(self, channels: OpenChannels) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._channels = channels
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the idle time."""
+        self._channels.add(self)
+        super().connectionMade()  # type: ignore[no-untyped-call]
+
+    def end(self) -> None:
+        """Close the connection once all that was received has been answered."""
+        self._is_ending = True
+        self.persistent = False
+        for request in self.requests:
+            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+        if not self.requests:
+            # The transport closes the connection once it has sent all responses.
+            self.setTimeout(None)  # type: ignore[no-untyped-call]
+            self.loseConnection()  # type: ignore[no-untyped-call]
+
+    def checkPersistence(self, request: Request, version: bytes) -> bool:  # noqa: N802
+        """Return whether the connection stays open after the response to a request."""
+        if self._is_ending:
+            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            return False
+        return bool(super().checkPersistence(request, version))  # type: ignore[no-untyped-call]
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes."""
         self._reads += 1
@@ -78,25 +112,61 @@
             self._closing.cancel()
             self._closing = None
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
+        self._channels.remove(self)
+
+
+class OpenChannels:
+    """The open connections of an instance's endpoints."""
+
+    def __init__(self) -> None:
+        self._open: set[IdleChannel] = set()
+        self._all_closed: Deferred[None] | None = None
+
+    def add(self, channel: IdleChannel) -> None:
+        """Add a connection that was opened."""
+        self._open.add(channel)
+
+    def remove(self, channel: IdleChannel) -> None:
+        """Remove a connection that was closed."""
+        self._open.discard(channel)
+        if not self._open and self._all_closed is not None:
+            self._all_closed.callback(None)
+            self._all_closed = None
+
+    async def close(self, seconds: float, clock: IReactorTime) -> int:
+        """Close all connections once their responses have been sent.
+
+        :param seconds: maximum wait
+        :returns: the number of connections whose responses were not sent in time
+        """
+        await read_arrived(clock)
+        for channel in list(self._open):
+            channel.end()
+        if self._open:
+            self._all_closed = Deferred()
+            await wait_at_most(self._all_closed, seconds, clock, None)
+        return len(self._open)
 
 
 async def listen_http(
-    reactor: Any, address: Address, app: Klein, max_bytes: int
+    reactor: Any, address: Address, app: Klein, max_bytes: int, channels: OpenChannels
 ) -> IListeningPort:
     """Serve an application at an address.
 
     :param max_bytes: maximum size of a request's body
+    :param channels: the open connections, of which those of the address become part
     """
-    site = make_site(reactor, app, max_bytes)
+    site = make_site(reactor, app, max_bytes, channels)
     endpoint = TCP4ServerEndpoint(reactor, address.port, interface=address.host)
     port: IListeningPort = await endpoint.listen(site)
     return port
 
 
-def make_site(reactor: Any, app: Klein, max_bytes: int) -> Site:
+def make_site(reactor: Any, app: Klein, max_bytes: int, channels: OpenChannels) -> Site:
     """Return the factory of the connections on which an application is served.
 
     :param max_bytes: maximum size of a request's body
+    :param channels: the open connections, of which those of the site become part
     """
 
     class LimitedRequest(BoundedRequest):
@@ -109,7 +179,7 @@
         timeout=IDLE_SECONDS,
         reactor=reactor,
     )
-    site.protocol = IdleChannel  # type: ignore[method-assign, assignment]
+    site.protocol = partial(IdleChannel, channels)  # type: ignore[method-assign, assignment]
     site.displayTracebacks = False
     site.noisy = False
     return site
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -133,6 +133,13 @@
             timer.cancel()
 
 
+async def read_arrived(clock: IReactorTime) -> None:
+    """Wait until the event loop has read what had arrived at each socket."""
+    # The first wait may end in the same turn, before sockets are read.
+    for _ in range(2):
+        await sleep(0, clock)
+
+
 async def sleep(seconds: float, clock: IReactorTime) -> None:
     """Wait for a number of seconds."""
     deferred: Deferred[None] = Deferred()
