--- a/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/recovery.py
@@ -30,7 +30,7 @@
 from pondquay_daemon.engines import StreamState, StreamStatus
 from pondquay_daemon.errors import MayHaveRunError, RefusedError
 from pondquay_daemon.logs import Level, log_event
-from pondquay_daemon.tasks import Task, wait_at_most
+from pondquay_daemon.tasks import Task, read_arrived, wait_at_most
 
 if TYPE_CHECKING:
     from pondquay.budgets.holdings import Attempt
@@ -142,6 +142,8 @@
     # Grants of dead peers
 
     async def _sweep(self) -> None:
+        # Peers whose heartbeats wait after a stall of this process are not suspected.
+        await read_arrived(self.clock)
         await self._cancel_unresolved()
         for grant in self.succession.seal_unresponsive():
             log_event("grant-sealed", grant=grant)
@@ -213,6 +215,7 @@
         """
         if not self._fold_lease.held:
             return
+        await read_arrived(self.clock)
         grants = await self._platform.run(list_grants())
         if isinstance(grants, Unreachable):
             return
