--- a/packages/pondquay-standins/tests/test_silences.py
+++ b/packages/pondquay-standins/tests/test_silences.py
@@ -87,6 +87,7 @@
     send(connection, "a1", EVENTS)
     wait_until(lambda: has_ended(fleet, "a1"), "the run ends")
     assert not has_received(connection)
+    assert [run["events"] for run in fleet.runs()] == [0]
     (arrival,) = fleet.arrivals()
     assert arrival.held_seconds == float("inf")
     silence(fleet, "none")
@@ -94,6 +95,7 @@
     assert (response.status, response.read().count(b"data:")) == (200, EVENTS)
     (arrival,) = fleet.arrivals()
     assert 0.0 < arrival.held_seconds < TIMEOUT_SECONDS
+    assert [run["events"] for run in fleet.runs()] == [EVENTS]
     assert not arrival.waited
     connection.close()
 
