--- a/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
@@ -20,6 +20,8 @@
 CALL_TIMEOUT_SECONDS = 6.0
 PAUSE_RANGE_SECONDS = (0.005, 0.06)
 PROMPT_TOKENS = 100
+# Tokens of a prompt that crashes replicas.
+CRASHING_PROMPT_TOKENS = 10
 TOKENS_PER_EVENT = 3
 MAX_EVENTS = 20
 ROUTES = ("audit", "review", "fetch", "write")
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -18,6 +18,7 @@
     RoutedFleet,
     make_configuration,
 )
+from pondquay_standins.soak.callers import CRASHING_PROMPT_TOKENS
 from pondquay_standins.soak.proxies import ProxyFault
 
 if TYPE_CHECKING:
@@ -31,7 +32,6 @@
 # Less than the callers' timeout and the time limit of a planned stop.
 REVIEW_TIMEOUT_SECONDS = 3
 RETRY_DELAY_SECONDS = 0.2
-CRASHING_PROMPT_TOKENS = 10
 # Request timeouts of the routes, as in the configuration.
 ROUTE_TIMEOUT_SECONDS = {
     "audit": DEFAULT_TIMEOUT_SECONDS,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/invariants.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/invariants.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from pondquay_standins.replicas import format_event
+from pondquay_standins.replicas import CRASHING_PART_PREFIX, format_event
 from pondquay_standins.soak.callers import (
+    CRASHING_PROMPT_TOKENS,
     PROMPT_TOKENS,
     STREAMING_ROUTES,
     TOKENS_PER_EVENT,
@@ -119,7 +120,7 @@
             run for run in runs if run["target"].split("/")[1] in STREAMING_ROUTES
         ]
         if streams:
-            used += PROMPT_TOKENS
+            used += _count_prompt_tokens(streams[0])
             used += sum(TOKENS_PER_EVENT * run["events"] for run in streams)
     if used <= prepaid:
         return []
@@ -130,3 +131,9 @@
             f"{used} tokens used of {prepaid}",
         )
     ]
+
+
+def _count_prompt_tokens(run: Mapping[str, Any]) -> int:
+    """Return the prompt tokens of a run; prompts that crash replicas are shorter."""
+    is_crashing = any(part.startswith(CRASHING_PART_PREFIX) for part in run["parts"])
+    return CRASHING_PROMPT_TOKENS if is_crashing else PROMPT_TOKENS
--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 
 from pondquay_standins.replicas import format_event
 from pondquay_standins.soak.__main__ import main, parse_kinds, parse_seeds
-from pondquay_standins.soak.callers import PROMPT_TOKENS, Call
+from pondquay_standins.soak.callers import CRASHING_PROMPT_TOKENS, PROMPT_TOKENS, Call
 from pondquay_standins.soak.invariants import check_all, check_call
 from pondquay_standins.soak.plannedstops import PlannedStop, check_stops
 from pondquay_standins.soak.schedules import (
@@ -47,6 +47,7 @@
         "replica": "p1",
         "target": "/write/",
         "events": 0,
+        "parts": [],
         **fields,
     }
 
@@ -106,6 +107,14 @@
     assert check_all([], runs, PROMPT_TOKENS + 9) == []
 
 
+# Guards against a reported excess of tokens that were never prepaid nor used: prompts
+# that crash replicas have fewer tokens than those of callers.
+def test_the_tokens_of_crashing_prompts_count_as_sent() -> None:
+    runs = [make_run(target="/audit/", parts=["a1", "dead-1"])]
+    assert check_all([], runs, CRASHING_PROMPT_TOKENS) == []
+    assert check_all([], runs, CRASHING_PROMPT_TOKENS - 1)
+
+
 @pytest.mark.parametrize(
     ("fields", "is_interrupted"),
     [
