--- a/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
@@ -38,7 +38,7 @@
     """Calls a function after some time, and once what had arrived was read.
 
     An expired timer waits for one turn of the event loop, and for further ones while
-    each of them reads. It has the interface of a delayed call.
+    each of them reads.
 
     :param seconds: time until it expires
     :param act: called once, without arguments
@@ -66,12 +66,13 @@
         return self._call.active()
 
     def cancel(self) -> None:
-        """Stop, so that the function is not called."""
-        self._call.cancel()
+        """Stop, so that the function is not called, unless it was called."""
+        if self._call.active():
+            self._call.cancel()
 
     def reset(self, seconds: float) -> None:
         """Expire some time from now on, also if it has expired before."""
-        self._call.cancel()
+        self.cancel()
         self._turns = 0
         self._call = self._clock.callLater(seconds, self._expire)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/dialing.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from pondquay_daemon.timeouts import Timeout
+from pondquay_daemon.readtimers import ReadTimer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -149,7 +149,7 @@
             dialed.transport.failIfNotConnected(TimeoutError())
 
         dialed.cancelTimeout()
-        dialed.timeoutID = Timeout(self._clock, dialed.timeout, fail)
+        dialed.timeoutID = ReadTimer(self._clock, dialed.timeout, fail)
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol:
         """Return the protocol of the connection."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/fetch.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from pondquay.tables import OutcomeUnknown, Unreachable
+from pondquay_daemon.readtimers import ReadTimer
 from pondquay_daemon.relay.exchanges import Exchange, ExchangeListener
-from pondquay_daemon.timeouts import Timeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,7 +108,7 @@
         exchange = Exchange(
             collector, call.method, call.target, call.headers, call.body
         )
-        timeout = Timeout(self._clock, seconds, give_up)
+        timeout = ReadTimer(self._clock, seconds, give_up)
         self._pool.start(self._address, exchange)
         try:
             return await collector.result
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -10,6 +10,7 @@
 from pondquay.routing.streamorigins import StreamOrigin
 from pondquay.streamevents import EventReader
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.readtimers import ReadTimer
 from pondquay_daemon.relay.admission import (
     RETRY_SOON_SECONDS,
     UNAVAILABLE,
@@ -38,7 +39,6 @@
 from pondquay_daemon.relay.silences import SilenceRecord
 from pondquay_daemon.relay.streamprogress import StreamProgress
 from pondquay_daemon.relay.upstreamsearch import UpstreamSearch
-from pondquay_daemon.timeouts import Timeout
 
 if TYPE_CHECKING:
     from pondquay.routes.entities import Service
@@ -177,8 +177,8 @@
             refusal = await self._try_upstreams()
         return refusal
 
-    def _start_timeout(self, seconds: float) -> Timeout:
-        return Timeout(self._components.clock, seconds, self._on_timeout)
+    def _start_timeout(self, seconds: float) -> ReadTimer:
+        return ReadTimer(self._components.clock, seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
         if self._sender.waits_for_caller:
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -102,8 +102,7 @@
     try:
         return await waiter
     finally:
-        if timer.active():
-            timer.cancel()
+        timer.cancel()
 
 
 async def finish_within(
@@ -129,8 +128,7 @@
             raise
         raise DeferredTimeout(f"not finished within {seconds} s") from error
     finally:
-        if timer.active():
-            timer.cancel()
+        timer.cancel()
 
 
 async def read_arrived(clock: IReactorTime) -> None:
