--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -238,8 +238,8 @@
             self._clock.callLater(0, self._read_ahead)
 
     def _read_ahead(self) -> None:
-        """Read what arrived ahead, unless the connection has ended meanwhile."""
-        if not self._closing:
+        """Read what arrived ahead, unless that was done or the connection ended."""
+        if not self._closing and self._arrived_at is not None:
             self._read_events()
 
     def _begin_request(self) -> None:
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -13,7 +13,7 @@
 )
 
 from .conftest import CallerSide, CallerTransport
-from .slowreading import SlowTransport
+from .slowreading import LIMIT_BYTES, SlowTransport
 
 GET = b"GET /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Own: 1\r\n\r\n"
 
@@ -359,3 +359,25 @@
     caller.protocol.connectionLost()
     caller.clock.advance(0)
     assert len(caller.handler.requests) == 1
+
+
+# Guards against a request that is read and forgotten, as its caller reads slowly.
+def test_a_request_that_arrives_ahead_of_a_slow_reader_is_served(
+    caller: CallerSide,
+) -> None:
+    transport, requests = SlowTransport(), caller.handler.requests
+    caller.protocol = caller.server.buildProtocol(None)
+    caller.protocol.makeConnection(transport)
+    caller.send(GET + GET[:-2])
+    requests[0][2].send_complete(200, [], bytes(LIMIT_BYTES - 500))
+    assert not caller.protocol.paused
+    # The rest arrives in the same turn, and is answered at once.
+    caller.send(GET[-2:] + GET)
+    assert len(requests) == 2
+    requests[1][2].send_complete(200, [], bytes(1000))
+    assert caller.protocol.paused
+    caller.clock.advance(0)
+    transport.read(len(transport.unsent))
+    transport.read(len(transport.unsent))
+    caller.clock.advance(0)
+    assert len(requests) == 3
