--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/peers.py
@@ -41,7 +41,7 @@
     encode_message,
     make_earlier_form,
 )
-from pondquay_daemon.tasks import Task
+from pondquay_daemon.tasks import Task, read_arrived
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -341,7 +341,11 @@
         self._demands.complete(link, loan)
 
     async def _send_heartbeats(self) -> None:
-        self._drop_unresponsive()
+        if self._list_unresponsive():
+            # After a stall of this process, their messages may wait to be read.
+            await read_arrived(self.clock)
+        for link in self._list_unresponsive():
+            link.drop()
         # Each link is kept alive separately, since two instances may have opened one
         # link each and may use different ones.
         data = encode_message(Heartbeat(self._listener.configuration_version()))
@@ -351,11 +355,13 @@
                 link.send_bytes(data)
         self._open_links()
 
-    def _drop_unresponsive(self) -> None:
+    def _list_unresponsive(self) -> list[PeerLink]:
         now = self.clock.seconds()
-        for link in list(self._all_links):
-            if now - link.last_seen_at > LINK_TIMEOUT_SECONDS:
-                link.drop()
+        return [
+            link
+            for link in self._all_links
+            if now - link.last_seen_at > LINK_TIMEOUT_SECONDS
+        ]
 
     def _open_links(self) -> None:
         addresses = self._plan.choose(
--- a/packages/pondquay-daemon/tests/relay/test_peers.py
+++ b/packages/pondquay-daemon/tests/relay/test_peers.py
@@ -31,6 +31,8 @@
 from pondquay_daemon.relay.peermessages import ConfigurationValue
 from pondquay_daemon.relay.peers import LINK_TIMEOUT_SECONDS, PeerMesh
 
+from .stalledclock import StalledClock
+
 if TYPE_CHECKING:
     from pondquay.routing.crashes import CrashReport
 
@@ -494,3 +496,25 @@
     assert len(sent_at) == 10
     assert max(gaps) <= LINK_TIMEOUT_SECONDS / 2
     assert pair.meshes[1].peers == ["a"]
+
+
+# Guards against a link that is dropped with the replies that wait on it, as nothing was
+# read during a stall.
+@pytest.mark.parametrize(
+    "seconds", [LINK_TIMEOUT_SECONDS - 0.5, LINK_TIMEOUT_SECONDS + 0.5]
+)
+def test_a_loan_that_waits_when_a_stall_ends_is_received(
+    monkeypatch: pytest.MonkeyPatch, seconds: float
+) -> None:
+    monkeypatch.setitem(globals(), "MemoryReactorClock", StalledClock)
+    pair = Pair(1)
+    # Only one of the two instances stalls.
+    pair.meshes[1].__exit__(None, None, None)
+    pair.nodes[1].tokens = 100
+    results: list[int] = []
+    borrowing = Deferred.fromCoroutine(pair.meshes[0].borrow("b", "w", 80))
+    borrowing.addCallback(results.append)
+    pair.clock.stall(seconds, pair.pump)
+    # A transport in memory still delivers what an aborted socket does not.
+    assert pair.meshes[0].peers == ["b"]
+    assert results == [80]
