--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/connectioncheck.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/connectioncheck.py
@@ -7,10 +7,12 @@
 
 from twisted.internet.protocol import Protocol, connectionDone
 
+from pondquay_daemon.readtimers import ReadTimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall, IReactorTime
+    from twisted.internet.interfaces import IReactorTime
     from twisted.internet.tcp import Client
     from twisted.python.failure import Failure
 
@@ -42,11 +44,11 @@
     ) -> None:
         self._clock = clock
         self._on_result = on_result
-        self._timer: IDelayedCall | None = None
+        self._timer: ReadTimer | None = None
 
     def connectionMade(self) -> None:
         """Start the timer after which an open connection shows a listening process."""
-        self._timer = self._clock.callLater(MIN_OPEN_SECONDS, self._end)
+        self._timer = ReadTimer(self._clock, MIN_OPEN_SECONDS, self._end)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report an early close, which is inconclusive."""
