--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/pathdialing.py
@@ -6,6 +6,7 @@
 
 from pondquay.routing.gateways import ANY_UPSTREAM, CUT_OFF_BACKOFF_SECONDS
 from pondquay.routing.paths import Direct
+from pondquay_daemon.readtimers import ReadTimer
 from pondquay_daemon.relay.dialing import (
     CONNECT_SECONDS,
     Dialer,
@@ -114,7 +115,7 @@
         self._failure = DialFailure("no path to the upstream")
         self._tried: list[Gateway] = []
         self._next_tunnel: IDelayedCall | None = None
-        self._timeout: IDelayedCall | None = None
+        self._timeout: ReadTimer | None = None
         self._began_at = dialer.reactor.seconds()
 
     def start(self, direct: Direct, tunnel_after: float | None) -> None:
@@ -171,7 +172,7 @@
         dialer, clock = self._dialer, self._dialer.reactor
         if not self._tried:
             remaining = self._began_at + CONNECT_SECONDS - clock.seconds()
-            self._timeout = clock.callLater(max(0.0, remaining), self._on_timeout)
+            self._timeout = ReadTimer(clock, max(0.0, remaining), self._on_timeout)
         self._tried.append(gateway)
         self._pending += 1
         self._next_tunnel = clock.callLater(NEXT_GATEWAY_SECONDS, self._try_tunnel)
@@ -247,6 +248,6 @@
         self._cancel(self._next_tunnel)
         self._cancel(self._timeout)
 
-    def _cancel(self, timer: IDelayedCall | None) -> None:
+    def _cancel(self, timer: IDelayedCall | ReadTimer | None) -> None:
         if timer is not None and timer.active():
             timer.cancel()
