--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -33,6 +34,9 @@
 # fault should be over. There are no further trials, since each may crash another
 # upstream, except that one which was lost without a crash is repeated.
 TRIAL_DELAYS_SECONDS = (10.0, 120.0)
+# Time between two crashes from which the later one may be that of a trial. It is less
+# than the delay of the first trial, since reported ages of crashes are inexact.
+MIN_TRIAL_CRASH_GAP_SECONDS = TRIAL_DELAYS_SECONDS[0] / 2
 # Minimum retry delay for callers; a trial takes about as long. Also the delay before a
 # trial is repeated whose request did not run.
 MIN_RETRY_SECONDS = 1.0
@@ -164,10 +168,31 @@
         """
         return self.lost_trial > self.cleared_trials
 
+    @property
+    def repeats_lost_trial(self) -> bool:
+        """Whether a trial that was lost without a crash may start again.
+
+        Once a trial has crashed an upstream, the lost one counts. It may have run
+        beside another one in a partition.
+        """
+        return self.has_lost_trial and not self._has_later_crash()
+
+    def _has_later_crash(self) -> bool:
+        """Return whether an uncleared crash may be that of a trial.
+
+        It comes long after the others, since the first trial does.
+        """
+        uncleared = self.crashed.keys() - self.cleared
+        times = sorted(self.crashed[upstream] for upstream in uncleared)
+        return any(
+            later - earlier >= MIN_TRIAL_CRASH_GAP_SECONDS
+            for earlier, later in pairwise(times)
+        )
+
     @property
     def completed_trials(self) -> int:
         """The number of trials since the last clearing that may not start again."""
-        counted = self.trials - self.cleared_trials - self.has_lost_trial
+        counted = self.trials - self.cleared_trials - self.repeats_lost_trial
         return counted - 1 if self.returned else counted
 
     @property
