--- a/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/readtimers.py
@@ -1,7 +1,8 @@
 """Timers that act only once the event loop has read what had arrived.
 
 After a stall of the process, the event loop runs the timers that have expired before it
-reads its sockets. What a timer waits for may have arrived there.
+reads its sockets. What a timer waits for may have arrived there. Callers' connections
+of a relay are restarted often and have ``deferredtimers``.
 """
 
 from __future__ import annotations
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/deferredtimers.py
@@ -1,7 +1,8 @@
-"""Timers that act only once the event loop has read what had arrived.
+"""Timers of connections that act only once the event loop has read what had arrived.
 
 After a stall of the process, the event loop runs the timers that have expired before it
-reads its sockets. What a timer is about to give up may be waiting there.
+reads its sockets. What a timer is about to give up may be waiting there. These timers
+are restarted and moved; for single waits, see ``readtimers``.
 """
 
 from __future__ import annotations
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -75,7 +75,7 @@
         self._response: CallerResponse | None = None
         self._no_body = False
         self._refused = False
-        # Whether it is about to be closed.
+        # Whether it is closed, or will be unless a request arrives before.
         self._closing = False
         self._unsent = server.buffers.open(self.break_off)
         self._writer: PausingWriter | None = None
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -20,7 +20,7 @@
         self._components = components
         self._service = service
         self._request = request
-        # When the reserved retry and the one taken last were spent, in seconds.
+        # Times at which the reserved retry, and the one used last, count in the share.
         self._reserved_at: float | None = None
         self._taken_at: float | None = None
 
@@ -55,7 +55,7 @@
         return self._reserved_at is not None
 
     def keep(self) -> None:
-        """Reserve the retry that was taken last again, as nothing was sent."""
+        """Reserve the retry that was used last again, as nothing was sent with it."""
         if self._taken_at is not None:
             self._reserved_at, self._taken_at = self._taken_at, None
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/upstreamsearch.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/upstreamsearch.py
@@ -63,9 +63,9 @@
         return await self._find(only_healthy=True, takes_permit=False)
 
     def hold(self, choice: Choice) -> bool:
-        """Keep an upstream for the next attempt, with its permit.
+        """Take the permit of an upstream, and keep it for the next attempt.
 
-        :returns: whether it can still be used
+        :returns: whether it is kept; ``False`` if it can no longer be used
         """
         upstream = choice.upstream
         if not self._is_usable(upstream) or not self._take_permit(upstream):
