--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/chunkedhttp.py
@@ -3,7 +3,8 @@
 A stream has one short chunk for each event, and for each of them h11 makes an event
 object and checks several states. Here whole chunks in their plainest form are taken
 apart and framed directly. All else is left to h11: heads, trailers, the last chunk,
-other framings, and a body from the first irregular or incomplete chunk on.
+other framings, a chunk that arrives in several reads, and a body from the first
+irregular chunk on.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 NO_BODY_STATUSES = (204, 304)
 # The size line of a chunk that is not the last one and has no extensions.
 _SIZE_LINE = re.compile(rb"(?!0+\r)([0-9A-Fa-f]{1,8})\r\n")
+# Bytes that may be the beginning of such a line.
+_BEGUN_SIZE_LINE = re.compile(rb"(?!0+\r)([0-9A-Fa-f]{1,8}\r?)?")
 
 
 def split_chunks(data: bytes) -> tuple[bytes, bytes]:
@@ -55,11 +58,12 @@
         super().__init__(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
         self._limits = HeadLimits(max_head_bytes)
         self._is_head = False
-        # Whether h11 has read nothing of a chunked body that has begun.
+        # Whether chunks are taken apart.
         self._in_chunks = False
-        # Content of chunks that was not yet returned as an event.
-        self._content = b""
-        # Bytes after a head that h11 has not read yet.
+        # Whether h11 reads a chunk, and the bytes of it that have yet to arrive.
+        self._is_chunk_split = False
+        self._chunk_left = 0
+        # Bytes that h11 has not read yet.
         self._ahead = b""
 
     def send(self, event: Any) -> Any:
@@ -71,11 +75,10 @@
     def receive_data(self, data: bytes) -> None:
         """Take received bytes; none mean that the peer has closed."""
         if self._in_chunks and data:
-            content, data = split_chunks(data)
-            self._content += content
-            if not data:
-                return
-        self._in_chunks = False
+            self._ahead += data
+            return
+        if self._in_chunks:
+            self._leave_chunks()
         if data and self.their_state is h11.SEND_RESPONSE:
             head, end, self._ahead = data.partition(HEAD_END)
             data = head + end
@@ -84,11 +87,8 @@
 
     def next_event(self) -> Any:
         """Return the next event, as that of :class:`h11.Connection`."""
-        if self._content:
-            content, self._content = self._content, b""
-            return h11.Data(data=content)
         if self._in_chunks:
-            return h11.NEED_DATA
+            return self._next_in_chunks()
         is_in_head = self.their_state is h11.SEND_RESPONSE
         event = super().next_event()
         if is_in_head:
@@ -102,6 +102,44 @@
                 return self.next_event()
         return event
 
+    def _next_in_chunks(self) -> Any:
+        """Return the next event of a body whose chunks are taken apart."""
+        if self._is_chunk_split:
+            event = self._next_in_split_chunk()
+            if event is not h11.NEED_DATA or self._is_chunk_split:
+                return event
+        content, self._ahead = split_chunks(self._ahead)
+        if content:
+            return h11.Data(data=content)
+        if _BEGUN_SIZE_LINE.fullmatch(self._ahead):
+            return h11.NEED_DATA
+        if match := _SIZE_LINE.match(self._ahead):
+            self._is_chunk_split = True
+            self._chunk_left = match.end() + int(match[1], 16) + len(CRLF)
+            return self._next_in_split_chunk()
+        self._leave_chunks()
+        return super().next_event()
+
+    def _next_in_split_chunk(self) -> Any:
+        """Return the next event of a chunk that arrives in several reads."""
+        data = self._ahead[: self._chunk_left]
+        self._ahead = self._ahead[len(data) :]
+        self._chunk_left -= len(data)
+        if data:
+            super().receive_data(data)
+        event = super().next_event()
+        if event is h11.NEED_DATA and not self._chunk_left:
+            self._is_chunk_split = False
+        return event
+
+    def _leave_chunks(self) -> None:
+        """Let h11 read the rest of the body."""
+        self._in_chunks = self._is_chunk_split = False
+        self._chunk_left = 0
+        ahead, self._ahead = self._ahead, b""
+        if ahead:
+            super().receive_data(ahead)
+
     def _may_split(self, response: h11.Response) -> bool:
         """Return whether the chunks of a response may be taken apart here."""
         return (
--- a/packages/pondquay-daemon/tests/relay/test_chunkedhttp.py
+++ b/packages/pondquay-daemon/tests/relay/test_chunkedhttp.py
@@ -15,6 +15,8 @@
 from pondquay_daemon.relay.chunkedhttp import ClientHttp, ServerHttp, split_chunks
 
 MAX_HEAD_BYTES = 4096
+# The rest of a chunk that had begun, whole chunks, and the beginning of another one.
+MAX_EVENTS_PER_READ = 3
 REQUEST_HEADERS = [(b"Host", b"u")]
 
 pieces = st.lists(st.binary(max_size=12), max_size=6)
@@ -144,6 +146,27 @@
     assert http.next_event() is h11.NEED_DATA
 
 
+# Guards against a parser that goes on slowly, chunk by chunk, once a read has ended
+# within a chunk, so that short chunks without end hold up the event loop.
+@pytest.mark.parametrize("read_bytes", [65534, 65535, 65536, 65537])
+def test_reads_that_end_within_chunks_are_few_events(read_bytes: int) -> None:
+    http: Any = ClientHttp(MAX_HEAD_BYTES)
+    http.send(h11.Request(method=b"GET", target=b"/", headers=REQUEST_HEADERS))
+    http.send(h11.EndOfMessage())
+    http.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    assert isinstance(http.next_event(), h11.Response)
+    chunks = b"1\r\nx\r\n" * 50_000
+    count = 0
+    for start in range(0, len(chunks), read_bytes):
+        events = []
+        http.receive_data(chunks[start : start + read_bytes])
+        while (event := http.next_event()) is not h11.NEED_DATA:
+            events.append(event)
+        assert len(events) <= MAX_EVENTS_PER_READ
+        count += sum(len(event.data) for event in events)
+    assert count == 50_000
+
+
 @pytest.mark.parametrize(
     ("data", "expected"),
     [
