--- a/packages/pondquay-daemon/tests/relay/test_endless_refusals.py
+++ b/packages/pondquay-daemon/tests/relay/test_endless_refusals.py
@@ -130,3 +130,17 @@
         side.drip(end, make_chunk, AT_ONCE_SECONDS)
     side.serve_next(route)
     assert side.response().startswith(b"HTTP/1.1 200")
+
+
+# Guards against a 503, which promises that a request did not run, after an upstream
+# that was left before its response began and may have run it.
+def test_a_refusal_after_a_silent_upstream_does_not_count_as_not_run(
+    side: EndlessSide,
+) -> None:
+    silent = side.send_request("read")
+    refusing = side.accept_request()
+    assert is_closed(silent)
+    refusing.send(REFUSAL + FRAMINGS["chunks"])
+    side.flood(refusing, make_chunk)
+    side.relay.clock.advance(0)
+    assert side.response().startswith(b"HTTP/1.1 502")
