--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -401,7 +401,8 @@
 
 def read_body(response: HTTPResponse) -> tuple[bytes, bool]:
     """Return the body of a response, and whether it is complete."""
-    body = b""
+    # A response may have no end, and each join of bytes would copy all of it.
+    body = bytearray()
     try:
         while piece := response.read1(65536):
             body += piece
@@ -409,5 +410,5 @@
         # Closes the response, so that the connection can be reused.
         response.read()
     except (OSError, HTTPException):
-        return body, False
-    return body, complete
+        return bytes(body), False
+    return bytes(body), complete
