--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
@@ -34,9 +34,10 @@
 FRESH_CONFIGURATION_FRACTION = 0.8
 # Delay after which a caller that a stopping instance refuses should retry elsewhere.
 STOPPING_RETRY_SECONDS = 0.1
+STOPPING = Refusal(UNAVAILABLE, "stopping", STOPPING_RETRY_SECONDS)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class ReceivedRequest:
     """A complete request, and the response to it."""
 
@@ -68,6 +69,8 @@
         self._configuration_bound = configuration_bound
         self._overload_refusals = overload_refusals
         self._resumer = resumer
+        self._resuming: dict[ReceivedRequest, Admission] = {}
+        self._runs: set[RequestRun] = set()
         self.refusing = False
 
     def limits(self) -> CallerLimits:
@@ -91,8 +94,7 @@
         components = self._components
         if self.refusing:
             # The request might not end before the process does.
-            refusal = Refusal(UNAVAILABLE, "stopping", STOPPING_RETRY_SECONDS)
-            send_refusal(components.border, response, "", refusal)
+            send_refusal(components.border, response, "", STOPPING)
             return
         request = ReceivedRequest(head, body, response)
         admitted = self._admit(head)
@@ -109,6 +111,14 @@
         else:
             self._run(request, admitted)
 
+    def refuse_open(self) -> None:
+        """Refuse all requests whose responses have not begun."""
+        for request, admitted in list(self._resuming.items()):
+            if request.response.open:
+                self._refuse(request, STOPPING, admitted.metadata.attempt)
+        for run in list(self._runs):
+            run.refuse_unbegun(STOPPING)
+
     def _admit(self, head: RequestHead) -> Admission | Refusal:
         return admit_request(
             head,
@@ -120,7 +130,11 @@
 
     async def _resume(self, request: ReceivedRequest, admitted: Admission) -> None:
         """Serve a request that takes a stream up, where the stream can go on."""
-        resumed = await self._resumer.resume(admitted)
+        self._resuming[request] = admitted
+        try:
+            resumed = await self._resumer.resume(admitted)
+        finally:
+            del self._resuming[request]
         if not request.response.open:
             return
         if isinstance(resumed, Refusal):
@@ -137,7 +151,9 @@
             request.body,
             request.response,
         )
-        spawn(run.run(), "RequestRun")
+        self._runs.add(run)
+        ended = spawn(run.run(), "RequestRun")
+        ended.addCallback(lambda _: self._runs.discard(run))
 
     def _refuse(self, request: ReceivedRequest, refusal: Refusal, attempt: str) -> None:
         border = self._components.border
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/relay.py
@@ -25,6 +25,7 @@
 from pondquay_daemon.relay.fairqueues import FairQueues
 from pondquay_daemon.relay.feeds import JointListener, TableFeed
 from pondquay_daemon.relay.gauges import update_gauges
+from pondquay_daemon.relay.gracefulstop import GracefulStop
 from pondquay_daemon.relay.ingress import IngressServer
 from pondquay_daemon.relay.intake import RequestIntake
 from pondquay_daemon.relay.knowledge import ConfigurationView, UpstreamView
@@ -46,7 +47,7 @@
 from pondquay_daemon.relay.streamlinks import StreamLinks
 from pondquay_daemon.relay.upstreampaths import UpstreamPaths
 from pondquay_daemon.relay.withdrawals import WithdrawalMonitor
-from pondquay_daemon.tasks import sleep, spawn
+from pondquay_daemon.tasks import spawn
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,11 +59,6 @@
     from pondquay_daemon.relay.metrics import RelayMetrics
     from pondquay_daemon.relay.settings import RelaySettings
 
-# Time for which the balancer may still open connections after the stop begins.
-BALANCER_DRAIN_SECONDS = 2.6
-# Reserved at the end of a graceful stop, to return unspent tokens.
-RETURN_UNSPENT_SECONDS = 0.5
-STOP_STEP_SECONDS = 0.05
 # Pauses between polls of the allotments. Most instances of a large fleet hold none, so
 # all poll less often there to limit the load on the store. Holders see newer rows also
 # when their writes conflict.
@@ -396,19 +392,19 @@
         self._loads.stopping = True
         self._loads.announce()
         self._paths.begin_stop()
-        began = self._reactor.seconds()
         log_event("stopping", open=len(self._caller_server.connections))
-        await sleep(BALANCER_DRAIN_SECONDS, self._reactor)
-        self._intake.refusing = True
-        until = began + self._settings.bounds.stop - RETURN_UNSPENT_SECONDS
-        while self._reactor.seconds() < until:
-            self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._paths.server:
-                break
-            await sleep(STOP_STEP_SECONDS, self._reactor)
+        stop = GracefulStop(
+            self._reactor,
+            self._settings.bounds.stop,
+            self._caller_server,
+            self._intake,
+            self._paths.server,
+        )
+        await stop.finish_requests()
         await self._accounts.return_unspent()
         if self._feed.reachable:
             await self._members.leave()
+        await stop.send_responses()
         log_event("stopped", open=len(self._caller_server.connections))
 
     def _choose_allotments_pause(self) -> float:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -83,6 +83,7 @@
         self._stop_reason = ""
         self._stop_retry_after = RETRY_SOON_SECONDS
         self._may_have_run = False
+        self._is_refused = False
         self._outcome = ""
         self._status = NO_RESPONSE
         self._reservation = Reservation(
@@ -144,7 +145,7 @@
         try:
             with self._crash_permit:
                 refusal = await self._serve()
-            if refusal is not None:
+            if refusal is not None and not self._is_refused:
                 self._refuse(refusal)
         except Exception as error:
             log_event(
@@ -164,6 +165,19 @@
             self._components.streams.note_ended(self._stream)
             self._log_end()
 
+    def refuse_unbegun(self, refusal: Refusal) -> None:
+        """Refuse the request, unless its response has begun.
+
+        Its caller is told if it may have run.
+        """
+        if self._response.started or not self._response.open:
+            return
+        self._stop(refusal.reason, refusal.retry_after)
+        # Without an attempt in progress, what it waits for may end too late.
+        if self._response.open:
+            self._refuse(self._make_stop_refusal())
+            self._is_refused = True
+
     async def _serve(self) -> Refusal | None:
         """Serve the request, or return a refusal."""
         refusal = self._crash_permit.take()
