--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/attempts.py
@@ -317,6 +317,7 @@
                 streamed=self._streaming_seconds(),
                 unread=self._unread(),
                 by_gateway=error.by_gateway,
+                gateway="" if self._exchange is None else self._exchange.gateway,
             )
             self._end(lost)
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomes.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomes.py
@@ -70,6 +70,7 @@
     :param unread: whether the caller had not read the response for some time, after
         which an upstream may cut it off
     :param by_gateway: whether the connection broke at a gateway
+    :param gateway: name of the peer through which the request passed, empty if none
     """
 
     reason: str
@@ -79,6 +80,7 @@
     streamed: float = 0.0
     unread: bool = False
     by_gateway: bool = False
+    gateway: str = ""
 
     @property
     def stage(self) -> str:
--- a/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
+++ b/packages/pondquay-daemon/tests/relay/test_partitioned_instances.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from pondquay_daemon.relay import outcomerecorder
+from pondquay_daemon.relay.outcomes import Lost
 from pondquay_daemon.relay.tunnelmessages import (
     CODEC,
     OpenTunnel,
@@ -176,6 +178,32 @@
     assert held.is_lost
 
 
+# Guards against a log that does not tell at which gateway a response was lost.
+@pytest.mark.parametrize("is_direct", [False, True])
+def test_a_lost_attempt_names_its_gateway(
+    monkeypatch: pytest.MonkeyPatch, is_direct: bool
+) -> None:
+    outcomes: list[Any] = []
+    monkeypatch.setattr(
+        outcomerecorder,
+        "log_event",
+        lambda *_, outcome=None, **__: outcomes.append(outcome),
+    )
+    fleet, cut = start_cut(Cut.HANG)
+    caller = fleet.relays[1] if is_direct else cut
+    outcomes.clear()
+    caller.connect_caller(HELD_PATH)
+    fleet.run_for(0.1)
+    (held,) = fleet.list_held()
+    (source,) = (relay for relay in fleet.relays if relay.host == held.source)
+    assert (source is caller) is is_direct
+    held.lose()
+    fleet.run_for(0.1)
+    (lost,) = (outcome for outcome in outcomes if isinstance(outcome, Lost))
+    assert lost.broken
+    assert lost.gateway == ("" if is_direct else f"r{source.number}")
+
+
 # Guards against requests that a planned stop of their gateway cuts off.
 def test_a_gateway_that_stops_finishes_its_tunnels() -> None:
     fleet, cut = start_cut(Cut.HANG)
