--- a/packages/pondquay-standins/src/pondquay_standins/soak/lostrequests.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/lostrequests.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-    from pondquay_standins.soak.gatewaybreaks import GatewayBreaks
     from pondquay_standins.soak.ownstalls import OwnStalls
+    from pondquay_standins.soak.partitionbreaks import PartitionBreaks
     from pondquay_standins.soak.plannedstops import PlannedStop
     from pondquay_standins.soak.upstreamsignals import Disturbance, Disturbances
 
@@ -142,7 +142,10 @@
 
 
 def check_lost(
-    calls: Iterable[Call], passed_on: Collection[str], records: RelayRecords
+    calls: Iterable[Call],
+    passed_on: Collection[str],
+    records: RelayRecords,
+    begun_breaks: PartitionBreaks,
 ) -> list[Violation]:
     """Return a violation for each whole request whose connection ends without response.
 
@@ -157,8 +160,11 @@
       connection ended within ``CROSSING_SECONDS`` of its last byte.
     - It was passed on, sent early enough in a planned stop, and still in progress in
       the last sixth of the time for the stop.
+    - It was passed on, and a partition of the relay broke its connection to the replica
+      after the head of the response was written. The reset may discard the head.
 
     :param passed_on: the attempts that reached a replica
+    :param begun_breaks: connections that broke after the head of a response was written
     """
     violations = []
     for call in calls:
@@ -171,6 +177,8 @@
             continue
         if is_passed_on and records.outlasted_stop(call):
             continue
+        if is_passed_on and begun_breaks.broke_in_partition(call):
+            continue
         details = (
             f"{call.error} at {call.relay} after {call.ended - call.began:.2f} s, "
             f"{'' if is_passed_on else 'not '}passed on, "
@@ -185,7 +193,7 @@
     runs: Iterable[Mapping[str, Any]],
     breaks: Disturbances,
     records: RelayRecords,
-    gateway_breaks: GatewayBreaks,
+    gateway_breaks: PartitionBreaks,
 ) -> list[Violation]:
     """Return a violation for each response that is broken off without a reason.
 
--- a/packages/pondquay-standins/src/pondquay_standins/soak/gatewaybreaks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/partitionbreaks.py
@@ -1,4 +1,4 @@
-"""Attempts that broke since their gateway lost its connection to the replica."""
+"""Attempts that broke as an instance lost its connection to the replica."""
 
 from __future__ import annotations
 
@@ -17,51 +17,56 @@
 
 # Tolerance of times that are read from logs and recorded for calls.
 MARGIN_SECONDS = 0.1
+_DIRECT = re.compile(
+    r"^Lost\(.*\bbroken=True, began=True, .*\bgateway=''\)$", re.DOTALL
+)
+BEGUN_OUTCOME = "refused-502: broke after its beginning was forwarded"
 _GATEWAY = re.compile(r"^Lost\(.*\bby_gateway=True, gateway='([^']+)'\)$", re.DOTALL)
 
 
 @dataclass(frozen=True, slots=True)
-class GatewayBreak:
-    """The last failed attempt of a call, which broke at its gateway.
+class PartitionBreak:
+    """The last failed attempt of a call, whose connection to the replica broke.
 
     :param attempt: the caller's identifier of its attempt
     :param relay: the relay that the caller asked
+    :param target: the instance that had the connection, the relay or its gateway
     :param at: when it was logged, in seconds of the monotonic clock
     """
 
     attempt: str
     relay: str
-    gateway: str
+    target: str
     at: float
 
 
-class GatewayBreaks:
-    """The attempts of a run that broke at their gateways.
+class PartitionBreaks:
+    """The attempts of a run whose connections broke.
 
     :param partitions: when relays were cut off from all replicas
     """
 
     def __init__(
-        self, breaks: Iterable[GatewayBreak], partitions: Disturbances
+        self, breaks: Iterable[PartitionBreak], partitions: Disturbances
     ) -> None:
         self._breaks = {(found.attempt, found.relay): found for found in breaks}
         self._partitions = partitions
 
     def broke_in_partition(self, call: Call) -> bool:
-        """Return whether a call broke off since its gateway was cut off."""
+        """Return whether a call broke off as the instance was cut off."""
         found = self._breaks.get((call.attempt, call.relay))
         if found is None:
             return False
         since, until = found.at - MARGIN_SECONDS, found.at + MARGIN_SECONDS
         if until < call.began or since > call.ended:
             return False
-        return self._partitions.any_within([found.gateway], since, until)
+        return self._partitions.any_within([found.target], since, until)
 
 
-def list_gateway_breaks(relay: str, lines: Iterable[str]) -> list[GatewayBreak]:
+def list_gateway_breaks(relay: str, lines: Iterable[str]) -> list[PartitionBreak]:
     """Return the calls whose last failed attempt broke at a gateway, from a log."""
     offset = time.time() - time.monotonic()
-    found: dict[str, GatewayBreak] = {}
+    found: dict[str, PartitionBreak] = {}
     for event in read_events(lines, relay):
         if event.event != "attempt-failed":
             continue
@@ -70,5 +75,28 @@
         match = _GATEWAY.match(event.fields["outcome"])
         if match is not None:
             at = event.time - offset
-            found[attempt] = GatewayBreak(attempt, relay, match[1], at)
+            found[attempt] = PartitionBreak(attempt, relay, match[1], at)
     return list(found.values())
+
+
+def list_begun_breaks(relay: str, lines: Iterable[str]) -> list[PartitionBreak]:
+    """Return the calls that broke after a plain head was written, from a log.
+
+    Their last attempt had a direct connection to the replica, which broke.
+    """
+    offset = time.time() - time.monotonic()
+    direct: dict[str, bool] = {}
+    found = []
+    for event in read_events(lines, relay):
+        if event.event == "attempt-failed":
+            is_direct = _DIRECT.match(event.fields["outcome"]) is not None
+            direct[event.fields["request"]] = is_direct
+        elif event.event == "request-ended":
+            attempt, fields = event.fields["request"], event.fields
+            is_begun = (
+                fields["outcome"] == BEGUN_OUTCOME and float(fields["first"]) >= 0
+            )
+            if is_begun and direct.get(attempt, False):
+                at = event.time - offset
+                found.append(PartitionBreak(attempt, relay, relay, at))
+    return found
--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -27,7 +27,6 @@
     RelayState,
     SoakFleet,
 )
-from pondquay_standins.soak.gatewaybreaks import GatewayBreaks, list_gateway_breaks
 from pondquay_standins.soak.invariants import Violation, check_all
 from pondquay_standins.soak.limits import check_limits
 from pondquay_standins.soak.loads import UnevenLoad
@@ -38,6 +37,11 @@
     list_limits,
 )
 from pondquay_standins.soak.ownstalls import OwnStalls
+from pondquay_standins.soak.partitionbreaks import (
+    PartitionBreaks,
+    list_begun_breaks,
+    list_gateway_breaks,
+)
 from pondquay_standins.soak.plannedstops import PlannedStop, check_stops
 from pondquay_standins.soak.proxies import ProxyFault
 from pondquay_standins.soak.restingcallers import RestingCaller
@@ -513,6 +517,12 @@
             for name, lines in logs.items()
             for found in list_gateway_breaks(name, lines)
         ]
+        begun_breaks = [
+            found
+            for name, lines in logs.items()
+            for found in list_begun_breaks(name, lines)
+        ]
+        partitions = Disturbances(self._cuts)
         records = RelayRecords(
             self._kills,
             self._suspensions,
@@ -524,13 +534,15 @@
         crashes = [Disturbance(name, at, at) for name, at in fleet.crashes()]
         breaks = Disturbances([*self._lines, *crashes])
         return [
-            *check_lost(calls, passed_on, records),
+            *check_lost(
+                calls, passed_on, records, PartitionBreaks(begun_breaks, partitions)
+            ),
             *check_broken(
                 calls,
                 fleet.runs(),
                 breaks,
                 records,
-                GatewayBreaks(gateway_breaks, Disturbances(self._cuts)),
+                PartitionBreaks(gateway_breaks, partitions),
             ),
         ]
 
