--- a/packages/pondquay-daemon/src/pondquay_daemon/configuration.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/configuration.py
@@ -34,8 +34,12 @@
         self._fetching = False
 
     def start(self) -> None:
-        """Start to poll for newer versions."""
-        self.repeat(POLL_INTERVAL_SECONDS, self._poll)
+        """Start to poll for newer versions, half an interval apart from other polls.
+
+        So a silence of the platform begins to be measured after half an interval.
+        """
+        spawn(self._poll(), "ConfigurationTask")
+        self.repeat(POLL_INTERVAL_SECONDS, self._poll, POLL_INTERVAL_SECONDS / 2)
 
     async def _poll(self) -> None:
         head = await self._platform.run(read_head())
--- a/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/tasks.py
@@ -15,7 +15,7 @@
     from collections.abc import Callable, Coroutine
     from types import TracebackType
 
-    from twisted.internet.interfaces import IReactorTime
+    from twisted.internet.interfaces import IDelayedCall, IReactorTime
     from twisted.python.failure import Failure
 
     from pondquay_daemon.readtimers import ReadCounter
@@ -29,6 +29,7 @@
     def __init__(self, clock: IReactorTime) -> None:
         self.clock = clock
         self._loops: list[LoopingCall] = []
+        self._delayed: list[IDelayedCall] = []
 
     def __enter__(self) -> Task:
         """Return the task."""
@@ -41,15 +42,25 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop all loops."""
+        for call in self._delayed:
+            if call.active():
+                call.cancel()
+        self._delayed.clear()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
         self._loops.clear()
 
     def repeat(
-        self, seconds: float, step: Callable[[], Coroutine[Deferred[Any], Any, None]]
+        self,
+        seconds: float,
+        step: Callable[[], Coroutine[Deferred[Any], Any, None]],
+        delay: float = 0.0,
     ) -> None:
-        """Run a step immediately and then periodically; errors don't end the loop."""
+        """Run a step periodically; errors don't end the loop.
+
+        :param delay: seconds until the first run
+        """
 
         def run() -> Deferred[None]:
             return spawn(step(), type(self).__name__)
@@ -57,7 +68,10 @@
         loop = LoopingCall(run)
         loop.clock = self.clock
         self._loops.append(loop)
-        loop.start(seconds)
+        if delay:
+            self._delayed.append(self.clock.callLater(delay, loop.start, seconds))
+        else:
+            loop.start(seconds)
 
 
 def spawn(coroutine: Coroutine[Deferred[Any], Any, None], owner: str) -> Deferred[None]:
