--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -40,8 +40,6 @@
 MAX_RESERVE_ATTEMPTS = 4
 # Waits after successive recalls; a peer needs a write of the table to return tokens.
 RECALL_WAITS_SECONDS = (0.15, 0.3, 0.6)
-# Limits how long a request waits for the table; tokens that arrive later are kept.
-REFILL_TIMEOUT_SECONDS = 0.2
 SETTLE_TIMEOUT_SECONDS = 2.0
 
 
@@ -145,13 +143,11 @@
             changed
         """
         for seconds in (*RECALL_WAITS_SECONDS, None):
-            refill = await wait_at_most(
-                self._request_refill(workspace, tokens),
-                REFILL_TIMEOUT_SECONDS,
-                self.clock,
-                RefillResult.UNREACHABLE,
+            # Tokens that arrive after the wait are kept.
+            refill = await self._platform.silence.wait(
+                self._request_refill(workspace, tokens)
             )
-            if refill is RefillResult.UNREACHABLE:
+            if refill is None or refill is RefillResult.UNREACHABLE:
                 return BudgetRefusal.UNREACHABLE
             if refill is not RefillResult.EXHAUSTED:
                 return None
--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -37,6 +37,7 @@
 from pondquay_daemon.connectionpools import make_connection_pool
 from pondquay_daemon.logs import Level, log_event
 from pondquay_daemon.readtimers import ReadCounter
+from pondquay_daemon.silences import SilenceMeter
 from pondquay_daemon.tasks import finish_within
 
 if TYPE_CHECKING:
@@ -98,6 +99,7 @@
     :param url: base URL of the platform
     :param domain: failure domain of this instance
     :param timeout: seconds after which a call without a complete response fails
+    :ivar silence: measures for how long no call has had a response
     :ivar reads: table reads since start
     :ivar writes: table writes since start
     """
@@ -115,6 +117,7 @@
         )
         self._http = treq.client.HTTPClient(agent)
         self.reachable = False
+        self.silence = SilenceMeter(self._reactor, timeout)
         self.reads = 0
         self.writes = 0
 
@@ -225,7 +228,8 @@
             return response.code, await read_body(response, MAX_RESPONSE_BYTES, reads)
 
         reads = ReadCounter()
-        return await finish_within(self._timeout, self._reactor, exchange(), reads)
+        with self.silence.watch():
+            return await finish_within(self._timeout, self._reactor, exchange(), reads)
 
     def _note_reachable(self, reachable: bool, error: object = None) -> None:
         if reachable != self.reachable:
--- a/packages/pondquay-daemon/src/pondquay_daemon/requestclaims.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/requestclaims.py
@@ -19,7 +19,7 @@
 from pondquay.requests.lifecycle import Outcome
 from pondquay_daemon.calls import Refusal, RefusalCode
 from pondquay_daemon.progress import PLATFORM_RETRY_SECONDS
-from pondquay_daemon.tasks import Task, spawn, wait_at_most
+from pondquay_daemon.tasks import Task, spawn
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +32,6 @@
     from pondquay_daemon.progress import Progress
 
 RELEASE_INTERVAL_SECONDS = 1.0
-CLAIM_TIMEOUT_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +101,7 @@
         claiming: Deferred[ClaimOutcome | None] = Deferred.fromCoroutine(
             self._platform.run(program)
         )
-        outcome = await wait_at_most(claiming, CLAIM_TIMEOUT_SECONDS, self.clock, None)
+        outcome = await self._platform.silence.wait(claiming)
         if outcome is None:
             claim = StaleClaim(request, nonce)
             claiming.addCallback(self._note_late_outcome, claim)
--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -18,6 +18,7 @@
 from pondquay_standins.names import MODEL, SERVICE
 from pondquay_standins.processes import call_http, wait_until
 from pondquay_standins.workspaces import (
+    SMALL_BUDGET_TOKENS,
     WORKSPACES,
     configure_workspaces,
     make_workspace,
@@ -32,6 +33,8 @@
 MAX_REFUSAL_SECONDS = 0.5
 # Delay of calls to the platform, long enough to observe calls in progress.
 SLOW_MS = 300
+# Delay of calls to a platform that responds in time.
+SLIGHTLY_SLOW_MS = 250
 
 
 @pytest.fixture
@@ -266,6 +269,17 @@
     check_spend(fleet)
 
 
+# Guards against 503 for requests that a slow platform serves.
+def test_a_slow_platform_refuses_no_request(fleet: Fleet) -> None:
+    # The budget is too small for a base grant, so that each request needs the table.
+    entities = make_workspace("late", "sk-late", SMALL_BUDGET_TOKENS)
+    fleet.wait_for_version(fleet.configure("lima", *entities))
+    fleet.set_platform_faults(slow_ms=SLIGHTLY_SLOW_MS)
+    assert fleet.complete("sk-late", "caption").status == 200
+    once = {"Idempotency-Key": "once", "Pondquay-Repeatable": "no"}
+    assert fleet.complete(KEY, "payroll", headers=once).status == 200
+
+
 def test_a_grant_counts_as_held_only_once_the_table_has_committed_it(
     fleet: Fleet,
 ) -> None:
