--- a/packages/pondquay-standins/tests/test_failures.py
+++ b/packages/pondquay-standins/tests/test_failures.py
@@ -35,6 +35,8 @@
 SLOW_MS = 300
 # Delay of calls to a platform that responds in time.
 SLIGHTLY_SLOW_MS = 250
+# Slows down streams that must last until all of them have begun.
+LONG_STREAM_FACTOR = 4.0
 
 
 @pytest.fixture
@@ -109,6 +111,13 @@
     return Reader(fleet.instances[at].caller_url, KEY).start(name, max_tokens)
 
 
+def slow_engines(fleet: Fleet, factor: float) -> None:
+    """Slow down the streams of all engines by a factor."""
+    for upstream in fleet.upstreams:
+        if upstream.kind == "engine":
+            call_http("POST", f"{upstream.url}/faults", {"slow_factor": factor})
+
+
 def fetch_engine_logs(fleet: Fleet) -> list[dict[str, Any]]:
     """Return every stream that ended at a running engine."""
     logs = []
@@ -166,6 +175,8 @@
 
 
 def test_a_killed_instance_loses_no_response_and_no_bill(fleet: Fleet) -> None:
+    # On a busy machine, no stream may end before the last one has begun.
+    slow_engines(fleet, LONG_STREAM_FACTOR)
     readers = [read_stream(fleet, 0, f"k{number}", 128) for number in range(5)]
     wait_until(
         lambda: all(len(reader.events) > 3 for reader in readers), "open streams"
@@ -175,6 +186,7 @@
     fleet.unregister(killed.name)
     for reader in readers:
         assert not reader.wait().complete
+    slow_engines(fleet, 1)
     repeated = [read_stream(fleet, 2, f"k{number}", 128).wait() for number in range(5)]
     assert all(reader.complete for reader in repeated)
     for before, after in zip(readers, repeated, strict=True):
