--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gracefulstop.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gracefulstop.py
@@ -64,7 +64,7 @@
         self._intake.refuse_open()
 
     async def send_responses(self) -> None:
-        """Wait until the responses that are complete have been sent, within limits.
+        """Wait until all responses have been sent, or the time for the stop is over.
 
         Requests that arrive meanwhile are refused.
         """
@@ -72,7 +72,7 @@
         while steps < MIN_SEND_STEPS or self._clock.seconds() < self._end_at:
             self._server.close_idle()
             await read_arrived(self._clock)
-            if not self._server.has_closing:
+            if not self._server.connections and not self._tunnels:
                 return
             await sleep(STEP_SECONDS, self._clock)
             steps += 1
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -85,11 +85,6 @@
         """Whether no request is being read or served."""
         return self._arrived_at is None and self._response is None and not self.paused
 
-    @property
-    def closing(self) -> bool:
-        """Whether it closes, and only what is written is left to be sent."""
-        return self._closing and self._response is None
-
     @property
     def paused(self) -> bool:
         """Whether the caller has stopped reading."""
@@ -494,11 +489,6 @@
         """Whether any request is being read or served."""
         return any(not connection.idle for connection in self.connections)
 
-    @property
-    def has_closing(self) -> bool:
-        """Whether any connection closes that may have bytes left to be sent."""
-        return any(connection.closing for connection in self.connections)
-
     def close_idle(self) -> None:
         """Close the idle connections on which no request has arrived."""
         for connection in list(self.connections):
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/intake.py
@@ -70,7 +70,8 @@
         self._overload_refusals = overload_refusals
         self._resumer = resumer
         self._resuming: dict[ReceivedRequest, Admission] = {}
-        self._runs: set[RequestRun] = set()
+        # In the order of their beginning.
+        self._runs: dict[RequestRun, None] = {}
         self.refusing = False
 
     def limits(self) -> CallerLimits:
@@ -116,7 +117,11 @@
         for request, admitted in list(self._resuming.items()):
             if request.response.open:
                 self._refuse(request, STOPPING, admitted.metadata.attempt)
-        for run in list(self._runs):
+        runs = list(self._runs)
+        # The end of one run may give its room to another, which must not be sent then.
+        for run in runs:
+            run.withdraw(STOPPING)
+        for run in runs:
             run.refuse_unbegun(STOPPING)
 
     def _admit(self, head: RequestHead) -> Admission | Refusal:
@@ -151,9 +156,9 @@
             request.body,
             request.response,
         )
-        self._runs.add(run)
+        self._runs[run] = None
         ended = spawn(run.run(), "RequestRun")
-        ended.addCallback(lambda _: self._runs.discard(run))
+        ended.addCallback(lambda _: self._runs.pop(run))
 
     def _refuse(self, request: ReceivedRequest, refusal: Refusal, attempt: str) -> None:
         border = self._components.border
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -165,6 +165,11 @@
             self._components.streams.note_ended(self._stream)
             self._log_end()
 
+    def withdraw(self, refusal: Refusal) -> None:
+        """Send the request to no further upstream, unless its response has begun."""
+        if not self._response.started:
+            self._note_stop(refusal.reason, refusal.retry_after)
+
     def refuse_unbegun(self, refusal: Refusal) -> None:
         """Refuse the request, unless its response has begun.
 
@@ -213,11 +218,14 @@
             self._stop(refusal.reason, refusal.retry_after)
 
     def _stop(self, reason: str, retry_after: float | None = None) -> None:
+        self._note_stop(reason, retry_after)
+        self._place.cancel()
+        self._sender.stop()
+
+    def _note_stop(self, reason: str, retry_after: float | None) -> None:
         if not self._stop_reason:
             self._stop_reason = reason
             self._stop_retry_after = retry_after or RETRY_SOON_SECONDS
-        self._place.cancel()
-        self._sender.stop()
 
     def _log_end(self) -> None:
         workspace = "" if self._workspace is None else self._workspace.name
--- a/packages/pondquay-daemon/tests/relay/test_gracefulstop.py
+++ b/packages/pondquay-daemon/tests/relay/test_gracefulstop.py
@@ -16,6 +16,7 @@
 from pondquay_daemon.tasks import spawn
 
 from .conftest import CallerSide, CallerTransport, Recorder, RelaySide, UpstreamEnd
+from .memorystore import SERVICE
 from .slowreading import SlowTransport
 from .stalledloops import StalledLoop
 
@@ -29,6 +30,7 @@
 )
 # Turns in which a loop reads what has arrived, and runs what that makes due.
 TURNS = 64
+QUEUED = 3
 REQUEST_PATHS = ["/read/x", "/once/x", "/stream/x"]
 
 
@@ -212,3 +214,28 @@
     stopping.end()
     assert transport.unsent
     assert not caller.sent_back()
+
+
+# Guards against a request that gets the room of another one that is refused, and is
+# sent although its relay has stopped.
+@pytest.mark.parametrize("path", REQUEST_PATHS)
+def test_a_request_that_waits_for_room_is_not_sent_at_the_end_of_a_stop(
+    stopping: StoppingRelay, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    for _ in range(2):
+        stopping.send("/read/x")
+    # Connections that are kept and used without a delay.
+    for upstream in [stopping.accept(), stopping.accept()]:
+        upstream.send(RESPONSE)
+    stopping.begin_stop()
+    running = stopping.send(path)
+    components: Any = stopping.relay.relay._components
+    queue = components.queues.find(SERVICE)
+    monkeypatch.setattr(queue, "_has_room", lambda _: not queue.room.running)
+    waiting = [stopping.send(path) for _ in range(QUEUED)]
+    assert queue.waiting == QUEUED
+    stopping.stall_to_end(StalledLoop(running))
+    stopping.end()
+    assert running.sent_back().startswith(b"HTTP/1.1 502")
+    for caller in waiting:
+        assert caller.sent_back().startswith(b"HTTP/1.1 503")
