--- a/packages/pondquay-daemon/src/pondquay_daemon/grants.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/grants.py
@@ -119,12 +119,13 @@
         :param boot: incarnation of the upstream
         """
         self.manager.demands.note(request.workspace, tokens)
+        deadline = self._platform.silence.plan_deadline()
         for _ in range(MAX_RESERVE_ATTEMPTS):
             attempt = self.holder.reserve(
                 request, tokens, upstream, self.manager.is_usable, boot
             )
             if attempt is None:
-                refusal = await self._obtain_tokens(request.workspace, tokens)
+                refusal = await self._obtain_tokens(request.workspace, tokens, deadline)
                 if refusal is not None:
                     return Failure(refusal)
                 continue
@@ -136,16 +137,19 @@
             self._schedule_send()
         return Failure(BudgetRefusal.UNREACHABLE)
 
-    async def _obtain_tokens(self, workspace: str, tokens: int) -> BudgetRefusal | None:
+    async def _obtain_tokens(
+        self, workspace: str, tokens: int, deadline: float
+    ) -> BudgetRefusal | None:
         """Refill the grant for a request; recall tokens of peers if too few are free.
 
+        :param deadline: time until which the request may wait for the table, in seconds
         :returns: the reason if the request cannot be served, ``None`` if a grant has
             changed
         """
         for seconds in (*RECALL_WAITS_SECONDS, None):
             # Tokens that arrive after the wait are kept.
             refill = await self._platform.silence.wait(
-                self._request_refill(workspace, tokens)
+                self._request_refill(workspace, tokens), deadline
             )
             if refill is None or refill is RefillResult.UNREACHABLE:
                 return BudgetRefusal.UNREACHABLE
@@ -153,7 +157,9 @@
                 return None
             if not self.manager.may_cover(workspace, tokens):
                 return BudgetRefusal.EXHAUSTED
-            if seconds is not None and self._peers.connected():
+            if seconds is None or self.clock.seconds() + seconds >= deadline:
+                break
+            if self._peers.connected():
                 self._peers.links.broadcast(Recall(workspace, tokens))
                 await sleep(seconds, self.clock)
         log_event("tokens-held", Level.WARNING, workspace=workspace, tokens=tokens)
--- a/packages/pondquay-daemon/src/pondquay_daemon/platform.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/platform.py
@@ -99,7 +99,7 @@
     :param url: base URL of the platform
     :param domain: failure domain of this instance
     :param timeout: seconds after which a call without a complete response fails
-    :ivar silence: measures for how long no call has had a response
+    :ivar silence: measures for how long no call of the table has had a response
     :ivar reads: table reads since start
     :ivar writes: table writes since start
     """
@@ -141,7 +141,7 @@
         self.reads += 1
         body = {"keys": call.keys, "prefixes": call.prefixes}
         try:
-            status, content = await self._post("/table/read", body)
+            status, content = await self._call_table("/table/read", body)
             if status != OK:
                 raise ValueError(f"status {status}")
             rows = _ROWS_ADAPTER.validate_python(content["rows"])
@@ -159,7 +159,7 @@
             "writes": [_dump_write(write) for write in call.writes],
         }
         try:
-            status, _ = await self._post("/table/transact", body)
+            status, _ = await self._call_table("/table/transact", body)
         except (ConnectError, ConnectingCancelledError) as error:
             self._note_reachable(False, error)
             return Unreachable()
@@ -203,8 +203,11 @@
             return False
         return status == OK
 
-    async def _post(self, path: str, body: object) -> tuple[int, Any]:
-        status, content = await self._exchange("POST", path, json.dumps(body).encode())
+    async def _call_table(self, path: str, body: object) -> tuple[int, Any]:
+        with self.silence.watch():
+            status, content = await self._exchange(
+                "POST", path, json.dumps(body).encode()
+            )
         return status, parse_json(content or b"null")
 
     async def _get(self, path: str) -> tuple[int, Any]:
@@ -228,8 +231,7 @@
             return response.code, await read_body(response, MAX_RESPONSE_BYTES, reads)
 
         reads = ReadCounter()
-        with self.silence.watch():
-            return await finish_within(self._timeout, self._reactor, exchange(), reads)
+        return await finish_within(self._timeout, self._reactor, exchange(), reads)
 
     def _note_reachable(self, reachable: bool, error: object = None) -> None:
         if reachable != self.reachable:
--- a/packages/pondquay-daemon/src/pondquay_daemon/requestclaims.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/requestclaims.py
@@ -101,7 +101,8 @@
         claiming: Deferred[ClaimOutcome | None] = Deferred.fromCoroutine(
             self._platform.run(program)
         )
-        outcome = await self._platform.silence.wait(claiming)
+        silence = self._platform.silence
+        outcome = await silence.wait(claiming, silence.plan_deadline())
         if outcome is None:
             claim = StaleClaim(request, nonce)
             claiming.addCallback(self._note_late_outcome, claim)
--- a/packages/pondquay-daemon/src/pondquay_daemon/silences.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/silences.py
@@ -1,4 +1,4 @@
-"""Waits for the platform that end early while it is silent."""
+"""Waits for the platform's table that end early while it is silent."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
     from twisted.internet.interfaces import IReactorTime
 
 T = TypeVar("T")
-# Silence after which the platform is taken to hang.
+# Silence after which the table is taken to hang.
 MAX_SILENCE_SECONDS = 0.5
-# Wait for a platform that is taken to hang, so that a request notices its return.
+# Wait for a table that is taken to hang, so that a request notices its return.
 MIN_WAIT_SECONDS = 0.2
 
 
 class SilenceMeter:
-    """Measures for how long the platform has left all calls without a response.
+    """Measures for how long the table has left all calls without a response.
 
     :param timeout: seconds after which a call without a response fails; a request waits
         as long at most
@@ -57,15 +57,20 @@
             return 0.0
         return self._clock.seconds() - self._silent_since
 
-    async def wait(self, deferred: Deferred[T]) -> T | None:
+    def plan_deadline(self) -> float:
+        """Return the time, in seconds, until which a request may wait from now on."""
+        return self._clock.seconds() + self._timeout
+
+    async def wait(self, deferred: Deferred[T], deadline: float) -> T | None:
         """Wait for a result that needs calls; return ``None`` if there is none in time.
 
-        The wait ends early if the platform hangs. The deferred isn't cancelled.
+        The wait ends early if the table hangs. The deferred isn't cancelled.
+
+        :param deadline: time in seconds, from ``plan_deadline``
         """
         result: Deferred[Any] = deferred
-        deadline = self._clock.seconds() + self._timeout
         while True:
-            left = deadline - self._clock.seconds()
+            left = max(0.0, deadline - self._clock.seconds())
             patience = max(MIN_WAIT_SECONDS, self._max_silence - self.measure())
             found: T | None = await wait_at_most(
                 result, min(left, patience), self._clock, None
--- a/packages/pondquay-daemon/tests/test_grants.py
+++ b/packages/pondquay-daemon/tests/test_grants.py
@@ -175,6 +175,14 @@
     assert isinstance(result, Success)
 
 
+# Guards against a request that waits anew for the table after each recall.
+def test_tokens_are_not_waited_for_beyond_the_limit_of_one_call() -> None:
+    budget = TightBudget(delay=None)
+    budget.platform.delay = MAX_SILENCE_SECONDS - STEP_SECONDS
+    result = budget.reserve(budget.second, 100, MAX_WAIT_SECONDS + 2 * STEP_SECONDS)
+    assert result == Failure(BudgetRefusal.HELD_ELSEWHERE)
+
+
 # Guards against 402 for a request whose tokens a peer returns after the first wait.
 def test_tokens_that_a_peer_returns_late_are_reserved() -> None:
     budget = TightBudget(delay=RECALL_WAITS_SECONDS[0] + 2 * STEP_SECONDS)
