--- a/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
@@ -97,7 +97,7 @@
             for name, lines in logs.items()
             for found in list_begun_breaks(name, lines)
         ]
-        partitions = Disturbances(self._records.ended_partitions)
+        partitions = self._records.ended_partitions
         records = RelayRecords(
             self._records.kills,
             self._records.suspensions,
