--- a/packages/pondquay-daemon/src/pondquay_daemon/configuration.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/configuration.py
@@ -34,11 +34,10 @@
         self._fetching = False
 
     def start(self) -> None:
-        """Start to poll for newer versions, half an interval apart from other polls.
-
-        So a silence of the platform begins to be measured after half an interval.
-        """
+        """Start to poll for newer versions."""
         spawn(self._poll(), "ConfigurationTask")
+        # Half an interval apart from the maintenance of grants, so that a table that
+        # hangs is noticed by one of both.
         self.repeat(POLL_INTERVAL_SECONDS, self._poll, POLL_INTERVAL_SECONDS / 2)
 
     async def _poll(self) -> None:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/failovers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/failovers.py
@@ -59,7 +59,7 @@
         self._search = search
         self._silences = silences
         self._is_preparing = False
-        # Whether the event loop still runs the step that began the preparation.
+        # Whether the preparation has not waited for anything yet.
         self._is_first_step = False
 
     def watch(
--- a/packages/pondquay/src/pondquay/routing/crashes.py
+++ b/packages/pondquay/src/pondquay/routing/crashes.py
@@ -12,9 +12,8 @@
 The state of a content consists of the upstreams that crashed, the age of each crash,
 the crashes that the content was cleared of, the number of its trials, how many of them
 were before it was last cleared, and which one was lost for no fault of the content.
-Reports may arrive late, twice, in any order and
-through other instances. They are merged such that instances that have received the same
-reports have the same state.
+Reports may arrive late, twice, in any order and through other instances. They are
+merged such that instances that have received the same reports have the same state.
 """
 
 from __future__ import annotations
@@ -104,7 +103,7 @@
 
     @property
     def trial_numbers(self) -> tuple[int, int, int]:
-        """All that is known of its trials."""
+        """The numbers of its trials: all, the cleared ones, and the lost one."""
         return self.trials, self.cleared_trials, self.lost_trial
 
     def age(self, upstream: str) -> float:
