--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/gracefulstop.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/gracefulstop.py
@@ -21,8 +21,8 @@
 # responses.
 END_SECONDS = 0.5
 STEP_SECONDS = 0.05
-# Turns of the event loop in which what has arrived is read once the time for requests is
-# over. They suffice for the bytes that a caller may send ahead.
+# Turns of the event loop in which what has arrived is read once the time for requests
+# is over. They suffice for the bytes that a caller may send ahead.
 LAST_TURNS = MAX_READ_AHEAD_BYTES // TURN_BYTES
 # Steps in which the last responses may be sent although the time for the stop is over,
 # as after a stall.
