--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/metrics.py
@@ -76,6 +76,9 @@
         self.retries = self._counter(
             "retries", "Retries requested, by whether they were granted", "granted"
         )
+        self.retries_used = self._counter(
+            "retries_used", "Retries used, by why the request is sent again", "cause"
+        )
         self.streams_continued = self._counter(
             "streams_continued",
             "Streams that went on at another upstream within an answer, by whether the"
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomes.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/outcomes.py
@@ -107,3 +107,12 @@
 
 # The lower-case names of these classes are labels of a metric.
 Outcome: TypeAlias = Unsent | NotRun | Answered | PassedOn | Streamed | Lost | Stopped
+
+
+def describe_cause(outcome: Outcome) -> str:
+    """Return why a request with this outcome is sent again, in a word for the logs."""
+    if isinstance(outcome, Lost) and outcome.silent:
+        return "silent"
+    if isinstance(outcome, Answered | PassedOn):
+        return "failed"
+    return type(outcome).__name__.lower()
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -32,6 +32,7 @@
     Stopped,
     Streamed,
     Unsent,
+    describe_cause,
 )
 from pondquay_daemon.relay.reservations import Reservation
 from pondquay_daemon.relay.retrying import RetryPermit
@@ -246,6 +247,7 @@
             Level.INFO if self._status in SERVED else Level.WARNING,
             request=self._metadata.attempt,
             route=self._route.name,
+            service=self._service,
             workspace=workspace,
             upstreams=",".join(self._sender.sent_to),
             left=self._silences.left,
@@ -281,14 +283,15 @@
 
         :returns: a refusal if it was not served
         """
-        sends = 0
+        # Why the request is sent again, empty until it has been sent.
+        cause = ""
         # Only sends after which the request may have run count against the route's
         # attempts. Each send but the first uses a retry.
         runs = 0
         connect_failures = 0
         self._retry_permit.note_first()
         while not self._stop_reason:
-            upstream = await self._choose_upstream(sends)
+            upstream = await self._choose_upstream(cause)
             if self._stop_reason:
                 break
             if isinstance(upstream, Refusal):
@@ -302,7 +305,7 @@
                 if self._should_stop_connecting(connect_failures):
                     return self._make_refusal("no connection")
                 continue
-            sends += 1
+            cause = describe_cause(outcome)
             if self._deliver(outcome, last=not attempts_left):
                 return None
             if not isinstance(outcome, NotRun):
@@ -312,8 +315,11 @@
                 return refusal
         return self._make_stop_refusal()
 
-    async def _choose_upstream(self, sends: int) -> KnownUpstream | Refusal:
-        """Return the upstream to try next, or a refusal."""
+    async def _choose_upstream(self, cause: str) -> KnownUpstream | Refusal:
+        """Return the upstream to try next, or a refusal.
+
+        :param cause: why the request is sent again, empty if it was not sent before
+        """
         refusal = self._crash_permit.check_send()
         if refusal is not None:
             return self._make_refusal(refusal.reason, refusal.retry_after)
@@ -323,7 +329,7 @@
             return self._make_refusal(
                 no_upstream.reason, no_upstream.retry_after or RETRY_SOON_SECONDS
             )
-        if sends and not self._retry_permit.take():
+        if cause and not self._retry_permit.take(upstream.name, cause):
             return self._make_refusal("no retries left")
         return upstream
 
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pondquay_daemon.logs import log_event
+from pondquay_daemon.logs import Level, log_event
 
 if TYPE_CHECKING:
     from pondquay_daemon.relay.components import RelayComponents
@@ -38,14 +38,20 @@
             self._service, self._components.clock.seconds()
         )
 
-    def take(self) -> bool:
-        """Use the reserved retry or a new one; return whether a retry is allowed."""
+    def take(self, upstream: str, cause: str) -> bool:
+        """Use the reserved retry or a new one; return whether a retry is allowed.
+
+        :param upstream: name of the upstream to which the request is sent
+        :param cause: why it is sent again, for the logs
+        """
         now = self._components.clock.seconds()
         if self._reserved_at is not None:
             self._components.retries.postpone(self._service, self._reserved_at, now)
         elif not self._spend():
             return False
         self._taken_at, self._reserved_at = now, None
+        self._components.metrics.retries_used.labels(cause).inc()
+        self._log("retry-used", upstream=upstream, cause=cause)
         return True
 
     def reserve(self) -> bool:
@@ -58,6 +64,7 @@
         """Reserve the retry that was used last again, as nothing was sent with it."""
         if self._taken_at is not None:
             self._reserved_at, self._taken_at = self._taken_at, None
+            self._log("retry-unused")
 
     def release(self) -> None:
         """Return the reserved retry, as the request has ended."""
@@ -69,10 +76,20 @@
         now = self._components.clock.seconds()
         granted = self._components.retries.spend(self._service, now)
         self._components.metrics.retries.labels("yes" if granted else "no").inc()
+        self._log("retry-decided", granted=granted)
+        return granted
+
+    def _log(self, event: str, **fields: object) -> None:
+        """Log an event of a retry, with what the share has counted."""
+        now = self._components.clock.seconds()
+        use = self._components.retries.measure(self._service, now)
         log_event(
-            "retry-decided",
+            event,
+            Level.INFO,
             request=self._request,
             service=self._service,
-            granted=granted,
+            **fields,
+            requests=use.requests,
+            retries=use.retries,
+            allowed=round(use.allowed, 2),
         )
-        return granted
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -41,6 +41,20 @@
                 times.popleft()
 
 
+@dataclass(frozen=True, slots=True)
+class ShareUse:
+    """How much of its share an instance has used for a service.
+
+    :ivar requests: first attempts within the window
+    :ivar retries: further attempts within the window
+    :ivar allowed: further attempts that the share allows within the window
+    """
+
+    requests: int
+    retries: int
+    allowed: float
+
+
 class RetryShare:
     """Counts first and further attempts by service over a sliding window.
 
@@ -85,10 +99,15 @@
 
     def can_spend(self, service: str, now: float) -> bool:
         """Return whether a further attempt is left."""
+        use = self.measure(service, now)
+        return use.retries + 1 <= use.allowed
+
+    def measure(self, service: str, now: float) -> ShareUse:
+        """Return how much of the share is used in the window that ends now."""
         attempts = self._attempts[service]
         attempts.drop_before(now - self._window)
         allowed = self._ratio * len(attempts.first) + self._share(now)
-        return len(attempts.further) + 1 <= allowed
+        return ShareUse(len(attempts.first), len(attempts.further), allowed)
 
     def postpone(self, service: str, spent_at: float, now: float) -> None:
         """Count a further attempt at the time at which it is made.
