--- a/packages/pondquay-standins/src/pondquay_standins/hostile/platform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/platform.py
@@ -23,12 +23,14 @@
     def __init__(self) -> None:
         super().__init__()
         self._visits: list[Visit] = []
+        self._replicas: list[HostileReplica] = []
 
     def make_control(self) -> Any:
         """Return the web application of the control endpoint."""
         app = super().make_control()
         app.route("/visits", methods=["GET"])(self.show_visits)
         app.route("/hostile", methods=["POST"])(self.start_hostile)
+        app.route("/fraction", methods=["POST"])(self.set_fraction)
         return app
 
     def show_visits(self, request: Request) -> bytes:
@@ -45,6 +47,7 @@
             self._visits,
             Random(body["seed"]),
         )
+        self._replicas.append(replica)
         reactor.listenTCP(body["port"], HostileFactory(replica), interface=HOST)
         row = {
             "service": replica.service,
@@ -59,6 +62,13 @@
         self.put("servers", replica.name, row)
         return write_body(request, {})
 
+    def set_fraction(self, request: Request) -> bytes:
+        """Set the part of the requests for which all replicas misbehave."""
+        fraction = read_body(request)["fraction"]
+        for replica in self._replicas:
+            replica.behaviour.fraction = fraction
+        return write_body(request, {})
+
 
 if __name__ == "__main__":
     run_platform(HostilePlatform())
--- a/packages/pondquay/tests/routing/test_retryshares.py
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -10,6 +10,7 @@
 
 RATIO, EXTRA, WINDOW = 0.2, 54.0, 10.0
 MAX_INSTANCES = 16
+REQUESTS = 400
 attempt_lists = st.lists(
     st.tuples(
         st.integers(0, MAX_INSTANCES - 1),
@@ -45,6 +46,44 @@
         assert retries <= RATIO * max(requests, earlier) + EXTRA
 
 
+def find_excess(first: list[float], further: list[float], extra: float) -> float:
+    """Return by how much the retries of any window exceed what is allowed, at most 0.
+
+    The requests of a window are those of it, of the previous one, or of the one that
+    begins half a window earlier, whichever are most.
+    """
+    excess = 0.0
+    for begin in {begin for at in further for begin in (at, at - WINDOW)}:
+        retries = sum(begin <= at <= begin + WINDOW for at in further)
+        requests = max(
+            sum(begin - shift <= at <= begin - shift + WINDOW for at in first)
+            for shift in (0.0, WINDOW / 2, WINDOW)
+        )
+        excess = max(excess, retries - RATIO * requests - extra)
+    return excess
+
+
+# Guards against repeats beyond the fleet's fraction while all callers move to other
+# instances, or all instances are replaced: those that had the callers and those that
+# have them now may use the fractions of two windows.
+@pytest.mark.parametrize("moved_at", [11.0, 11.6, 13.0])
+def test_moved_callers_do_not_bring_the_fractions_of_two_windows(
+    moved_at: float,
+) -> None:
+    shares = [RetryShare(RATIO, 0.0, WINDOW, lambda: 8) for _ in range(16)]
+    first: list[float] = []
+    further: list[float] = []
+    for number in range(3 * REQUESTS):
+        now = number * WINDOW / REQUESTS
+        share = shares[number % 8 + (8 if now >= moved_at else 0)]
+        share.note_first("judge", now)
+        first.append(now)
+        if now >= WINDOW:
+            while share.spend("judge", now):
+                further.append(now)
+    assert find_excess(first, further, 0.0) <= 0.0
+
+
 def test_each_service_has_its_own_share() -> None:
     share = RetryShare(0.0, 16.0, WINDOW, lambda: 3)
     assert share.spend("judge", 0.0)
