--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -289,7 +289,7 @@
         # attempts. Each send but the first uses a retry.
         runs = 0
         connect_failures = 0
-        self._retry_permit.note_first()
+        self._retry_permit.note_first(self._response.arrived_at)
         while not self._stop_reason:
             upstream = await self._choose_upstream(cause)
             if self._stop_reason:
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -24,11 +24,13 @@
         self._reserved_at: float | None = None
         self._taken_at: float | None = None
 
-    def note_first(self) -> None:
-        """Count the request, which increases the number of allowed retries."""
-        self._components.retries.note_first(
-            self._service, self._components.clock.seconds()
-        )
+    def note_first(self, arrived_at: float) -> None:
+        """Count the request, which increases the number of allowed retries.
+
+        :param arrived_at: when it arrived, in seconds
+        """
+        now = self._components.clock.seconds()
+        self._components.retries.note_first(self._service, arrived_at, now)
 
     def can_reserve(self) -> bool:
         """Return whether a retry can be reserved now."""
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -1,15 +1,24 @@
 """Each instance's share of the fleet's retry budget, enforced without messages.
 
 In any time window, the retries that a service receives from all instances together are
-at most a fraction of its requests plus a fixed number. Each instance applies the
-fraction to its own requests and uses only its share of the fixed number, so the total
-is also bounded in a partition. An instance may follow one that has ended, which may
-have used the same share, so it uses none of it until a window has passed. Those that
-have left within a window may have used theirs, so they are counted as before.
+at most a fraction of its requests plus a fixed number.
+
+The fraction: in each window, an instance makes at most half of it for its own requests
+of that window and of the previous one. Such bounds add up over all instances, whichever
+of them callers use and whenever instances end: the sum is at most half of the fraction
+of the requests of two adjacent windows, so at most the fraction of those of one. A
+retry is therefore made only if every window that may hold it, also those that end
+later, has room for it even without further requests.
+
+The fixed number: each instance uses only its share of it. An instance may follow one
+that has ended, which may have used the same share, so it uses none of it until a window
+has passed. Those that have left within a window may have used theirs, so they are
+counted as before.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 from math import ceil
@@ -18,9 +27,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Fraction of the configured ratio that is used, as a request and its retry may fall
-# into different windows.
-SAFETY_FACTOR = 0.75
+# Number of adjacent windows whose requests cover the retries of one.
+COVERING_WINDOWS = 2
+# Fraction of a window by which a retry may arrive after it was counted, or a request
+# may have been sent before it was counted.
+MAX_DELAY_FRACTION = 0.1
 # Minimum number of shares into which the fixed number is divided, since instances may
 # be added before this one knows of them.
 MIN_SHARES = 16
@@ -30,22 +41,30 @@
 
 @dataclass(slots=True)
 class _Attempts:
-    """Times of attempts within the window, in seconds."""
+    """Times of attempts, in seconds and in order.
 
-    first: deque[float] = field(default_factory=deque)
-    further: deque[float] = field(default_factory=deque)
+    :ivar first: those of first attempts
+    :ivar further: those of further attempts
+    """
+
+    first: list[float] = field(default_factory=list)
+    further: list[float] = field(default_factory=list)
 
-    def drop_before(self, before: float) -> None:
-        for times in (self.first, self.further):
-            while times and times[0] < before:
-                times.popleft()
+    def drop(self, first_before: float, further_before: float) -> None:
+        """Drop attempts that no later window holds or covers."""
+        del self.first[: bisect_left(self.first, first_before)]
+        del self.further[: bisect_left(self.further, further_before)]
+
+    def count_first_since(self, since: float) -> int:
+        """Return the number of first attempts from a time on."""
+        return len(self.first) - bisect_left(self.first, since)
 
 
 @dataclass(frozen=True, slots=True)
 class ShareUse:
-    """How much of its share an instance has used for a service.
+    """How much of its share an instance has used in one window.
 
-    :ivar requests: first attempts within the window
+    :ivar requests: first attempts that cover the window
     :ivar retries: further attempts within the window
     :ivar allowed: further attempts that the share allows within the window
     """
@@ -54,9 +73,14 @@
     retries: int
     allowed: float
 
+    @property
+    def room(self) -> float:
+        """How many further attempts are left, negative if there are too many."""
+        return self.allowed - self.retries
+
 
 class RetryShare:
-    """Counts first and further attempts by service over a sliding window.
+    """Counts first and further attempts by service over sliding windows.
 
     :param ratio: further attempts that the fleet may make per request
     :param extra: fixed number of further attempts that the fleet may make in addition
@@ -75,39 +99,56 @@
         instances: Callable[[], int],
         usable_from: float = 0.0,
     ) -> None:
-        self._ratio = ratio * SAFETY_FACTOR
+        self._ratio = ratio / COVERING_WINDOWS
         self._extra = extra
         self._instances = instances
         self._window = window
+        self._max_delay = window * MAX_DELAY_FRACTION
         self._usable_from = usable_from
         # Numbers of instances within the window that no later one exceeds, with the
         # times at which they were last seen.
         self._largest: deque[tuple[float, int]] = deque()
         self._attempts: dict[str, _Attempts] = defaultdict(_Attempts)
 
-    def note_first(self, service: str, now: float) -> None:
-        """Count a request's first attempt."""
+    def note_first(self, service: str, arrived_at: float, now: float) -> None:
+        """Count a request.
+
+        :param arrived_at: when it arrived, in seconds
+        """
         self._count_instances(now)
-        self._attempts[service].first.append(now)
+        insort(self._attempts[service].first, arrived_at)
 
     def spend(self, service: str, now: float) -> bool:
         """Use one further attempt; return ``False`` if none is left."""
         if not self.can_spend(service, now):
             return False
-        self._attempts[service].further.append(now)
+        insort(self._attempts[service].further, now)
         return True
 
     def can_spend(self, service: str, now: float) -> bool:
         """Return whether a further attempt is left."""
-        use = self.measure(service, now)
-        return use.retries + 1 <= use.allowed
+        return self.measure(service, now).room >= 1.0
 
     def measure(self, service: str, now: float) -> ShareUse:
-        """Return how much of the share is used in the window that ends now."""
-        attempts = self._attempts[service]
-        attempts.drop_before(now - self._window)
-        allowed = self._ratio * len(attempts.first) + self._share(now)
-        return ShareUse(len(attempts.first), len(attempts.further), allowed)
+        """Return how much is used of the window with the least room for a retry.
+
+        The windows are those that may hold a retry made now.
+        """
+        window, attempts = self._window, self._attempts[service]
+        attempts.drop(now - COVERING_WINDOWS * window, now - window)
+        share = self._share(now)
+        tightest = None
+        # Of the windows that hold the same further attempts, the last one is covered
+        # by the fewest requests: the one that begins with the oldest of these attempts.
+        begins = [*attempts.further, now]
+        for retries, begin in enumerate(reversed(begins)):
+            covered_since = begin - window + self._max_delay
+            requests = attempts.count_first_since(covered_since)
+            use = ShareUse(requests, retries, self._ratio * requests + share)
+            if tightest is None or use.room < tightest.room:
+                tightest = use
+        assert tightest is not None
+        return tightest
 
     def postpone(self, service: str, spent_at: float, now: float) -> None:
         """Count a further attempt at the time at which it is made.
@@ -115,7 +156,7 @@
         :param spent_at: when it was used, in seconds
         """
         self.give_back(service, spent_at)
-        self._attempts[service].further.append(now)
+        insort(self._attempts[service].further, now)
 
     def give_back(self, service: str, spent_at: float) -> None:
         """Count a further attempt no more, as it was not made.
