--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/observers.py
@@ -11,6 +11,8 @@
 from pondquay_daemon.relay.upstreamlisteners import UpstreamListener
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pondquay.routing.knownupstreams import KnownUpstream
     from pondquay_daemon.relay.components import RelayComponents
     from pondquay_daemon.relay.messages import UpstreamSignals
@@ -31,6 +33,7 @@
     :param prefill: the attempt's prompt at the upstream
     :param max_pause: seconds that the route allows between two events of a stream,
         ``None`` where it sets no limit
+    :param note_response: called when the upstream responds
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         upstream: KnownUpstream,
         prefill: Prefill,
         max_pause: float | None,
+        note_response: Callable[[], None],
     ) -> None:
         self._components = components
         self._upstream = upstream
         self._prefill = prefill
         self._max_pause = max_pause
+        self._note_response = note_response
         self._sent_at = components.clock.seconds()
         # Intervals since the last observation of the pace, and their sum.
         self._intervals = 0
@@ -56,6 +61,7 @@
     def on_response(self) -> None:
         """Note that the upstream has prefilled the prompt, since it responds."""
         self._prefill.note_prefilled()
+        self._note_response()
 
     def on_pause(self, seconds: float) -> None:
         """Record a pause between two events."""
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/requests.py
@@ -132,7 +132,13 @@
             self._silences,
         )
         self._sender = RequestSender(
-            components, job, self._progress, self._search, failover, self._reserve_retry
+            components,
+            job,
+            self._progress,
+            self._search,
+            failover,
+            self._reserve_retry,
+            self._retry_permit.note_response,
         )
         self._recorder = OutcomeRecorder(
             components, admission, self._crash_permit, self._place, self._search
@@ -300,7 +306,6 @@
             outcome = await self._sender.send(upstream, attempts_left)
             self._record_outcome(upstream, outcome)
             if isinstance(outcome, Unsent):
-                self._retry_permit.keep()
                 connect_failures += self._counts_as_failure(outcome)
                 if self._should_stop_connecting(connect_failures):
                     return self._make_refusal("no connection")
@@ -357,6 +362,7 @@
             # Without an earlier reason, too little time was left for the attempt.
             self._stop_reason = self._stop_reason or "timeout"
         self._recorder.record(upstream, outcome)
+        self._retry_permit.note_outcome(outcome)
 
     def _deliver(self, outcome: Outcome, *, last: bool) -> bool:
         """Finish the caller's response, if the outcome allows it.
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -5,9 +5,15 @@
 from typing import TYPE_CHECKING
 
 from pondquay_daemon.logs import Level, log_event
+from pondquay_daemon.relay.outcomes import Lost, Stopped, Unsent
 
 if TYPE_CHECKING:
+    from pondquay.routing.retryshares import Retry
     from pondquay_daemon.relay.components import RelayComponents
+    from pondquay_daemon.relay.outcomes import Outcome
+
+# Longest silence after which an upstream reads on what has arrived meanwhile.
+MAX_SILENCE_SECONDS = 2.0
 
 
 class RetryPermit:
@@ -20,9 +26,11 @@
         self._components = components
         self._service = service
         self._request = request
-        # Times at which the reserved retry, and the one used last, count in the share.
-        self._reserved_at: float | None = None
-        self._taken_at: float | None = None
+        self._reserved: Retry | None = None
+        # The retry that was used last.
+        self._taken: Retry | None = None
+        # Time until which an upstream that was left may still read the request.
+        self._readable_until = 0.0
 
     def note_first(self, arrived_at: float) -> None:
         """Count the request, which increases the number of allowed retries.
@@ -34,7 +42,7 @@
 
     def can_reserve(self) -> bool:
         """Return whether a retry can be reserved now."""
-        if self._reserved_at is not None:
+        if self._reserved is not None:
             return True
         return self._components.retries.can_spend(
             self._service, self._components.clock.seconds()
@@ -47,39 +55,60 @@
         :param cause: why it is sent again, for the logs
         """
         now = self._components.clock.seconds()
-        if self._reserved_at is not None:
-            self._components.retries.postpone(self._service, self._reserved_at, now)
-        elif not self._spend():
+        retries, reserved = self._components.retries, self._reserved
+        self._reserved = None
+        if reserved is None:
+            reserved = self._spend()
+        elif not retries.confirm(self._service, reserved, now):
+            reserved = None
+        if reserved is None:
             return False
-        self._taken_at, self._reserved_at = now, None
+        self._taken = reserved
         self._components.metrics.retries_used.labels(cause).inc()
         self._log("retry-used", upstream=upstream, cause=cause)
         return True
 
     def reserve(self) -> bool:
         """Reserve a retry; return whether one is reserved."""
-        if self._reserved_at is None and self._spend():
-            self._reserved_at = self._components.clock.seconds()
-        return self._reserved_at is not None
-
-    def keep(self) -> None:
-        """Reserve the retry that was used last again, as nothing was sent with it."""
-        if self._taken_at is not None:
-            self._reserved_at, self._taken_at = self._taken_at, None
-            self._log("retry-unused")
+        if self._reserved is None:
+            self._reserved = self._spend()
+        return self._reserved is not None
+
+    def note_response(self) -> None:
+        """Note that the upstream to which the request was sent last has read it."""
+        if self._taken is not None:
+            now = self._components.clock.seconds()
+            self._taken.until = max(now, self._readable_until)
+
+    def note_outcome(self, outcome: Outcome) -> None:
+        """Note how the last attempt ended."""
+        if isinstance(outcome, Unsent):
+            self._keep()
+            return
+        if is_unread(outcome):
+            now = self._components.clock.seconds()
+            self._readable_until = now + MAX_SILENCE_SECONDS
+        self.note_response()
 
     def release(self) -> None:
         """Return the reserved retry, as the request has ended."""
-        if self._reserved_at is not None:
-            self._components.retries.give_back(self._service, self._reserved_at)
-            self._reserved_at = None
+        if self._reserved is not None:
+            self._components.retries.give_back(self._service, self._reserved)
+            self._reserved = None
 
-    def _spend(self) -> bool:
+    def _keep(self) -> None:
+        """Reserve the retry that was used last again, as nothing was sent with it."""
+        if self._taken is not None:
+            self._reserved, self._taken = self._taken, None
+            self._log("retry-unused")
+
+    def _spend(self) -> Retry | None:
         now = self._components.clock.seconds()
-        granted = self._components.retries.spend(self._service, now)
+        retry = self._components.retries.spend(self._service, now)
+        granted = retry is not None
         self._components.metrics.retries.labels("yes" if granted else "no").inc()
         self._log("retry-decided", granted=granted)
-        return granted
+        return retry
 
     def _log(self, event: str, **fields: object) -> None:
         """Log an event of a retry, with what the share has counted."""
@@ -95,3 +124,10 @@
             retries=use.retries,
             allowed=round(use.allowed, 2),
         )
+
+
+def is_unread(outcome: Outcome) -> bool:
+    """Return whether an upstream may read the request after the attempt's end."""
+    if isinstance(outcome, Lost):
+        return outcome.silent and not outcome.began
+    return isinstance(outcome, Stopped) and outcome.sent
--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/sending.py
@@ -58,6 +58,7 @@
     :param failover: leaves silent upstreams
     :param may_retry: reserves a retry, so that an upstream may be abandoned whose
         failure does not end; returns whether it did
+    :param note_response: called when an upstream responds
     :ivar sent_to: names of the upstreams that were tried, in order
     """
 
@@ -69,6 +70,7 @@
         search: UpstreamSearch,
         failover: Failover,
         may_retry: Callable[[], bool],
+        note_response: Callable[[], None],
     ) -> None:
         self._components = components
         self._job = job
@@ -77,6 +79,7 @@
         self._workspace = job.admission.workspace
         self._progress = progress
         self._may_retry = may_retry
+        self._note_response = note_response
         self._search = search
         self._failover = failover
         self._attempt: Attempt | None = None
@@ -161,7 +164,13 @@
             self._metadata.attempt,
             self._job.response,
             self._progress,
-            UpstreamObserver(self._components, upstream, prefill, self._route.pause),
+            UpstreamObserver(
+                self._components,
+                upstream,
+                prefill,
+                self._route.pause,
+                self._note_response,
+            ),
             self._components.buffers.open_work(),
         )
 
--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -8,7 +8,9 @@
 of them callers use and whenever instances end: the sum is at most half of the fraction
 of the requests of two adjacent windows, so at most the fraction of those of one. A
 retry is therefore made only if every window that may hold it, also those that end
-later, has room for it even without further requests.
+later, has room for it even without further requests. It counts from the time at which
+it is made until an upstream can no longer read any attempt of its request, as it may
+arrive at any time in between.
 
 The fixed number: each instance uses only its share of it. An instance may follow one
 that has ended, which may have used the same share, so it uses none of it until a window
@@ -21,7 +23,7 @@
 from bisect import bisect_left, insort
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
-from math import ceil
+from math import ceil, inf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -39,21 +41,43 @@
 SPARE_RATIO = 1.25
 
 
+@dataclass(eq=False, slots=True)
+class Retry:
+    """A further attempt.
+
+    :ivar made_at: when it was made, in seconds
+    :ivar until: latest time at which it may arrive, in seconds; infinite while that is
+        not known
+    """
+
+    made_at: float
+    until: float = inf
+
+
 @dataclass(slots=True)
 class _Attempts:
-    """Times of attempts, in seconds and in order.
+    """Attempts of one service.
 
-    :ivar first: those of first attempts
-    :ivar further: those of further attempts
+    :ivar first: times of first attempts, in seconds and in order
     """
 
     first: list[float] = field(default_factory=list)
-    further: list[float] = field(default_factory=list)
+    further: list[Retry] = field(default_factory=list)
 
     def drop(self, first_before: float, further_before: float) -> None:
         """Drop attempts that no later window holds or covers."""
         del self.first[: bisect_left(self.first, first_before)]
-        del self.further[: bisect_left(self.further, further_before)]
+        self.further = [
+            retry for retry in self.further if retry.until >= further_before
+        ]
+
+    def list_ends(self, now: float) -> list[float]:
+        """Return the latest times at which further attempts arrive, the newest first.
+
+        Attempts that may arrive at any time count as arriving now.
+        """
+        ends = (retry.until if retry.until < inf else now for retry in self.further)
+        return sorted(ends, reverse=True)
 
     def count_first_since(self, since: float) -> int:
         """Return the number of first attempts from a time on."""
@@ -118,12 +142,13 @@
         self._count_instances(now)
         insort(self._attempts[service].first, arrived_at)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Use one further attempt; return ``False`` if none is left."""
+    def spend(self, service: str, now: float) -> Retry | None:
+        """Make a further attempt; return ``None`` if none is left."""
         if not self.can_spend(service, now):
-            return False
-        insort(self._attempts[service].further, now)
-        return True
+            return None
+        retry = Retry(now)
+        self._attempts[service].further.append(retry)
+        return retry
 
     def can_spend(self, service: str, now: float) -> bool:
         """Return whether a further attempt is left."""
@@ -140,8 +165,8 @@
         tightest = None
         # Of the windows that hold the same further attempts, the last one is covered
         # by the fewest requests: the one that begins with the oldest of these attempts.
-        begins = [*attempts.further, now]
-        for retries, begin in enumerate(reversed(begins)):
+        ends = attempts.list_ends(now)
+        for retries, begin in enumerate([max([now, *ends]), *ends]):
             covered_since = begin - window + self._max_delay
             requests = attempts.count_first_since(covered_since)
             use = ShareUse(requests, retries, self._ratio * requests + share)
@@ -150,22 +175,23 @@
         assert tightest is not None
         return tightest
 
-    def postpone(self, service: str, spent_at: float, now: float) -> None:
-        """Count a further attempt at the time at which it is made.
+    def confirm(self, service: str, retry: Retry, now: float) -> bool:
+        """Return whether a further attempt that was made in advance is still allowed.
 
-        :param spent_at: when it was used, in seconds
+        One that is not counts no more.
         """
-        self.give_back(service, spent_at)
-        insort(self._attempts[service].further, now)
-
-    def give_back(self, service: str, spent_at: float) -> None:
-        """Count a further attempt no more, as it was not made.
+        if now - retry.made_at <= self._max_delay:
+            return True
+        self.give_back(service, retry)
+        if not self.can_spend(service, now):
+            return False
+        retry.made_at = now
+        self._attempts[service].further.append(retry)
+        return True
 
-        :param spent_at: when it was used, in seconds
-        """
-        further = self._attempts[service].further
-        if spent_at in further:
-            further.remove(spent_at)
+    def give_back(self, service: str, retry: Retry) -> None:
+        """Count a further attempt no more, as nothing was sent with it."""
+        self._attempts[service].further.remove(retry)
 
     def _share(self, now: float) -> float:
         """Return this instance's share of the fixed number."""
