--- a/packages/pondquay-standins/src/pondquay_standins/replicas.py
+++ b/packages/pondquay-standins/src/pondquay_standins/replicas.py
@@ -103,6 +103,7 @@
     :ivar held_seconds: for how long a silence has held its response back, infinite
         until then
     :ivar waited: whether it had arrived before it was read, during a silence
+    :ivar deadline: seconds that the replica has for it, ``None`` if it was not told
     """
 
     attempt: str
@@ -114,6 +115,7 @@
     limit: float | None = None
     held_seconds: float = 0.0
     waited: bool = False
+    deadline: float | None = None
 
 
 @dataclass(slots=True)
@@ -259,6 +261,10 @@
                 return value.decode()
         return ""
 
+    def _read_deadline(self) -> float | None:
+        milliseconds = self._header("X-Pondquay-Deadline-Ms")
+        return int(milliseconds) / 1000 if milliseconds else None
+
     def _start_request(self) -> None:
         replica = self._replica
         expected = self._header("X-Pondquay-Expect-Replica")
@@ -348,6 +354,7 @@
             replica.backoff,
             replica.limit,
             waited=self._has_waited,
+            deadline=self._read_deadline(),
         )
         replica.arrivals.append(arrival)
         if self._silence.is_silent:
--- a/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/callers.py
@@ -11,7 +11,12 @@
 from typing import TYPE_CHECKING
 
 from pondquay_standins.processes import HOST
-from pondquay_standins.routedfleet import HOST_NAME, read_body
+from pondquay_standins.routedfleet import (
+    ENGINE_SERVICE,
+    HOST_NAME,
+    PLAIN_SERVICE,
+    read_body,
+)
 from pondquay_standins.soak.connections import CallerConnection
 
 if TYPE_CHECKING:
@@ -26,6 +31,13 @@
 MAX_EVENTS = 20
 ROUTES = ("audit", "review", "fetch", "write")
 STREAMING_ROUTES = frozenset({"audit", "review"})
+# Service of each route.
+SERVICES = {
+    "audit": ENGINE_SERVICE,
+    "review": ENGINE_SERVICE,
+    "fetch": PLAIN_SERVICE,
+    "write": PLAIN_SERVICE,
+}
 # The streaming route whose broken streams may go on.
 RESUMABLE_ROUTE = "audit"
 # Routes whose requests may not be sent again once they may have run.
--- a/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/fleet.py
@@ -39,6 +39,10 @@
     "fetch": DEFAULT_TIMEOUT_SECONDS,
     "write": DEFAULT_TIMEOUT_SECONDS,
 }
+# Replicas at which a request may run, as in the configuration.
+ROUTE_ATTEMPTS = {"audit": 2, "review": 1, "fetch": 2, "write": 2}
+RETRY_WINDOW_SECONDS = 4.0
+RETRY_EXTRA = 48
 # Values of rows in the table of upstreams that do not describe an upstream.
 MALFORMED_VALUES: tuple[Any, ...] = (
     "text",
@@ -94,6 +98,7 @@
         self.version = 0
         self.idle_seconds = {0: INITIAL_IDLE_SECONDS}
         self.daemon = "pondquay_standins.partitionable"
+        self.retry_window, self.retry_extra = RETRY_WINDOW_SECONDS, RETRY_EXTRA
         for name in self.relay_names:
             self.set_environment(name, {})
         self._malformed_numbers = count()
--- a/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from pondquay_cli.logfiles import read_events
+from pondquay_standins.retrybounds import RetryBound
+from pondquay_standins.routedfleet import RETRY_RATIO
 from pondquay_standins.soak.invariants import Violation, check_all
 from pondquay_standins.soak.limits import check_limits
 from pondquay_standins.soak.lostrequests import (
@@ -19,6 +21,11 @@
     list_gateway_breaks,
 )
 from pondquay_standins.soak.plannedstops import check_stops
+from pondquay_standins.soak.repeatchecks import (
+    check_attempts,
+    check_share,
+    check_time,
+)
 from pondquay_standins.soak.streams import check_continuing, check_versions
 from pondquay_standins.soak.upstreamsignals import (
     Disturbance,
@@ -27,6 +34,7 @@
 )
 
 if TYPE_CHECKING:
+    from pondquay_standins.replicas import Arrival
     from pondquay_standins.soak.callers import Call
     from pondquay_standins.soak.faultrecords import FaultRecords
     from pondquay_standins.soak.fleet import SoakFleet
@@ -66,6 +74,7 @@
         violations += check_stops(
             self._records.stops, calls, Disturbances(self._records.partitions)
         )
+        violations += self._check_repeats(calls, arrivals)
         violations += self._check_ends(calls, {arrival.attempt for arrival in arrivals})
         violations += [
             Violation(INTERNAL_ERROR_INVARIANT, "a relay", line)
@@ -75,6 +84,20 @@
             violations += self._check_versions(name)
         return violations
 
+    def _check_repeats(
+        self, calls: list[Call], arrivals: list[Arrival]
+    ) -> list[Violation]:
+        """Check how often and for how long replicas received one request."""
+        fleet, records = self._fleet, self._records
+        bound = RetryBound(RETRY_RATIO, fleet.retry_extra, fleet.retry_window)
+        crashes = [Disturbance(name, at, at) for name, at in fleet.crashes()]
+        lines = Disturbances([*records.lines, *crashes])
+        return [
+            *check_share(calls, arrivals, fleet.services, bound),
+            *check_attempts(calls, fleet.runs(), lines),
+            *check_time(calls, arrivals, Disturbances(records.disturbances)),
+        ]
+
     def _check_ends(self, calls: list[Call], passed_on: set[str]) -> list[Violation]:
         """Check how connections and responses ended.
 
