--- a/packages/pondquay-standins/src/pondquay_standins/hostile/__main__.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/__main__.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from pondquay_standins.hostile.behaviours import list_behaviours
+from pondquay_standins.hostile.crashcounts import run_crash_counts
 from pondquay_standins.hostile.repeats import (
     RepeatsPlan,
     RepeatsResult,
@@ -69,6 +70,16 @@
     return result
 
 
+def run_crashes(seed: int) -> int:
+    """Run both kinds of crashes and return the exit status."""
+    passed = True
+    for by_part in (False, True):
+        result = run_crash_counts(by_part=by_part, seed=seed)
+        print(result, flush=True)
+        passed = passed and result.passed
+    return 0 if passed else 1
+
+
 def list_chosen(options: Namespace) -> Sequence[HostilePlan | RepeatsPlan]:
     """Return the plans that the options choose."""
     only = options.only
@@ -93,9 +104,16 @@
         action="store_true",
         help="move callers and replace relays while replicas fail, instead",
     )
+    parser.add_argument(
+        "--crashes",
+        action="store_true",
+        help="kill relays while requests crash replicas, instead",
+    )
     parser.add_argument("--only", nargs="*", help="names of behaviours")
     parser.add_argument("--from", dest="commit", help="run relays of this commit")
     options = parser.parse_args(arguments)
+    if options.crashes:
+        return run_crashes(options.seed)
     plans = list_chosen(options)
     with ExitStack() as stack:
         if options.commit:
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/checks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/checks.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pondquay_standins.hostile.callers import EVENT
+from pondquay_standins.deadlinebounds import are_too_many, is_late
+from pondquay_standins.hostile.callers import DEADLINE_MS, EVENT
 from pondquay_standins.hostile.exchanges import format_event
 from pondquay_standins.retrybounds import RetryBound
 from pondquay_standins.routedfleet import RETRY_RATIO
@@ -61,6 +62,7 @@
     ]
     for call in calls:
         findings += check_call(call, by_attempt.get(call.attempt, []))
+    findings += check_time(calls, by_attempt)
     return findings + check_repeats(calls, by_attempt, retry_extra, window)
 
 
@@ -109,6 +111,21 @@
     return call.body == expected and numbers == list(range(1, call.events + 1))
 
 
+def check_time(
+    calls: Sequence[HostileCall], by_attempt: Mapping[str, Sequence[Visit]]
+) -> list[Finding]:
+    """Return a finding if many replicas got more time than was left."""
+    judged = late = 0
+    for call in calls:
+        until = call.began + DEADLINE_MS / 1000
+        for visit in by_attempt.get(call.attempt, ()):
+            judged += 1
+            late += is_late(visit.at, visit.deadline, until)
+    if not are_too_many(late, judged):
+        return []
+    return [Finding("too much time", "", f"{late} of {judged} deadlines")]
+
+
 def check_repeats(
     calls: Iterable[HostileCall],
     by_attempt: Mapping[str, Sequence[Visit]],
--- a/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/exchanges.py
@@ -59,6 +59,7 @@
     :ivar status: status of its response, 0 if none was sent
     :ivar whole: whether the response was sent as a whole
     :ivar wrong: what the caller did not send, empty if nothing
+    :ivar deadline: seconds that the replica has for it, ``None`` if it was not told
     """
 
     attempt: str
@@ -69,6 +70,7 @@
     status: int = 0
     whole: bool = False
     wrong: str = ""
+    deadline: float | None = None
 
 
 class Behaviour:
@@ -131,6 +133,9 @@
         self.visit = Visit(
             self.attempt, self.replica.name, self.replica.service, time.monotonic()
         )
+        milliseconds = headers.get("x-pondquay-deadline-ms", "")
+        if milliseconds.isdecimal():
+            self.visit.deadline = int(milliseconds) / 1000
         self.replica.visits.append(self.visit)
 
     @property
--- a/packages/pondquay-standins/tests/hostile/test_checks.py
+++ b/packages/pondquay-standins/tests/hostile/test_checks.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pondquay_standins.deadlinebounds import MAX_LATE
 from pondquay_standins.hostile.callers import ROUTES, HostileCall
 from pondquay_standins.hostile.checks import RETRY_WINDOW_SECONDS, find_all
 from pondquay_standins.hostile.exchanges import Visit, format_event
@@ -39,6 +40,7 @@
 
 def make_run(replica: str = "p1", **fields: object) -> Visit:
     visit = Visit("a", replica, SERVICE, 0.0, ran=True, status=200, whole=True)
+    visit.deadline = 1.0
     for name, value in fields.items():
         setattr(visit, name, value)
     return visit
@@ -52,6 +54,17 @@
     assert list_rules([make_call()], [make_run()]) == []
 
 
+# Guards against replicas that work on for callers that have left.
+@pytest.mark.parametrize("deadline", [None, 2.1])
+def test_replicas_get_no_more_time_than_is_left(deadline: float | None) -> None:
+    calls = [make_call("fetch", attempt=f"a{n}") for n in range(MAX_LATE + 1)]
+    visits = [
+        make_run(attempt=call.attempt, ran=False, deadline=deadline) for call in calls
+    ]
+    assert "too much time" in list_rules(calls, visits)
+    assert "too much time" not in list_rules(calls, visits[1:])
+
+
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 @pytest.mark.parametrize(
     ("route", "rules"), [("write", ["refused but ran"]), ("fetch", [])]
