--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/ingress.py
@@ -138,10 +138,22 @@
             response.note_disconnected()
 
     def abort(self) -> None:
-        """Reset the connection."""
-        self._closing = True
-        self._response = None
+        """Reset the connection, after what was written last if the caller reads.
+
+        A reset discards what the transport has not sent. The event loop sends it within
+        the turns for which the timer waits.
+        """
+        is_reading = not self.paused
+        self._closing = self._refused = True
+        self._response = self._time_limit = self._body_until = None
         self._discard_kept()
+        if is_reading:
+            self._timer.start(0.0, self._abort_transport)
+        else:
+            self._abort_transport()
+
+    def _abort_transport(self) -> None:
+        self._timer.stop()
         cast("Server", self.transport).abortConnection()
 
     def break_off(self) -> None:
--- a/packages/pondquay-daemon/tests/relay/conftest.py
+++ b/packages/pondquay-daemon/tests/relay/conftest.py
@@ -41,6 +41,7 @@
 from pondquay_daemon.relay.relay import Relay
 from pondquay_daemon.relay.settings import RelayBounds, RelaySettings
 
+from ..stalledclock import run_due_calls
 from .memorystore import SERVICE, MemoryStore
 
 if TYPE_CHECKING:
@@ -130,6 +131,12 @@
         self.requests.append((head, body, response))
 
 
+def run_turns(clock: Any) -> None:
+    """Run the turns of the event loop after which a connection is reset."""
+    for _ in range(2):
+        run_due_calls(clock)
+
+
 @dataclass
 class CallerSide:
     """A connection to an ingress server, without a network."""
--- a/packages/pondquay-daemon/tests/relay/test_ingress.py
+++ b/packages/pondquay-daemon/tests/relay/test_ingress.py
@@ -12,7 +12,8 @@
     MAX_WAIT_FRACTION,
 )
 
-from .conftest import CallerSide, CallerTransport
+from ..stalledclock import run_due_calls
+from .conftest import CallerSide, CallerTransport, run_turns
 from .slowreading import LIMIT_BYTES, SlowTransport
 
 GET = b"GET /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Own: 1\r\n\r\n"
@@ -106,10 +107,48 @@
     response = caller.handler.requests[0][2]
     response.begin(200, [], b"id: 1\n\n")
     response.abort()
+    run_turns(caller.clock)
     assert caller.transport.aborted
     assert b"0\r\n\r\n" not in caller.sent_back()
 
 
+# Guards against callers that get nothing of a response that breaks right after its head
+# was written: the reset discards what the event loop has not sent yet.
+def test_a_connection_is_reset_once_the_loop_has_sent_what_was_written(
+    caller: CallerSide,
+) -> None:
+    caller.send(GET)
+    response = caller.handler.requests[0][2]
+    response.begin(200, [], b"id: 1\n\n")
+    response.abort()
+    # The loop runs the calls that are due before it sends, so one turn is too early.
+    run_due_calls(caller.clock)
+    assert not caller.transport.aborted
+    run_due_calls(caller.clock)
+    assert caller.transport.aborted
+
+
+def test_requests_that_arrive_before_the_reset_are_not_read(caller: CallerSide) -> None:
+    caller.send(GET)
+    caller.handler.requests[0][2].abort()
+    caller.send(GET)
+    caller.clock.advance(0)
+    assert caller.transport.aborted
+    assert len(caller.handler.requests) == 1
+
+
+# A reset that waits for a caller that does not read would wait without end.
+def test_a_connection_whose_caller_does_not_read_is_reset_at_once(
+    caller: CallerSide,
+) -> None:
+    caller.send(GET)
+    response = caller.handler.requests[0][2]
+    response.begin(200, [], b"id: 1\n\n")
+    caller.transport.producer.pauseProducing()
+    response.abort()
+    assert caller.transport.aborted
+
+
 def test_a_disconnected_caller_is_reported_once(caller: CallerSide) -> None:
     caller.send(GET)
     response = caller.handler.requests[0][2]
@@ -345,6 +384,7 @@
     notices: list[bool] = []
     response.on_disconnect = lambda: notices.append(True)
     caller.send(bytes(MAX_READ_AHEAD_BYTES + 1))
+    run_turns(caller.clock)
     assert caller.transport.aborted
     assert notices == [True]
     assert not response.open
--- a/packages/pondquay-daemon/tests/relay/test_slow_callers.py
+++ b/packages/pondquay-daemon/tests/relay/test_slow_callers.py
@@ -10,7 +10,7 @@
 
 from pondquay.routing.buffers import MAX_COLLECTED_BYTES
 
-from .conftest import RelaySide
+from .conftest import RelaySide, run_turns
 from .slowreading import (
     SendingUpstream,
     SlowTransport,
@@ -149,6 +149,7 @@
     side.relay.run_for(1.5)
     transport.read(len(transport.unsent))
     upstream.end.protocol.connectionLost(Failure(ConnectionLost()))
+    run_turns(side.relay.clock)
     assert transport.aborted
     assert BODY.startswith(body_of(transport)[:MAX_COLLECTED_BYTES]) or chunked
     assert not transport.value().endswith(b"0\r\n\r\n")
@@ -163,6 +164,7 @@
     _, transport, upstream = side.send_request(make_response(BODY))
     transport.read(len(transport.unsent))
     upstream.end.protocol.connectionLost(Failure(ConnectionLost()))
+    run_turns(side.relay.clock)
     assert transport.aborted
     assert side.count_failures() == 1
 
