--- a/packages/pondquay-standins/src/pondquay_standins/floods.py
+++ b/packages/pondquay-standins/src/pondquay_standins/floods.py
@@ -13,6 +13,8 @@
 
 # Bytes that are written at once.
 PIECE_BYTES = 1 << 16
+# A comment of a stream, which is no event.
+COMMENT = b":\n\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
@@ -46,7 +48,7 @@
     EndlessResponse(b"HTTP/1.1 500 No\r\n", b"\r\n", b"x"),
     EndlessResponse(b"HTTP/1.1 200 OK\r\n", CHUNKED + b"\r\n1;", b"x"),
     EndlessResponse(b"", b"", b"\x15\x03"),
-    EndlessResponse(b"HTTP/1.1 200 OK\r\n", b"\r\n", b":\n\n"),
+    EndlessResponse(b"HTTP/1.1 200 OK\r\n", b"\r\n", COMMENT),
     EndlessResponse(b"HTTP/1.1 200 OK\r\n", b"\r\nid: 1\ndata: ", b"x"),
 )
 # The same of requests that it refuses.
--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pondquay_standins.floods import COMMENT
 from pondquay_standins.replicas import format_event
 from pondquay_standins.soak.__main__ import main, parse_kinds, parse_seeds
 from pondquay_standins.soak.callers import CRASHING_PROMPT_TOKENS, PROMPT_TOKENS, Call
@@ -94,6 +95,19 @@
     assert found.invariant.startswith(invariant)
 
 
+def test_comments_are_a_part_of_a_response_only_if_a_replica_sent_them() -> None:
+    call = make_call(
+        attempt="a2",
+        route="audit",
+        events=2,
+        body=COMMENT * 2 + STREAM,
+        signature="sig.e1",
+    )
+    run = make_run(attempt="a2", replica="e1", target="/audit/", events=2)
+    assert check_call(call, [run])
+    assert check_call(call, [{**run, "endless": True}]) == []
+
+
 def test_an_exceeded_budget_is_found() -> None:
     runs = [make_run(attempt=f"a{n}", target="/audit/", events=2) for n in range(5)]
     used = 5 * (PROMPT_TOKENS + 6)
