--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from pondquay_daemon.logs import Level, log_event
@@ -86,16 +87,24 @@
             self._keep()
             return
         if is_unread(outcome):
-            now = self._components.clock.seconds()
-            self._readable_until = now + MAX_SILENCE_SECONDS
+            self._note_unread()
         self.note_response()
 
     def release(self) -> None:
         """Return the reserved retry, as the request has ended."""
+        if self._taken is not None and self._taken.until == inf:
+            # The attempt ended without an outcome, by an error of this process.
+            self._note_unread()
+            self.note_response()
         if self._reserved is not None:
             self._components.retries.give_back(self._service, self._reserved)
             self._reserved = None
 
+    def _note_unread(self) -> None:
+        """Note that an upstream may read the request after the attempt's end."""
+        now = self._components.clock.seconds()
+        self._readable_until = now + MAX_SILENCE_SECONDS
+
     def _keep(self) -> None:
         """Reserve the retry that was used last again, as nothing was sent with it."""
         if self._taken is not None:
