--- a/packages/pondquay-standins/src/pondquay_standins/hostile/crashcounts.py
+++ b/packages/pondquay-standins/src/pondquay_standins/hostile/crashcounts.py
@@ -17,7 +17,7 @@
 
 from pondquay_standins.hostile.callers import ROUTES, HostileCaller
 from pondquay_standins.processes import wait_until
-from pondquay_standins.replicas import CRASHING_PART_PREFIX
+from pondquay_standins.replicarecords import CRASHING_PART_PREFIX
 from pondquay_standins.routedfleet import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Any, Self
 
 from pondquay_standins.processes import HOST, Process, call_http, pick_port, wait_until
-from pondquay_standins.replicas import DEFAULT_SOFTWARE, Arrival
+from pondquay_standins.replicarecords import DEFAULT_SOFTWARE, Arrival
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedplatform.py
@@ -17,7 +17,8 @@
 from twisted.web.server import Site
 
 from pondquay_standins.replicafaults import ReplicaFault
-from pondquay_standins.replicas import DEFAULT_SOFTWARE, Replica, ReplicaFactory
+from pondquay_standins.replicarecords import DEFAULT_SOFTWARE
+from pondquay_standins.replicas import Replica, ReplicaFactory
 from pondquay_standins.rowstore import RowStore, StoreApi, StoreFault
 from pondquay_standins.silences import SilenceKind
 from pondquay_standins.web import reactor, read_body, write_body
--- a/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/finalchecks.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay_standins.processes import wait_until
-from pondquay_standins.replicas import CRASHING_PART_PREFIX
+from pondquay_standins.replicarecords import CRASHING_PART_PREFIX
 from pondquay_standins.soak.callers import PROMPT_TOKENS, TOKENS_PER_EVENT
 from pondquay_standins.soak.fleet import TOP_UP_TOKENS
 from pondquay_standins.soak.invariants import Violation
--- a/packages/pondquay-standins/src/pondquay_standins/soak/injections.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/injections.py
@@ -9,7 +9,7 @@
 from threading import Thread
 from typing import TYPE_CHECKING
 
-from pondquay_standins.replicas import CRASHING_PART_PREFIX
+from pondquay_standins.replicarecords import CRASHING_PART_PREFIX
 from pondquay_standins.soak.finalchecks import CRASHING_PATH_PREFIX
 from pondquay_standins.soak.fleet import TOP_UP_TOKENS
 from pondquay_standins.soak.proxies import ProxyFault
--- a/packages/pondquay-standins/src/pondquay_standins/soak/invariants.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/invariants.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from pondquay_standins.floods import COMMENT
-from pondquay_standins.replicas import CRASHING_PART_PREFIX, format_event
+from pondquay_standins.replicarecords import CRASHING_PART_PREFIX, format_event
 from pondquay_standins.soak.callers import (
     CRASHING_PROMPT_TOKENS,
     PROMPT_TOKENS,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/limits.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/limits.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
-    from pondquay_standins.replicas import Arrival
+    from pondquay_standins.replicarecords import Arrival
     from pondquay_standins.soak.callers import Call
     from pondquay_standins.soak.upstreamsignals import Disturbances
 
--- a/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
@@ -34,7 +34,7 @@
 )
 
 if TYPE_CHECKING:
-    from pondquay_standins.replicas import Arrival
+    from pondquay_standins.replicarecords import Arrival
     from pondquay_standins.soak.callers import Call
     from pondquay_standins.soak.faultrecords import FaultRecords
     from pondquay_standins.soak.fleet import SoakFleet
--- a/packages/pondquay-standins/src/pondquay_standins/soak/repeatchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/repeatchecks.py
@@ -21,7 +21,7 @@
     from collections.abc import Iterable, Mapping, Sequence
     from typing import Any
 
-    from pondquay_standins.replicas import Arrival
+    from pondquay_standins.replicarecords import Arrival
     from pondquay_standins.retrybounds import RetryBound
     from pondquay_standins.soak.callers import Call
     from pondquay_standins.soak.upstreamsignals import Disturbances
--- a/packages/pondquay-standins/src/pondquay_standins/soak/slowreaders.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/slowreaders.py
@@ -9,7 +9,7 @@
 from http.client import HTTPConnection, HTTPException
 
 from pondquay_standins.processes import HOST
-from pondquay_standins.replicas import PADDING
+from pondquay_standins.replicarecords import PADDING
 from pondquay_standins.routedfleet import read_body
 from pondquay_standins.soak.callers import (
     CALL_TIMEOUT_SECONDS,
--- a/packages/pondquay-standins/src/pondquay_standins/soak/upstreamsignals.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/upstreamsignals.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
-    from pondquay_standins.replicas import Arrival
+    from pondquay_standins.replicarecords import Arrival
     from pondquay_standins.soak.callers import Call
 
 LEAVING_INVARIANT = "an instance stops using an upstream that signals it is leaving"
--- a/packages/pondquay-standins/tests/soak/test_limits.py
+++ b/packages/pondquay-standins/tests/soak/test_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pondquay_standins.replicas import Arrival
+from pondquay_standins.replicarecords import Arrival
 from pondquay_standins.soak.limits import check_limits
 from pondquay_standins.soak.upstreamsignals import Disturbance, Disturbances
 
--- a/packages/pondquay-standins/tests/soak/test_repeatchecks.py
+++ b/packages/pondquay-standins/tests/soak/test_repeatchecks.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from pondquay_standins.deadlinebounds import MAX_LATE
-from pondquay_standins.replicas import Arrival
+from pondquay_standins.replicarecords import Arrival
 from pondquay_standins.retrybounds import RetryBound
 from pondquay_standins.soak.callers import Call
 from pondquay_standins.soak.repeatchecks import (
--- a/packages/pondquay-standins/tests/soak/test_soak.py
+++ b/packages/pondquay-standins/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pondquay_standins.floods import COMMENT
-from pondquay_standins.replicas import format_event
+from pondquay_standins.replicarecords import format_event
 from pondquay_standins.soak.__main__ import main, parse_kinds, parse_seeds
 from pondquay_standins.soak.callers import CRASHING_PROMPT_TOKENS, PROMPT_TOKENS, Call
 from pondquay_standins.soak.invariants import check_all, check_call
--- a/packages/pondquay-standins/tests/soak/test_streams.py
+++ b/packages/pondquay-standins/tests/soak/test_streams.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pondquay_standins.replicas import format_event
+from pondquay_standins.replicarecords import format_event
 from pondquay_standins.soak.callers import RESUMABLE_ROUTE, Call
 from pondquay_standins.soak.streams import (
     MIN_TAKEN_UP,
--- a/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
+++ b/packages/pondquay-standins/tests/soak/test_upstreamsignals.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pondquay_standins.replicas import Arrival
+from pondquay_standins.replicarecords import Arrival
 from pondquay_standins.soak.upstreamsignals import (
     BACKOFF_INVARIANT,
     LEAVING_INVARIANT,
--- a/packages/pondquay-standins/tests/test_crashes.py
+++ b/packages/pondquay-standins/tests/test_crashes.py
@@ -10,7 +10,7 @@
 
 from pondquay.routing.crashes import CRASHES_TO_BLOCK
 from pondquay_standins.processes import wait_until
-from pondquay_standins.replicas import CRASHING_PART_PREFIX
+from pondquay_standins.replicarecords import CRASHING_PART_PREFIX
 from pondquay_standins.routedfleet import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
