--- a/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
+++ b/packages/pondquay-daemon/src/pondquay_daemon/relay/retrying.py
@@ -61,6 +61,7 @@
         if reserved is None:
             reserved = self._spend()
         elif not retries.confirm(self._service, reserved, now):
+            self._note_decision(granted=False)
             reserved = None
         if reserved is None:
             return False
@@ -114,10 +115,12 @@
     def _spend(self) -> Retry | None:
         now = self._components.clock.seconds()
         retry = self._components.retries.spend(self._service, now)
-        granted = retry is not None
+        self._note_decision(granted=retry is not None)
+        return retry
+
+    def _note_decision(self, *, granted: bool) -> None:
         self._components.metrics.retries.labels("yes" if granted else "no").inc()
         self._log("retry-decided", granted=granted)
-        return retry
 
     def _log(self, event: str, **fields: object) -> None:
         """Log an event of a retry, with what the share has counted."""
