--- a/packages/pondquay/src/pondquay/routing/retryshares.py
+++ b/packages/pondquay/src/pondquay/routing/retryshares.py
@@ -140,7 +140,15 @@
         :param arrived_at: when it arrived, in seconds
         """
         self._count_instances(now)
-        insort(self._attempts[service].first, arrived_at)
+        attempts, covering = self._attempts[service], COVERING_WINDOWS * self._window
+        # Each drop moves the rest of the list, so expired requests are collected.
+        if attempts.first and attempts.first[0] < now - 2 * covering:
+            attempts.drop(now - covering, now - self._window)
+        insort(attempts.first, arrived_at)
+
+    def count_kept(self, service: str) -> int:
+        """Return the number of requests of a service whose times are kept."""
+        return len(self._attempts[service].first)
 
     def spend(self, service: str, now: float) -> Retry | None:
         """Make a further attempt; return ``None`` if none is left."""
--- a/packages/pondquay/tests/routing/test_retryshares.py
+++ b/packages/pondquay/tests/routing/test_retryshares.py
@@ -138,6 +138,15 @@
     assert used >= 0.9 * RATIO * 2 * REQUESTS
 
 
+# Guards against memory that grows as long as no upstream fails.
+def test_requests_without_retries_are_forgotten() -> None:
+    share = RetryShare(RATIO, 0.0, WINDOW, lambda: 8)
+    for number in range(100 * REQUESTS):
+        now = number * WINDOW / REQUESTS
+        share.note_first("judge", now, now)
+    assert share.count_kept("judge") <= 5 * REQUESTS
+
+
 def test_each_service_has_its_own_share() -> None:
     share = RetryShare(0.0, 16.0, WINDOW, lambda: 3)
     assert use(share, "judge", 0.0)
