--- a/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/runs.py
@@ -14,6 +14,7 @@
 from pondquay_standins.soak.finalchecks import FinalChecks
 from pondquay_standins.soak.fleet import SoakFleet
 from pondquay_standins.soak.injections import FaultInjector
+from pondquay_standins.soak.invariants import Violation
 from pondquay_standins.soak.loads import UnevenLoad
 from pondquay_standins.soak.recordchecks import RecordChecks
 from pondquay_standins.soak.relayfaults import RelayFaults
@@ -31,10 +32,10 @@
 
     from pondquay_standins.soak.builds import Build
     from pondquay_standins.soak.callers import Call
-    from pondquay_standins.soak.invariants import Violation
 
 CALLER_COUNT = 4
 DEFAULT_SIZE = FleetSize()
+START_INVARIANT = "all relays start"
 LOG_FOLDER = Path("var") / "soak"
 
 
@@ -103,7 +104,10 @@
         with self._fleet, self._records.own_stalls:
             for name in self._fleet.relay_names:
                 self._relays.record_start(name)
-            self._fleet.start()
+            try:
+                self._fleet.start()
+            except TimeoutError as error:
+                return self._note_failed_start(error)
             callers = [
                 Caller(f"s{self._seed}c{number}", number, self._fleet.list_endpoints)
                 for number in range(CALLER_COUNT)
@@ -138,6 +142,13 @@
                 self._save_logs(result, calls)
         return result
 
+    def _note_failed_start(self, error: TimeoutError) -> SoakResult:
+        """Save the logs of a fleet that did not start, and return the result."""
+        violation = Violation(START_INVARIANT, "fleet", str(error))
+        result = SoakResult(self._seed, Counter(), len(self._planned), [violation])
+        self._save_logs(result, [])
+        return result
+
     def _save_logs(self, result: SoakResult, calls: list[Call]) -> None:
         """Save the logs, the result and the records of calls and replicas."""
         folder = LOG_FOLDER / f"seed-{self._seed}"
