--- a/packages/pondquay-standins/src/pondquay_standins/soak/partitionbreaks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/partitionbreaks.py
@@ -45,14 +45,14 @@
 class PartitionBreaks:
     """The attempts of a run whose connections broke.
 
-    :param partitions: when relays were cut off from all replicas
+    :param partitions: when relays were cut off from all replicas, or killed
     """
 
     def __init__(
         self, breaks: Iterable[PartitionBreak], partitions: Iterable[Disturbance]
     ) -> None:
         self._breaks = {(found.attempt, found.relay): found for found in breaks}
-        # A partition breaks the connections that are open when it begins.
+        # A partition or a kill breaks the connections that are open when it begins.
         self._beginnings = Disturbances(
             [replace(partition, ended=partition.began) for partition in partitions]
         )
--- a/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
+++ b/packages/pondquay-standins/src/pondquay_standins/soak/recordchecks.py
@@ -140,7 +140,7 @@
                 fleet.runs(),
                 breaks,
                 records,
-                PartitionBreaks(gateway_breaks, partitions),
+                PartitionBreaks(gateway_breaks, [*partitions, *self._records.kills]),
             ),
         ]
 
--- a/packages/pondquay-standins/tests/soak/test_partitionbreaks.py
+++ b/packages/pondquay-standins/tests/soak/test_partitionbreaks.py
@@ -56,6 +56,14 @@
     assert is_excused(found, Disturbance("r3", began, 20.4))
 
 
+# Guards against a check that takes the kill of a gateway for a fault of the relay.
+def test_a_response_may_break_off_as_its_gateway_is_killed() -> None:
+    found = PartitionBreak("a1", "r1", "r3", 20.1)
+    assert is_excused(found, Disturbance("r3", 20.05, 20.06))
+    assert not is_excused(found, Disturbance("r2", 20.05, 20.06))
+    assert not is_excused(found, Disturbance("r3", 19.8, 19.9))
+
+
 @pytest.mark.parametrize(
     ("found", "partition"),
     [
