--- a/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
+++ b/packages/pondquay-standins/src/pondquay_standins/routedfleet.py
@@ -10,6 +10,7 @@
 from base64 import b64decode
 from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Self
@@ -267,6 +268,14 @@
             wait_until(lambda: relay.ready, f"relay {name}")
         return relay
 
+    def start_relays(self, *names: str) -> None:
+        """Start relays at the same time, and wait until all are ready."""
+        for name in names:
+            self.start_relay(name, wait=False)
+        for name in names:
+            relay = self.relays[name]
+            wait_until(partial(_is_ready, relay), f"relay {name}")
+
     def send_request(
         self,
         relay: Relay,
@@ -394,6 +403,10 @@
         return process
 
 
+def _is_ready(relay: Relay) -> bool:
+    return relay.ready
+
+
 def _read_response(connection: HTTPConnection) -> RelayResponse:
     response = connection.getresponse()
     body, complete = read_body(response)
