--- a/packages/pondquay-cli/src/pondquay_cli/commands/retries.py
+++ b/packages/pondquay-cli/src/pondquay_cli/commands/retries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from argparse import ArgumentTypeError
+from math import inf
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -31,7 +33,7 @@
         parser.add_argument(
             "--window",
             metavar="SECONDS",
-            type=float,
+            type=parse_window,
             default=DEFAULT_WINDOW_SECONDS,
             help="length of the window (default: %(default)s)",
         )
@@ -57,6 +59,20 @@
         return CommandResult(content, "\n".join(map(_describe, windows)))
 
 
+def parse_window(text: str) -> float:
+    """Parse the length of a window, in seconds.
+
+    :raises ArgumentTypeError: if it is not a positive number
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < inf:
+        raise ArgumentTypeError(f"not a positive number of seconds: {text}")
+    return seconds
+
+
 def _describe(window: RetryWindow) -> str:
     return (
         f"{window.service}: {len(window.retries)} retries from {window.began:.3f}, "
--- a/packages/pondquay-cli/tests/test_retrycounts.py
+++ b/packages/pondquay-cli/tests/test_retrycounts.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from argparse import ArgumentTypeError
 from typing import TYPE_CHECKING
 
+import pytest
+
 from pondquay_cli.__main__ import make_parser
-from pondquay_cli.commands.retries import RetriesCommand
+from pondquay_cli.commands.retries import RetriesCommand, parse_window
 from pondquay_cli.logfiles import read_events
 from pondquay_cli.retrycounts import find_busiest_windows
 
@@ -43,6 +46,12 @@
     assert [retry.request for retry in window.retries] == ["r1", "r2"]
 
 
+@pytest.mark.parametrize("text", ["0", "-1", "inf", "nan", "ten"])
+def test_a_window_that_is_no_positive_number_is_refused(text: str) -> None:
+    with pytest.raises(ArgumentTypeError, match="not a positive number"):
+        parse_window(text)
+
+
 def test_the_command_shows_the_busiest_window_of_each_service(tmp_path: Path) -> None:
     (tmp_path / "edge-1.log").write_text(FIRST)
     (tmp_path / "edge-2.log").write_text(SECOND)
